feat: workspace, core values, platform ports and declared resources

The workspace has one package for each concern, with imports one way only. Decisions are to be pure; ports to the platform and to upstreams are single interfaces with one adapter each.

--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,158 @@
+// Import rules of the workspace: each package may import only the packages named for it.
+module.exports = {
+    forbidden: [
+        { name: "no-circular", severity: "error", from: {}, to: { circular: true } },
+        {
+            name: "public-index-only",
+            severity: "error",
+            from: { path: "^packages/([^/]+)/" },
+            to: { path: "^packages/([^/]+)/src/", pathNot: "^packages/($1/|[^/]+/src/index\\.ts$)" },
+        },
+        {
+            name: "core-imports",
+            severity: "error",
+            from: { path: "^packages/core/src" },
+            to: { path: "^packages/", pathNot: "^packages/(core)/" },
+        },
+        {
+            name: "resources-imports",
+            severity: "error",
+            from: { path: "^packages/resources/src" },
+            to: { path: "^packages/", pathNot: "^packages/(resources|core)/" },
+        },
+        {
+            name: "protocol-imports",
+            severity: "error",
+            from: { path: "^packages/protocol/src" },
+            to: { path: "^packages/", pathNot: "^packages/(protocol|core)/" },
+        },
+        {
+            name: "platform-imports",
+            severity: "error",
+            from: { path: "^packages/platform/src" },
+            to: { path: "^packages/", pathNot: "^packages/(platform|core)/" },
+        },
+        {
+            name: "runtime-imports",
+            severity: "error",
+            from: { path: "^packages/runtime/src" },
+            to: { path: "^packages/", pathNot: "^packages/(runtime|core|resources)/" },
+        },
+        {
+            name: "upstreams-imports",
+            severity: "error",
+            from: { path: "^packages/upstreams/src" },
+            to: { path: "^packages/", pathNot: "^packages/(upstreams|core)/" },
+        },
+        {
+            name: "routing-imports",
+            severity: "error",
+            from: { path: "^packages/routing/src" },
+            to: { path: "^packages/", pathNot: "^packages/(routing|core|resources)/" },
+        },
+        {
+            name: "limits-imports",
+            severity: "error",
+            from: { path: "^packages/limits/src" },
+            to: { path: "^packages/", pathNot: "^packages/(limits|core|resources)/" },
+        },
+        {
+            name: "membership-imports",
+            severity: "error",
+            from: { path: "^packages/membership/src" },
+            to: { path: "^packages/", pathNot: "^packages/(membership|core|protocol)/" },
+        },
+        {
+            name: "configuration-imports",
+            severity: "error",
+            from: { path: "^packages/configuration/src" },
+            to: { path: "^packages/", pathNot: "^packages/(configuration|core|platform|protocol|resources)/" },
+        },
+        {
+            name: "ledger-imports",
+            severity: "error",
+            from: { path: "^packages/ledger/src" },
+            to: { path: "^packages/", pathNot: "^packages/(ledger|core|platform|protocol)/" },
+        },
+        {
+            name: "streams-imports",
+            severity: "error",
+            from: { path: "^packages/streams/src" },
+            to: { path: "^packages/", pathNot: "^packages/(streams|core|resources|upstreams)/" },
+        },
+        {
+            name: "placement-imports",
+            severity: "error",
+            from: { path: "^packages/placement/src" },
+            to: { path: "^packages/", pathNot: "^packages/(placement|core|platform|resources)/" },
+        },
+        {
+            name: "entry-imports",
+            severity: "error",
+            from: { path: "^packages/entry/src" },
+            to: {
+                path: "^packages/",
+                pathNot:
+                    "^packages/(entry|core|resources|protocol|platform|runtime|upstreams|routing|limits|membership|configuration|ledger|streams)/",
+            },
+        },
+        {
+            name: "control-imports",
+            severity: "error",
+            from: { path: "^packages/control/src" },
+            to: {
+                path: "^packages/",
+                pathNot:
+                    "^packages/(control|core|resources|protocol|platform|runtime|upstreams|membership|configuration|placement)/",
+            },
+        },
+        {
+            name: "admin-imports",
+            severity: "error",
+            from: { path: "^packages/admin/src" },
+            to: {
+                path: "^packages/",
+                pathNot: "^packages/(admin|core|resources|protocol|platform|runtime|membership|configuration)/",
+            },
+        },
+        {
+            name: "ctl-imports",
+            severity: "error",
+            from: { path: "^packages/ctl/src" },
+            to: { path: "^packages/", pathNot: "^packages/(ctl|core|resources)/" },
+        },
+        {
+            name: "standins-imports",
+            severity: "error",
+            from: { path: "^packages/standins/src" },
+            to: { path: "^packages/", pathNot: "^packages/(standins|core|resources|platform|upstreams|runtime)/" },
+        },
+        {
+            name: "runner-imports",
+            severity: "error",
+            from: { path: "^packages/runner/src" },
+            to: { path: "^packages/", pathNot: "^packages/(runner|core|resources|platform|standins)/" },
+        },
+        {
+            name: "bench-imports",
+            severity: "error",
+            from: { path: "^packages/bench/src" },
+            to: {
+                path: "^packages/",
+                pathNot: "^packages/(bench|core|resources|platform|upstreams|routing|limits|standins|runner)/",
+            },
+        },
+        {
+            name: "proofs-imports",
+            severity: "error",
+            from: { path: "^packages/proofs/src" },
+            to: { path: "^packages/", pathNot: "^packages/(proofs|core|resources|platform|standins|runner)/" },
+        },
+    ],
+    options: {
+        doNotFollow: { path: "node_modules" },
+        tsConfig: { fileName: "tsconfig.json" },
+        tsPreCompilationDeps: true,
+        enhancedResolveOptions: { exportsFields: ["exports"], conditionNames: ["require", "node", "types"] },
+    },
+};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,50 @@
+// Brands and ids
+export type { Brand } from "./brand";
+export type { AccountId } from "./ids/accountId";
+export type { ActionKey } from "./ids/actionKey";
+export type { AvailabilityZone } from "./ids/availabilityZone";
+export type { FencingNumber } from "./ids/fencingNumber";
+export type { HostId } from "./ids/hostId";
+export type { ModelName } from "./ids/modelName";
+export type { OperationId } from "./ids/operationId";
+export type { Region } from "./ids/region";
+export type { RequestId } from "./ids/requestId";
+export type { Revision } from "./ids/revision";
+export type { ServiceName } from "./ids/serviceName";
+export type { TeamName } from "./ids/teamName";
+export type { UpstreamId } from "./ids/upstreamId";
+
+// Failures
+export { createFailure } from "./errors/createFailure";
+export { ErrorCode } from "./errors/errorCode";
+export { errorMessages } from "./errors/errorMessages";
+export type { Failure } from "./errors/failure";
+export { FailureError } from "./errors/failureError";
+export { httpStatusOf } from "./errors/httpStatusOf";
+export type { Problem } from "./errors/problem";
+export { toProblem } from "./errors/toProblem";
+
+// Time
+export type { Clock } from "./time/clock";
+export { createFakeClock } from "./time/createFakeClock";
+export { createSystemClock } from "./time/createSystemClock";
+export type { FakeClock } from "./time/fakeClock";
+export type { Timer } from "./time/timer";
+
+// Random numbers
+export { backoffDelayMs } from "./random/backoffDelayMs";
+export type { BackoffPolicy } from "./random/backoffPolicy";
+export { createRandom } from "./random/createRandom";
+export { createSystemRandom } from "./random/createSystemRandom";
+export type { RandomSource } from "./random/randomSource";
+
+// Hashing
+export { createHasher } from "./hashing/createHasher";
+export type { Hasher } from "./hashing/hasher";
+
+// Tasks
+export { createDeferred } from "./tasks/createDeferred";
+export { createTask } from "./tasks/createTask";
+export type { Deferred } from "./tasks/deferred";
+export type { Task } from "./tasks/task";
+export type { TaskOptions } from "./tasks/taskOptions";
--- /dev/null
+++ b/packages/core/src/random/backoffPolicy.ts
@@ -0,0 +1,5 @@
+/** Bounds of an exponential backoff. */
+export interface BackoffPolicy {
+    readonly initialDelayMs: number;
+    readonly maximumDelayMs: number;
+}
--- /dev/null
+++ b/packages/platform/src/cloud/cloudApi.ts
@@ -0,0 +1,19 @@
+import type { Failure, UpstreamId } from "@ibislanding/core";
+import type { Result } from "ts-results";
+import type { MachineOffer } from "./machineOffer";
+import type { ReclaimNotice } from "./reclaimNotice";
+import type { StartHostRequest } from "./startHostRequest";
+
+/** Port to the platform's cloud API. */
+export interface CloudApi {
+    readonly listOffers: () => Promise<Result<readonly MachineOffer[], Failure>>;
+    /** Starts a host; fails with `platform_refused` when there is no capacity. */
+    readonly startHost: (request: StartHostRequest) => Promise<Result<UpstreamId, Failure>>;
+    readonly stopHost: (upstreamId: UpstreamId, fencingNumber: number) => Promise<Result<void, Failure>>;
+    /** Returns the notices after a sequence number, waiting for one at most `waitMs`. */
+    readonly reclaimNotices: (
+        afterSequence: number,
+        waitMs: number,
+        signal?: AbortSignal,
+    ) => Promise<Result<readonly ReclaimNotice[], Failure>>;
+}
--- /dev/null
+++ b/packages/platform/src/hosts/hostList.ts
@@ -0,0 +1,12 @@
+import type { Failure } from "@ibislanding/core";
+import type { Result } from "ts-results";
+import type { SystemHostRecord } from "./systemHostRecord";
+import type { UpstreamRecord } from "./upstreamRecord";
+
+/** Port to the platform's host list; what it returns may be old. */
+export interface HostList {
+    readonly listUpstreams: () => Promise<Result<readonly UpstreamRecord[], Failure>>;
+    readonly listSystemHosts: () => Promise<Result<readonly SystemHostRecord[], Failure>>;
+    /** Registers a host of the system; registering again replaces the record. */
+    readonly registerSystemHost: (record: SystemHostRecord) => Promise<Result<void, Failure>>;
+}
--- /dev/null
+++ b/packages/platform/src/hosts/upstreamKind.ts
@@ -0,0 +1,2 @@
+/** What runs on an upstream host. */
+export type UpstreamKind = "engine" | "service";
--- /dev/null
+++ b/packages/platform/src/http/createHttpExchange.ts
@@ -0,0 +1,74 @@
+import { Agent, request as sendRequest } from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import type { ExchangeFailure } from "./exchangeFailure";
+import type { JsonRequest } from "./jsonRequest";
+import type { JsonResponse } from "./jsonResponse";
+
+/** Idle connections are closed after this time, before middleboxes forget them. */
+const IDLE_CONNECTION_MS = 15_000;
+
+const MAXIMUM_RESPONSE_BYTES = 16_000_000;
+
+const flattenHeaders = (headers: NodeJS.Dict<string | string[]>): Record<string, string | undefined> =>
+    Object.fromEntries(
+        Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(", ") : value]),
+    );
+
+/** Creates a client over pooled connections; a connection that timed out is destroyed and not reused. */
+export const createHttpExchange = () => {
+    const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS, maxFreeSockets: 16 });
+
+    const exchange = (request: JsonRequest): Promise<Result<JsonResponse, ExchangeFailure>> =>
+        new Promise(resolve => {
+            let connected = false;
+            const outgoing = sendRequest(request.url, {
+                method: request.method,
+                agent,
+                headers: { "content-type": "application/json", ...request.headers },
+            });
+            const finish = (result: Result<JsonResponse, ExchangeFailure>): void => {
+                clearTimeout(timer);
+                request.signal?.removeEventListener("abort", abort);
+                resolve(result);
+            };
+            const abort = (): void => {
+                outgoing.destroy();
+                finish(Err(connected ? "lost" : "not-sent"));
+            };
+            const timer = setTimeout(abort, request.timeoutMs);
+            request.signal?.addEventListener("abort", abort);
+            outgoing.on("socket", socket => {
+                if (socket.connecting) {
+                    socket.once("connect", () => {
+                        connected = true;
+                    });
+                }
+                else {
+                    connected = true;
+                }
+            });
+            outgoing.on("error", () => finish(Err(connected ? "lost" : "not-sent")));
+            outgoing.on("response", response => {
+                const chunks: Buffer[] = [];
+                let sizeBytes = 0;
+                response.on("data", (chunk: Buffer) => {
+                    sizeBytes += chunk.length;
+                    chunks.push(chunk);
+                    if (sizeBytes > MAXIMUM_RESPONSE_BYTES) {
+                        abort();
+                    }
+                });
+                response.on("error", () => finish(Err("lost")));
+                response.on("aborted", () => finish(Err("lost")));
+                response.on("end", () =>
+                    finish(Ok({
+                        status: response.statusCode ?? 0,
+                        headers: flattenHeaders(response.headers),
+                        body: Buffer.concat(chunks).toString("utf8"),
+                    })));
+            });
+            outgoing.end(request.body);
+        });
+
+    return { exchange, [Symbol.asyncDispose]: async () => agent.destroy() };
+};
--- /dev/null
+++ b/packages/platform/src/http/createHttpKeyValueStore.ts
@@ -0,0 +1,99 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import type { KeyValueCallOptions } from "../keyValue/keyValueCallOptions";
+import type { KeyValueEntry } from "../keyValue/keyValueEntry";
+import type { KeyValueStore } from "../keyValue/keyValueStore";
+import { createHttpExchange } from "./createHttpExchange";
+import type { ExchangeFailure } from "./exchangeFailure";
+import type { JsonRequest } from "./jsonRequest";
+import type { JsonResponse } from "./jsonResponse";
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+
+/** Time by which the answer to a waiting call may follow the end of the wait. */
+const WAIT_MARGIN_MS = 2_000;
+
+const failuresByStatus: Readonly<Record<number, ErrorCode>> = {
+    409: ErrorCode.KeyValueConflict,
+    410: ErrorCode.LeaseLost,
+    413: ErrorCode.KeyValueTooLarge,
+    429: ErrorCode.KeyValueUnavailable,
+    503: ErrorCode.KeyValueUnavailable,
+};
+
+const writeFailures: Readonly<Record<ExchangeFailure, ErrorCode>> = {
+    "not-sent": ErrorCode.KeyValueUnavailable,
+    lost: ErrorCode.KeyValueOutcomeUnknown,
+};
+
+const toFailure = (response: JsonResponse): Failure => {
+    const code = failuresByStatus[response.status] ?? ErrorCode.KeyValueOutcomeUnknown;
+    const currentVersion = Number(response.headers["x-current-version"] ?? 0);
+    return createFailure(code, code === ErrorCode.KeyValueConflict ? { details: { currentVersion } } : {});
+};
+
+/** Creates the adapter to the key-value service at a base URL. */
+export const createHttpKeyValueStore = (baseUrl: string): KeyValueStore & AsyncDisposable => {
+    const client = createHttpExchange();
+
+    const call = async (
+        request: Omit<JsonRequest, "timeoutMs" | "signal" | "url"> & { readonly path: string; },
+        options: KeyValueCallOptions,
+        isRead: boolean,
+        extraMs = 0,
+    ): Promise<Result<JsonResponse, Failure>> => {
+        const { path, ...rest } = request;
+        const result = await client.exchange({
+            ...rest,
+            url: `${baseUrl}${path}`,
+            headers: { ...rest.headers, "x-cause": options.cause },
+            timeoutMs: (options.timeoutMs ?? DEFAULT_TIMEOUT_MS) + extraMs,
+            signal: options.signal,
+        });
+        if (result.err) {
+            return Err(createFailure(isRead ? ErrorCode.KeyValueUnavailable : writeFailures[result.val]));
+        }
+        return result.val.status < 300 || result.val.status === 404 ? Ok(result.val) : Err(toFailure(result.val));
+    };
+
+    const keyPath = (key: string): string => `/v1/keys/${encodeURIComponent(key)}`;
+
+    const toEntry = (key: string, response: JsonResponse): KeyValueEntry | undefined =>
+        response.status === 404
+            ? undefined
+            : { key, value: response.body, version: Number(response.headers["x-version"]) };
+
+    return {
+        get: async (key, options) =>
+            (await call({ method: "GET", path: keyPath(key) }, options, true)).map(response => toEntry(key, response)),
+        list: async (prefix, options) =>
+            (await call({ method: "GET", path: `/v1/keys?prefix=${encodeURIComponent(prefix)}` }, options, true))
+                .map(response => JSON.parse(response.body) as readonly KeyValueEntry[]),
+        compareAndSwap: async (request, options) => {
+            const headers = {
+                "x-expected-version": String(request.expectedVersion),
+                ...(request.leaseId === undefined ? {} : { "x-lease": request.leaseId }),
+            };
+            const method = request.value === undefined ? "DELETE" : "PUT";
+            const path = keyPath(request.key);
+            const result = await call({ method, path, headers, body: request.value }, options, false);
+            return result.map(response => Number(response.headers["x-version"]));
+        },
+        waitForChange: async (key, knownVersion, waitMs, options) => {
+            const path = `${keyPath(key)}?knownVersion=${knownVersion}&waitMs=${waitMs}`;
+            const result = await call({ method: "GET", path }, options, true, waitMs + WAIT_MARGIN_MS);
+            return result.map(response => toEntry(key, response));
+        },
+        grantLease: async (durationMs, options) => {
+            const body = JSON.stringify({ durationMs });
+            const result = await call({ method: "POST", path: "/v1/leases", body }, options, false);
+            return result.map(response => (JSON.parse(response.body) as { leaseId: string; }).leaseId);
+        },
+        keepLeaseAlive: async (leaseId, options) =>
+            (await call({ method: "POST", path: `/v1/leases/${leaseId}/keepalive` }, options, false))
+                .map(() => undefined),
+        revokeLease: async (leaseId, options) =>
+            (await call({ method: "DELETE", path: `/v1/leases/${leaseId}` }, options, false)).map(() => undefined),
+        [Symbol.asyncDispose]: () => client[Symbol.asyncDispose](),
+    };
+};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,32 @@
+// Key-value service
+export type { CompareAndSwapRequest } from "./keyValue/compareAndSwapRequest";
+export { createFakeKeyValueStore } from "./keyValue/createFakeKeyValueStore";
+export type { FakeKeyValueStore } from "./keyValue/fakeKeyValueStore";
+export type { KeyValueCallOptions } from "./keyValue/keyValueCallOptions";
+export type { KeyValueCause } from "./keyValue/keyValueCause";
+export type { KeyValueEntry } from "./keyValue/keyValueEntry";
+export type { KeyValueStore } from "./keyValue/keyValueStore";
+
+// Host list
+export type { HostList } from "./hosts/hostList";
+export type { SystemHostRecord } from "./hosts/systemHostRecord";
+export type { UpstreamKind } from "./hosts/upstreamKind";
+export type { UpstreamPhase } from "./hosts/upstreamPhase";
+export type { UpstreamRecord } from "./hosts/upstreamRecord";
+
+// Cloud API
+export type { CloudApi } from "./cloud/cloudApi";
+export type { MachineOffer } from "./cloud/machineOffer";
+export type { ReclaimNotice } from "./cloud/reclaimNotice";
+export type { StartHostRequest } from "./cloud/startHostRequest";
+
+// Weight store
+export type { WeightStore } from "./weights/weightStore";
+
+// HTTP adapters
+export { createHttpExchange } from "./http/createHttpExchange";
+export { createHttpHostList } from "./http/createHttpHostList";
+export { createHttpKeyValueStore } from "./http/createHttpKeyValueStore";
+export type { ExchangeFailure } from "./http/exchangeFailure";
+export type { JsonRequest } from "./http/jsonRequest";
+export type { JsonResponse } from "./http/jsonResponse";
--- /dev/null
+++ b/packages/platform/src/keyValue/fakeKeyValueStore.ts
@@ -0,0 +1,15 @@
+import type { KeyValueStore } from "./keyValueStore";
+
+/** An in-memory key-value store with faults for tests. */
+export interface FakeKeyValueStore extends KeyValueStore {
+    /** Makes every call fail as unavailable, or ends that. */
+    readonly setUnavailable: (unavailable: boolean) => void;
+    /** Applies the next `count` writes but reports their outcome as unknown. */
+    readonly loseAnswers: (count: number) => void;
+    /** Drops the next `count` writes and reports their outcome as unknown. */
+    readonly loseRequests: (count: number) => void;
+    /** Calls made so far, by cause. */
+    readonly callCounts: () => Readonly<Record<string, number>>;
+    /** Bytes of values written so far, by cause. */
+    readonly writtenBytes: () => Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/packages/platform/src/keyValue/keyValueCallOptions.ts
@@ -0,0 +1,9 @@
+import type { KeyValueCause } from "./keyValueCause";
+
+/** Options of every call to the key-value service. */
+export interface KeyValueCallOptions {
+    readonly cause: KeyValueCause;
+    /** Time after which the call fails. */
+    readonly timeoutMs?: number;
+    readonly signal?: AbortSignal;
+}
--- /dev/null
+++ b/packages/platform/src/keyValue/keyValueCause.ts
@@ -0,0 +1,14 @@
+/** What a call to the key-value service is made for; calls are counted by it. */
+export type KeyValueCause =
+    | "configuration-read"
+    | "configuration-watch"
+    | "configuration-write"
+    | "status-write"
+    | "ledger-read"
+    | "ledger-claim"
+    | "ledger-seal"
+    | "lease"
+    | "control-read"
+    | "control-write"
+    | "membership-seed"
+    | "experiment";
--- /dev/null
+++ b/packages/resources/src/emptyConfiguration.ts
@@ -0,0 +1,5 @@
+import type { Revision } from "@ibislanding/core";
+import type { ConfigurationDocument } from "./configurationDocument";
+
+/** The configuration before the first change. */
+export const emptyConfiguration: ConfigurationDocument = { revision: 0 as Revision, resources: [], recentChanges: [] };
--- /dev/null
+++ b/packages/resources/src/resourceOf.ts
@@ -0,0 +1,17 @@
+import type { Revision, TeamName } from "@ibislanding/core";
+import type { ResourceKind } from "./resourceKind";
+import type { ResourceSpecs } from "./resourceSpecs";
+
+/** A declared resource of one kind, as stored in the configuration. */
+export interface ResourceOf<K extends ResourceKind> {
+    readonly kind: K;
+    readonly name: string;
+    readonly team: TeamName;
+    /** Counts the changes of the spec. */
+    readonly generation: number;
+    /** Revision of the configuration at the last change; operators send it back with `If-Match`. */
+    readonly version: Revision;
+    readonly changedBy: string;
+    readonly changedAtMs: number;
+    readonly spec: ResourceSpecs[K];
+}
--- /dev/null
+++ b/packages/resources/src/specs/modelVersionSpecSchema.ts
@@ -0,0 +1,19 @@
+import { z } from "zod";
+
+const DEFAULT_CONTEXT_TOKENS = 32_768;
+const MAXIMUM_CONTEXT_TOKENS = 10_000_000;
+
+/** One version of a model that callers address by the model's name. */
+export const modelVersionSpecSchema = z.strictObject({
+    /** Name that callers send. */
+    model: z.string().min(1).max(128),
+    /** Service whose engines run the model. */
+    service: z.string().min(1),
+    /** Version text that engines report. */
+    version: z.string().min(1).max(64),
+    /** Name of the weights in the weight store. */
+    artifact: z.string().min(1),
+    contextTokens: z.int().min(1).max(MAXIMUM_CONTEXT_TOKENS).default(DEFAULT_CONTEXT_TOKENS),
+    /** Whether new requests use this version. */
+    active: z.boolean().default(true),
+});
--- /dev/null
+++ b/packages/upstreams/src/service/serviceAnswer.ts
@@ -0,0 +1,6 @@
+/** Whole answer of a plain service. */
+export interface ServiceAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+}
--- /dev/null
+++ b/packages/upstreams/src/service/serviceCall.ts
@@ -0,0 +1,12 @@
+import type { RequestId } from "@ibislanding/core";
+
+/** One call to a plain service. */
+export interface ServiceCall {
+    readonly requestId: RequestId;
+    readonly method: string;
+    /** Path and query below the base URL of the service. */
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+    readonly timeoutMs: number;
+}
--- /dev/null
+++ b/packages/upstreams/src/service/serviceClient.ts
@@ -0,0 +1,13 @@
+import type { Failure } from "@ibislanding/core";
+import type { Result } from "ts-results";
+import type { ServiceAnswer } from "./serviceAnswer";
+import type { ServiceCall } from "./serviceCall";
+
+/**
+ * Port to one replica of a plain service. A call fails with `upstream_unreachable` when nothing was sent,
+ * `upstream_refused` when the replica refused it before running it, and `upstream_silent` or
+ * `upstream_invalid_answer` when it may have run.
+ */
+export interface ServiceClient {
+    readonly call: (call: ServiceCall, signal: AbortSignal) => Promise<Result<ServiceAnswer, Failure>>;
+}
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,37 @@
+// Runs every check of the project in order and reports each result; exits non-zero when one fails.
+import { spawnSync } from "node:child_process";
+import { existsSync, readFileSync } from "node:fs";
+import { install } from "./install.mjs";
+
+const CHECKS = [
+    ["format", "check:format"],
+    ["lint", "check:lint"],
+    ["types", "check:types"],
+    ["imports", "check:imports"],
+    ["exports", "check:exports"],
+    ["generated code", "check:generated"],
+    ["build", "build"],
+    ["unit and process tests", "unit"],
+];
+
+const runCheck = ([title, script]) => {
+    process.stdout.write(`\n== ${title}\n`);
+    const { status } = spawnSync("npm", ["run", "--silent", script], { stdio: "inherit" });
+    return { title, passed: status === 0 };
+};
+
+const printKnownFailures = () => {
+    const text = existsSync("KNOWN-RED.txt") ? readFileSync("KNOWN-RED.txt", "utf8").trim() : "";
+    process.stdout.write(text === "" ? "\nKNOWN-RED: none\n" : `\nKNOWN-RED:\n${text}\n`);
+};
+
+const installStatus = install();
+if (installStatus !== 0) {
+    process.exit(installStatus);
+}
+const results = CHECKS.map(runCheck);
+const failed = results.filter(result => !result.passed);
+printKnownFailures();
+process.stdout.write(`\n${results.map(({ title, passed }) => `${passed ? "ok  " : "FAIL"} ${title}`).join("\n")}\n`);
+process.stdout.write(`${results.length - failed.length} passed, ${failed.length} failed\n`);
+process.exit(failed.length === 0 ? 0 : 1);
