--- /dev/null
+++ b/packages/runtime/src/http/createHttpListener.ts
@@ -0,0 +1,113 @@
+import { createFailure, ErrorCode } from "@ibislanding/core";
+import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { ListenerSettings } from "../settings/listenerSettings";
+import type { HttpHandler } from "./httpHandler";
+import type { HttpListener } from "./httpListener";
+import { readCertificate } from "./readCertificate";
+import { sendProblem } from "./sendProblem";
+
+const MAXIMUM_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+const IDLE_CONNECTION_MS = 65_000;
+const CERTIFICATE_CHECK_MS = 5_000;
+const DRAIN_POLL_MS = 20;
+
+const SERVER_OPTIONS = {
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+};
+
+const createServer = (settings: ListenerSettings): Server | TlsServer =>
+    settings.tls === "off"
+        ? createPlainServer(SERVER_OPTIONS)
+        : createTlsServer({ ...SERVER_OPTIONS, ...readCertificate(settings.tls) });
+
+const reloadCertificate = (server: Server | TlsServer, settings: ListenerSettings): () => void => {
+    const { tls } = settings;
+    if (tls === "off" || !("setSecureContext" in server)) {
+        return () => undefined;
+    }
+    const timer = setInterval(() => {
+        try {
+            server.setSecureContext(readCertificate(tls));
+        }
+        catch {
+            // The files may be in the middle of a replacement; the next check reads them again.
+        }
+    }, CERTIFICATE_CHECK_MS);
+    timer.unref();
+    return () => clearInterval(timer);
+};
+
+const formatUrl = (settings: ListenerSettings, port: number): string => {
+    const host = settings.address.includes(":") ? `[${settings.address}]` : settings.address;
+    return `${settings.tls === "off" ? "http" : "https"}://${host}:${port}`;
+};
+
+/** Starts a server with limits on headers and idle connections. */
+export const createHttpListener = async (settings: ListenerSettings, handler: HttpHandler): Promise<HttpListener> => {
+    const server = createServer(settings);
+    let activeRequests = 0;
+    let accepting = true;
+
+    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+        activeRequests++;
+        response.on("close", () => {
+            activeRequests--;
+        });
+        if (!accepting) {
+            response.shouldKeepAlive = false;
+        }
+        handler(request, response).catch(() => {
+            if (response.headersSent) {
+                response.destroy();
+            }
+            else {
+                sendProblem(response, createFailure(ErrorCode.Internal));
+            }
+        });
+    });
+    server.on("clientError", (_error, socket) => {
+        if (socket.writable) {
+            socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        }
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(settings.port, settings.address, resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const stopReloading = reloadCertificate(server, settings);
+
+    const stopAccepting = (): void => {
+        accepting = false;
+        if (server.listening) {
+            server.close();
+        }
+        server.closeIdleConnections();
+    };
+
+    const drained = async (timeoutMs: number): Promise<boolean> => {
+        const untilMs = performance.now() + timeoutMs;
+        while (activeRequests > 0 && performance.now() < untilMs) {
+            await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+        }
+        return activeRequests === 0;
+    };
+
+    return {
+        url: formatUrl(settings, port),
+        port,
+        stopAccepting,
+        drained,
+        activeRequests: () => activeRequests,
+        [Symbol.asyncDispose]: async () => {
+            stopReloading();
+            stopAccepting();
+            server.closeAllConnections();
+        },
+    };
+};
--- /dev/null
+++ b/packages/runtime/src/http/readJsonBody.ts
@@ -0,0 +1,20 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import type { IncomingMessage } from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import { readBody } from "./readBody";
+
+const parseJson = (text: string): Result<unknown, Failure> => {
+    try {
+        return Ok(JSON.parse(text) as unknown);
+    }
+    catch {
+        return Err(createFailure(ErrorCode.BadRequest, { message: "The body is not valid JSON." }));
+    }
+};
+
+/** Reads and parses a JSON body up to a size. */
+export const readJsonBody = async (
+    request: IncomingMessage,
+    maximumBytes: number,
+): Promise<Result<unknown, Failure>> =>
+    (await readBody(request, maximumBytes)).andThen(body => parseJson(body.toString("utf8")));
--- /dev/null
+++ b/packages/runtime/src/http/sendProblem.ts
@@ -0,0 +1,21 @@
+import { type Failure, toProblem } from "@ibislanding/core";
+import type { ServerResponse } from "node:http";
+import { sendJson } from "./sendJson";
+
+const MS_PER_SECOND = 1_000;
+
+const RETRYABLE_STATUSES = new Set([429, 503]);
+
+/** Time sent as `Retry-After` when a retryable failure names none. */
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Answers with `application/problem+json`; 429 and 503 always carry `Retry-After`. */
+export const sendProblem = (response: ServerResponse, failure: Failure, requestId?: string): void => {
+    const problem = toProblem(failure, requestId);
+    const retryAfterMs = failure.retryAfterMs
+        ?? (RETRYABLE_STATUSES.has(problem.status) ? DEFAULT_RETRY_AFTER_MS : undefined);
+    sendJson(response, problem.status, problem, {
+        "content-type": "application/problem+json",
+        ...(retryAfterMs === undefined ? {} : { "retry-after": String(Math.ceil(retryAfterMs / MS_PER_SECOND)) }),
+    });
+};
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,1 +1,35 @@
-export {};
+// Programs
+export type { ProgramContext } from "./program/programContext";
+export type { ProgramDefinition } from "./program/programDefinition";
+export type { RunningProgram } from "./program/runningProgram";
+export { runProgram } from "./program/runProgram";
+
+// Settings
+export type { ListenerSettings } from "./settings/listenerSettings";
+export { listenerSettingsSchema } from "./settings/listenerSettingsSchema";
+export { loadSettings } from "./settings/loadSettings";
+export { platformSettingsSchema } from "./settings/platformSettingsSchema";
+export type { ProcessSettings } from "./settings/processSettings";
+export { processSettingsSchema } from "./settings/processSettingsSchema";
+export { redactSettings } from "./settings/redactSettings";
+export type { TlsSettings } from "./settings/tlsSettings";
+export { tlsSettingsSchema } from "./settings/tlsSettingsSchema";
+
+// Logs and metrics
+export { createLogger } from "./logs/createLogger";
+export type { Logger } from "./logs/logger";
+export type { Counter } from "./metrics/counter";
+export { createMetricsRegistry } from "./metrics/createMetricsRegistry";
+export type { Distribution } from "./metrics/distribution";
+export type { MetricLabels } from "./metrics/metricLabels";
+export type { MetricsRegistry } from "./metrics/metricsRegistry";
+
+// HTTP
+export { createHttpListener } from "./http/createHttpListener";
+export type { HttpHandler } from "./http/httpHandler";
+export type { HttpListener } from "./http/httpListener";
+export { readBody } from "./http/readBody";
+export { readCertificate } from "./http/readCertificate";
+export { readJsonBody } from "./http/readJsonBody";
+export { sendJson } from "./http/sendJson";
+export { sendProblem } from "./http/sendProblem";
--- /dev/null
+++ b/packages/runtime/src/metrics/createMetricsRegistry.ts
@@ -0,0 +1,75 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { MetricLabels } from "./metricLabels";
+import type { MetricsRegistry } from "./metricsRegistry";
+
+const QUANTILES = [0.5, 0.95, 0.99] as const;
+const SIGNIFICANT_DIGITS = 2;
+
+const escapeLabel = (value: string): string =>
+    value.replace(/["\\\n]/g, character => `\\${character === "\n" ? "n" : character}`);
+
+const renderLabels = (labels: MetricLabels): string => {
+    const parts = Object.entries(labels).map(([name, value]) => `${name}="${escapeLabel(value)}"`);
+    return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+};
+
+const header = (name: string, help: string, type: string): string => `# HELP ${name} ${help}\n# TYPE ${name} ${type}\n`;
+
+interface HistogramSeries {
+    readonly labels: MetricLabels;
+    readonly histogram: Histogram;
+    sum: number;
+}
+
+const renderSeries = (name: string, { labels, histogram, sum }: HistogramSeries): string =>
+    [
+        ...QUANTILES.map(quantile =>
+            `${name}${renderLabels({ ...labels, quantile: String(quantile) })} ${
+                histogram.getValueAtPercentile(quantile * 100)
+            }`
+        ),
+        `${name}_sum${renderLabels(labels)} ${sum}`,
+        `${name}_count${renderLabels(labels)} ${histogram.totalCount}`,
+    ].join("\n");
+
+/** Creates an empty registry. */
+export const createMetricsRegistry = (): MetricsRegistry => {
+    const renderers: (() => string)[] = [];
+
+    return {
+        counter: (name, help) => {
+            const values = new Map<string, number>();
+            renderers.push(() =>
+                header(name, help, "counter")
+                + [...values].map(([labels, value]) => `${name}${labels} ${value}\n`).join("")
+            );
+            return {
+                add: (amount = 1, labels = {}) => {
+                    const key = renderLabels(labels);
+                    values.set(key, (values.get(key) ?? 0) + amount);
+                },
+            };
+        },
+        distribution: (name, help) => {
+            const series = new Map<string, HistogramSeries>();
+            renderers.push(() =>
+                header(name, help, "summary")
+                + [...series.values()].map(one => `${renderSeries(name, one)}\n`).join("")
+            );
+            return {
+                record: (value, labels = {}) => {
+                    const key = renderLabels(labels);
+                    const one = series.get(key)
+                        ?? { labels, histogram: build({ numberOfSignificantValueDigits: SIGNIFICANT_DIGITS }), sum: 0 };
+                    one.histogram.recordValue(Math.max(0, Math.round(value)));
+                    one.sum += value;
+                    series.set(key, one);
+                },
+            };
+        },
+        gauge: (name, help, read) => {
+            renderers.push(() => `${header(name, help, "gauge")}${name} ${read()}\n`);
+        },
+        render: () => renderers.map(render => render()).join(""),
+    };
+};
--- /dev/null
+++ b/packages/runtime/src/metrics/metricLabels.ts
@@ -0,0 +1,2 @@
+/** Labels of one time series. */
+export type MetricLabels = Readonly<Record<string, string>>;
--- /dev/null
+++ b/packages/runtime/src/program/programContext.ts
@@ -0,0 +1,13 @@
+import type { Clock, HostId, RandomSource } from "@ibislanding/core";
+import type { Logger } from "../logs/logger";
+import type { MetricsRegistry } from "../metrics/metricsRegistry";
+
+/** What a program gets from the runtime. */
+export interface ProgramContext<Settings> {
+    readonly settings: Settings;
+    readonly hostId: HostId;
+    readonly logger: Logger;
+    readonly metrics: MetricsRegistry;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+}
--- /dev/null
+++ b/packages/runtime/src/program/startProgram.ts
@@ -0,0 +1,54 @@
+import { createSystemClock, createSystemRandom, type HostId } from "@ibislanding/core";
+import { createHttpListener } from "../http/createHttpListener";
+import { createLogger } from "../logs/createLogger";
+import { createMetricsRegistry } from "../metrics/createMetricsRegistry";
+import type { ProcessSettings } from "../settings/processSettings";
+import { createOperationsHandler } from "./createOperationsHandler";
+import type { ProgramDefinition } from "./programDefinition";
+import type { RunningProgram } from "./runningProgram";
+
+const HOST_ID_LENGTH = 12;
+
+/** Exit code after a stop in which the deadline passed. */
+const EXIT_STOP_FAILED = 1;
+
+const waitForSignal = (): Promise<string> =>
+    new Promise(resolve => ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, resolve)));
+
+/** Starts a program with checked settings and runs it until a signal; returns the exit code. */
+export const startProgram = async <Settings extends { readonly process: ProcessSettings; }>(
+    definition: ProgramDefinition<Settings>,
+    settings: Settings,
+): Promise<number> => {
+    const clock = createSystemClock();
+    const random = createSystemRandom();
+    const hostId = (settings.process.hostId ?? `${definition.name}-${random.nextHex(HOST_ID_LENGTH)}`) as HostId;
+    const logger = createLogger(settings.process.logLevel, { program: definition.name, hostId });
+    const metrics = createMetricsRegistry();
+    const signalled = waitForSignal();
+    const current: { program?: RunningProgram; } = {};
+    process.on("unhandledRejection", reason => {
+        logger.error("unhandled rejection", { reason: reason instanceof Error ? reason.stack : typeof reason });
+    });
+    metrics.gauge("process_resident_memory_bytes", "Resident memory of the process.", () => process.memoryUsage().rss);
+    metrics.gauge("process_cpu_seconds_total", "Processor time used.", () => {
+        const { user, system } = process.cpuUsage();
+        return (user + system) / 1_000_000;
+    });
+    await using operations = await createHttpListener(
+        settings.process.operations,
+        createOperationsHandler(() => current.program, metrics),
+    );
+    await using program = await definition.start({ settings, hostId, logger, metrics, clock, random });
+    current.program = program;
+    const urls = { ...program.urls, operations: operations.url };
+    process.stdout.write(`${JSON.stringify({ name: definition.name, hostId, pid: process.pid, urls })}\n`);
+    logger.info("started", urls);
+    const signal = await signalled;
+    logger.info("stopping", { signal, deadlineMs: settings.process.stopDeadlineMs });
+    const startMs = clock.monotonicMs();
+    await Promise.race([program.drain(settings.process.stopDeadlineMs), clock.sleep(settings.process.stopDeadlineMs)]);
+    const durationMs = Math.round(clock.monotonicMs() - startMs);
+    logger.info("stopped", { durationMs });
+    return durationMs < settings.process.stopDeadlineMs ? 0 : EXIT_STOP_FAILED;
+};
--- /dev/null
+++ b/packages/runtime/src/settings/listenerSettingsSchema.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+import { tlsSettingsSchema } from "./tlsSettingsSchema";
+
+const MAXIMUM_PORT = 65_535;
+
+/** Address of a listener. */
+export const listenerSettingsSchema = z.strictObject({
+    /** IP address to listen on. */
+    address: z.union([z.ipv4(), z.ipv6()]),
+    /** Port; 0 takes a free one. */
+    port: z.int().min(0).max(MAXIMUM_PORT),
+    tls: tlsSettingsSchema,
+});
--- /dev/null
+++ b/packages/runtime/src/settings/platformSettingsSchema.ts
@@ -0,0 +1,9 @@
+import { z } from "zod";
+
+/** Endpoints of the platform's services. */
+export const platformSettingsSchema = z.strictObject({
+    keyValueUrl: z.url({ protocol: /^https?$/ }),
+    hostListUrl: z.url({ protocol: /^https?$/ }),
+    cloudUrl: z.url({ protocol: /^https?$/ }).optional(),
+    weightStoreUrl: z.url({ protocol: /^https?$/ }).optional(),
+});
