--- /dev/null
+++ b/packages/standins/src/commands/keyValueCommand.ts
@@ -0,0 +1,14 @@
+import { Command, Option } from "clipanion";
+import { createKeyValueStandIn } from "../keyValue/createKeyValueStandIn";
+import { runUntilSignal } from "./runUntilSignal";
+
+/** Runs the stand-in of the key-value service. */
+export class KeyValueCommand extends Command {
+    static override paths = [["key-value"]];
+
+    port = Option.String("--port", "0");
+
+    async execute(): Promise<number> {
+        return runUntilSignal("key-value", await createKeyValueStandIn(Number(this.port)));
+    }
+}
--- /dev/null
+++ b/packages/standins/src/engine/engineStatistics.ts
@@ -0,0 +1,11 @@
+/** Work done by an engine since its start. */
+export interface EngineStatistics {
+    readonly requests: number;
+    readonly promptTokens: number;
+    readonly prefilledTokens: number;
+    readonly cachedTokens: number;
+    readonly importedTokens: number;
+    readonly generatedTokens: number;
+    readonly cancelledRequests: number;
+    readonly refusedAfterLeaving: number;
+}
--- /dev/null
+++ b/packages/standins/src/server/standInServer.ts
@@ -0,0 +1,5 @@
+/** A running stand-in. */
+export interface StandInServer extends AsyncDisposable {
+    readonly url: string;
+    readonly port: number;
+}
--- /dev/null
+++ b/packages/upstreams/src/engine/createHttpEngineClient.ts
@@ -0,0 +1,103 @@
+import { createFailure, ErrorCode, type Failure, type RequestId } from "@ibislanding/core";
+import { Agent, type IncomingMessage } from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import { destroyIdleSockets } from "../http/destroyIdleSockets";
+import { readText } from "../http/readText";
+import { sendRequest } from "../http/sendRequest";
+import type { EngineClient } from "./engineClient";
+import type { EngineEvent } from "./engineEvent";
+import { readEngineEvents } from "./readEngineEvents";
+
+/** Idle connections are closed after this time, before middleboxes forget them. */
+const IDLE_CONNECTION_MS = 15_000;
+
+const CALL_TIMEOUT_MS = 2_000;
+const IMPORT_TIMEOUT_MS = 10_000;
+const MAXIMUM_ANSWER_BYTES = 4_000_000;
+
+/** Time without an event after which a stream counts as silent; engines send heartbeats more often. */
+const DEFAULT_SILENCE_TIMEOUT_MS = 3_000;
+
+const refusals: Readonly<Record<string, ErrorCode>> = {
+    [ErrorCode.UpstreamLeaving]: ErrorCode.UpstreamLeaving,
+    [ErrorCode.StaleFencingNumber]: ErrorCode.StaleFencingNumber,
+};
+
+const parseJson = (body: Buffer | undefined): unknown => {
+    try {
+        return JSON.parse(body?.toString("utf8") || "{}");
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const toRefusal = async (response: IncomingMessage): Promise<Failure> => {
+    const body = parseJson(await readText(response, MAXIMUM_ANSWER_BYTES)) as { code?: string; } | undefined;
+    return createFailure(refusals[body?.code ?? ""] ?? ErrorCode.UpstreamRefused);
+};
+
+/** Creates the adapter to one engine. */
+export const createHttpEngineClient = (
+    baseUrl: string,
+    silenceTimeoutMs = DEFAULT_SILENCE_TIMEOUT_MS,
+): EngineClient & AsyncDisposable => {
+    const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS });
+
+    const open = (method: string, path: string, body: unknown, timeoutMs: number, signal: AbortSignal) =>
+        sendRequest({
+            method,
+            url: `${baseUrl}${path}`,
+            headers: { "content-type": "application/json" },
+            body: body === undefined ? "" : JSON.stringify(body),
+            agent,
+            timeoutMs,
+            signal,
+        });
+
+    const call = async <T>(method: string, path: string, body?: unknown, timeoutMs = CALL_TIMEOUT_MS) => {
+        const signal = AbortSignal.timeout(timeoutMs);
+        const response = await open(method, path, body, timeoutMs, signal);
+        if (response.err) {
+            return response;
+        }
+        if (response.val.statusCode !== 200) {
+            return Err(await toRefusal(response.val));
+        }
+        const parsed = parseJson(await readText(response.val, MAXIMUM_ANSWER_BYTES));
+        return parsed === undefined ? Err(createFailure(ErrorCode.UpstreamInvalidAnswer)) : Ok(parsed as T);
+    };
+
+    const stream = async (
+        path: string,
+        body: unknown,
+        requestId: RequestId,
+        signal: AbortSignal,
+    ): Promise<Result<AsyncIterable<Result<EngineEvent, Failure>>, Failure>> => {
+        const response = await open("POST", path, body, silenceTimeoutMs, signal);
+        if (response.err) {
+            // A connection that went silent makes the idle ones beside it suspect.
+            destroyIdleSockets(agent);
+            return response;
+        }
+        if (response.val.statusCode !== 200) {
+            return Err(await toRefusal(response.val));
+        }
+        const incoming = response.val;
+        signal.addEventListener("abort", () => incoming.destroy(), { once: true });
+        return Ok(readEngineEvents(incoming, requestId, silenceTimeoutMs, () => destroyIdleSockets(agent)));
+    };
+
+    return {
+        generate: (request, signal) => stream("/v1/generate", request, request.requestId, signal),
+        attach: (requestId, afterTokens, signal) =>
+            stream(`/v1/streams/${requestId}/attach`, { afterTokens }, requestId, signal),
+        cancel: async requestId => (await call("DELETE", `/v1/streams/${requestId}`)).map(() => undefined),
+        load: () => call("GET", "/v1/load"),
+        cacheEvents: afterSequence => call("GET", `/v1/cache-events?after=${afterSequence}`),
+        exportCache: requestId => call("POST", `/v1/streams/${requestId}/export`),
+        importCache: (fromUrl, handle) => call("POST", "/v1/caches/import", { fromUrl, handle }, IMPORT_TIMEOUT_MS),
+        order: async order => (await call("POST", "/v1/orders", order)).map(() => undefined),
+        [Symbol.asyncDispose]: async () => agent.destroy(),
+    };
+};
--- a/packages/upstreams/src/engine/generateRequest.ts
+++ b/packages/upstreams/src/engine/generateRequest.ts
@@ -14,6 +14,8 @@
     readonly priority: number;
     /** Tokens already delivered to the caller; the engine goes on behind them. */
     readonly deliveredTokens: readonly string[];
+    /** Time for which the engine goes on without a reader, so that another entry host can attach. */
+    readonly detachedGraceMs: number;
     /** Handle of an exported KV cache from which to continue. */
     readonly cacheHandle: string | undefined;
 }
--- /dev/null
+++ b/packages/upstreams/src/engine/readEngineEvents.ts
@@ -0,0 +1,51 @@
+import { createFailure, ErrorCode, type Failure, type RequestId } from "@ibislanding/core";
+import { createParser } from "eventsource-parser";
+import type { IncomingMessage } from "node:http";
+import { Err, type Result } from "ts-results";
+import type { EngineEvent } from "./engineEvent";
+import { parseEngineEvent } from "./parseEngineEvent";
+
+/**
+ * Reads the server-sent events of a stream. The sequence ends after `finished`, or after one failure:
+ * `upstream_silent` when no event came within the time or the connection broke, `upstream_invalid_answer` otherwise.
+ */
+export const readEngineEvents = async function*(
+    response: IncomingMessage,
+    requestId: RequestId,
+    silenceTimeoutMs: number,
+    onSilence: () => void,
+): AsyncGenerator<Result<EngineEvent, Failure>> {
+    const received: string[] = [];
+    const parser = createParser({ onEvent: event => void received.push(event.data) });
+    const decoder = new TextDecoder();
+    const destroy = (): void => {
+        onSilence();
+        response.destroy();
+    };
+    let timer = setTimeout(destroy, silenceTimeoutMs);
+    let finished = false;
+    try {
+        for await (const chunk of response) {
+            clearTimeout(timer);
+            timer = setTimeout(destroy, silenceTimeoutMs);
+            parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+            for (const text of received.splice(0)) {
+                const event = parseEngineEvent(text, requestId);
+                yield event;
+                if (event.err) {
+                    return;
+                }
+                finished ||= event.val.type === "finished";
+            }
+        }
+    }
+    catch {
+        // The connection broke; the sequence ends with the failure below unless the answer is whole.
+    }
+    finally {
+        clearTimeout(timer);
+    }
+    if (!finished) {
+        yield Err(createFailure(ErrorCode.UpstreamSilent));
+    }
+};
--- /dev/null
+++ b/packages/upstreams/src/http/readText.ts
@@ -0,0 +1,21 @@
+import type { IncomingMessage } from "node:http";
+
+/** Reads a response up to a size; returns undefined when it breaks off or is larger. */
+export const readText = async (response: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+        for await (const chunk of response) {
+            chunks.push(chunk as Buffer);
+            sizeBytes += (chunk as Buffer).length;
+            if (sizeBytes > maximumBytes) {
+                response.destroy();
+                return undefined;
+            }
+        }
+        return Buffer.concat(chunks);
+    }
+    catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/upstreams/src/http/sendRequest.ts
@@ -0,0 +1,49 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { type Agent, type IncomingMessage, request as openRequest } from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+
+interface Outgoing {
+    readonly method: string;
+    readonly url: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string | Uint8Array;
+    readonly agent: Agent | false;
+    /** Time until the head of the response. */
+    readonly timeoutMs: number;
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Sends a request and resolves with the head of its response. Fails with `upstream_unreachable` when no connection
+ * was made, and with `upstream_silent` when the request may have been received.
+ */
+export const sendRequest = (outgoing: Outgoing): Promise<Result<IncomingMessage, Failure>> =>
+    new Promise(resolve => {
+        let connected = false;
+        const { method, headers, agent, signal } = outgoing;
+        const request = openRequest(outgoing.url, { method, headers, agent });
+        const finish = (result: Result<IncomingMessage, Failure>): void => {
+            clearTimeout(timer);
+            resolve(result);
+        };
+        const fail = (): void => {
+            const code = connected ? ErrorCode.UpstreamSilent : ErrorCode.UpstreamUnreachable;
+            finish(Err(createFailure(signal.aborted && connected ? ErrorCode.Cancelled : code)));
+        };
+        const abort = (): void => {
+            request.destroy();
+            fail();
+        };
+        const timer = setTimeout(abort, outgoing.timeoutMs);
+        signal.addEventListener("abort", abort, { once: true });
+        request.on("close", () => signal.removeEventListener("abort", abort));
+        request.on("socket", socket => {
+            connected = !socket.connecting;
+            socket.once("connect", () => {
+                connected = true;
+            });
+        });
+        request.on("error", fail);
+        request.on("response", response => finish(Ok(response)));
+        request.end(outgoing.body);
+    });
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -9,7 +9,17 @@
 export type { ExportedCache } from "./engine/exportedCache";
 export type { GenerateRequest } from "./engine/generateRequest";
 
+// Engine adapter
+export { createHttpEngineClient } from "./engine/createHttpEngineClient";
+
+// Prompts
+export { BLOCK_TOKENS } from "./prompt/blockTokens";
+export { countTokens } from "./prompt/countTokens";
+export { promptBlockHashes } from "./prompt/promptBlockHashes";
+export { renderPrompt } from "./prompt/renderPrompt";
+
 // Plain services
+export { createHttpServiceClient } from "./service/createHttpServiceClient";
 export type { ServiceAnswer } from "./service/serviceAnswer";
 export type { ServiceCall } from "./service/serviceCall";
 export type { ServiceClient } from "./service/serviceClient";
--- /dev/null
+++ b/packages/upstreams/src/prompt/promptBlockHashes.ts
@@ -0,0 +1,14 @@
+import type { Hasher } from "@ibislanding/core";
+import { BLOCK_TOKENS } from "./blockTokens";
+
+const BLOCK_CHARACTERS = BLOCK_TOKENS * 4;
+
+/** Returns the hash chain of the whole blocks of a prompt: each hash covers its block and all before it. */
+export const promptBlockHashes = (model: string, prompt: string, hasher: Hasher): readonly string[] => {
+    const count = Math.floor(prompt.length / BLOCK_CHARACTERS);
+    return Array.from({ length: count }).reduce<string[]>((chain, _, index) => {
+        const block = prompt.slice(index * BLOCK_CHARACTERS, (index + 1) * BLOCK_CHARACTERS);
+        chain.push(hasher.hash64Hex(`${chain[index - 1] ?? model}${block}`));
+        return chain;
+    }, []);
+};
--- /dev/null
+++ b/packages/upstreams/src/service/createHttpServiceClient.ts
@@ -0,0 +1,58 @@
+import { createFailure, ErrorCode } from "@ibislanding/core";
+import { Agent, type IncomingMessage } from "node:http";
+import { Err, Ok } from "ts-results";
+import { readText } from "../http/readText";
+import { sendRequest } from "../http/sendRequest";
+import type { ServiceClient } from "./serviceClient";
+
+const IDLE_CONNECTION_MS = 15_000;
+const MAXIMUM_ANSWER_BYTES = 8_000_000;
+
+/** Header with which a service says that it refused a call before running it. */
+const NOT_RUN_HEADER = "x-not-run";
+
+const textHeaders = (response: IncomingMessage): Record<string, string> =>
+    Object.fromEntries(
+        Object.entries(response.headers).flatMap(([name, value]) =>
+            value === undefined ? [] : [[name, Array.isArray(value) ? value.join(", ") : value]]
+        ),
+    );
+
+/** Creates the adapter to one replica of a plain service. */
+export const createHttpServiceClient = (baseUrl: string): ServiceClient & AsyncDisposable => {
+    const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_MS });
+    return {
+        call: async (call, signal) => {
+            const response = await sendRequest({
+                method: call.method,
+                url: `${baseUrl}${call.path}`,
+                headers: { ...call.headers, "x-request-id": call.requestId },
+                body: call.body,
+                agent: call.freshConnection ? false : agent,
+                timeoutMs: call.timeoutMs,
+                signal: AbortSignal.any([signal, AbortSignal.timeout(call.timeoutMs)]),
+            });
+            if (response.err) {
+                return response;
+            }
+            const incoming = response.val;
+            signal.addEventListener("abort", () => incoming.destroy(), { once: true });
+            const headers = textHeaders(incoming);
+            const timer = setTimeout(() => incoming.destroy(), call.timeoutMs);
+            const body = await readText(incoming, MAXIMUM_ANSWER_BYTES);
+            clearTimeout(timer);
+            if (incoming.statusCode === 503 && headers[NOT_RUN_HEADER] !== undefined) {
+                return Err(createFailure(ErrorCode.UpstreamRefused));
+            }
+            const echoedId = headers["x-request-id"];
+            if (echoedId !== undefined && echoedId !== call.requestId) {
+                incoming.destroy();
+                return Err(createFailure(ErrorCode.UpstreamInvalidAnswer));
+            }
+            return body === undefined
+                ? Err(createFailure(ErrorCode.UpstreamSilent))
+                : Ok({ status: incoming.statusCode ?? 0, headers, body });
+        },
+        [Symbol.asyncDispose]: async () => agent.destroy(),
+    };
+};
--- a/packages/upstreams/src/service/serviceCall.ts
+++ b/packages/upstreams/src/service/serviceCall.ts
@@ -9,4 +9,6 @@
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
     readonly timeoutMs: number;
+    /** Whether to open a connection for this call, so that it cannot race with the close of an idle one. */
+    readonly freshConnection: boolean;
 }
