--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,8 @@
     outdir: "dist",
     bundle: true,
     platform: "node",
+    // The UMD builds of some packages cannot be bundled.
+    mainFields: ["module", "main"],
     target: "node20",
     format: "cjs",
     sourcemap: true,
