feat(streams): resumable answers over several upstreams, and a runner for a whole system

An answer stream follows one upstream, and after a broken connection attaches again, moves with the KV cache or recomputes, whichever costs less. Event ids are signed and bound to account and body.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -131,7 +131,7 @@
             name: "runner-imports",
             severity: "error",
             from: { path: "^packages/runner/src" },
-            to: { path: "^packages/", pathNot: "^packages/(runner|core|resources|platform|standins)/" },
+            to: { path: "^packages/", pathNot: "^packages/(runner|core|resources|platform|standins|upstreams)/" },
         },
         {
             name: "bench-imports",
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,7 +44,9 @@
 
 // Tasks
 export { createDeferred } from "./tasks/createDeferred";
+export { createResourceStack } from "./tasks/createResourceStack";
 export { createTask } from "./tasks/createTask";
 export type { Deferred } from "./tasks/deferred";
+export type { ResourceStack } from "./tasks/resourceStack";
 export type { Task } from "./tasks/task";
 export type { TaskOptions } from "./tasks/taskOptions";
--- /dev/null
+++ b/packages/runner/src/processes/startProcess.ts
@@ -0,0 +1,58 @@
+import { spawn } from "node:child_process";
+import { createWriteStream } from "node:fs";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import type { ManagedProcess } from "./managedProcess";
+import type { ProcessPlan } from "./processPlan";
+
+const START_TIMEOUT_MS = 30_000;
+
+interface Announcement {
+    readonly pid: number;
+    readonly urls: Readonly<Record<string, string>>;
+}
+
+/** Starts a process and waits for the line with its URLs; its log goes to a file in the directory. */
+export const startProcess = async (
+    plan: ProcessPlan,
+    distDirectory: string,
+    logDirectory: string,
+): Promise<ManagedProcess> => {
+    const child = spawn(process.execPath, [join(distDirectory, `${plan.program}.js`), ...plan.args], {
+        stdio: ["ignore", "pipe", "pipe"],
+        // The terminal's Ctrl-C must reach the runner alone, which then stops all processes in order.
+        detached: true,
+    });
+    const log = createWriteStream(join(logDirectory, `${plan.name}.log`));
+    child.stderr.pipe(log);
+    let exitedAlready = false;
+    const exited = new Promise<number | undefined>(resolve =>
+        child.on("exit", code => {
+            exitedAlready = true;
+            resolve(code ?? undefined);
+        })
+    );
+    const lines = createInterface({ input: child.stdout });
+    const announcement = await new Promise<Announcement>((resolve, reject) => {
+        const timer = setTimeout(() => reject(new Error(`${plan.name} did not start in time`)), START_TIMEOUT_MS);
+        lines.once("line", line => {
+            clearTimeout(timer);
+            resolve(JSON.parse(line) as Announcement);
+        });
+        void exited.then(code => {
+            clearTimeout(timer);
+            reject(new Error(`${plan.name} ended at start with ${code}; see ${logDirectory}/${plan.name}.log`));
+        });
+    });
+    return {
+        name: plan.name,
+        program: plan.program,
+        pid: announcement.pid,
+        region: plan.region,
+        availabilityZone: plan.availabilityZone,
+        urls: announcement.urls,
+        signal: signal => void child.kill(signal),
+        exited,
+        hasExited: () => exitedAlready,
+    };
+};
--- /dev/null
+++ b/packages/runner/src/system/deployment.ts
@@ -0,0 +1,12 @@
+/** One of the example deployments. */
+export interface Deployment {
+    readonly name: string;
+    /** Directory with the resources. */
+    readonly resourcesDirectory: string;
+    readonly zones: readonly { readonly region: string; readonly availabilityZone: string; }[];
+    readonly model: string;
+    readonly engineService: string;
+    readonly plainService: string;
+    readonly machineClass: string;
+    readonly clientAccounts: readonly { readonly name: string; readonly key: string; }[];
+}
--- /dev/null
+++ b/packages/runner/src/system/settingsFor.ts
@@ -0,0 +1,35 @@
+import { stringify } from "smol-toml";
+
+interface ProcessPlace {
+    readonly region: string;
+    readonly availabilityZone: string;
+}
+
+interface PlatformUrls {
+    readonly keyValueUrl: string;
+    readonly hostListUrl: string;
+    readonly cloudUrl?: string;
+    readonly weightStoreUrl?: string;
+}
+
+const loopback = { address: "127.0.0.1", port: 0, tls: "off" } as const;
+
+const common = (place: ProcessPlace, platform: PlatformUrls) => ({
+    process: { ...place, operations: loopback },
+    platform,
+});
+
+/** Settings files of the programs for a system on loopback. */
+export const settingsFor = {
+    entry: (place: ProcessPlace, platform: PlatformUrls, eventIdSecret: string): string =>
+        stringify({ ...common(place, platform), callers: loopback, internal: loopback, streams: { eventIdSecret } }),
+    admin: (place: ProcessPlace, platform: PlatformUrls, tokenSha256: string): string =>
+        stringify({
+            ...common(place, platform),
+            admin: { listener: loopback },
+            internal: loopback,
+            operators: [{ name: "example-operator", tokenSha256, teams: ["*"] }],
+        }),
+    control: (place: ProcessPlace, platform: PlatformUrls): string =>
+        stringify({ ...common(place, platform), internal: loopback }),
+};
--- /dev/null
+++ b/packages/runner/src/system/startSystem.ts
@@ -0,0 +1,158 @@
+import { createHash, randomBytes } from "node:crypto";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { ManagedProcess } from "../processes/managedProcess";
+import { startProcess } from "../processes/startProcess";
+import type { RunningSystem } from "./runningSystem";
+import { settingsFor } from "./settingsFor";
+import type { SystemOptions } from "./systemOptions";
+import { waitUntilReady } from "./waitUntilReady";
+
+const STOP_TIMEOUT_MS = 45_000;
+const SECRET_BYTES = 32;
+
+/** Programs in the order in which they are stopped. */
+const STOP_ORDER = ["ibis-entry", "ibis-admin", "ibis-control", "ibis-standin"];
+
+/** Starts the platform stand-ins, the upstreams and the system on loopback, without any resources. */
+export const startSystem = async (options: SystemOptions): Promise<RunningSystem> => {
+    const { deployment, distDirectory } = options;
+    const directory = mkdtempSync(join(tmpdir(), "ibislanding-"));
+    const operatorToken = randomBytes(SECRET_BYTES).toString("hex");
+    const eventIdSecret = randomBytes(SECRET_BYTES).toString("hex");
+    const processes: ManagedProcess[] = [];
+    const counts: Record<string, number> = {};
+    const home = deployment.zones[0] ?? { region: "local", availabilityZone: "local" };
+
+    const nextName = (prefix: string): string => {
+        counts[prefix] = (counts[prefix] ?? 0) + 1;
+        return `${prefix}-${counts[prefix]}`;
+    };
+
+    const start = async (name: string, program: string, place: typeof home, args: readonly string[]) => {
+        const process = await startProcess({ name, program, ...place, args }, distDirectory, directory);
+        processes.push(process);
+        return process;
+    };
+
+    const startWithSettings = (name: string, program: string, place: typeof home, settings: string) => {
+        const file = join(directory, `${name}.toml`);
+        writeFileSync(file, settings);
+        return start(name, program, place, ["--settings", file]);
+    };
+
+    const startPlatform = async () => {
+        const [keyValue, hostList] = await Promise.all([
+            start("key-value", "ibis-standin", home, ["key-value"]),
+            start("host-list", "ibis-standin", home, ["host-list", "--lag-ms", "200"]),
+        ]);
+        return { keyValueUrl: keyValue.urls["standIn"] ?? "", hostListUrl: hostList.urls["standIn"] ?? "" };
+    };
+
+    const platform = await startPlatform();
+
+    const placeArgs = (name: string, place: typeof home): readonly string[] => [
+        "--id",
+        name,
+        "--region",
+        place.region,
+        "--availability-zone",
+        place.availabilityZone,
+        "--host-list-url",
+        platform.hostListUrl,
+        "--machine-class",
+        deployment.machineClass,
+    ];
+
+    const startEngine = (place: typeof home) => {
+        const name = nextName("engine");
+        return start(name, "ibis-standin", place, [
+            "engine",
+            ...placeArgs(name, place),
+            "--service",
+            deployment.engineService,
+            "--model",
+            deployment.model,
+            ...options.engineArgs,
+        ]);
+    };
+
+    const startService = (place: typeof home) => {
+        const name = nextName(deployment.plainService);
+        const args = [
+            "service",
+            ...placeArgs(name, place),
+            "--service",
+            deployment.plainService,
+            ...options.serviceArgs,
+        ];
+        return start(name, "ibis-standin", place, args);
+    };
+
+    const startEntry = async (place: typeof home) => {
+        const settings = settingsFor.entry(place, platform, eventIdSecret);
+        return startWithSettings(nextName("entry"), "ibis-entry", place, settings);
+    };
+
+    const zoneOf = (index: number): typeof home => deployment.zones[index % deployment.zones.length] ?? home;
+
+    const stop = async (): Promise<readonly string[]> => {
+        const stopOne = async (process: ManagedProcess): Promise<string | undefined> => {
+            process.signal("SIGTERM");
+            const timer = setTimeout(() => process.signal("SIGKILL"), STOP_TIMEOUT_MS);
+            const code = await process.exited;
+            clearTimeout(timer);
+            return code === 0 ? undefined : process.name;
+        };
+        const failed: string[] = [];
+        for (const program of STOP_ORDER) {
+            const live = processes.filter(process => process.program === program && !process.hasExited());
+            const names = await Promise.all(live.map(stopOne));
+            failed.push(...names.filter(name => name !== undefined));
+        }
+        return failed;
+    };
+
+    try {
+        await Promise.all([
+            ...deployment.zones.flatMap(zone =>
+                Array.from({ length: options.enginesPerZone }, () => startEngine(zone))
+            ),
+            startService(home),
+        ]);
+        const tokenSha256 = createHash("sha256").update(operatorToken).digest("hex");
+        const system = await Promise.all([
+            startWithSettings("admin-1", "ibis-admin", home, settingsFor.admin(home, platform, tokenSha256)),
+            ...Array.from({ length: options.controls }, (_, index) =>
+                startWithSettings(
+                    nextName("control"),
+                    "ibis-control",
+                    zoneOf(index),
+                    settingsFor.control(zoneOf(index), platform),
+                )),
+            ...Array.from({ length: options.entries }, (_, index) => startEntry(zoneOf(index))),
+        ]);
+        await Promise.all(system.map(waitUntilReady));
+    }
+    catch (error) {
+        await stop();
+        throw error;
+    }
+
+    return {
+        deployment,
+        processes: () => processes,
+        operatorToken,
+        ofProgram: program => processes.filter(process => process.program === program && !process.hasExited()),
+        addEntry: async () => {
+            const entry = await startEntry(zoneOf(counts["entry"] ?? 0));
+            await waitUntilReady(entry);
+            return entry;
+        },
+        addEngine: availabilityZone =>
+            startEngine(deployment.zones.find(zone => zone.availabilityZone === availabilityZone) ?? home),
+        stop,
+        [Symbol.asyncDispose]: async () => void await stop(),
+    };
+};
--- a/packages/runtime/src/program/runProgram.ts
+++ b/packages/runtime/src/program/runProgram.ts
@@ -1,5 +1,5 @@
 import type { ValidationIssue } from "@ibislanding/resources";
-import { Command, Option, runExit } from "clipanion";
+import { Builtins, Cli, Command, Option } from "clipanion";
 import { stringify } from "smol-toml";
 import { loadSettings } from "../settings/loadSettings";
 import type { ProcessSettings } from "../settings/processSettings";
@@ -43,5 +43,8 @@
             process.exit(exitCode);
         }
     }
-    await runExit({ binaryLabel: definition.name, binaryName: definition.name }, StartCommand);
+    const cli = new Cli({ binaryLabel: definition.name, binaryName: definition.name });
+    cli.register(Builtins.HelpCommand);
+    cli.register(StartCommand);
+    await cli.runExit(process.argv.slice(2));
 };
--- /dev/null
+++ b/packages/streams/src/answer/answerEvent.ts
@@ -0,0 +1,7 @@
+import type { UpstreamId } from "@ibislanding/core";
+
+/** What an answer stream yields, each token exactly once. */
+export type AnswerEvent =
+    | { readonly type: "started"; readonly promptTokens: number; readonly cachedTokens: number; }
+    | { readonly type: "token"; readonly index: number; readonly text: string; readonly upstreamId: UpstreamId; }
+    | { readonly type: "finished"; readonly reason: "stop" | "length"; readonly totalTokens: number; };
--- /dev/null
+++ b/packages/streams/src/answer/createAnswerStream.ts
@@ -0,0 +1,140 @@
+import { backoffDelayMs, createFailure, ErrorCode, type Failure, type UpstreamId } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import type { AnswerEvent } from "./answerEvent";
+import type { AnswerOptions } from "./answerOptions";
+import type { AnswerPorts } from "./answerPorts";
+import type { AnswerStrategy } from "./answerStrategy";
+import type { AttemptEnd } from "./attemptEnd";
+import type { AttemptPlan } from "./attemptPlan";
+import { defaultAnswerStrategy } from "./defaultAnswerStrategy";
+import { planMove } from "./planMove";
+import { runAttempt } from "./runAttempt";
+import type { SelectedUpstream } from "./selectedUpstream";
+
+const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 1_000 } as const;
+
+/** Failures after which another upstream may succeed. */
+const RECOVERABLE: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.UpstreamLeaving,
+    ErrorCode.UpstreamRefused,
+    ErrorCode.UpstreamSilent,
+    ErrorCode.UpstreamUnreachable,
+    ErrorCode.UpstreamInvalidAnswer,
+    ErrorCode.UnknownEvent,
+]);
+
+/** Progress of one answer over its attempts. */
+interface Progress {
+    readonly excluded: Set<UpstreamId>;
+    accepted: boolean;
+    attempts: number;
+    reattached: boolean;
+}
+
+const isAttachable = (end: AttemptEnd): boolean =>
+    end.type === "failed" && end.failure.code === ErrorCode.UpstreamSilent;
+
+/**
+ * Produces one answer: chooses an upstream, follows its stream, and goes on elsewhere when the stream breaks or the
+ * upstream leaves. Yields every token once and in order; ends with `finished` or one failure.
+ */
+export const createAnswerStream = async function*(
+    options: AnswerOptions,
+    ports: AnswerPorts,
+    strategy: AnswerStrategy = defaultAnswerStrategy,
+): AsyncGenerator<Result<AnswerEvent, Failure>> {
+    const { journal, request } = options;
+    const progress: Progress = {
+        excluded: new Set(),
+        accepted: options.resumeFrom !== undefined,
+        attempts: 0,
+        reattached: false,
+    };
+
+    const isPastDeadline = (): boolean => ports.clock.monotonicMs() >= options.deadlineMs;
+
+    /** Selects an upstream; an accepted answer waits for one until its deadline. */
+    const select = async (): Promise<Result<SelectedUpstream, Failure>> => {
+        for (let wait = 0;; wait++) {
+            const selected = ports.select(progress.excluded, progress.accepted);
+            if (selected.ok || !progress.accepted || isPastDeadline() || options.signal.aborted) {
+                return selected;
+            }
+            // Upstreams that failed before may have recovered, and nothing else is left.
+            progress.excluded.clear();
+            await ports.clock.sleep(backoffDelayMs(wait, RETRY_BACKOFF, ports.random), options.signal);
+        }
+    };
+
+    const planFirst = async (): Promise<Result<AttemptPlan, Failure>> => {
+        const known = options.resumeFrom === undefined ? undefined : ports.find(options.resumeFrom.upstreamId);
+        if (known !== undefined) {
+            return Ok({ type: "attach", upstream: known, afterTokens: 0 });
+        }
+        return (await select()).map(upstream => ({
+            type: "generate",
+            upstream,
+            deliveredTokens: [],
+            cacheHandle: undefined,
+        }));
+    };
+
+    const planNext = async (end: AttemptEnd, previous: AttemptPlan): Promise<Result<AttemptPlan, Failure>> => {
+        const { upstreamId } = previous.upstream;
+        if (isAttachable(end) && !progress.reattached) {
+            // The connection may have gone silent while the engine goes on; a new connection tells.
+            progress.reattached = true;
+            const same = ports.find(upstreamId);
+            if (same !== undefined) {
+                return Ok({ type: "attach", upstream: same, afterTokens: journal.tokens().length });
+            }
+        }
+        progress.excluded.add(upstreamId);
+        const selected = await select();
+        if (selected.err) {
+            return selected;
+        }
+        if (end.type === "evacuated") {
+            const plan = await planMove(previous.upstream, selected.val, options);
+            void previous.upstream.client.cancel(request.requestId);
+            return Ok(plan);
+        }
+        const deliveredTokens = [...journal.tokens()];
+        return Ok({ type: "generate", upstream: selected.val, deliveredTokens, cacheHandle: undefined });
+    };
+
+    const mayGoOn = (end: AttemptEnd): Result<void, Failure> => {
+        if (options.signal.aborted) {
+            return Err(createFailure(ErrorCode.Cancelled));
+        }
+        if (isPastDeadline()) {
+            return Err(createFailure(ErrorCode.DeadlinePassed));
+        }
+        if (end.type === "failed" && !(strategy.recovers && RECOVERABLE.has(end.failure.code))) {
+            return Err(end.failure);
+        }
+        // A move is not a retry: the work done so far is kept.
+        return end.type === "evacuated" || progress.accepted ? Ok(undefined) : ports.permitRetry();
+    };
+
+    let plan = await planFirst();
+    while (plan.ok) {
+        const current: AttemptPlan = plan.val;
+        progress.attempts++;
+        const attempt = runAttempt(current, options, ports, strategy);
+        let step = await attempt.next();
+        while (step.done !== true) {
+            progress.accepted = true;
+            yield Ok(step.value);
+            step = await attempt.next();
+        }
+        const end = step.value;
+        current.upstream.release(end.type === "evacuated" ? "moved" : end.type);
+        if (end.type === "finished") {
+            return;
+        }
+        const permitted = mayGoOn(end);
+        plan = permitted.ok ? await planNext(end, current) : permitted;
+    }
+    yield Err(plan.val);
+};
--- /dev/null
+++ b/packages/streams/src/answer/filterResumed.ts
@@ -0,0 +1,29 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, type Result } from "ts-results";
+import type { StreamPosition } from "../eventId/streamPosition";
+import type { TokenJournal } from "../journal/tokenJournal";
+import type { AnswerEvent } from "./answerEvent";
+
+/**
+ * Drops the tokens that the caller has already, and checks that they are the same ones; ends with `stream_diverged`
+ * when they are not.
+ */
+export const filterResumed = async function*(
+    events: AsyncIterable<Result<AnswerEvent, Failure>>,
+    journal: TokenJournal,
+    position: StreamPosition,
+): AsyncGenerator<Result<AnswerEvent, Failure>> {
+    for await (const event of events) {
+        const isDelivered = event.ok && event.val.type === "token" && event.val.index < position.tokens;
+        if (!isDelivered) {
+            yield event;
+        }
+        else if (
+            event.val.type === "token" && event.val.index === position.tokens - 1
+            && journal.digest() !== position.digest
+        ) {
+            yield Err(createFailure(ErrorCode.StreamDiverged));
+            return;
+        }
+    }
+};
