feat(ledger): claims, recorded answers and shards in the key-value service

Cause: payments, shipments and plot offers must run at most once, although hosts die, pause and lose answers of the key-value service.

Ruled out: one key for each action (a write each), ownership by lease (a paused holder still acts), and takeover after a time (the old writer may wake and send).

Change: pure transitions over a shard value with sealed segments, a shard task that commits waiting operations in one compare-and-swap, routing to a preferred writer by rendezvous hash, and a runner that sends only after a confirmed claim.

Conclusion: safety rests on compare-and-swap and on the answer of a claim's writer; membership and time only choose who writes.

--- /dev/null
+++ b/packages/ledger/__tests__/atMostOnce.spec.ts
@@ -0,0 +1,54 @@
+import { type ClaimStrategy, confirmedClaimStrategy } from "@ibislanding/ledger";
+import fc from "fast-check";
+import { findViolations } from "./support/findViolations";
+import { runScenario } from "./support/runScenario";
+import type { Scenario } from "./support/scenario";
+import { scenarioArbitrary } from "./support/scenarioArbitrary";
+
+const seed = Number(process.env["IBIS_SEED"] ?? 20_261_203);
+const numRuns = Number(process.env["IBIS_RUNS"] ?? 150);
+
+const findFailure = async (strategy: ClaimStrategy): Promise<fc.RunDetails<[Scenario]>> =>
+    fc.check(
+        fc.asyncProperty(
+            scenarioArbitrary,
+            async scenario => findViolations(await runScenario(scenario, strategy)).length === 0,
+        ),
+        { seed, numRuns: 400, endOnFailure: true },
+    );
+
+describe("runAction with several hosts, faults, crashes and pauses", () => {
+    it("runs each action at most once and never refuses one that runs", () =>
+        fc.assert(
+            fc.asyncProperty(scenarioArbitrary, async scenario => {
+                expect(findViolations(await runScenario(scenario, confirmedClaimStrategy))).toEqual([]);
+            }),
+            { seed, numRuns },
+        ), 600_000);
+
+    it("keeps one effect for each key with a service that deduplicates", () =>
+        fc.assert(
+            fc.asyncProperty(scenarioArbitrary, async scenario => {
+                const service = { repeatable: false, deduplicates: true };
+                const history = await runScenario(scenario, confirmedClaimStrategy, service);
+                expect(
+                    findViolations({ ...history, attempts: history.attempts.slice(history.finalFrom), finalFrom: 0 }),
+                )
+                    .toEqual([]);
+            }),
+            { seed, numRuns: Math.ceil(numRuns / 3) },
+        ), 600_000);
+
+    it("doubles an action when it is sent before the claim is confirmed", async () => {
+        const strategy = { ...confirmedClaimStrategy, maySend: () => true };
+        expect((await findFailure(strategy)).failed).toBe(true);
+    });
+
+    it("doubles an action when an old claim is taken over", async () => {
+        const strategy = {
+            ...confirmedClaimStrategy,
+            mayReplace: (record: { readonly claimedAtMs: number; }, nowMs: number) => record.claimedAtMs + 100 < nowMs,
+        };
+        expect((await findFailure(strategy)).failed).toBe(true);
+    });
+});
--- /dev/null
+++ b/packages/ledger/__tests__/support/createFaultyStore.ts
@@ -0,0 +1,61 @@
+import { type Clock, createFailure, ErrorCode, type Failure, type RandomSource } from "@ibislanding/core";
+import type { KeyValueStore } from "@ibislanding/platform";
+import { Err, type Result } from "ts-results";
+
+interface FaultyStoreOptions {
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly pass: () => Promise<void>;
+    readonly hasFault: () => boolean;
+    readonly timeoutMs: number;
+}
+
+const MAXIMUM_DELAY_MS = 12;
+
+/** Wraps the store as one host sees it: delays, lost requests, lost answers and writes that are applied late. */
+export const createFaultyStore = (options: FaultyStoreOptions): KeyValueStore => {
+    const { store, clock, random, pass, hasFault, timeoutMs } = options;
+    const delay = (): Promise<void> => clock.sleep(1 + random.nextInt(MAXIMUM_DELAY_MS));
+
+    const around = async <T>(call: () => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> => {
+        await pass();
+        await delay();
+        const result = await call();
+        await delay();
+        await pass();
+        return result;
+    };
+
+    const lost = async (): Promise<Result<number, Failure>> => {
+        await clock.sleep(timeoutMs);
+        return Err(createFailure(ErrorCode.KeyValueOutcomeUnknown));
+    };
+
+    return {
+        ...store,
+        get: (key, callOptions) =>
+            around(async () =>
+                hasFault() ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : store.get(key, callOptions)
+            ),
+        compareAndSwap: (request, callOptions) =>
+            around(async () => {
+                if (!hasFault()) {
+                    return store.compareAndSwap(request, callOptions);
+                }
+                const faults = [
+                    lost,
+                    async () => {
+                        await store.compareAndSwap(request, callOptions);
+                        return lost();
+                    },
+                    async () => {
+                        void clock.sleep(timeoutMs + random.nextInt(3 * timeoutMs))
+                            .then(() => store.compareAndSwap(request, callOptions));
+                        return lost();
+                    },
+                ];
+                return (faults[random.nextInt(faults.length)] ?? lost)();
+            }),
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/actions/createActionLedger.ts
@@ -0,0 +1,28 @@
+import { createClaimTable } from "../claims/createClaimTable";
+import { createOperationRouter } from "../shard/createOperationRouter";
+import type { ActionLedger } from "./actionLedger";
+import type { ActionLedgerOptions } from "./actionLedgerOptions";
+import { createActionRunner } from "./createActionRunner";
+import { createEndRecorder } from "./createEndRecorder";
+
+/** Creates the ledger of one entry host. */
+export const createActionLedger = (options: ActionLedgerOptions): ActionLedger => {
+    const claims = createClaimTable(options.self.hostId, options.random);
+    const router = createOperationRouter(options);
+    const recorder = createEndRecorder({ ...options, router });
+    const runAction = createActionRunner({ ...options, claims, router, recorder });
+
+    return {
+        runAction,
+        peerHandler: { claimStatus: claims.statusOf, commit: router.commitHere },
+        dump: () => ({
+            claims: claims.countByStatus(),
+            pendingOperations: router.pendingCounts(),
+            unrecordedEnds: recorder.unrecordedCount(),
+        }),
+        [Symbol.asyncDispose]: async () => {
+            await recorder[Symbol.asyncDispose]();
+            await router[Symbol.asyncDispose]();
+        },
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/actions/createActionRunner.ts
@@ -0,0 +1,214 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { match } from "ts-pattern";
+import { Err, Ok, type Result } from "ts-results";
+import type { ClaimTable } from "../claims/claimTable";
+import type { ActionRecord } from "../model/actionRecord";
+import type { ClaimId } from "../model/claimId";
+import type { LedgerOperation } from "../operations/ledgerOperation";
+import type { OperationResult } from "../operations/operationResult";
+import type { ClaimStatus } from "../peers/claimStatus";
+import type { OperationRouter } from "../shard/operationRouter";
+import type { ActionAnswer } from "./actionAnswer";
+import type { ActionLedger } from "./actionLedger";
+import type { ActionLedgerOptions } from "./actionLedgerOptions";
+import type { ActionOutcome } from "./actionOutcome";
+import type { ActionRequest } from "./actionRequest";
+import type { EndRecorder } from "./endRecorder";
+import { notRunCodes } from "./notRunCodes";
+import { toRecordedAnswer } from "./toRecordedAnswer";
+import { toReplayedOutcome } from "./toReplayedOutcome";
+import { withTimeout } from "./withTimeout";
+
+interface ActionRunnerOptions
+    extends Pick<ActionLedgerOptions, "self" | "peers" | "clock" | "limits" | "timing" | "strategy"> {
+    readonly claims: ClaimTable;
+    readonly router: OperationRouter;
+    readonly recorder: EndRecorder;
+}
+
+interface Attempt {
+    readonly request: ActionRequest;
+    readonly claimId: ClaimId;
+    readonly deadlineMs: number;
+}
+
+type Outcome = Result<ActionOutcome, Failure>;
+
+/** Claims of other attempts that one attempt replaces at most. */
+const MAXIMUM_TAKEOVERS = 3;
+
+/** Sends of one attempt to a service that deduplicates. */
+const MAXIMUM_SENDS = 2;
+
+/** Creates the function that runs one action. */
+export const createActionRunner = (options: ActionRunnerOptions): ActionLedger["runAction"] => {
+    const { self, peers, clock, limits, timing, strategy, claims, router, recorder } = options;
+
+    const remainingMs = ({ deadlineMs }: Attempt): number => Math.max(0, deadlineMs - clock.monotonicMs());
+
+    const notRun = (reason: ErrorCode): Failure =>
+        createFailure(ErrorCode.NotRun, { retryAfterMs: timing.retryAfterMs, details: { reason } });
+
+    const inProgress = (): Outcome =>
+        Err(createFailure(ErrorCode.ActionInProgress, { retryAfterMs: timing.retryAfterMs }));
+
+    const outcomeUnknown = (): Outcome => Err(createFailure(ErrorCode.OutcomeUnknown));
+
+    const targetOf = ({ request: { accountId, key }, claimId }: Attempt) => ({ accountId, key, claimId });
+
+    const claimFieldsOf = (attempt: Attempt) => ({
+        ...targetOf(attempt),
+        requestSha256: attempt.request.requestSha256,
+        writer: self,
+    });
+
+    /** Gives the attempt up before anything was sent. */
+    const abandon = (attempt: Attempt, failure: Failure): Outcome => {
+        claims.abandon(attempt.claimId);
+        void recorder.record({ kind: "release", ...targetOf(attempt) })
+            .then(() => claims.forget(attempt.claimId));
+        return Err(failure);
+    };
+
+    const recordEnd = async (attempt: Attempt, operation: LedgerOperation): Promise<void> => {
+        claims.finish(attempt.claimId);
+        const recorded = recorder.record(operation).then(() => claims.forget(attempt.claimId));
+        await withTimeout(recorded, Math.min(timing.recordTimeoutMs, remainingMs(attempt)), clock);
+    };
+
+    const sendOnce = async (attempt: Attempt): Promise<Result<ActionAnswer, Failure>> => {
+        try {
+            return await attempt.request.send({ claimId: attempt.claimId, timeoutMs: remainingMs(attempt) });
+        }
+        catch {
+            return Err(createFailure(ErrorCode.Internal));
+        }
+    };
+
+    /** Sends, and sends again only to a service that recognises the key. */
+    const sendRepeatedly = async (attempt: Attempt, sends = 1): Promise<Result<ActionAnswer, Failure>> => {
+        const result = await sendOnce(attempt);
+        const isSilent = result.err && !notRunCodes.has(result.val.code);
+        const mayRepeat = isRepeatable(attempt) && sends < MAXIMUM_SENDS && remainingMs(attempt) > 0;
+        if (!isSilent || !mayRepeat) {
+            return result;
+        }
+        const repeated = await sendRepeatedly(attempt, sends + 1);
+        return repeated.ok ? repeated : result;
+    };
+
+    const send = async (attempt: Attempt): Promise<Outcome> => {
+        if (remainingMs(attempt) === 0) {
+            return abandon(attempt, notRun(ErrorCode.DeadlinePassed));
+        }
+        const result = await sendRepeatedly(attempt);
+        const target = targetOf(attempt);
+        if (result.ok) {
+            const answer = toRecordedAnswer(result.val, limits.maximumAnswerBytes);
+            await recordEnd(attempt, { kind: "finish", ...target, answer });
+            return Ok({ answer: result.val, replayed: false });
+        }
+        if (notRunCodes.has(result.val.code)) {
+            return abandon(attempt, notRun(result.val.code));
+        }
+        await recordEnd(attempt, { kind: "markUnknown", ...target });
+        return outcomeUnknown();
+    };
+
+    const submitClaim = async (attempt: Attempt, operation: LedgerOperation, takeovers: number): Promise<Outcome> => {
+        const isAbandoned = (): boolean => claims.statusOf(attempt.claimId) === "abandoned";
+        const timeoutMs = Math.min(timing.claimTimeoutMs, remainingMs(attempt));
+        const outcome = await withTimeout(router.submit(operation, isAbandoned), timeoutMs, clock);
+        if (strategy.maySend(outcome)) {
+            return send(attempt);
+        }
+        if (outcome?.ok !== true) {
+            return abandon(attempt, notRun(outcome?.val.code ?? ErrorCode.KeyValueUnavailable));
+        }
+        return handleRefusedClaim(attempt, outcome.val, takeovers);
+    };
+
+    const handleRefusedClaim = (attempt: Attempt, result: OperationResult, takeovers: number): Promise<Outcome> =>
+        match(result)
+            .with({ kind: "recorded" }, ({ record }) => handleRecord(attempt, record, takeovers))
+            .with({ kind: "full" }, async () => abandon(attempt, notRun(ErrorCode.Overloaded)))
+            .with({ kind: "keyReused" }, async () => abandon(attempt, createFailure(ErrorCode.KeyReused)))
+            .otherwise(async () => abandon(attempt, notRun(ErrorCode.Internal)));
+
+    const handleRecord = (attempt: Attempt, record: ActionRecord, takeovers: number): Promise<Outcome> =>
+        match(record.state)
+            .with("done", async () => closeWith(attempt, toReplayedOutcome(record.answer)))
+            .with("unknown", () => handleLostClaim(attempt, record, takeovers))
+            .with("claimed", () => handleOpenClaim(attempt, record, takeovers))
+            .exhaustive();
+
+    /** Ends an attempt whose claim was not opened, because another one holds the record. */
+    const closeWith = (attempt: Attempt, outcome: Outcome): Outcome => {
+        claims.abandon(attempt.claimId);
+        claims.forget(attempt.claimId);
+        return outcome;
+    };
+
+    const isRepeatable = ({ request: { service } }: Attempt): boolean => service.deduplicates || service.repeatable;
+
+    const takeOver = (attempt: Attempt, record: ActionRecord, takeovers: number): Promise<Outcome> =>
+        takeovers >= MAXIMUM_TAKEOVERS
+            ? Promise.resolve(closeWith(attempt, inProgress()))
+            : submitClaim(
+                attempt,
+                { kind: "takeOver", ...claimFieldsOf(attempt), previousClaimId: record.claimId },
+                takeovers + 1,
+            );
+
+    /** Handles a claim whose writer cannot say what became of it. */
+    const handleLostClaim = async (attempt: Attempt, record: ActionRecord, takeovers: number): Promise<Outcome> => {
+        if (isRepeatable(attempt) || strategy.mayReplace(record, clock.wallMs())) {
+            return takeOver(attempt, record, takeovers);
+        }
+        const { accountId, key, claimId } = record;
+        const operation = { kind: "markUnknown", accountId, key, claimId } as const;
+        const timeoutMs = Math.min(timing.claimTimeoutMs, remainingMs(attempt));
+        const marked = record.state === "unknown"
+            ? undefined
+            : await withTimeout(router.submit(operation), timeoutMs, clock);
+        const current = marked?.ok === true && marked.val.kind === "recorded" ? marked.val.record : undefined;
+        return closeWith(attempt, current?.state === "done" ? toReplayedOutcome(current.answer) : outcomeUnknown());
+    };
+
+    const joinOwnClaim = async (attempt: Attempt, claimId: ClaimId): Promise<Outcome> => {
+        const completion = claims.completionOf(claimId);
+        const outcome = completion && await withTimeout(completion, remainingMs(attempt), clock);
+        const joined = outcome?.ok ? Ok({ ...outcome.val, replayed: true }) : outcome;
+        return closeWith(attempt, joined ?? inProgress());
+    };
+
+    const statusOf = async (record: ActionRecord): Promise<ClaimStatus> => {
+        if (record.writer.hostId === self.hostId) {
+            return claims.statusOf(record.claimId);
+        }
+        const result = await peers.claimStatus(record.writer, record.claimId);
+        return result.ok ? result.val : "unknown";
+    };
+
+    const handleOpenClaim = async (attempt: Attempt, record: ActionRecord, takeovers: number): Promise<Outcome> => {
+        const isOwn = record.writer.hostId === self.hostId;
+        const status = await withTimeout(statusOf(record), remainingMs(attempt), clock);
+        return match(status ?? "unknown")
+            .with("abandoned", () => takeOver(attempt, record, takeovers))
+            .with(
+                "running",
+                async () => isOwn ? joinOwnClaim(attempt, record.claimId) : closeWith(attempt, inProgress()),
+            )
+            .with("finished", async () => closeWith(attempt, inProgress()))
+            .with("unknown", () => handleLostClaim(attempt, record, takeovers))
+            .exhaustive();
+    };
+
+    return async request => {
+        const { claimId, complete } = claims.open();
+        const attempt = { request, claimId, deadlineMs: clock.monotonicMs() + request.timeoutMs };
+        const outcome = await submitClaim(attempt, { kind: "claim", ...claimFieldsOf(attempt) }, 0);
+        complete(outcome);
+        return outcome;
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/actions/defaultLedgerTiming.ts
@@ -0,0 +1,13 @@
+import type { LedgerTiming } from "./ledgerTiming";
+
+/** Time bounds for a key-value service that answers in milliseconds. */
+export const defaultLedgerTiming: LedgerTiming = {
+    storeTimeoutMs: 500,
+    claimTimeoutMs: 2_000,
+    recordTimeoutMs: 1_000,
+    avoidPeerMs: 1_000,
+    retryAfterMs: 1_000,
+    stopTimeoutMs: 10_000,
+    backoff: { initialDelayMs: 20, maximumDelayMs: 1_000 },
+    failFastAttempts: 3,
+};
--- /dev/null
+++ b/packages/ledger/src/actions/notRunCodes.ts
@@ -0,0 +1,8 @@
+import { ErrorCode } from "@ibislanding/core";
+
+/** Codes of send failures after which the action certainly did not run. */
+export const notRunCodes: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.UpstreamUnreachable,
+    ErrorCode.UpstreamRefused,
+    ErrorCode.UpstreamLeaving,
+]);
--- /dev/null
+++ b/packages/ledger/src/actions/withTimeout.ts
@@ -0,0 +1,12 @@
+import type { Clock } from "@ibislanding/core";
+
+/** Returns the value of the promise, or undefined when the time passes first. */
+export const withTimeout = async <T>(promise: Promise<T>, timeoutMs: number, clock: Clock): Promise<T | undefined> => {
+    const ended = new AbortController();
+    try {
+        return await Promise.race([promise, clock.sleep(timeoutMs, ended.signal).then(() => undefined)]);
+    }
+    finally {
+        ended.abort();
+    }
+};
--- /dev/null
+++ b/packages/ledger/src/claims/createClaimTable.ts
@@ -0,0 +1,52 @@
+import { createDeferred, type Failure, type HostId, type RandomSource } from "@ibislanding/core";
+import type { Result } from "ts-results";
+import type { ActionOutcome } from "../actions/actionOutcome";
+import type { ClaimId } from "../model/claimId";
+import type { ClaimStatus } from "../peers/claimStatus";
+import type { ClaimEntry } from "./claimEntry";
+import type { ClaimTable } from "./claimTable";
+
+const CLAIM_ID_LENGTH = 20;
+
+/** Abandoned claims are kept up to this number, as a late write may still open them. */
+const MAXIMUM_ABANDONED = 20_000;
+
+/** Creates the table of the claims of a process. */
+export const createClaimTable = (hostId: HostId, random: RandomSource): ClaimTable => {
+    const claims = new Map<ClaimId, ClaimEntry>();
+    const abandoned = new Set<ClaimId>();
+
+    const setStatus = (claimId: ClaimId, status: ClaimStatus): void => {
+        const entry = claims.get(claimId);
+        if (entry !== undefined) {
+            claims.set(claimId, { ...entry, status });
+        }
+    };
+
+    return {
+        open: () => {
+            const claimId = `${hostId}/${random.nextHex(CLAIM_ID_LENGTH)}` as ClaimId;
+            const completion = createDeferred<Result<ActionOutcome, Failure>>();
+            claims.set(claimId, { status: "running", completion: completion.promise });
+            return { claimId, complete: completion.resolve };
+        },
+        statusOf: claimId => abandoned.has(claimId) ? "abandoned" : claims.get(claimId)?.status ?? "unknown",
+        abandon: claimId => {
+            abandoned.add(claimId);
+            const [oldest] = abandoned.size > MAXIMUM_ABANDONED ? abandoned : [];
+            if (oldest !== undefined) {
+                abandoned.delete(oldest);
+            }
+        },
+        finish: claimId => setStatus(claimId, "finished"),
+        completionOf: claimId => claims.get(claimId)?.completion,
+        forget: claimId => {
+            claims.delete(claimId);
+        },
+        countByStatus: () =>
+            [...claims.values()].reduce<Readonly<Record<string, number>>>(
+                (counts, { status }) => ({ ...counts, [status]: (counts[status] ?? 0) + 1 }),
+                { abandoned: abandoned.size },
+            ),
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/commands/expireRecords.ts
@@ -0,0 +1,22 @@
+import type { ActionRecord } from "../model/actionRecord";
+import type { ShardHead } from "../model/shardHead";
+import type { TransitionContext } from "../operations/transitionContext";
+
+/** An open claim older than the retention counts as ended now, so that its key is kept for another retention. */
+const endOverdueClaim = (record: ActionRecord, { nowMs, limits }: TransitionContext): ActionRecord =>
+    record.state === "claimed" && record.claimedAtMs + limits.retentionMs < nowMs
+        ? { ...record, state: "unknown", endedAtMs: nowMs }
+        : record;
+
+/** Drops segments and ended records whose retention has passed. */
+export const expireRecords = (head: ShardHead, context: TransitionContext): ShardHead => {
+    const isKept = (endedAtMs: number): boolean => endedAtMs + context.limits.retentionMs >= context.nowMs;
+    const entries = Object.entries(head.records)
+        .map(([id, record]) => [id, endOverdueClaim(record, context)] as const)
+        .filter(([, record]) => record.endedAtMs === undefined || isKept(record.endedAtMs));
+    const segments = head.segments.filter(segment => isKept(segment.newestEndedAtMs));
+    const changed = segments.length !== head.segments.length
+        || entries.length !== Object.keys(head.records).length
+        || entries.some(([id, record]) => head.records[id] !== record);
+    return changed ? { records: Object.fromEntries(entries), segments } : head;
+};
--- /dev/null
+++ b/packages/ledger/src/model/segment.ts
@@ -0,0 +1,6 @@
+import type { ActionRecord } from "./actionRecord";
+
+/** Immutable value with ended records. */
+export interface Segment {
+    readonly records: readonly ActionRecord[];
+}
--- /dev/null
+++ b/packages/ledger/src/shard/createShardTask.ts
@@ -0,0 +1,133 @@
+import { backoffDelayMs, createDeferred, createFailure, createTask, ErrorCode, type Failure } from "@ibislanding/core";
+import { match } from "ts-pattern";
+import { Err, Ok } from "ts-results";
+import type { LedgerOperation } from "../operations/ledgerOperation";
+import type { OperationResult } from "../operations/operationResult";
+import { createShardCommitter } from "./createShardCommitter";
+import type { PendingOperation } from "./pendingOperation";
+import type { ShardTask } from "./shardTask";
+import type { ShardTaskOptions } from "./shardTaskOptions";
+
+type ShardMessage =
+    | { readonly kind: "submit"; readonly pending: PendingOperation; }
+    | { readonly kind: "commit"; };
+
+/** Operations whose caller waits for a confirmation and can be told that there is none. */
+const failsFast: Readonly<Record<LedgerOperation["kind"], boolean>> = {
+    claim: true,
+    takeOver: true,
+    read: true,
+    finish: false,
+    release: false,
+    markUnknown: false,
+};
+
+/** Creates the owner of a shard. */
+export const createShardTask = (options: ShardTaskOptions): ShardTask => {
+    const { clock, random, limits } = options;
+    const committer = createShardCommitter(options);
+    const disposal = new AbortController();
+    let pending: readonly PendingOperation[] = [];
+    const unsettled = new Set<PendingOperation>();
+    let commitQueued = false;
+    let failedAttempts = 0;
+
+    const queueCommit = (): void => {
+        if (!commitQueued) {
+            commitQueued = true;
+            task.post({ kind: "commit" });
+        }
+    };
+
+    const queueCommitLater = (): void => {
+        commitQueued = true;
+        const delayMs = backoffDelayMs(Math.max(0, failedAttempts - 1), options.backoff, random);
+        clock.setTimer(delayMs, () => task.post({ kind: "commit" }));
+    };
+
+    const forget = (settled: readonly PendingOperation[]): void => {
+        settled.forEach(operation => unsettled.delete(operation));
+        pending = pending.filter(operation => unsettled.has(operation));
+    };
+
+    const settle = (batch: readonly PendingOperation[], results: readonly OperationResult[]): void => {
+        forget(batch);
+        batch.forEach(({ deferred }, position) => {
+            const result = results[position];
+            deferred.resolve(result === undefined ? Err(createFailure(ErrorCode.Internal)) : Ok(result));
+        });
+    };
+
+    const fail = (failing: readonly PendingOperation[], failure: Failure): void => {
+        forget(failing);
+        failing.forEach(({ deferred }) => deferred.resolve(Err(failure)));
+    };
+
+    const handleFailure = (failure: Failure): void => {
+        failedAttempts++;
+        if (failedAttempts >= options.failFastAttempts) {
+            fail(pending.filter(({ operation }) => failsFast[operation.kind]), failure);
+        }
+    };
+
+    const commit = async (): Promise<void> => {
+        commitQueued = false;
+        fail(pending.filter(({ isCancelled }) => isCancelled()), createFailure(ErrorCode.Cancelled));
+        const batch = pending.slice(0, limits.maximumBatch);
+        if (batch.length === 0) {
+            return;
+        }
+        const outcome = await committer.commit(batch.map(({ operation }) => operation));
+        match(outcome)
+            .with({ kind: "committed" }, ({ results }) => {
+                failedAttempts = 0;
+                settle(batch, results);
+            })
+            .with({ kind: "reread" }, () => undefined)
+            .with({ kind: "failed" }, ({ failure }) => handleFailure(failure))
+            .exhaustive();
+        if (outcome.kind === "committed") {
+            await committer.mergeSegments();
+        }
+        if (outcome.kind === "failed") {
+            queueCommitLater();
+        }
+        else if (pending.length > 0) {
+            queueCommit();
+        }
+    };
+
+    const task = createTask<ShardMessage>({
+        handle: message =>
+            match(message)
+                .with({ kind: "submit" }, submitted => {
+                    pending = [...pending, submitted.pending];
+                    queueCommit();
+                })
+                .with({ kind: "commit" }, commit)
+                .exhaustive(),
+        onError: error => {
+            options.onError(error);
+            queueCommitLater();
+        },
+    });
+
+    return {
+        submit: (operation, isCancelled = () => false) => {
+            if (disposal.signal.aborted) {
+                return Promise.resolve(Err(createFailure(ErrorCode.NotReady)));
+            }
+            const deferred = createDeferred<Awaited<ReturnType<ShardTask["submit"]>>>();
+            const submitted = { operation, deferred, isCancelled };
+            unsettled.add(submitted);
+            task.post({ kind: "submit", pending: submitted });
+            return deferred.promise;
+        },
+        pendingCount: () => unsettled.size,
+        [Symbol.asyncDispose]: async () => {
+            disposal.abort();
+            await task[Symbol.asyncDispose]();
+            fail([...unsettled], createFailure(ErrorCode.NotReady));
+        },
+    };
+};
--- /dev/null
+++ b/packages/ledger/src/storage/shardStorage.ts
@@ -0,0 +1,20 @@
+import type { Failure } from "@ibislanding/core";
+import type { Result } from "ts-results";
+import type { ActionRecord } from "../model/actionRecord";
+import type { Segment } from "../model/segment";
+import type { SegmentReference } from "../model/segmentReference";
+import type { ShardHead } from "../model/shardHead";
+import type { VersionedHead } from "./versionedHead";
+
+/** Keys of one shard in the key-value service. */
+export interface ShardStorage {
+    readonly readHead: () => Promise<Result<VersionedHead, Failure>>;
+    /** Replaces the head if it still has the version; returns the new version. */
+    readonly writeHead: (head: ShardHead, expectedVersion: number) => Promise<Result<number, Failure>>;
+    /** Fails with `key_value_conflict` when the segment does not exist any more. */
+    readonly readSegment: (key: string) => Promise<Result<Segment, Failure>>;
+    /** Writes records under a key that was never used before. */
+    readonly writeSegment: (records: readonly ActionRecord[]) => Promise<Result<SegmentReference, Failure>>;
+    /** Deletes a segment that no head references; a failure leaves it behind. */
+    readonly deleteSegment: (key: string) => Promise<void>;
+}
