--- /dev/null
+++ b/packages/protocol/src/server/createUnaryHandler.ts
@@ -0,0 +1,19 @@
+import { type handleUnaryCall, status } from "@grpc/grpc-js";
+import type { Failure } from "@ibislanding/core";
+import type { Result } from "ts-results";
+
+/** Creates the gRPC handler of a method from a function that returns a result. */
+export const createUnaryHandler = <Request, Response>(
+    handle: (request: Request) => Promise<Result<Response, Failure>> | Result<Response, Failure>,
+): handleUnaryCall<Request, Response> =>
+(call, callback) => {
+    const answer = async (): Promise<void> => {
+        const result = await handle(call.request);
+        if (result.ok) {
+            callback(null, result.val);
+            return;
+        }
+        callback({ code: status.FAILED_PRECONDITION, details: result.val.code });
+    };
+    answer().catch(() => callback({ code: status.INTERNAL, details: "internal" }));
+};
