feat(configuration): writer, follower and gRPC exchange of the document

Cause: operators' changes need acceptance by compare-and-swap, and every process needs the accepted document without depending on the store afterwards. Change: applyOperation is pure; the writer retries by operation id and settles refusals on a current read; the follower keeps one watch, forwards what it learns to random peers, compares revisions with a random peer each second, and bootstraps from peers while the store is away. Ruled out: one key a resource, as references between resources could then break between two writes.

--- /dev/null
+++ b/packages/configuration/src/follower/defaultFollowerStrategy.ts
@@ -0,0 +1,10 @@
+import type { FollowerStrategy } from "./followerStrategy";
+
+/** Strategy of the programs. */
+export const defaultFollowerStrategy: FollowerStrategy = {
+    replaces: (offered, current) => current === undefined || offered.revision > current.revision,
+    fanOut: 3,
+    antiEntropyIntervalMs: 1_000,
+    bootstrapPeers: 5,
+    confirmsFirstRead: true,
+};
--- /dev/null
+++ b/packages/configuration/src/follower/documentSource.ts
@@ -0,0 +1,2 @@
+/** Where a follower learned a document from. */
+export type DocumentSource = "store" | "offer" | "peer";
--- /dev/null
+++ b/packages/configuration/src/queries/findDuplicates.ts
@@ -0,0 +1,15 @@
+import type { ValidationIssue } from "@ibislanding/resources";
+import type { RequestedChange } from "../documents/requestedChange";
+import { resourceKeyOf } from "./resourceKeyOf";
+
+/** Finds resources that one operation changes more than once. */
+export const findDuplicates = (changes: readonly RequestedChange[]): readonly ValidationIssue[] => {
+    const keys = changes.map(resourceKeyOf);
+    const repeated = new Set(keys.filter((key, index) => keys.indexOf(key) !== index));
+    return [...repeated].map(resource => ({
+        resource,
+        field: "",
+        value: "",
+        reason: "changed twice in one operation",
+    }));
+};
