--- a/packages/core/src/time/createFakeClock.ts
+++ b/packages/core/src/time/createFakeClock.ts
@@ -59,11 +59,13 @@
                     resolve();
                     return;
                 }
-                const timer = schedule(delayMs, resolve);
-                signal?.addEventListener("abort", () => {
+                const finish = (): void => {
                     timers.delete(timer);
+                    signal?.removeEventListener("abort", finish);
                     resolve();
-                });
+                };
+                const timer = schedule(delayMs, finish);
+                signal?.addEventListener("abort", finish);
             }),
         advance,
         jumpWall: offsetMs => {
--- a/packages/streams/src/answer/createAnswerStream.ts
+++ b/packages/streams/src/answer/createAnswerStream.ts
@@ -27,7 +27,8 @@
 interface Progress {
     readonly excluded: Set<UpstreamId>;
     accepted: boolean;
-    attempts: number;
+    /** Times that it waited because no upstream was left. */
+    waits: number;
     reattached: boolean;
 }
 
@@ -47,7 +48,7 @@
     const progress: Progress = {
         excluded: new Set(),
         accepted: options.resumeFrom !== undefined,
-        attempts: 0,
+        waits: 0,
         reattached: false,
     };
 
@@ -55,14 +56,14 @@
 
     /** Selects an upstream; an accepted answer waits for one until its deadline. */
     const select = async (): Promise<Result<SelectedUpstream, Failure>> => {
-        for (let wait = 0;; wait++) {
+        for (;;) {
             const selected = ports.select(progress.excluded, progress.accepted);
             if (selected.ok || !progress.accepted || isPastDeadline() || options.signal.aborted) {
                 return selected;
             }
             // Upstreams that failed before may have recovered, and nothing else is left.
             progress.excluded.clear();
-            await ports.clock.sleep(backoffDelayMs(wait, RETRY_BACKOFF, ports.random), options.signal);
+            await ports.clock.sleep(backoffDelayMs(progress.waits++, RETRY_BACKOFF, ports.random), options.signal);
         }
     };
 
@@ -120,7 +121,6 @@
     let plan = await planFirst();
     while (plan.ok) {
         const current: AttemptPlan = plan.val;
-        progress.attempts++;
         const attempt = runAttempt(current, options, ports, strategy);
         let step = await attempt.next();
         while (step.done !== true) {
