feat(placement): leases with fencing numbers, durable plans and reconciled orders

Cause: control must place replicas, replace reclaimed ones and order engines from several hosts of which any may be paused or die, over a key-value service whose answers can be lost.

Ruled out: lease keys deleted at their end (the fencing number would start again), wall-clock expiry (clocks jump), and deriving start operations from the observed hosts (the host list lags, so two holders would name different operations).

Change: packages/placement decides (lease, plan, orders); packages/control carries out one service's round: decide, store the plan by compare-and-swap, check the lease, send. The plan names every start, so a retry by another holder is the same operation.

Conclusion: safety rests on compare-and-swap and on fencing; where engines don't check, orders stay in sequence for pauses as declared and converge for longer ones.

--- /dev/null
+++ b/packages/control/__tests__/controlFaults.spec.ts
@@ -0,0 +1,215 @@
+import type { Revision } from "@ibislanding/core";
+import { startOperationId } from "@ibislanding/placement";
+import fc from "fast-check";
+import { createControlWorld, LONGEST_PAUSE_MS, type WorldOptions, ZONES } from "./createControlWorld";
+
+type World = ReturnType<typeof createControlWorld>;
+
+type Fault =
+    | { readonly type: "pause"; readonly process: number; readonly durationMs: number; }
+    /** Pauses the lease holder between the check of its lease and its next order, and gives it something to order. */
+    | { readonly type: "pause-at-send"; readonly durationMs: number; }
+    | { readonly type: "outage"; readonly durationMs: number; }
+    | { readonly type: "lose-answers" | "lose-requests" | "lose-start-answers"; readonly count: number; }
+    | { readonly type: "reclaim"; readonly index: number; }
+    | { readonly type: "refuse-zone"; readonly zone: number; readonly durationMs: number; }
+    | { readonly type: "new-version"; }
+    | { readonly type: "demand"; readonly sequences: number; };
+
+/** `EXPLORE_SEED` and `EXPLORE_RUNS` widen the search. */
+const SEED_OFFSET = Number(process.env["EXPLORE_SEED"] ?? 0);
+const RUNS = Number(process.env["EXPLORE_RUNS"] ?? 10);
+const SETTLE_MS = 40_000;
+
+const pauseMs = (maximum: number) => fc.integer({ min: 500, max: maximum });
+
+const faultArbitrary = (longestPauseMs: number): fc.Arbitrary<Fault> =>
+    fc.oneof(
+        fc.record({ type: fc.constant("pause" as const), process: fc.nat(2), durationMs: pauseMs(longestPauseMs) }),
+        {
+            weight: 3,
+            arbitrary: fc.record({
+                type: fc.constant("pause-at-send" as const),
+                durationMs: pauseMs(longestPauseMs),
+            }),
+        },
+        fc.record({ type: fc.constant("outage" as const), durationMs: fc.integer({ min: 500, max: 8_000 }) }),
+        fc.record({
+            type: fc.constantFrom("lose-answers" as const, "lose-requests" as const, "lose-start-answers" as const),
+            count: fc.integer({ min: 1, max: 4 }),
+        }),
+        fc.record({ type: fc.constant("reclaim" as const), index: fc.nat(10) }),
+        {
+            weight: 2,
+            arbitrary: fc.record({
+                type: fc.constant("refuse-zone" as const),
+                zone: fc.nat(2),
+                durationMs: fc.integer({ min: 5_000, max: 20_000 }),
+            }),
+        },
+        fc.constant({ type: "new-version" as const }),
+        fc.record({ type: fc.constant("demand" as const), sequences: fc.integer({ min: 0, max: 16 }) }),
+    );
+
+const scheduleArbitrary = (longestPauseMs: number) =>
+    fc.array(fc.tuple(faultArbitrary(longestPauseMs), fc.integer({ min: 100, max: 3_000 })), {
+        minLength: 8,
+        maxLength: 24,
+    });
+
+const declareVersion = ({ configuration }: World): void => {
+    configuration.revision = (configuration.revision + 1) as Revision;
+    configuration.version = `v${configuration.revision}`;
+};
+
+const inject = (world: World, fault: Fault): void => {
+    switch (fault.type) {
+        case "pause":
+            return world.processes[fault.process]!.pause(fault.durationMs);
+        case "pause-at-send":
+            declareVersion(world);
+            return world.processes.find(({ lease }) => lease.grant() !== undefined)?.pauseAtNextSend(fault.durationMs);
+        case "outage":
+            world.store.setUnavailable(true);
+            return void world.clock.setTimer(fault.durationMs, () => world.store.setUnavailable(false));
+        case "lose-answers":
+            return world.store.loseAnswers(fault.count);
+        case "lose-requests":
+            return world.store.loseRequests(fault.count);
+        case "lose-start-answers":
+            return world.loseStartAnswers(fault.count);
+        case "reclaim":
+            return world.reclaim(fault.index);
+        case "refuse-zone":
+            world.refusedZones.add(ZONES[fault.zone]!);
+            return void world.clock.setTimer(
+                fault.durationMs,
+                () => void world.refusedZones.delete(ZONES[fault.zone]!),
+            );
+        case "new-version":
+            return declareVersion(world);
+        case "demand":
+            world.configuration.demand = fault.sequences;
+    }
+};
+
+const run = async (
+    options: WorldOptions,
+    schedule: readonly (readonly [Fault, number])[],
+): Promise<World> => {
+    const world = createControlWorld(options);
+    await world.clock.advance(3_000);
+    for (const [fault, delayMs] of schedule) {
+        inject(world, fault);
+        await world.clock.advance(delayMs);
+    }
+    await world.clock.advance(SETTLE_MS);
+    return world;
+};
+
+/** Accepted orders never come from an older grant than one before them. */
+const ordersAreFenced = (world: World): boolean =>
+    world.engines().every(({ acceptedGrants }) =>
+        acceptedGrants.every((grant, index) => index === 0 || grant >= acceptedGrants[index - 1]!)
+    );
+
+/** No incarnation was started twice. */
+const startsAreSingle = (world: World): boolean => {
+    const perIncarnation = new Map<string, number>();
+    world.engines().forEach(({ request: { operationId } }) => {
+        const incarnation = operationId.split("#")[0]!;
+        perIncarnation.set(incarnation, (perIncarnation.get(incarnation) ?? 0) + 1);
+    });
+    return [...perIncarnation.values()].every(count => count === 1);
+};
+
+const converged = async (world: World): Promise<boolean> => {
+    const plan = await world.storedPlan();
+    const planned = plan.replicas.map(({ upstreamId }) => upstreamId).sort();
+    const running = world.hosts().map(({ upstreamId }) => upstreamId).sort();
+    return JSON.stringify(planned) === JSON.stringify(running)
+        && plan.revision === world.configuration.revision
+        && world.hosts().every(({ modelVersion, leaving }) => modelVersion === world.configuration.version && !leaving)
+        && world.processes.some(({ controller }) => controller.conditions()?.survivesZoneLoss === true);
+};
+
+const totals = { faults: 0, orders: 0, staleRefusals: 0, starts: 0, startsRefused: 0, leaseGrants: 0 };
+
+const addTotals = (world: World, faults: number): void => {
+    totals.faults += faults;
+    (Object.keys(world.counts) as (keyof World["counts"])[]).forEach(name => {
+        totals[name] += world.counts[name];
+    });
+};
+
+/** Runs schedules until one violates the check; returns whether none did. */
+const holds = async (
+    options: WorldOptions,
+    seed: number,
+    longestPauseMs: number,
+    check: (world: World) => boolean | Promise<boolean>,
+): Promise<boolean> => {
+    let violated = false;
+    const details = await fc.check(
+        fc.asyncProperty(scheduleArbitrary(longestPauseMs), async schedule => {
+            const world = await run(options, schedule);
+            addTotals(world, schedule.length);
+            violated = !await check(world);
+            return !violated;
+        }),
+        { seed: seed + SEED_OFFSET, numRuns: RUNS, endOnFailure: true },
+    );
+    if (details.failed && !violated) {
+        throw details.errorInstance as Error;
+    }
+    return !details.failed;
+};
+
+const all = async (world: World): Promise<boolean> =>
+    ordersAreFenced(world) && startsAreSingle(world) && await converged(world);
+
+/** Pauses as declared, less the time that an order travels. */
+const DECLARED_PAUSE_MS = LONGEST_PAUSE_MS - 100;
+
+describe("control under faults", () => {
+    it("keeps all guarantees where engines check fencing numbers, whatever the pauses", async () => {
+        expect(await holds({ honoursFencing: true }, 1, 20_000, all)).toBe(true);
+    });
+
+    it("keeps all guarantees where engines don't check, with pauses as declared", async () => {
+        expect(await holds({ honoursFencing: false }, 2, DECLARED_PAUSE_MS, all)).toBe(true);
+    });
+
+    it("converges where engines don't check, with pauses longer than declared", async () => {
+        expect(await holds({ honoursFencing: false }, 3, 20_000, converged)).toBe(true);
+    });
+
+    it("meets each kind of trouble in these runs", () => {
+        process.stdout.write(`control under faults: ${JSON.stringify(totals)}\n`);
+        expect(Math.min(...Object.values(totals))).toBeGreaterThan(0);
+    });
+});
+
+describe("control without one of its mechanisms", () => {
+    it("accepts stale orders when the fencing number doesn't increase", async () => {
+        const options = { honoursFencing: true, strategy: { nextFencingNumber: () => 1 } };
+        expect(await holds(options, 1, 20_000, ordersAreFenced)).toBe(false);
+    });
+
+    it("lets stale orders reach engines that don't check when a new holder doesn't wait", async () => {
+        const options = { honoursFencing: false, strategy: { settlingMs: () => 0 } };
+        expect(await holds(options, 2, DECLARED_PAUSE_MS, ordersAreFenced)).toBe(false);
+    });
+
+    it("starts hosts twice when the operation id isn't derived from the plan", async () => {
+        let number = 0;
+        const operationIdOf = (service: string, incarnation: number): string =>
+            `${startOperationId(service, incarnation)}#${++number}`;
+        expect(await holds({ honoursFencing: true, operationIdOf }, 1, 20_000, startsAreSingle)).toBe(false);
+    });
+
+    it("doesn't converge when orders are not repeated until their effect shows", async () => {
+        const options = { honoursFencing: true, policy: { orderRetryMs: Infinity } };
+        expect(await holds(options, 1, 20_000, converged)).toBe(false);
+    });
+});
--- /dev/null
+++ b/packages/control/src/orders/orderSender.ts
@@ -0,0 +1,5 @@
+import type { ControlEffect } from "@ibislanding/placement";
+import type { OrderOutcome } from "./orderOutcome";
+
+/** Sends one order. */
+export type OrderSender = (effect: ControlEffect) => Promise<OrderOutcome>;
--- /dev/null
+++ b/packages/control/src/service/createDemandWindow.ts
@@ -0,0 +1,28 @@
+import type { ServiceDemand } from "@ibislanding/placement";
+import type { DemandWindow } from "./demandWindow";
+
+interface Sample extends ServiceDemand {
+    readonly atMs: number;
+}
+
+const peakOf = (samples: readonly Sample[]): ServiceDemand => ({
+    concurrentSequences: Math.max(0, ...samples.map(sample => sample.concurrentSequences)),
+    prefillTokensPerSecond: Math.max(0, ...samples.map(sample => sample.prefillTokensPerSecond)),
+});
+
+/** Creates an empty window of the given lengths. */
+export const createDemandWindow = (currentMs: number, peakMs: number): DemandWindow => {
+    let samples: readonly Sample[] = [];
+    let firstAtMs: number | undefined;
+
+    const since = (atMs: number): readonly Sample[] => samples.filter(sample => sample.atMs >= atMs);
+
+    return {
+        record: (demand, nowMs) => {
+            firstAtMs ??= nowMs;
+            samples = [...since(nowMs - peakMs), { ...demand, atMs: nowMs }];
+        },
+        current: nowMs => peakOf(since(nowMs - currentMs)),
+        recentPeak: nowMs => (firstAtMs !== undefined && nowMs - firstAtMs >= peakMs ? peakOf(samples) : undefined),
+    };
+};
--- /dev/null
+++ b/packages/control/src/service/createServiceController.ts
@@ -0,0 +1,178 @@
+import { ErrorCode, type Failure } from "@ibislanding/core";
+import {
+    abandonStart,
+    choiceKey,
+    confirmStart,
+    type ControlEffect,
+    effectKey,
+    type LeaseGrant,
+    type PlacementConditions,
+    planOrders,
+    planPlacement,
+    recordRefusal,
+    type Refusal,
+    type ServicePlan,
+    startOperationId,
+} from "@ibislanding/placement";
+import { createOrderSender } from "../orders/createOrderSender";
+import type { OrderOutcome } from "../orders/orderOutcome";
+import { createDemandWindow } from "./createDemandWindow";
+import type { DesiredService } from "./desiredService";
+import { readPlan } from "./readPlan";
+import type { ServiceController } from "./serviceController";
+import type { ServiceControllerOptions } from "./serviceControllerOptions";
+import type { StoredPlan } from "./storedPlan";
+import { storePlan } from "./storePlan";
+
+type StartEffect = Extract<ControlEffect, { type: "start-host"; }>;
+
+interface SentOrder {
+    readonly effect: ControlEffect;
+    readonly outcome: OrderOutcome;
+}
+
+/** Reports within this time count as the present demand. */
+const CURRENT_DEMAND_MS = 10_000;
+
+const isLoad = ({ type }: ControlEffect): boolean => type === "load-model" || type === "load-adapter";
+
+/** Whether the platform says that the order had no effect. */
+const isRefused = (failure: Failure): boolean => failure.code === ErrorCode.PlatformRefused;
+
+/** Creates the controller of one service; it keeps no state that another holder would need. */
+export const createServiceController = (options: ServiceControllerOptions): ServiceController => {
+    const { lease, store, clock, random, policy } = options;
+    const send = createOrderSender(options.ports, lease, () => options.desired()?.spec.honoursFencing ?? false);
+    const demand = createDemandWindow(CURRENT_DEMAND_MS, options.scaleInDelayMs);
+    const sentAtMs = new Map<string, number>();
+    const refusals = new Map<string, Refusal>();
+    let stored: StoredPlan | undefined;
+    let storedUnder: LeaseGrant["fencingNumber"] | undefined;
+    let conditions: PlacementConditions | undefined;
+    let loadsNotBeforeMs = 0;
+
+    const forget = (): void => {
+        stored = undefined;
+        conditions = undefined;
+        sentAtMs.clear();
+    };
+
+    const load = async (service: string, grant: LeaseGrant): Promise<StoredPlan | undefined> => {
+        if (storedUnder !== grant.fencingNumber) {
+            forget();
+            storedUnder = grant.fencingNumber;
+        }
+        if (stored === undefined) {
+            const result = await readPlan(store, service);
+            stored = result.ok ? result.val : undefined;
+        }
+        return stored;
+    };
+
+    /** Stores a plan if it changed; returns whether it may be acted on. */
+    const commit = async (previous: StoredPlan, plan: ServicePlan): Promise<StoredPlan | undefined> => {
+        if (plan === previous.plan) {
+            return previous;
+        }
+        const result = await storePlan(store, previous, plan);
+        stored = result.ok ? result.val : undefined;
+        return stored;
+    };
+
+    const refusedKeys = (): ReadonlySet<string> =>
+        new Set([...refusals].filter(([, { untilMs }]) => clock.monotonicMs() < untilMs).map(([key]) => key));
+
+    const decide = (desired: DesiredService, plan: ServicePlan): ServicePlan => {
+        const nowMs = clock.monotonicMs();
+        demand.record(options.demand(), nowMs);
+        const decision = planPlacement({
+            ...desired,
+            nowMs: clock.wallMs(),
+            plan,
+            upstreams: options.upstreams(),
+            reclaimDeadlinesMs: options.reclaimDeadlinesMs(),
+            demand: demand.current(nowMs),
+            recentPeakDemand: demand.recentPeak(nowMs),
+            refusedKeys: refusedKeys(),
+            policy,
+        });
+        conditions = decision.conditions;
+        return decision.plan;
+    };
+
+    const listOrders = (plan: ServicePlan): readonly ControlEffect[] => {
+        const monotonicMs = clock.monotonicMs();
+        [...sentAtMs].filter(([, atMs]) => monotonicMs - atMs >= policy.orderRetryMs)
+            .forEach(([key]) => sentAtMs.delete(key));
+        return planOrders({
+            nowMs: clock.wallMs(),
+            monotonicMs,
+            plan,
+            upstreams: options.upstreams(),
+            role: undefined,
+            sentAtMs,
+            loadsNotBeforeMs,
+            policy,
+            operationIdOf: options.operationIdOf ?? startOperationId,
+        });
+    };
+
+    const holdLoads = (failure: Failure): void => {
+        const delayMs = failure.retryAfterMs ?? policy.refusalBackoff.initialDelayMs;
+        loadsNotBeforeMs = clock.monotonicMs() + delayMs * (1 + random.nextUnit());
+    };
+
+    const sendOne = async (effect: ControlEffect): Promise<SentOrder> => {
+        sentAtMs.set(effectKey(effect), clock.monotonicMs());
+        const outcome = await send(effect);
+        if (outcome.err) {
+            if (isLoad(effect) && isRefused(outcome.val)) {
+                holdLoads(outcome.val);
+            }
+            if (isRefused(outcome.val) || outcome.val.code === ErrorCode.LeaseLost) {
+                sentAtMs.delete(effectKey(effect));
+            }
+        }
+        options.onOrder?.(effect, outcome);
+        return { effect, outcome };
+    };
+
+    const noteRefusal = ({ choice }: StartEffect, failure: Failure): void => {
+        const key = choiceKey(choice);
+        const nowMs = clock.monotonicMs();
+        refusals.set(key, recordRefusal(refusals.get(key), nowMs, failure.retryAfterMs, policy.refusalBackoff, random));
+    };
+
+    const applyStart = (plan: ServicePlan, { effect, outcome }: SentOrder): ServicePlan => {
+        if (effect.type !== "start-host") {
+            return plan;
+        }
+        if (outcome.ok) {
+            refusals.delete(choiceKey(effect.choice));
+            return outcome.val === undefined ? plan : confirmStart(plan, effect.incarnation, outcome.val);
+        }
+        if (isRefused(outcome.val)) {
+            noteRefusal(effect, outcome.val);
+            return abandonStart(plan, effect.incarnation);
+        }
+        return plan;
+    };
+
+    const round = async (): Promise<void> => {
+        const grant = lease.grant();
+        const desired = options.desired();
+        if (grant === undefined || desired === undefined) {
+            forget();
+            return;
+        }
+        const previous = await load(desired.name, grant);
+        const decided = previous === undefined ? undefined : await commit(previous, decide(desired, previous.plan));
+        if (decided === undefined) {
+            return;
+        }
+        const sent = await Promise.all(listOrders(decided.plan).map(sendOne));
+        await commit(decided, sent.reduce(applyStart, decided.plan));
+    };
+
+    return { round, plan: () => stored?.plan, conditions: () => conditions };
+};
--- /dev/null
+++ b/packages/placement/__tests__/createLeaseHolder.spec.ts
@@ -0,0 +1,83 @@
+import { createFakeClock, createRandom } from "@ibislanding/core";
+import { createLeaseHolder, type LeaseHolder } from "@ibislanding/placement";
+import { createFakeKeyValueStore } from "@ibislanding/platform";
+
+const DURATION_MS = 9_000;
+const LONGEST_PAUSE_MS = 5_000;
+
+const createHolders = () => {
+    const clock = createFakeClock();
+    const store = createFakeKeyValueStore(clock);
+    const holders = [0, 1].map(rank =>
+        createLeaseHolder({
+            store,
+            clock,
+            random: createRandom(rank + 1),
+            key: "control/leases/letters",
+            holder: `control-${rank}`,
+            durationMs: DURATION_MS,
+            longestPauseMs: LONGEST_PAUSE_MS,
+            rank: () => rank,
+        })
+    );
+    const [first, second] = holders as [LeaseHolder, LeaseHolder];
+    /** Steps the given holders every second. */
+    const run = async (durationMs: number, ...active: readonly LeaseHolder[]): Promise<void> => {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1_000) {
+            for (const holder of active) {
+                await holder.step();
+            }
+            await clock.advance(1_000);
+        }
+    };
+    return { store, first, second, run };
+};
+
+const mayOrder = (holder: LeaseHolder, honoursFencing: boolean): boolean => holder.check({ honoursFencing }).ok;
+
+describe("createLeaseHolder", () => {
+    it("takes a free lease at once, and a lapsed one with a greater number after the pause of its holder", async () => {
+        const { first, second, run } = createHolders();
+        await run(30_000, first, second);
+        expect(first.check({ honoursFencing: false }).unwrap()).toBe(1);
+        expect(mayOrder(second, true)).toBe(false);
+        await run(DURATION_MS + 1_000, second);
+        expect(mayOrder(first, true)).toBe(false);
+        expect(second.check({ honoursFencing: true }).unwrap()).toBe(2);
+        expect(mayOrder(second, false)).toBe(false);
+        await run(LONGEST_PAUSE_MS, second);
+        expect(mayOrder(second, false)).toBe(true);
+    });
+
+    it("reads a lost answer back and keeps its number", async () => {
+        const { store, first, second, run } = createHolders();
+        store.loseAnswers(1);
+        await run(1_000, first, second);
+        expect(first.check({ honoursFencing: false }).unwrap()).toBe(1);
+        store.loseAnswers(1);
+        await run(20_000, first, second);
+        expect(first.check({ honoursFencing: false }).unwrap()).toBe(1);
+        store.loseRequests(1);
+        await run(20_000, first, second);
+        expect(first.check({ honoursFencing: false }).unwrap()).toBe(1);
+    });
+
+    it("hands a released lease over without a wait", async () => {
+        const { first, second, run } = createHolders();
+        await run(1_000, first);
+        await first.release();
+        await run(DURATION_MS + 2_000, second);
+        expect(second.check({ honoursFencing: false }).unwrap()).toBe(2);
+    });
+
+    it("stops sending when an outage outlasts the lease, and takes it again afterwards", async () => {
+        const { store, first, run } = createHolders();
+        await run(2_000, first);
+        store.setUnavailable(true);
+        await run(DURATION_MS, first);
+        expect(mayOrder(first, true)).toBe(false);
+        store.setUnavailable(false);
+        await run(2_000, first);
+        expect(first.check({ honoursFencing: true }).unwrap()).toBe(2);
+    });
+});
--- /dev/null
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -0,0 +1,172 @@
+import { createFailure, ErrorCode, type FencingNumber } from "@ibislanding/core";
+import type { KeyValueEntry } from "@ibislanding/platform";
+import { Err, Ok } from "ts-results";
+import type { LeaseGrant } from "./leaseGrant";
+import type { LeaseHolder } from "./leaseHolder";
+import type { LeaseHolderOptions } from "./leaseHolderOptions";
+import type { LeaseRecord } from "./leaseRecord";
+import { parseLeaseRecord } from "./parseLeaseRecord";
+import { safeLeaseStrategy } from "./safeLeaseStrategy";
+
+/** What a contender saw of the lease key, and since when it has not changed. */
+interface Observation {
+    readonly version: number;
+    readonly record: LeaseRecord | undefined;
+    readonly unchangedSinceMs: number;
+}
+
+/** Outcome of one write: the version of the written record, or undefined when it isn't known to be stored. */
+type WriteOutcome = number | undefined;
+
+/** Part of the duration during which the holder trusts its lease; the rest covers different clock rates. */
+const VALID_SHARE = 0.9;
+
+/** Renewals within one duration. */
+const RENEWALS_PER_DURATION = 3;
+
+const WRITE_ID_LENGTH = 16;
+
+/**
+ * Creates a contender for one lease. A lease lapses when its key has not changed for its duration on the contender's
+ * own monotonic clock, so that no clocks are compared. Each grant has a greater fencing number than all before it.
+ */
+export const createLeaseHolder = (options: LeaseHolderOptions): LeaseHolder => {
+    const { store, clock, key, holder, durationMs, strategy = safeLeaseStrategy } = options;
+    let observation: Observation | undefined;
+    let grant: LeaseGrant | undefined;
+    let renewedAtMs = -Infinity;
+    let released = false;
+
+    const currentGrant = (): LeaseGrant | undefined =>
+        grant !== undefined && !released && clock.monotonicMs() < grant.validUntilMs ? grant : undefined;
+
+    const setGrant = (next: LeaseGrant | undefined): void => {
+        const changed = (grant === undefined) !== (next === undefined);
+        grant = next;
+        if (changed) {
+            options.onChange?.(next !== undefined);
+        }
+    };
+
+    const observe = (entry: KeyValueEntry | undefined): Observation => {
+        const version = entry?.version ?? 0;
+        if (observation === undefined || observation.version !== version) {
+            const record = entry === undefined ? undefined : parseLeaseRecord(entry.value);
+            observation = { version, record, unchangedSinceMs: clock.monotonicMs() };
+        }
+        return observation;
+    };
+
+    const read = async (): Promise<Observation | undefined> => {
+        const result = await store.get(key, { cause: "lease" });
+        return result.ok ? observe(result.val) : undefined;
+    };
+
+    const write = async (record: LeaseRecord, expectedVersion: number): Promise<WriteOutcome> => {
+        const value = JSON.stringify(record);
+        const result = await store.compareAndSwap({ key, expectedVersion, value }, { cause: "lease" });
+        if (result.ok) {
+            observation = { version: result.val, record, unchangedSinceMs: clock.monotonicMs() };
+            return result.val;
+        }
+        if (!strategy.readsBack || result.val.code === ErrorCode.KeyValueUnavailable) {
+            return undefined;
+        }
+        const seen = await read();
+        return seen?.record?.writeId === record.writeId ? seen.version : undefined;
+    };
+
+    const createRecord = (fencingNumber: number, isReleased = false): LeaseRecord => ({
+        fencingNumber,
+        holder,
+        writeId: options.random.nextHex(WRITE_ID_LENGTH),
+        durationMs,
+        released: isReleased,
+    });
+
+    const renew = async (held: LeaseGrant): Promise<void> => {
+        const sentAtMs = clock.monotonicMs();
+        renewedAtMs = sentAtMs;
+        const version = await write(createRecord(held.fencingNumber), held.version);
+        if (version !== undefined) {
+            setGrant({ ...held, version, validUntilMs: sentAtMs + durationMs * VALID_SHARE });
+            return;
+        }
+        const { record, version: seenVersion } = observation ?? { record: undefined, version: held.version };
+        const taken = record?.holder !== holder || record.fencingNumber !== held.fencingNumber;
+        setGrant(taken ? undefined : { ...held, version: seenVersion });
+    };
+
+    const canTake = ({ record, unchangedSinceMs }: Observation, rank: number): boolean => {
+        const unchangedMs = clock.monotonicMs() - unchangedSinceMs;
+        if (record === undefined || record.released) {
+            return rank === 0 || unchangedMs >= durationMs;
+        }
+        return record.holder === holder || unchangedMs >= Math.max(durationMs, record.durationMs);
+    };
+
+    const take = async ({ record, version }: Observation): Promise<void> => {
+        const sentAtMs = clock.monotonicMs();
+        // Every grant writes the key, so the store's version is never below the number of an unreadable record.
+        const fencingNumber = strategy.nextFencingNumber(record?.fencingNumber ?? version);
+        const writtenVersion = await write(createRecord(fencingNumber), version);
+        const isSuccessor = record !== undefined && !record.released;
+        if (writtenVersion !== undefined && !released) {
+            renewedAtMs = sentAtMs;
+            setGrant({
+                fencingNumber: fencingNumber as FencingNumber,
+                version: writtenVersion,
+                validUntilMs: sentAtMs + durationMs * VALID_SHARE,
+                settledAtMs: clock.monotonicMs() + (isSuccessor ? strategy.settlingMs(options.longestPauseMs) : 0),
+            });
+        }
+    };
+
+    const contend = async (): Promise<void> => {
+        const rank = options.rank();
+        if (rank === undefined) {
+            observation = undefined;
+            return;
+        }
+        const seen = await read();
+        if (seen !== undefined && !released && canTake(seen, rank)) {
+            await take(seen);
+        }
+    };
+
+    const step = async (): Promise<void> => {
+        if (released) {
+            return;
+        }
+        const held = currentGrant();
+        if (held === undefined) {
+            setGrant(undefined);
+            await contend();
+        }
+        else if (clock.monotonicMs() - renewedAtMs >= durationMs / RENEWALS_PER_DURATION) {
+            await renew(held);
+        }
+    };
+
+    const release = async (): Promise<void> => {
+        const held = currentGrant();
+        released = true;
+        setGrant(undefined);
+        // Before the settling time is over the successor must wait for the predecessor as well.
+        if (held !== undefined && clock.monotonicMs() >= held.settledAtMs) {
+            await write(createRecord(held.fencingNumber, true), held.version);
+        }
+    };
+
+    return {
+        step,
+        check: ({ honoursFencing }) => {
+            const held = currentGrant();
+            const mayAct = held !== undefined && (honoursFencing || clock.monotonicMs() >= held.settledAtMs);
+            return mayAct ? Ok(held.fencingNumber) : Err(createFailure(ErrorCode.LeaseLost));
+        },
+        grant: currentGrant,
+        release,
+        [Symbol.asyncDispose]: release,
+    };
+};
--- /dev/null
+++ b/packages/placement/src/lease/parseLeaseRecord.ts
@@ -0,0 +1,20 @@
+import type { LeaseRecord } from "./leaseRecord";
+
+/** Parses the value of a lease key; undefined when it is not a lease record. */
+export const parseLeaseRecord = (text: string): LeaseRecord | undefined => {
+    try {
+        const value = JSON.parse(text) as Partial<LeaseRecord>;
+        return typeof value.fencingNumber === "number" && typeof value.holder === "string"
+            ? {
+                fencingNumber: value.fencingNumber,
+                holder: value.holder,
+                writeId: value.writeId ?? "",
+                durationMs: value.durationMs ?? 0,
+                released: value.released === true,
+            }
+            : undefined;
+    }
+    catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/placement/src/orders/effectKey.ts
@@ -0,0 +1,21 @@
+import { match } from "ts-pattern";
+import type { ControlEffect } from "./controlEffect";
+
+/** Returns a text that is equal for orders with the same target and content, whatever their generation. */
+export const effectKey = (effect: ControlEffect): string =>
+    match(effect)
+        .with({ type: "start-host" }, ({ operationId }) => `start-host ${operationId}`)
+        .with({ type: "announce-leaving" }, ({ upstreamId, deadlineMs }) =>
+            `announce-leaving ${upstreamId} ${deadlineMs ?? ""}`)
+        .with({ type: "drain" }, { type: "stop-host" }, ({ type, upstreamId }) =>
+            `${type} ${upstreamId}`)
+        .with(
+            { type: "load-model" },
+            ({ upstreamId, model, version }) => `load-model ${upstreamId} ${model} ${version}`,
+        )
+        .with(
+            { type: "load-adapter" },
+            ({ upstreamId, adapter, artifact }) => `load-adapter ${upstreamId} ${adapter} ${artifact}`,
+        )
+        .with({ type: "set-role" }, ({ upstreamId, role }) => `set-role ${upstreamId} ${role}`)
+        .exhaustive();
--- /dev/null
+++ b/packages/placement/src/plan/advancePlan.ts
@@ -0,0 +1,9 @@
+import type { ServicePlan } from "./servicePlan";
+
+/** Returns the next plan with a new generation, or the previous one when nothing changed. */
+export const advancePlan = (previous: ServicePlan, next: ServicePlan): ServicePlan => {
+    const candidate = { ...next, generation: previous.generation };
+    return JSON.stringify(candidate) === JSON.stringify(previous)
+        ? previous
+        : { ...candidate, generation: previous.generation + 1 };
+};
--- /dev/null
+++ b/packages/placement/src/plan/carriesDemand.ts
@@ -0,0 +1,11 @@
+import type { PlacementRequirement } from "./placementRequirement";
+import type { ReplicaOption } from "./replicaOption";
+import { survivingCapacity } from "./survivingCapacity";
+
+/** Tells whether the replicas are enough, also after the loss of the spare zones. */
+export const carriesDemand = (replicas: readonly ReplicaOption[], requirement: PlacementRequirement): boolean => {
+    const capacity = survivingCapacity(replicas, requirement.spareZones);
+    return replicas.length >= requirement.minimumReplicas
+        && capacity.concurrentSequences >= requirement.demand.concurrentSequences
+        && capacity.prefillTokensPerSecond >= requirement.demand.prefillTokensPerSecond;
+};
--- /dev/null
+++ b/packages/placement/src/plan/engineReport.ts
@@ -0,0 +1,9 @@
+/** What an engine last reported about itself. */
+export interface EngineReport {
+    readonly modelVersions: Readonly<Record<string, string>>;
+    readonly adapters: readonly string[];
+    readonly role: string;
+    readonly leaving: boolean;
+    readonly runningSequences: number;
+    readonly queuedSequences: number;
+}
--- /dev/null
+++ b/packages/placement/src/plan/findTarget.ts
@@ -0,0 +1,46 @@
+import { choosePlacement } from "./choosePlacement";
+import { countChoices } from "./countChoices";
+import type { PlacementRequirement } from "./placementRequirement";
+import type { PlacementTarget } from "./placementTarget";
+import type { ReplicaOption } from "./replicaOption";
+import { replicasNeeded } from "./replicasNeeded";
+
+const descending = (from: number, to: number): readonly number[] =>
+    Array.from({ length: Math.max(0, from - to + 1) }, (_, index) => from - index);
+
+/** Returns the first defined value, computing no more than needed. */
+const firstDefined = <T, R>(inputs: readonly T[], compute: (input: T) => R | undefined): R | undefined => {
+    let result: R | undefined;
+    inputs.some(input => (result = compute(input)) !== undefined);
+    return result;
+};
+
+/**
+ * Finds the cheapest replicas for the requirement. When no placement meets it, spare zones are given up one by one;
+ * when even the plain demand can't be met, the target is the greatest number of replicas that can be had.
+ */
+export const findTarget = (
+    options: readonly ReplicaOption[],
+    requirement: PlacementRequirement,
+    existing: readonly ReplicaOption[],
+    moveSavingShare: number,
+): PlacementTarget => {
+    const counts = countChoices(existing.map(option => option.choice));
+    const choose = (changed: Partial<PlacementRequirement>): readonly ReplicaOption[] | undefined =>
+        choosePlacement(options, { requirement: { ...requirement, ...changed }, existing: counts, moveSavingShare });
+
+    const meeting = firstDefined(descending(requirement.spareZones, 0), spareZones => {
+        const replicas = choose({ spareZones });
+        return replicas === undefined ? undefined : { replicas, spareZones };
+    });
+    if (meeting !== undefined) {
+        return meeting;
+    }
+    const wanted = Math.max(requirement.minimumReplicas, replicasNeeded(options, requirement.demand));
+    const demand = { concurrentSequences: 0, prefillTokensPerSecond: 0 };
+    const replicas = firstDefined(
+        descending(Math.min(requirement.maximumReplicas, wanted), 1),
+        minimumReplicas => choose({ demand, spareZones: 0, minimumReplicas }),
+    );
+    return { replicas: replicas ?? existing, spareZones: undefined };
+};
--- /dev/null
+++ b/packages/placement/src/plan/planPlacement.ts
@@ -0,0 +1,159 @@
+import { advancePlan } from "./advancePlan";
+import { carriesDemand } from "./carriesDemand";
+import { choiceKey } from "./choiceKey";
+import { findTarget } from "./findTarget";
+import { listOptions } from "./listOptions";
+import type { PlacementDecision } from "./placementDecision";
+import type { PlacementInput } from "./placementInput";
+import type { PlacementRequirement } from "./placementRequirement";
+import type { PlannedReplica } from "./plannedReplica";
+import { reconcileReplicas } from "./reconcileReplicas";
+import type { ReplicaChoice } from "./replicaChoice";
+import type { ReplicaOption } from "./replicaOption";
+import type { ServiceDemand } from "./serviceDemand";
+import type { ServicePlan } from "./servicePlan";
+import { subtractChoices } from "./subtractChoices";
+import { totalPrice } from "./totalPrice";
+
+type OptionLookup = (choice: ReplicaChoice) => ReplicaOption;
+
+const requirementOf = ({ placement, policy }: PlacementInput, demand: ServiceDemand): PlacementRequirement => ({
+    demand: {
+        concurrentSequences: demand.concurrentSequences * (1 + policy.headroomShare),
+        prefillTokensPerSecond: demand.prefillTokensPerSecond * (1 + policy.headroomShare),
+    },
+    minimumReplicas: placement.minimumReplicas,
+    maximumReplicas: placement.maximumReplicas,
+    reclaimableShare: placement.reclaimableShare,
+    spareZones: Math.min(placement.spareZones, new Set(placement.availabilityZones).size - 1),
+});
+
+const createLookup = (options: readonly ReplicaOption[]): OptionLookup => {
+    const byKey = new Map(options.map(option => [choiceKey(option.choice), option]));
+    // A replica outside the declared placement counts for nothing and is the first to go.
+    return choice =>
+        byKey.get(choiceKey(choice))
+            ?? { choice, pricePerHour: Infinity, concurrentSequences: 0, prefillTokensPerSecond: 0, refused: true };
+};
+
+const isHealthy = (replica: PlannedReplica): boolean => replica.phase !== "draining";
+
+const exceedsShare = (replicas: readonly ReplicaOption[], { reclaimableShare }: PlacementRequirement): boolean =>
+    replicas.filter(({ choice }) => choice.reclaimable).length > Math.floor(replicas.length * reclaimableShare);
+
+const addReplicas = (plan: ServicePlan, added: readonly ReplicaOption[], nowMs: number): ServicePlan => ({
+    ...plan,
+    lastIncarnation: plan.lastIncarnation + added.length,
+    replicas: [
+        ...plan.replicas,
+        ...added.map(({ choice }, index): PlannedReplica => ({
+            incarnation: plan.lastIncarnation + index + 1,
+            choice,
+            phase: "starting",
+            changedAtMs: nowMs,
+        })),
+    ],
+});
+
+/** Drains the dearest surplus replicas without which the others still meet the requirement. */
+const drainSurplus = (
+    plan: ServicePlan,
+    surplus: readonly PlannedReplica[],
+    requirement: PlacementRequirement,
+    lookup: OptionLookup,
+    input: PlacementInput,
+): ServicePlan => {
+    const draining = plan.replicas.filter(replica => replica.phase === "draining" && replica.deadlineMs === undefined);
+    const dearestFirst = [...surplus].sort((left, right) =>
+        lookup(right.choice).pricePerHour - lookup(left.choice).pricePerHour
+    );
+    const drained = dearestFirst.reduce<ReadonlySet<number>>((chosen, replica) => {
+        const left = plan.replicas.filter(({ phase, incarnation }) =>
+            phase === "live" && incarnation !== replica.incarnation && !chosen.has(incarnation)
+        );
+        const room = draining.length + chosen.size < input.policy.concurrentDrains;
+        const enough = carriesDemand(left.map(({ choice }) => lookup(choice)), requirement);
+        return room && enough ? new Set([...chosen, replica.incarnation]) : chosen;
+    }, new Set());
+    return drained.size === 0 ? plan : {
+        ...plan,
+        replicas: plan.replicas.map(replica =>
+            drained.has(replica.incarnation) ? { ...replica, phase: "draining", changedAtMs: input.nowMs } : replica
+        ),
+    };
+};
+
+const scaleOut = (
+    plan: ServicePlan,
+    options: readonly ReplicaOption[],
+    lookup: OptionLookup,
+    input: PlacementInput,
+): ServicePlan => {
+    const requirement = requirementOf(input, input.demand);
+    const healthy = plan.replicas.filter(isHealthy).map(({ choice }) => lookup(choice));
+    if (carriesDemand(healthy, requirement)) {
+        return plan;
+    }
+    const target = findTarget(options, requirement, healthy, input.policy.moveSavingShare);
+    const missing = subtractChoices(target.replicas, healthy.map(({ choice }) => choice), ({ choice }) => choice);
+    const room = Math.max(0, requirement.maximumReplicas - healthy.length);
+    return addReplicas(plan, missing.slice(0, room), input.nowMs);
+};
+
+/** Moves towards the cheapest placement: drains what isn't needed, then starts cheaper replicas before dearer ones go. */
+const reduceCost = (
+    plan: ServicePlan,
+    options: readonly ReplicaOption[],
+    lookup: OptionLookup,
+    input: PlacementInput,
+): ServicePlan => {
+    if (input.recentPeakDemand === undefined || plan.replicas.some(replica => replica.phase === "starting")) {
+        return plan;
+    }
+    const requirement = requirementOf(input, input.recentPeakDemand);
+    const live = plan.replicas.filter(replica => replica.phase === "live");
+    const liveOptions = live.map(({ choice }) => lookup(choice));
+    const target = findTarget(options, requirement, liveOptions, input.policy.moveSavingShare);
+    if (target.spareZones !== requirement.spareZones) {
+        return plan;
+    }
+    const choices = live.map(({ choice }) => choice);
+    const surplus = subtractChoices(live, target.replicas.map(({ choice }) => choice), ({ choice }) => choice);
+    const missing = subtractChoices(target.replicas, choices, ({ choice }) => choice);
+    const drained = drainSurplus(plan, surplus, requirement, lookup, input);
+    const saves = totalPrice(target.replicas) < totalPrice(liveOptions) * (1 - input.policy.moveSavingShare);
+    const room = Math.max(0, requirement.maximumReplicas - live.length);
+    return drained === plan && (saves || exceedsShare(liveOptions, requirement))
+        ? addReplicas(plan, missing.slice(0, room), input.nowMs)
+        : drained;
+};
+
+const nextPlan = (input: PlacementInput, options: readonly ReplicaOption[], lookup: OptionLookup): ServicePlan => {
+    const { revision, models, adapters } = input;
+    const reconciled = reconcileReplicas(input);
+    const grown = scaleOut(reconciled, options, lookup, input);
+    const settled = grown === reconciled ? reduceCost(reconciled, options, lookup, input) : grown;
+    return advancePlan(input.plan, { ...settled, revision, models, adapters });
+};
+
+/**
+ * Decides the next plan of one service: follows what is observed, starts replicas until the demand is carried after
+ * the loss of the spare zones, and gives up dear replicas when the demand has been lower for long enough.
+ * A holder whose configuration is older than the plan's leaves the plan alone.
+ */
+export const planPlacement = (input: PlacementInput): PlacementDecision => {
+    const options = listOptions(input.placement, input.machineClasses, input.refusedKeys);
+    const lookup = createLookup(options);
+    const plan = input.revision < input.plan.revision ? input.plan : nextPlan(input, options, lookup);
+    const live = plan.replicas.filter(replica => replica.phase === "live").map(({ choice }) => lookup(choice));
+    const requirement = requirementOf(input, input.demand);
+    return {
+        plan,
+        conditions: {
+            carriesDemand: carriesDemand(live, { ...requirement, spareZones: 0 }),
+            survivesZoneLoss: carriesDemand(live, requirement),
+            startsRefused: input.refusedKeys.size > 0,
+            pricePerHour: totalPrice(live.filter(({ pricePerHour }) => Number.isFinite(pricePerHour))),
+        },
+    };
+};
