--- /dev/null
+++ b/packages/proofs/src/checks/checkHistory.ts
@@ -0,0 +1,15 @@
+import type { HistoryRecord } from "../history/historyRecord";
+import { checkActions } from "./checkActions";
+import { checkAnswers } from "./checkAnswers";
+import { checkConfiguration } from "./checkConfiguration";
+import { checkLeaving } from "./checkLeaving";
+import type { HistoryBounds } from "./historyBounds";
+import type { Violation } from "./violation";
+
+/** Checks a history against every promise; it reads nothing but the history. */
+export const checkHistory = (history: readonly HistoryRecord[], bounds: HistoryBounds): readonly Violation[] => [
+    ...checkActions(history),
+    ...checkAnswers(history),
+    ...checkConfiguration(history, { inForceMs: bounds.inForceMs }),
+    ...(bounds.leavingMs === undefined ? [] : checkLeaving(history, bounds.leavingMs)),
+];
--- /dev/null
+++ b/packages/proofs/src/history/createHistoryWriter.ts
@@ -0,0 +1,18 @@
+import { createWriteStream } from "node:fs";
+import type { HistoryRecord } from "./historyRecord";
+import type { HistoryWriter } from "./historyWriter";
+
+/** Creates a writer to a file of newline-delimited JSON. */
+export const createHistoryWriter = (path: string): HistoryWriter => {
+    const stream = createWriteStream(path);
+    const records: HistoryRecord[] = [];
+    return {
+        write: (process, record) => {
+            const whole = { atMs: performance.now(), process, ...record } as HistoryRecord;
+            records.push(whole);
+            stream.write(`${JSON.stringify(whole)}\n`);
+        },
+        records: () => records,
+        [Symbol.asyncDispose]: () => new Promise(resolve => stream.end(resolve)),
+    };
+};
--- /dev/null
+++ b/packages/proofs/src/history/historyRecord.ts
@@ -0,0 +1,74 @@
+/** Time and origin of a record. */
+interface RecordHead {
+    /** Monotonic time of the recording process. */
+    readonly atMs: number;
+    /** Sequential caller, operator or observer; each has one operation at a time. */
+    readonly process: string;
+}
+
+/** One line of a history: the start or the end of an operation, a fault, or an observation. */
+export type HistoryRecord =
+    | RecordHead & {
+        readonly type: "invoke";
+        readonly operation: "chat";
+        readonly id: string;
+        /** Answer that the model gives to this request. */
+        readonly expected: string;
+        /** Whether the faults of the run are announced, so that the answer must arrive whole. */
+        readonly mustSucceed: boolean;
+    }
+    | RecordHead & { readonly type: "ok"; readonly operation: "chat"; readonly id: string; readonly text: string; }
+    | RecordHead & {
+        readonly type: "fail" | "info";
+        readonly operation: "chat";
+        readonly id: string;
+        readonly code: string;
+        /** Part of the answer that arrived. */
+        readonly text: string;
+    }
+    | RecordHead & {
+        readonly type: "invoke";
+        readonly operation: "action";
+        readonly id: string;
+        readonly service: string;
+        readonly key: string;
+    }
+    | RecordHead & { readonly type: "ok"; readonly operation: "action"; readonly id: string; readonly answer: string; }
+    /** `fail` says that the action did not run, `info` that it may have run. */
+    | RecordHead & {
+        readonly type: "fail" | "info";
+        readonly operation: "action";
+        readonly id: string;
+        readonly code: string;
+    }
+    | RecordHead & {
+        readonly type: "invoke";
+        readonly operation: "apply";
+        readonly id: string;
+        readonly resource: string;
+    }
+    | RecordHead & { readonly type: "ok"; readonly operation: "apply"; readonly id: string; readonly revision: number; }
+    | RecordHead & {
+        readonly type: "fail" | "info";
+        readonly operation: "apply";
+        readonly id: string;
+        readonly code: string;
+    }
+    /** Revision in force at one process of the system. */
+    | RecordHead & {
+        readonly type: "observe";
+        readonly subject: "revision";
+        readonly target: string;
+        readonly revision: number;
+    }
+    /** Effects that a service counted for one key at the end. */
+    | RecordHead & {
+        readonly type: "observe";
+        readonly subject: "effects";
+        readonly service: string;
+        readonly key: string;
+        readonly count: number;
+    }
+    /** Start of a request at an upstream, by the upstream's own account. */
+    | RecordHead & { readonly type: "observe"; readonly subject: "accepted"; readonly upstreamId: string; }
+    | RecordHead & { readonly type: "fault"; readonly kind: string; readonly target: string; };
