--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -146,7 +146,10 @@
             name: "proofs-imports",
             severity: "error",
             from: { path: "^packages/proofs/src" },
-            to: { path: "^packages/", pathNot: "^packages/(proofs|core|resources|platform|standins|runner)/" },
+            to: {
+                path: "^packages/",
+                pathNot: "^packages/(proofs|core|resources|platform|standins|runner|upstreams)/",
+            },
         },
     ],
     options: {
--- /dev/null
+++ b/packages/proofs/src/drivers/runRevisionObserver.ts
@@ -0,0 +1,29 @@
+import { createHttpExchange } from "@ibislanding/platform";
+import type { DriverContext } from "./driverContext";
+import { pause } from "./pause";
+
+const PERIOD_MS = 250;
+const TIMEOUT_MS = 1_000;
+const METRIC_PATTERN = /^ibis_configuration_revision (\d+)$/m;
+
+/** Records again and again which revision is in force at each entry host. */
+export const runRevisionObserver = async (context: DriverContext): Promise<void> => {
+    const { system, history } = context;
+    await using http = createHttpExchange();
+
+    const observe = async (target: string, url: string): Promise<void> => {
+        const answer = await http.exchange({ method: "GET", url: `${url}/metrics`, timeoutMs: TIMEOUT_MS });
+        const revision = answer.ok ? METRIC_PATTERN.exec(answer.val.body)?.[1] : undefined;
+        // A host without a configuration serves nothing yet.
+        if (revision !== undefined && revision !== "0") {
+            history.write("observer", { type: "observe", subject: "revision", target, revision: Number(revision) });
+        }
+    };
+
+    while (!context.signal.aborted) {
+        await Promise.all(
+            system.ofProgram("ibis-entry").map(({ name, urls }) => observe(name, urls["operations"] ?? "")),
+        );
+        await pause(PERIOD_MS);
+    }
+};
--- /dev/null
+++ b/packages/proofs/src/faults/faultHandlers.ts
@@ -0,0 +1,110 @@
+import type { ManagedProcess } from "@ibislanding/runner";
+import { pause } from "../drivers/pause";
+import type { FaultContext } from "./faultContext";
+import type { FaultKind } from "./faultKind";
+import { reclaimEngines } from "./reclaimEngines";
+
+const FREEZE_MS = 3_000;
+const OUTAGE_MS = 4_000;
+const NOTICE_MS = 5_000;
+const MINIMUM_ENTRIES = 2;
+
+type FaultHandler = (context: FaultContext) => Promise<void>;
+
+const pick = ({ random }: FaultContext, processes: readonly ManagedProcess[]): ManagedProcess | undefined =>
+    processes[random.nextInt(processes.length)];
+
+const enginesOf = ({ system }: FaultContext): readonly ManagedProcess[] =>
+    system.ofProgram("ibis-standin").filter(({ name }) => name.startsWith("engine-"));
+
+const standInUrl = ({ system }: FaultContext, prefix: string): string =>
+    system.ofProgram("ibis-standin").find(({ name }) => name.startsWith(prefix))?.urls["standIn"] ?? "";
+
+const note = ({ history }: FaultContext, kind: FaultKind, target: string): void =>
+    history.write("faults", { type: "fault", kind, target });
+
+const endEntry = (kind: FaultKind, signal: NodeJS.Signals): FaultHandler => async context => {
+    const entries = context.system.ofProgram("ibis-entry");
+    const entry = pick(context, entries);
+    if (entry === undefined || entries.length <= MINIMUM_ENTRIES) {
+        return;
+    }
+    note(context, kind, entry.name);
+    entry.signal(signal);
+    await entry.exited;
+    await context.system.addEntry();
+};
+
+const freeze = (kind: FaultKind, program: string): FaultHandler => async context => {
+    const process = pick(context, context.system.ofProgram(program));
+    if (process === undefined) {
+        return;
+    }
+    note(context, kind, process.name);
+    process.signal("SIGSTOP");
+    await pause(FREEZE_MS);
+    process.signal("SIGCONT");
+};
+
+const tellStandIn =
+    (kind: FaultKind, prefix: string, faults: unknown, durationMs: number): FaultHandler => async context => {
+        const url = standInUrl(context, prefix);
+        note(context, kind, prefix);
+        await context.tell(`${url}/faults`, faults);
+        await pause(durationMs);
+        await context.tell(`${url}/faults`, {});
+    };
+
+const reclaimWhere = (
+    kind: FaultKind,
+    choose: (context: FaultContext, engines: readonly ManagedProcess[]) => readonly ManagedProcess[],
+): FaultHandler =>
+async context => {
+    const engines = choose(context, enginesOf(context));
+    note(context, kind, engines.map(({ name }) => name).join(" "));
+    await reclaimEngines(context, engines, NOTICE_MS);
+};
+
+/** Carries out each kind of fault and lifts it again. */
+export const faultHandlers: Readonly<Record<FaultKind, FaultHandler>> = {
+    "kill-entry": endEntry("kill-entry", "SIGKILL"),
+    "stop-entry": endEntry("stop-entry", "SIGTERM"),
+    "freeze-entry": freeze("freeze-entry", "ibis-entry"),
+    "freeze-control": freeze("freeze-control", "ibis-control"),
+    "kill-control": async context => {
+        const control = pick(context, context.system.ofProgram("ibis-control"));
+        if (control !== undefined && context.system.ofProgram("ibis-control").length > 1) {
+            note(context, "kill-control", control.name);
+            control.signal("SIGKILL");
+        }
+    },
+    "kill-engine": async context => {
+        const engine = pick(context, enginesOf(context));
+        if (engine !== undefined) {
+            note(context, "kill-engine", engine.name);
+            engine.signal("SIGKILL");
+            await context.system.addEngine(engine.availabilityZone);
+        }
+    },
+    "reclaim-engine": reclaimWhere("reclaim-engine", (context, engines) => {
+        const engine = pick(context, engines);
+        return engine === undefined ? [] : [engine];
+    }),
+    "reclaim-zone": reclaimWhere("reclaim-zone", (context, engines) => {
+        const zone = pick(context, engines)?.availabilityZone;
+        return engines.filter(({ availabilityZone }) => availabilityZone === zone);
+    }),
+    "silence-engine": async context => {
+        const engine = pick(context, enginesOf(context));
+        if (engine !== undefined) {
+            note(context, "silence-engine", engine.name);
+            await context.tell(`${engine.urls["standIn"]}/silence`, {});
+        }
+    },
+    "key-value-outage": tellStandIn("key-value-outage", "key-value", { mode: "refuse" }, OUTAGE_MS),
+    "key-value-lost-answers": tellStandIn("key-value-lost-answers", "key-value", { loseAnswers: 5 }, OUTAGE_MS),
+    "service-lost-answers": async context => {
+        const prefix = context.system.deployment.plainService;
+        await tellStandIn("service-lost-answers", prefix, { loseAnswers: 1 }, 1_000)(context);
+    },
+};
--- /dev/null
+++ b/packages/proofs/src/faults/reclaimEngines.ts
@@ -0,0 +1,32 @@
+import type { ManagedProcess } from "@ibislanding/runner";
+import { pause } from "../drivers/pause";
+import type { FaultContext } from "./faultContext";
+
+/** Announces that engines will be reclaimed, kills them at the deadline, and starts replacements. */
+export const reclaimEngines = async (
+    context: FaultContext,
+    engines: readonly ManagedProcess[],
+    noticeMs: number,
+): Promise<void> => {
+    const hostList = context.system.processes().find(({ name }) => name === "host-list")?.urls["standIn"] ?? "";
+    const deadlineMs = Date.now() + noticeMs;
+    await Promise.all(engines.map(async engine => {
+        context.history.write("faults", { type: "fault", kind: "reclaim", target: engine.name });
+        await context.tell(`${engine.urls["standIn"]}/leave`, {});
+        await context.tell(`${hostList}/v1/upstreams/${engine.name}`, {
+            upstreamId: engine.name,
+            kind: "engine",
+            service: context.system.deployment.engineService,
+            url: engine.urls["standIn"],
+            region: engine.region,
+            availabilityZone: engine.availabilityZone,
+            machineClass: context.system.deployment.machineClass,
+            reclaimable: true,
+            phase: "leaving",
+            deadlineMs,
+        }, "PUT");
+    }));
+    await pause(noticeMs);
+    engines.forEach(engine => engine.signal("SIGKILL"));
+    await Promise.all(engines.map(engine => context.system.addEngine(engine.availabilityZone)));
+};
--- /dev/null
+++ b/packages/proofs/src/run/runOptions.ts
@@ -0,0 +1,14 @@
+import type { FaultKind } from "../faults/faultKind";
+
+/** One run against real processes. */
+export interface RunOptions {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly faults: readonly FaultKind[];
+    readonly chatCallers: number;
+    readonly actionCallers: number;
+    readonly operators: number;
+    readonly distDirectory: string;
+    /** Directory for the history. */
+    readonly reportDirectory: string;
+}
