--- a/packages/ledger/__tests__/shard.spec.ts
+++ b/packages/ledger/__tests__/shard.spec.ts
@@ -39,6 +39,7 @@
             clock,
             random,
             backoff: { initialDelayMs: 10, maximumDelayMs: 100 },
+            groupDelayMs: 1,
             failFastAttempts: 2,
             onError: error => {
                 throw error;
--- a/packages/ledger/src/actions/defaultLedgerTiming.ts
+++ b/packages/ledger/src/actions/defaultLedgerTiming.ts
@@ -3,6 +3,7 @@
 /** Time bounds for a key-value service that answers in milliseconds. */
 export const defaultLedgerTiming: LedgerTiming = {
     storeTimeoutMs: 500,
+    groupDelayMs: 5,
     claimTimeoutMs: 2_000,
     recordTimeoutMs: 1_000,
     avoidPeerMs: 1_000,
--- a/packages/ledger/src/actions/ledgerTiming.ts
+++ b/packages/ledger/src/actions/ledgerTiming.ts
@@ -4,6 +4,8 @@
 export interface LedgerTiming {
     /** Time after which a call to the key-value service fails. */
     readonly storeTimeoutMs: number;
+    /** Time for which a commit waits for further operations. */
+    readonly groupDelayMs: number;
     /** Time after which an attempt without a confirmed claim is given up. */
     readonly claimTimeoutMs: number;
     /** Time for which an answer is held back until it is recorded. */
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -34,6 +34,8 @@
 
 // Peers
 export type { ClaimStatus } from "./peers/claimStatus";
+export { createGrpcLedgerPeers } from "./peers/createGrpcLedgerPeers";
+export { createLedgerService } from "./peers/createLedgerService";
 export type { EntryHosts } from "./peers/entryHosts";
 export type { LedgerPeerHandler } from "./peers/ledgerPeerHandler";
 export type { LedgerPeers } from "./peers/ledgerPeers";
--- /dev/null
+++ b/packages/ledger/src/peers/createLedgerService.ts
@@ -0,0 +1,27 @@
+import {
+    type ClaimForwardRequest,
+    type ClaimForwardResponse,
+    type ClaimStatusRequest,
+    type ClaimStatusResponse,
+    createUnaryHandler,
+    LedgerServiceService,
+    type PeerService,
+} from "@ibislanding/protocol";
+import { Ok } from "ts-results";
+import type { ClaimId } from "../model/claimId";
+import type { LedgerOperation } from "../operations/ledgerOperation";
+import type { LedgerPeerHandler } from "./ledgerPeerHandler";
+
+/** Creates the gRPC service through which other hosts reach a ledger. */
+export const createLedgerService = (handler: LedgerPeerHandler): PeerService => ({
+    definition: LedgerServiceService,
+    implementation: {
+        claimStatus: createUnaryHandler(({ claimId }: ClaimStatusRequest) =>
+            Ok<ClaimStatusResponse>({ status: handler.claimStatus(claimId as ClaimId) })
+        ),
+        forwardClaim: createUnaryHandler(async ({ shard, operation }: ClaimForwardRequest) => {
+            const result = await handler.commit(shard, JSON.parse(operation) as LedgerOperation);
+            return result.map((value): ClaimForwardResponse => ({ result: JSON.stringify(value) }));
+        }),
+    },
+});
--- a/packages/ledger/src/queries/segmentsToMerge.ts
+++ b/packages/ledger/src/queries/segmentsToMerge.ts
@@ -1,17 +1,13 @@
 import type { LedgerLimits } from "../model/ledgerLimits";
 import type { SegmentReference } from "../model/segmentReference";
 
-/** Returns the newest segments that fit into one, once there are enough of them. */
+/** Returns the small segments at the end of the list, once there are enough of them. */
 export const segmentsToMerge = (
     segments: readonly SegmentReference[],
     limits: LedgerLimits,
 ): readonly SegmentReference[] => {
-    const fitting = segments.reduceRight<{ readonly sizeBytes: number; readonly keys: readonly SegmentReference[]; }>(
-        ({ sizeBytes, keys }, segment) => ({
-            sizeBytes: sizeBytes + segment.sizeBytes,
-            keys: sizeBytes + segment.sizeBytes <= limits.maximumSegmentBytes ? [segment, ...keys] : keys,
-        }),
-        { sizeBytes: 0, keys: [] },
-    ).keys;
-    return fitting.length >= limits.mergeSegmentCount ? fitting : [];
+    const smallBytes = limits.maximumSegmentBytes / limits.mergeSegmentCount;
+    const lastLarge = segments.findLastIndex(({ sizeBytes }) => sizeBytes > smallBytes);
+    const small = segments.slice(lastLarge + 1);
+    return small.length >= limits.mergeSegmentCount ? small.slice(0, limits.mergeSegmentCount) : [];
 };
--- a/packages/ledger/src/shard/createOperationRouter.ts
+++ b/packages/ledger/src/shard/createOperationRouter.ts
@@ -24,6 +24,7 @@
             clock,
             random,
             backoff: timing.backoff,
+            groupDelayMs: timing.groupDelayMs,
             failFastAttempts: timing.failFastAttempts,
             onError: options.onError,
         });
--- a/packages/ledger/src/shard/createShardCommitter.ts
+++ b/packages/ledger/src/shard/createShardCommitter.ts
@@ -23,6 +23,15 @@
 const removedSegments = (before: ShardHead, after: ShardHead): readonly SegmentReference[] =>
     before.segments.filter(({ key }) => !after.segments.some(segment => segment.key === key));
 
+const replaceRun = (
+    segments: readonly SegmentReference[],
+    run: readonly SegmentReference[],
+    replacement: readonly SegmentReference[],
+): readonly SegmentReference[] => {
+    const start = segments.findIndex(segment => segment === run[0]);
+    return [...segments.slice(0, start), ...replacement, ...segments.slice(start + run.length)];
+};
+
 const isFinal = (result: OperationResult): boolean => result.kind === "recorded" && result.record.state === "done";
 
 /** Creates a committer that keeps the last head it saw. */
@@ -141,9 +150,8 @@
         const segments = read.flatMap(result => result.ok ? [result.val] : []);
         const written = segments.length === merged.length ? await writeSegments([mergeRecords(segments)]) : undefined;
         if (written?.ok) {
-            const keys = new Set(merged.map(({ key }) => key));
-            const kept = before.head.segments.filter(({ key }) => !keys.has(key));
-            const result = await writeHead(before, { ...before.head, segments: [...kept, ...written.val] });
+            const mergedSegments = replaceRun(before.head.segments, merged, written.val);
+            const result = await writeHead(before, { ...before.head, segments: mergedSegments });
             if (result.err) {
                 toOutcome(result.val);
             }
--- a/packages/ledger/src/shard/createShardTask.ts
+++ b/packages/ledger/src/shard/createShardTask.ts
@@ -35,7 +35,7 @@
     const queueCommit = (): void => {
         if (!commitQueued) {
             commitQueued = true;
-            task.post({ kind: "commit" });
+            clock.setTimer(options.groupDelayMs, () => task.post({ kind: "commit" }));
         }
     };
 
--- a/packages/ledger/src/shard/shardTaskOptions.ts
+++ b/packages/ledger/src/shard/shardTaskOptions.ts
@@ -9,6 +9,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly backoff: BackoffPolicy;
+    /** Time for which a commit waits for further operations. */
+    readonly groupDelayMs: number;
     /** Consecutive failed commits after which waiting claims and reads fail. */
     readonly failFastAttempts: number;
     readonly onError: (error: unknown) => void;
