feat(ledger): heads name each writer once

Cause: open records are most of the bytes that each commit rewrites. Change: a head is stored with a host table and without what its record ids say.

--- a/packages/ledger/__tests__/shard.spec.ts
+++ b/packages/ledger/__tests__/shard.spec.ts
@@ -3,7 +3,9 @@
     type ClaimId,
     createShardStorage,
     createShardTask,
+    decodeHead,
     defaultLedgerLimits,
+    encodeHead,
     type LedgerLimits,
     type LedgerOperation,
     type ShardHead,
@@ -54,7 +56,7 @@
     const readHead = async (): Promise<ShardHead> => {
         const read = store.get("ledger/0/head", { cause: "experiment" });
         await clock.advance(10);
-        return JSON.parse((await read).unwrap()?.value ?? "{}") as ShardHead;
+        return decodeHead((await read).unwrap()?.value ?? "{}");
     };
     return { clock, store, task, createTask, run, readHead };
 };
@@ -88,6 +90,15 @@
         expect((await finished).unwrap()).toMatchObject({ kind: "recorded", record: { state: "done" } });
     });
 
+    it("reads a head as it was written", async () => {
+        const { run, readHead } = createShard();
+        const account = { accountId: "a/b c" as AccountId, key: "x/y" as ActionKey, claimId: "host-1/z" as ClaimId };
+        await run([claim("key"), { ...claim("other"), ...account }, finish("key")]);
+        const head = await readHead();
+        expect(Object.values(head.records)).toMatchObject([{ ...target("key"), state: "done", writer }, account]);
+        expect(decodeHead(encodeHead(head))).toEqual(head);
+    });
+
     it("merges its claims with those of another writer", async () => {
         const { clock, createTask, run, readHead } = createShard();
         const other = createTask();
--- a/packages/ledger/bench/createPerKeyRunner.ts
+++ b/packages/ledger/bench/createPerKeyRunner.ts
@@ -3,7 +3,9 @@
 
 const HOST_FIELDS = { hostId: "host-0-0123456789", address: "10.0.0.10:7000" };
 
-/** Creates the baseline: one key and two writes for each action. */
+const RETENTION_MS = 2_000;
+
+/** Creates the baseline: one key for each action, with writes for its claim, its answer and its removal. */
 export const createPerKeyRunner = (store: KeyValueStore, clock: Clock) =>
 async (
     accountId: string,
@@ -20,7 +22,7 @@
         return false;
     }
     const answer = await send();
-    await store.compareAndSwap(
+    const finished = await store.compareAndSwap(
         {
             key: `actions/${accountId}/${key}`,
             expectedVersion: claimed.val,
@@ -28,5 +30,11 @@
         },
         { cause: "experiment", timeoutMs: 500 },
     );
+    void clock.sleep(RETENTION_MS).then(() =>
+        store.compareAndSwap(
+            { key: `actions/${accountId}/${key}`, expectedVersion: finished.unwrapOr(0), value: undefined },
+            { cause: "experiment", timeoutMs: 500 },
+        )
+    );
     return true;
 };
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -31,6 +31,8 @@
 export { createShardTask } from "./shard/createShardTask";
 export type { ShardTask } from "./shard/shardTask";
 export { createShardStorage } from "./storage/createShardStorage";
+export { decodeHead } from "./storage/decodeHead";
+export { encodeHead } from "./storage/encodeHead";
 
 // Peers
 export type { ClaimStatus } from "./peers/claimStatus";
--- a/packages/ledger/src/storage/createShardStorage.ts
+++ b/packages/ledger/src/storage/createShardStorage.ts
@@ -5,7 +5,8 @@
 import { emptyShardHead } from "../model/emptyShardHead";
 import type { Segment } from "../model/segment";
 import type { SegmentReference } from "../model/segmentReference";
-import type { ShardHead } from "../model/shardHead";
+import { decodeHead } from "./decodeHead";
+import { encodeHead } from "./encodeHead";
 import type { ShardStorage } from "./shardStorage";
 
 const SEGMENT_ID_LENGTH = 16;
@@ -56,12 +57,12 @@
             return result.map(entry =>
                 entry === undefined
                     ? { head: emptyShardHead, version: 0 }
-                    : { head: JSON.parse(entry.value) as ShardHead, version: entry.version }
+                    : { head: decodeHead(entry.value), version: entry.version }
             );
         },
         writeHead: (head, expectedVersion) =>
             store.compareAndSwap(
-                { key: headKey, expectedVersion, value: JSON.stringify(head) },
+                { key: headKey, expectedVersion, value: encodeHead(head) },
                 { cause: "ledger-claim", timeoutMs },
             ),
         readSegment,
