--- a/packages/ledger/src/model/defaultLedgerLimits.ts
+++ b/packages/ledger/src/model/defaultLedgerLimits.ts
@@ -4,9 +4,9 @@
 
 /** Bounds that fit values of 1 MB. */
 export const defaultLedgerLimits: LedgerLimits = {
-    shardCount: 8,
+    shardCount: 4,
     retentionMs: 24 * HOUR_MS,
-    sealBytes: 8_000,
+    sealBytes: 4_000,
     maximumSegmentBytes: 400_000,
     mergeSegmentCount: 16,
     maximumHeadBytes: 200_000,
