feat(admin): administration API, ibisctl and the resources of two deployments

Operators had no way to change the configuration. ibis-admin takes single resources with If-Match and whole operations with an Operation-Id, checks the token's teams against the version that it writes on top of, and shows conditions derived from members' reports; without reports InForce stays Unknown. ibisctl applies, reads, compares, validates and watches, and asks for an operation by its id after a lost answer.

--- /dev/null
+++ b/packages/admin/src/adminDependencies.ts
@@ -0,0 +1,16 @@
+import type { ConfigurationPeers } from "@ibislanding/configuration";
+import type { Clock, RandomSource } from "@ibislanding/core";
+import type { KeyValueStore } from "@ibislanding/platform";
+import type { MemberReports } from "./ports/memberReports";
+
+/** What the administration API is built on. */
+export interface AdminDependencies {
+    readonly store: KeyValueStore;
+    readonly peers: ConfigurationPeers;
+    readonly members: MemberReports;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly maximumWatches: number;
+    readonly watchHeartbeatMs: number;
+    readonly stopSignal: AbortSignal;
+}
--- /dev/null
+++ b/packages/admin/src/adminProgram.ts
@@ -0,0 +1,12 @@
+import type { ProgramDefinition } from "@ibislanding/runtime";
+import type { AdminSettings } from "./settings/adminSettings";
+import { adminSettingsSchema } from "./settings/adminSettingsSchema";
+import { startAdmin } from "./startAdmin";
+
+/** The `ibis-admin` program. */
+export const adminProgram: ProgramDefinition<AdminSettings> = {
+    name: "ibis-admin",
+    description: "Serves the administration API to operators.",
+    settingsSchema: adminSettingsSchema,
+    start: startAdmin,
+};
--- /dev/null
+++ b/packages/admin/src/adminServices.ts
@@ -0,0 +1,20 @@
+import type { Clock, RandomSource } from "@ibislanding/core";
+import type { ConfigurationAccess } from "./ports/configurationAccess";
+import type { MemberReports } from "./ports/memberReports";
+import type { StatusRecords } from "./ports/statusRecords";
+import type { WatchSlots } from "./queries/watchSlots";
+import type { ConditionTimes } from "./views/conditionTimes";
+
+/** What the routes of the administration API use. */
+export interface AdminServices {
+    readonly configuration: ConfigurationAccess;
+    readonly members: MemberReports;
+    readonly statuses: StatusRecords;
+    readonly conditionTimes: ConditionTimes;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly watchSlots: WatchSlots;
+    readonly watchHeartbeatMs: number;
+    /** Aborts when the process stops; open watches end then. */
+    readonly stopSignal: AbortSignal;
+}
--- /dev/null
+++ b/packages/admin/src/commands/postOperation.ts
@@ -0,0 +1,13 @@
+import type { AdminRoute } from "../http/adminRoute";
+import { answerChange } from "./answerChange";
+import { parseChanges } from "./parseChanges";
+
+/** Applies many changes at once. */
+export const postOperation: AdminRoute = {
+    method: "POST",
+    path: "/v1/operations",
+    handle: async (request, services) => {
+        const changes = parseChanges(request.body);
+        return changes.err ? changes : answerChange(request, services, changes.val);
+    },
+};
--- /dev/null
+++ b/packages/admin/src/createAdminServices.ts
@@ -0,0 +1,36 @@
+import {
+    type ConfigurationFollower,
+    createConfigurationFollower,
+    createConfigurationWriter,
+} from "@ibislanding/configuration";
+import type { AdminDependencies } from "./adminDependencies";
+import type { AdminServices } from "./adminServices";
+import { createConfigurationAccess } from "./ports/createConfigurationAccess";
+import { createKeyValueStatusRecords } from "./ports/createKeyValueStatusRecords";
+import { createWatchSlots } from "./queries/createWatchSlots";
+import { createConditionTimes } from "./views/createConditionTimes";
+
+interface CreatedServices {
+    readonly services: AdminServices;
+    /** Owned by the caller, who disposes of it. */
+    readonly follower: ConfigurationFollower;
+}
+
+/** Creates the services of the routes; each accepted change is offered to the follower, which informs its peers. */
+export const createAdminServices = (dependencies: AdminDependencies): CreatedServices => {
+    const { store, peers, members, clock, random, watchHeartbeatMs, stopSignal } = dependencies;
+    const follower = createConfigurationFollower({ store, peers, clock, random });
+    const writer = createConfigurationWriter({ store, clock, random, onAccepted: follower.offer });
+    const services = {
+        configuration: createConfigurationAccess({ store, writer, follower }),
+        members,
+        statuses: createKeyValueStatusRecords(store),
+        conditionTimes: createConditionTimes(clock),
+        watchSlots: createWatchSlots(dependencies.maximumWatches),
+        clock,
+        random,
+        watchHeartbeatMs,
+        stopSignal,
+    };
+    return { services, follower };
+};
--- /dev/null
+++ b/packages/admin/src/http/adminAnswer.ts
@@ -0,0 +1,11 @@
+import type { EventWriter } from "./eventWriter";
+
+/** Answer of a route: a JSON document or a stream of events. */
+export type AdminAnswer =
+    | {
+        readonly type: "json";
+        readonly status: number;
+        readonly body: unknown;
+        readonly headers?: Readonly<Record<string, string>>;
+    }
+    | { readonly type: "events"; readonly run: (writer: EventWriter) => Promise<void>; };
--- /dev/null
+++ b/packages/admin/src/operators/mayActFor.ts
@@ -0,0 +1,7 @@
+import type { Operator } from "./operator";
+
+const ALL_TEAMS = "*";
+
+/** Returns whether the operator may read and change resources of the team. */
+export const mayActFor = (operator: Operator, team: string): boolean =>
+    operator.teams.some(allowed => allowed === ALL_TEAMS || allowed === team);
--- /dev/null
+++ b/packages/admin/src/ports/statusRecordSchema.ts
@@ -0,0 +1,15 @@
+import { z } from "zod";
+
+/** Status of a resource as `ibis-control` stores it under `status/<Kind>/<name>`. */
+export const statusRecordSchema = z.object({
+    /** Generation of the spec that the status describes. */
+    observedGeneration: z.int().min(0),
+    conditions: z.array(z.object({
+        type: z.string(),
+        status: z.enum(["True", "False", "Unknown"]),
+        reason: z.string(),
+        changedAtMs: z.number(),
+    })).default([]),
+    /** Counts by availability zone. */
+    zones: z.array(z.looseObject({ availabilityZone: z.string() })).default([]),
+});
--- /dev/null
+++ b/packages/admin/src/program.ts
@@ -0,0 +1,4 @@
+import { runProgram } from "@ibislanding/runtime";
+import { adminProgram } from "./adminProgram";
+
+void runProgram(adminProgram);
--- /dev/null
+++ b/packages/admin/src/queries/watchResources.ts
@@ -0,0 +1,90 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import type { ConfigurationDocument } from "@ibislanding/resources";
+import { Err, Ok, type Result } from "ts-results";
+import type { AdminServices } from "../adminServices";
+import type { AdminRequest } from "../http/adminRequest";
+import type { AdminRoute } from "../http/adminRoute";
+import type { EventWriter } from "../http/eventWriter";
+import { watchEventOf } from "../views/watchEventOf";
+import { parseCount } from "./parseCount";
+
+const afterRevisionOf = ({ query, headers }: AdminRequest): Result<number, Failure> => {
+    const lastEventId = headers["last-event-id"];
+    return lastEventId === undefined
+        ? parseCount(query, "afterRevision", 0)
+        : parseCount(new URLSearchParams({ "Last-Event-ID": String(lastEventId) }), "Last-Event-ID", 0);
+};
+
+interface Watch {
+    readonly request: AdminRequest;
+    readonly services: AdminServices;
+    readonly writer: EventWriter;
+    readonly first: ConfigurationDocument;
+    readonly afterRevision: number;
+}
+
+const newest = (left: ConfigurationDocument, right: ConfigurationDocument | undefined): ConfigurationDocument =>
+    right !== undefined && right.revision > left.revision ? right : left;
+
+const runWatch = async ({ request, services, writer, first, afterRevision }: Watch): Promise<void> => {
+    const ended = AbortSignal.any([request.signal, services.stopSignal]);
+    let wake = new AbortController();
+    let latest = first;
+    const unsubscribe = services.configuration.subscribe(document => {
+        latest = newest(latest, document);
+        wake.abort();
+    });
+    latest = newest(latest, services.configuration.current());
+    let sentRevision = afterRevision;
+    try {
+        while (!ended.aborted) {
+            wake = new AbortController();
+            const document = latest;
+            if (document.revision > sentRevision) {
+                const event = watchEventOf(document, sentRevision, request.operator);
+                await writer.event("change", String(document.revision), event);
+                sentRevision = document.revision;
+            }
+            else {
+                await services.clock.sleep(services.watchHeartbeatMs, AbortSignal.any([ended, wake.signal]));
+                writer.heartbeat();
+            }
+        }
+    }
+    finally {
+        unsubscribe();
+    }
+};
+
+/** Streams an event for each later revision, with the changed and deleted resources of the operator's teams. */
+export const watchResources: AdminRoute = {
+    method: "GET",
+    path: "/v1/watch",
+    handle: async (request, services) => {
+        const afterRevision = afterRevisionOf(request);
+        if (afterRevision.err) {
+            return afterRevision;
+        }
+        const slot = services.watchSlots.take();
+        if (slot === undefined) {
+            return Err(createFailure(ErrorCode.Overloaded, { message: "Too many watches are open." }));
+        }
+        const snapshot = await services.configuration.read();
+        if (snapshot.err) {
+            slot.release();
+            return snapshot;
+        }
+        const first = snapshot.val.document;
+        return Ok({
+            type: "events",
+            run: async writer => {
+                try {
+                    await runWatch({ request, services, writer, first, afterRevision: afterRevision.val });
+                }
+                finally {
+                    slot.release();
+                }
+            },
+        });
+    },
+};
--- /dev/null
+++ b/packages/admin/src/settings/adminSettingsSchema.ts
@@ -0,0 +1,28 @@
+import { listenerSettingsSchema, platformSettingsSchema, processSettingsSchema } from "@ibislanding/runtime";
+import { z } from "zod";
+import { operatorSettingsSchema } from "./operatorSettingsSchema";
+
+const DEFAULT_MAXIMUM_BODY_BYTES = 1_000_000;
+const MAXIMUM_BODY_BYTES = 16_000_000;
+const DEFAULT_MAXIMUM_WATCHES = 100;
+const DEFAULT_WATCH_HEARTBEAT_MS = 10_000;
+
+/** Settings of `ibis-admin`. */
+export const adminSettingsSchema = z.strictObject({
+    process: processSettingsSchema,
+    platform: platformSettingsSchema,
+    admin: z.strictObject({
+        /** Listener of the administration API. */
+        listener: listenerSettingsSchema,
+        /** Largest request body. */
+        maximumBodyBytes: z.int().min(1).max(MAXIMUM_BODY_BYTES).default(DEFAULT_MAXIMUM_BODY_BYTES),
+        /** Watch streams that may be open at the same time. */
+        maximumWatches: z.int().min(1).default(DEFAULT_MAXIMUM_WATCHES),
+        /** Time between heartbeat comments in a watch stream. */
+        watchHeartbeatMs: z.int().min(1).default(DEFAULT_WATCH_HEARTBEAT_MS),
+    }),
+    /** Listener for the system's other processes. */
+    internal: listenerSettingsSchema,
+    /** Operators who may use the administration API. */
+    operators: z.array(operatorSettingsSchema).min(1),
+});
--- /dev/null
+++ b/packages/admin/src/views/toResourceView.ts
@@ -0,0 +1,71 @@
+import type { Resource, ResourceKind } from "@ibislanding/resources";
+import type { StatusRecord } from "../ports/statusRecord";
+import type { Condition } from "./condition";
+import { inForceStateOf } from "./inForceStateOf";
+import type { ResourceView } from "./resourceView";
+import type { ViewSource } from "./viewSource";
+
+type Verdict = Pick<Condition, "status" | "reason"> & { readonly changedAtMs?: number; };
+
+type ReadyRule = (record: StatusRecord | undefined, inForce: Verdict, resource: Resource) => Verdict;
+
+const readyWhenReported: ReadyRule = (record, _inForce, resource) => {
+    const reported = record?.conditions.find(({ type }) => type === "Ready");
+    if (record === undefined || reported === undefined) {
+        return { status: "Unknown", reason: "NoStatusReported" };
+    }
+    return record.observedGeneration < resource.generation
+        ? { status: "Unknown", reason: "StatusOfEarlierGeneration" }
+        : reported;
+};
+
+const readyWhenInForce: ReadyRule = (record, inForce, resource) =>
+    record === undefined ? inForce : readyWhenReported(record, inForce, resource);
+
+const readyRules: Readonly<Record<ResourceKind, ReadyRule>> = {
+    Service: readyWhenReported,
+    ModelVersion: readyWhenReported,
+    Placement: readyWhenReported,
+    Adapter: readyWhenReported,
+    ClientAccount: readyWhenInForce,
+    MachineClass: readyWhenInForce,
+};
+
+const verdictOnReady = (resource: Resource, inForce: Verdict, record: ViewSource["record"]): Verdict =>
+    record === "unavailable"
+        ? { status: "Unknown", reason: "StatusUnavailable" }
+        : readyRules[resource.kind](record, inForce, resource);
+
+/** Derives the status of a resource from members' reports and its stored status. */
+export const toResourceView = (resource: Resource, { reports, record, times }: ViewSource): ResourceView => {
+    const { kind, name, team, spec, generation, version, changedBy, changedAtMs } = resource;
+    const toCondition = (type: Condition["type"], verdict: Verdict): Condition => ({
+        type,
+        status: verdict.status,
+        reason: verdict.reason,
+        changedAtMs: verdict.changedAtMs
+            ?? times.changedAtMs(`${kind}/${name}/${type}@${version}`, verdict.status),
+    });
+    const { status, reason } = inForceStateOf(reports, version);
+    const inForce = { status, reason };
+    const stored = record === "unavailable" ? undefined : record;
+    return {
+        kind,
+        name,
+        team,
+        spec,
+        generation,
+        version,
+        changedBy,
+        changedAtMs,
+        status: {
+            observedGeneration: stored?.observedGeneration ?? (status === "True" ? generation : 0),
+            conditions: [
+                toCondition("Accepted", { status: "True", reason: "Stored", changedAtMs }),
+                toCondition("InForce", inForce),
+                toCondition("Ready", verdictOnReady(resource, inForce, record)),
+            ],
+            zones: stored?.zones ?? [],
+        },
+    };
+};
--- /dev/null
+++ b/packages/admin/src/views/watchEventOf.ts
@@ -0,0 +1,26 @@
+import { type ConfigurationDocument, findResource } from "@ibislanding/resources";
+import { mayActFor } from "../operators/mayActFor";
+import type { Operator } from "../operators/operator";
+import type { WatchEvent } from "./watchEvent";
+
+/** Collects what changed after a revision, within the operator's teams. */
+export const watchEventOf = (
+    document: ConfigurationDocument,
+    afterRevision: number,
+    operator: Operator,
+): WatchEvent => {
+    const changes = document.recentChanges.filter(({ revision }) => revision > afterRevision);
+    const isComplete = changes.length === document.revision - afterRevision;
+    const deleted = changes
+        .flatMap(({ resources }) => resources)
+        .filter(({ action, kind, name }) => action === "deleted" && findResource(document, kind, name) === undefined);
+    return {
+        revision: document.revision,
+        snapshot: !isComplete,
+        resources: document.resources.filter(({ team, version }) =>
+            mayActFor(operator, team) && (!isComplete || version > afterRevision)
+        ),
+        deleted: isComplete ? deleted.map(({ kind, name }) => ({ kind, name })) : [],
+        operations: changes.map(({ operationId, changedBy }) => ({ operationId, changedBy })),
+    };
+};
--- /dev/null
+++ b/packages/ctl/src/cli/changeCommand.ts
@@ -0,0 +1,73 @@
+import type { Failure } from "@ibislanding/core";
+import { Option } from "clipanion";
+import { randomUUID } from "node:crypto";
+import { Ok, type Result } from "ts-results";
+import type { OperationAnswer } from "../client/operationAnswer";
+import type { OperationChange } from "../client/operationChange";
+import { submitOperation } from "../client/submitOperation";
+import { waitInForce } from "../client/waitInForce";
+import { ExitCode } from "../exit/exitCode";
+import { renderTable } from "../output/renderTable";
+import { IbisctlCommand } from "./ibisctlCommand";
+
+const OPERATION_ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+
+const toText = ({ operationId, revision, dryRun, resources, inForce }: OperationAnswer): string =>
+    [
+        renderTable([
+            ["RESOURCE", "ACTION", "GENERATION"],
+            ...resources.map(({ kind, name, action, generation }) => [`${kind}/${name}`, action, String(generation)]),
+        ]),
+        dryRun
+            ? "dry run: nothing was changed"
+            : `accepted: revision ${revision}, operation ${operationId}, in force: ${inForce.status}`,
+    ].join("\n");
+
+const toProgress = ({ revision, inForce }: OperationAnswer): string =>
+    `waiting: ${inForce.membersInForce} of ${inForce.membersExpected} members have revision ${revision}`
+    + (inForce.status === "Unknown" ? ` (${inForce.reason})` : "");
+
+/** Base of the commands that change resources. */
+export abstract class ChangeCommand extends IbisctlCommand {
+    wait = Option.Boolean("--wait", false, { description: "Return when the change is in force." });
+    dryRun = Option.Boolean("--dry-run", false, { description: "Check the change without making it." });
+    operationId = Option.String("--operation-id", randomUUID(), {
+        description: "Id of the operation; the same id makes a repeated command idempotent.",
+    });
+
+    /** Submits changes as one operation, waits if asked to, and writes the result. */
+    protected submit(changes: readonly OperationChange[]): Promise<Result<ExitCode, Failure>> {
+        const { operationId, dryRun } = this;
+        const onRetry = ({ code }: Failure): void => this.note(`ibisctl: ${code}; asking for operation ${operationId}`);
+        return this.withClient(async client => {
+            const submission = { operationId, changes, dryRun, onRetry };
+            const accepted = await submitOperation(client, submission, this.timing());
+            const isWaiting = accepted.ok && this.wait && !dryRun;
+            const result = isWaiting
+                ? await waitInForce(client, accepted.val, this.progressWriter(), this.timing())
+                : accepted;
+            if (result.ok) {
+                this.write(result.val, () => toText(result.val));
+            }
+            return result.andThen(() => Ok(ExitCode.Ok));
+        });
+    }
+
+    protected override usageFault(): string | undefined {
+        return OPERATION_ID_PATTERN.test(this.operationId)
+            ? super.usageFault()
+            : "--operation-id must have 1 to 128 letters, digits, dots, underscores or dashes";
+    }
+
+    /** Returns a function that writes the progress whenever its text changes. */
+    private progressWriter(): (operation: OperationAnswer) => void {
+        let lastLine = "";
+        return operation => {
+            const line = toProgress(operation);
+            if (line !== lastLine) {
+                this.note(line);
+                lastLine = line;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/cli/createCli.ts
@@ -0,0 +1,9 @@
+import { Builtins, Cli } from "clipanion";
+import { commandClasses } from "./commandClasses";
+
+/** Creates the command line with all commands. */
+export const createCli = (): Cli => {
+    const cli = new Cli({ binaryLabel: "ibisctl", binaryName: "ibisctl", enableCapture: false });
+    [Builtins.HelpCommand, ...commandClasses].forEach(command => cli.register(command));
+    return cli;
+};
--- /dev/null
+++ b/packages/ctl/src/cli/ibisctlCommand.ts
@@ -0,0 +1,79 @@
+import { createSystemClock, createSystemRandom, type Failure } from "@ibislanding/core";
+import { Command, Option } from "clipanion";
+import { Err, type Result } from "ts-results";
+import type { AdminClient } from "../client/adminClient";
+import { createAdminClient } from "../client/createAdminClient";
+import type { RetryTiming } from "../client/retryTiming";
+import { resolveContext } from "../context/resolveContext";
+import { ExitCode } from "../exit/exitCode";
+import { exitCodeOf } from "../exit/exitCodeOf";
+import { formatFailure } from "../output/formatFailure";
+
+const MS_PER_SECOND = 1_000;
+const DEFAULT_TIMEOUT_SECONDS = "60";
+
+/** Base of all commands: output format, failures on the standard error stream, and exit codes. */
+export abstract class IbisctlCommand extends Command {
+    output = Option.String("--output,-o", "table", { description: "Output format: table or json." });
+    server = Option.String("--server", {
+        description: "URLs of ibis-admin, separated by commas; also IBIS_SERVER or the context file.",
+    });
+    token = Option.String("--token", { description: "Operator token; also IBIS_TOKEN or the context file." });
+    authorityFile = Option.String("--authority-file", { description: "PEM file of the trusted authorities." });
+    contextFile = Option.String("--context", { description: "TOML context file; also IBIS_CONTEXT." });
+    timeout = Option.String("--timeout", DEFAULT_TIMEOUT_SECONDS, {
+        description: "Seconds after which retries and waits end.",
+    });
+
+    /** Does the work of the command. */
+    abstract run(): Promise<Result<ExitCode, Failure>>;
+
+    async execute(): Promise<number> {
+        const usageFault = this.usageFault();
+        if (usageFault !== undefined) {
+            this.context.stderr.write(`ibisctl: usage: ${usageFault}\n`);
+            return ExitCode.Usage;
+        }
+        const result = await this.run();
+        if (result.ok) {
+            return result.val;
+        }
+        this.context.stderr.write(`${formatFailure(result.val)}\n`);
+        return exitCodeOf(result.val);
+    }
+
+    /** Describes what is wrong with the options; undefined when they are valid. */
+    protected usageFault(): string | undefined {
+        if (!["table", "json"].includes(this.output)) {
+            return `--output must be table or json (value: ${this.output})`;
+        }
+        return Number(this.timeout) > 0 ? undefined : `--timeout must be a positive number (value: ${this.timeout})`;
+    }
+
+    /** Calls the administration API with the client of the connection context. */
+    protected async withClient<T>(
+        use: (client: AdminClient) => Promise<Result<T, Failure>>,
+    ): Promise<Result<T, Failure>> {
+        const context = resolveContext(this, this.context.env);
+        return context.ok ? use(createAdminClient(context.val)) : Err(context.val);
+    }
+
+    protected timing(): RetryTiming {
+        return {
+            clock: createSystemClock(),
+            random: createSystemRandom(),
+            timeoutMs: Number(this.timeout) * MS_PER_SECOND,
+        };
+    }
+
+    /** Writes a result as JSON, or as the text of the table format. */
+    protected write(document: unknown, toText: () => string): void {
+        const text = this.output === "json" ? JSON.stringify(document, undefined, 2) : toText();
+        this.context.stdout.write(`${text}\n`);
+    }
+
+    /** Writes a line about the progress to the standard error stream. */
+    protected note(line: string): void {
+        this.context.stderr.write(`${line}\n`);
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/cli/outputFormat.ts
@@ -0,0 +1,2 @@
+/** How a command writes its result. */
+export type OutputFormat = "table" | "json";
--- /dev/null
+++ b/packages/ctl/src/client/createAdminClient.ts
@@ -0,0 +1,39 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, type Result } from "ts-results";
+import type { ConnectionContext } from "../context/connectionContext";
+import type { AdminCall } from "./adminCall";
+import type { AdminClient } from "./adminClient";
+import { exchange } from "./exchange";
+import type { HttpCall } from "./httpCall";
+import { parseReply } from "./parseReply";
+
+const mayTryNext = (failure: Failure, call: AdminCall): boolean =>
+    failure.code === ErrorCode.PeerUnavailable || failure.code === ErrorCode.NotReady
+    || (failure.code === ErrorCode.OutcomeUnknown && call.method === "GET");
+
+/** Creates a client for the servers of a context, which are tried in order. */
+export const createAdminClient = ({ servers, token, timeoutMs, authorityPem }: ConnectionContext): AdminClient => {
+    const exchangesOf = ({ method, path, headers, document }: AdminCall): readonly HttpCall[] =>
+        servers.map(server => ({
+            method,
+            url: `${server}${path}`,
+            headers: { ...headers, ...(token === undefined ? {} : { authorization: `Bearer ${token}` }) },
+            body: document === undefined ? undefined : JSON.stringify(document),
+            timeoutMs,
+            authorityPem,
+        }));
+
+    const call = async <T>(adminCall: AdminCall): Promise<Result<T, Failure>> => {
+        let last: Result<T, Failure> = Err(createFailure(ErrorCode.PeerUnavailable, { message: "No server given." }));
+        for (const httpCall of exchangesOf(adminCall)) {
+            last = (await exchange(httpCall)).andThen(reply => parseReply<T>(reply));
+            if (last.ok || !mayTryNext(last.val, adminCall)) {
+                return last;
+            }
+        }
+        const isLostRead = last.err && last.val.code === ErrorCode.OutcomeUnknown;
+        return isLostRead ? last.mapErr(failure => ({ ...failure, code: ErrorCode.PeerUnavailable })) : last;
+    };
+
+    return { call, exchangesOf };
+};
--- /dev/null
+++ b/packages/ctl/src/client/httpReply.ts
@@ -0,0 +1,5 @@
+/** Status and body of an HTTP answer. */
+export interface HttpReply {
+    readonly status: number;
+    readonly body: string;
+}
--- /dev/null
+++ b/packages/ctl/src/client/openEventStream.ts
@@ -0,0 +1,65 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import type { IncomingMessage } from "node:http";
+import { StringDecoder } from "node:string_decoder";
+import { Err, Ok, type Result } from "ts-results";
+import { createSseParser } from "./createSseParser";
+import type { HttpCall } from "./httpCall";
+import { openRequest } from "./openRequest";
+import { parseReply } from "./parseReply";
+import type { SseEvent } from "./sseEvent";
+
+const lost = (url: string, reason: string): Failure =>
+    createFailure(ErrorCode.PeerUnavailable, { message: `${url}: ${reason}` });
+
+const readAll = async (response: IncomingMessage): Promise<string> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of response) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+};
+
+const refuse = async (response: IncomingMessage): Promise<Failure> => {
+    const reply = parseReply<never>({ status: response.statusCode ?? 0, body: await readAll(response) });
+    return reply.err ? reply.val : createFailure(ErrorCode.Internal, { message: "The answer is not a stream." });
+};
+
+/**
+ * Opens a stream of events and calls the listener for each until it returns false.
+ *
+ * Fails with `peer_unavailable` when the stream is silent for longer than the call's time or ends by itself.
+ */
+export const openEventStream = (
+    call: HttpCall,
+    onEvent: (event: SseEvent) => boolean,
+): Promise<Result<void, Failure>> =>
+    new Promise(resolve => {
+        const request = openRequest({ ...call, headers: { ...call.headers, accept: "text/event-stream" } });
+        const finish = (result: Result<void, Failure>): void => {
+            request.destroy();
+            resolve(result);
+        };
+        request.setTimeout(call.timeoutMs, () => finish(Err(lost(call.url, "the stream is silent"))));
+        request.on(
+            "error",
+            error => finish(Err(lost(call.url, (error as NodeJS.ErrnoException).code ?? error.message))),
+        );
+        request.on("response", response => {
+            const isStream = response.headers["content-type"]?.startsWith("text/event-stream") === true;
+            if (!isStream) {
+                refuse(response).then(failure => finish(Err(failure)), () => finish(Err(lost(call.url, "no answer"))));
+                return;
+            }
+            const parser = createSseParser();
+            const decoder = new StringDecoder("utf8");
+            response.on("data", (chunk: Buffer) => {
+                const wantsMore = parser.push(decoder.write(chunk)).every(onEvent);
+                if (!wantsMore) {
+                    finish(Ok(undefined));
+                }
+            });
+            response.on("error", () => finish(Err(lost(call.url, "the stream broke"))));
+            response.on("end", () => finish(Err(lost(call.url, "the stream ended"))));
+        });
+        request.end();
+    });
--- /dev/null
+++ b/packages/ctl/src/client/openRequest.ts
@@ -0,0 +1,21 @@
+import { type ClientRequest, request as plainRequest } from "node:http";
+import { request as tlsRequest } from "node:https";
+import type { HttpCall } from "./httpCall";
+
+/** Opens a request on a connection of its own; the body is not yet sent. */
+export const openRequest = ({ method, url, headers, body, authorityPem }: HttpCall): ClientRequest => {
+    const options = {
+        method,
+        agent: false as const,
+        headers: {
+            accept: "application/json",
+            ...(body === undefined
+                ? {}
+                : { "content-type": "application/json", "content-length": String(Buffer.byteLength(body)) }),
+            ...headers,
+        },
+    };
+    return url.startsWith("https:")
+        ? tlsRequest(url, { ...options, ...(authorityPem === undefined ? {} : { ca: authorityPem }) })
+        : plainRequest(url, options);
+};
--- /dev/null
+++ b/packages/ctl/src/client/operationChange.ts
@@ -0,0 +1,11 @@
+import type { ResourceManifest } from "@ibislanding/resources";
+
+/** One change of an operation as the administration API takes it. */
+export type OperationChange =
+    | { readonly action: "apply"; readonly manifest: ResourceManifest; readonly expectedVersion?: number; }
+    | {
+        readonly action: "delete";
+        readonly kind: string;
+        readonly name: string;
+        readonly expectedVersion?: number;
+    };
--- /dev/null
+++ b/packages/ctl/src/client/parseReply.ts
@@ -0,0 +1,38 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import type { HttpReply } from "./httpReply";
+
+const MAXIMUM_EXCERPT_LENGTH = 200;
+
+const knownCodes = new Set<unknown>(Object.values(ErrorCode));
+
+const parseJson = (text: string): unknown => {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const toFailure = (status: number, problem: Readonly<Record<string, unknown>>, body: string): Failure => {
+    if (!knownCodes.has(problem.code)) {
+        const message = `The server answered with status ${status}: ${body.slice(0, MAXIMUM_EXCERPT_LENGTH)}`;
+        return createFailure(ErrorCode.Internal, { message });
+    }
+    return createFailure(problem.code as ErrorCode, {
+        ...(typeof problem.detail === "string" ? { message: problem.detail } : {}),
+        ...(typeof problem.retryAfterMs === "number" ? { retryAfterMs: problem.retryAfterMs } : {}),
+        details: (problem.details ?? {}) as Readonly<Record<string, unknown>>,
+    });
+};
+
+/** Reads the JSON document or the problem of an answer. */
+export const parseReply = <T>({ status, body }: HttpReply): Result<T, Failure> => {
+    const parsed = parseJson(body);
+    const isObject = typeof parsed === "object" && parsed !== null;
+    if (status < 300 && isObject) {
+        return Ok(parsed as T);
+    }
+    return Err(toFailure(status, isObject ? parsed as Record<string, unknown> : {}, body));
+};
--- /dev/null
+++ b/packages/ctl/src/client/sseEvent.ts
@@ -0,0 +1,6 @@
+/** One server-sent event. */
+export interface SseEvent {
+    readonly event: string;
+    readonly id: string | undefined;
+    readonly data: string;
+}
--- /dev/null
+++ b/packages/ctl/src/client/submitOperation.ts
@@ -0,0 +1,76 @@
+import { backoffDelayMs, createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, type Result } from "ts-results";
+import type { AdminClient } from "./adminClient";
+import type { OperationAnswer } from "./operationAnswer";
+import type { OperationChange } from "./operationChange";
+import type { RetryTiming } from "./retryTiming";
+
+const BACKOFF = { initialDelayMs: 200, maximumDelayMs: 3_000 };
+
+const LOST_ANSWER_CODES: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.OutcomeUnknown,
+    ErrorCode.KeyValueOutcomeUnknown,
+    ErrorCode.Internal,
+]);
+
+const UNAVAILABLE_CODES: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.PeerUnavailable,
+    ErrorCode.NotReady,
+    ErrorCode.Overloaded,
+    ErrorCode.KeyValueUnavailable,
+]);
+
+interface Submission {
+    readonly operationId: string;
+    readonly changes: readonly OperationChange[];
+    readonly dryRun: boolean;
+    /** Called before each retry. */
+    readonly onRetry: (failure: Failure) => void;
+}
+
+/**
+ * Submits an operation.
+ *
+ * After a lost answer it asks for the operation by its id and submits it again with the same id, until the outcome
+ * is known or the time passes; then it fails with `outcome_unknown`.
+ */
+export const submitOperation = async (
+    client: AdminClient,
+    { operationId, changes, dryRun, onRetry }: Submission,
+    { clock, random, timeoutMs }: RetryTiming,
+): Promise<Result<OperationAnswer, Failure>> => {
+    const untilMs = clock.monotonicMs() + timeoutMs;
+    const post = () =>
+        client.call<OperationAnswer>({
+            method: "POST",
+            path: `/v1/operations${dryRun ? "?dryRun=true" : ""}`,
+            headers: { "operation-id": operationId },
+            document: { changes },
+        });
+    const query = () => client.call<OperationAnswer>({ method: "GET", path: `/v1/operations/${operationId}` });
+
+    let answerLost = false;
+    for (let attempt = 0;; attempt++) {
+        const result = await post();
+        if (result.ok) {
+            return result;
+        }
+        const { code } = result.val;
+        answerLost ||= LOST_ANSWER_CODES.has(code);
+        if (!answerLost || !(LOST_ANSWER_CODES.has(code) || UNAVAILABLE_CODES.has(code))) {
+            return result;
+        }
+        onRetry(result.val);
+        await clock.sleep(backoffDelayMs(attempt, BACKOFF, random));
+        const recorded = await query();
+        if (recorded.ok) {
+            return recorded;
+        }
+        if (clock.monotonicMs() >= untilMs) {
+            return Err(createFailure(ErrorCode.OutcomeUnknown, {
+                message: "It is not known whether the change was accepted. Run the command again with --operation-id.",
+                details: { operationId },
+            }));
+        }
+    }
+};
--- /dev/null
+++ b/packages/ctl/src/commands/applyCommand.ts
@@ -0,0 +1,40 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Command, Option } from "clipanion";
+import { Err, type Result } from "ts-results";
+import { ChangeCommand } from "../cli/changeCommand";
+import type { ExitCode } from "../exit/exitCode";
+import { readManifests } from "../manifests/readManifests";
+import { parseExpectations } from "./parseExpectations";
+
+/** `ibisctl apply`: creates or replaces the resources of files as one operation. */
+export class ApplyCommand extends ChangeCommand {
+    static override paths = [["apply"]];
+    static override usage = Command.Usage({
+        description: "Create or replace resources, all or none.",
+        examples: [["Apply a folder and wait until it is in force", "ibisctl apply -f examples/cimenbilim --wait"]],
+    });
+
+    files = Option.Array("-f,--file", { required: true, description: "TOML file, folder, or - for standard input." });
+    expect = Option.Array("--expect", [], { description: "Kind/name=version that a resource must have; 0 for none." });
+
+    async run(): Promise<Result<ExitCode, Failure>> {
+        const manifests = readManifests(this.files);
+        const expectations = parseExpectations(this.expect);
+        if (manifests.err) {
+            return manifests;
+        }
+        if (expectations.err) {
+            return expectations;
+        }
+        const names = new Set(manifests.val.map(({ kind, name }) => `${kind}/${name}`));
+        const unused = [...expectations.val.keys()].find(name => !names.has(name));
+        if (unused !== undefined) {
+            return Err(createFailure(ErrorCode.BadRequest, { message: `--expect: ${unused} is not in the files.` }));
+        }
+        return this.submit(manifests.val.map(manifest => ({
+            action: "apply",
+            manifest,
+            expectedVersion: expectations.val.get(`${manifest.kind}/${manifest.name}`),
+        })));
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/context/readContextFile.ts
@@ -0,0 +1,31 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { readFileSync } from "node:fs";
+import { parse } from "smol-toml";
+import { Err, Ok, type Result } from "ts-results";
+import type { ContextOptions } from "./contextOptions";
+
+const FIELDS = ["server", "token", "authorityFile"] as const;
+
+const invalid = (path: string, reason: string): Failure =>
+    createFailure(ErrorCode.InvalidSettings, { message: `${path}: ${reason}` });
+
+const readToml = (path: string): Result<Readonly<Record<string, unknown>>, Failure> => {
+    try {
+        return Ok(parse(readFileSync(path, "utf8")));
+    }
+    catch (error) {
+        return Err(invalid(path, error instanceof Error ? error.message.split("\n")[0] ?? "" : "cannot be read"));
+    }
+};
+
+/** Reads a TOML context file with `server`, `token` and `authorityFile`; returns all faults at once. */
+export const readContextFile = (path: string): Result<ContextOptions, Failure> =>
+    readToml(path).andThen(table => {
+        const unknownFields = Object.keys(table).filter(field => !FIELDS.some(known => known === field));
+        const faults = [
+            ...unknownFields.map(field => `${field}: unknown field`),
+            ...FIELDS.filter(field => !["string", "undefined"].includes(typeof table[field]))
+                .map(field => `${field}: must be a text`),
+        ];
+        return faults.length > 0 ? Err(invalid(path, faults.join("; "))) : Ok(table as ContextOptions);
+    });
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+// Command line
+export { runCommandLine } from "./cli/runCommandLine";
+export { ExitCode } from "./exit/exitCode";
--- /dev/null
+++ b/packages/ctl/src/queries/dumpCommand.ts
@@ -0,0 +1,35 @@
+import type { Failure } from "@ibislanding/core";
+import { Command, Option } from "clipanion";
+import { Ok, type Result } from "ts-results";
+import { IbisctlCommand } from "../cli/ibisctlCommand";
+import { exchange } from "../client/exchange";
+import { parseReply } from "../client/parseReply";
+import { ExitCode } from "../exit/exitCode";
+
+const MS_PER_SECOND = 1_000;
+
+/** `ibisctl dump`: writes the state of one process as JSON. */
+export class DumpCommand extends IbisctlCommand {
+    static override paths = [["dump"]];
+    static override usage = Command.Usage({
+        description: "Write the state of a process, given the URL of its operations listener.",
+        examples: [["Dump an entry host", "ibisctl dump http://127.0.0.1:9101"]],
+    });
+
+    url = Option.String({ required: true });
+
+    async run(): Promise<Result<ExitCode, Failure>> {
+        const url = `${this.url.replace(/\/+$/, "")}/state`;
+        const reply = await exchange({ method: "GET", url, timeoutMs: Number(this.timeout) * MS_PER_SECOND });
+        return reply.andThen(answer => parseReply<unknown>(answer)).andThen(state => {
+            this.context.stdout.write(`${JSON.stringify(state, undefined, 2)}\n`);
+            return Ok(ExitCode.Ok);
+        });
+    }
+
+    protected override usageFault(): string | undefined {
+        return URL.canParse(this.url) && /^https?:/.test(this.url)
+            ? super.usageFault()
+            : "the URL must be http or https";
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/queries/getCommand.ts
@@ -0,0 +1,49 @@
+import type { Failure } from "@ibislanding/core";
+import { Command, Option } from "clipanion";
+import { Ok, type Result } from "ts-results";
+import { IbisctlCommand } from "../cli/ibisctlCommand";
+import type { AdminClient } from "../client/adminClient";
+import type { ResourceAnswer } from "../client/resourceAnswer";
+import { ExitCode } from "../exit/exitCode";
+import { listAllKinds } from "./listAllKinds";
+import type { ListAnswer } from "./listAnswer";
+import { resourcePath } from "./resourcePath";
+import { resourceTable } from "./resourceTable";
+
+const ALL_KINDS = "all";
+
+/** `ibisctl get`: shows one resource, all of a kind, or all. */
+export class GetCommand extends IbisctlCommand {
+    static override paths = [["get"]];
+    static override usage = Command.Usage({
+        description: "Show resources: a kind and a name, a kind, or all.",
+        examples: [["List the client accounts", "ibisctl get ClientAccount"]],
+    });
+
+    kind = Option.String({ required: true });
+    resourceName = Option.String({ name: "name", required: false });
+
+    run(): Promise<Result<ExitCode, Failure>> {
+        return this.withClient(client => this.resourceName === undefined ? this.list(client) : this.get(client));
+    }
+
+    private async get(client: AdminClient): Promise<Result<ExitCode, Failure>> {
+        const path = resourcePath("resources", this.kind, this.resourceName ?? "");
+        const result = await client.call<ResourceAnswer>({ method: "GET", path });
+        return result.andThen(resource => {
+            this.write(resource, () => resourceTable([resource]));
+            return Ok(ExitCode.Ok);
+        });
+    }
+
+    private async list(client: AdminClient): Promise<Result<ExitCode, Failure>> {
+        const path = `/v1/resources/${encodeURIComponent(this.kind)}`;
+        const result = this.kind === ALL_KINDS
+            ? await listAllKinds(client)
+            : await client.call<ListAnswer>({ method: "GET", path });
+        return result.andThen(list => {
+            this.write(list, () => resourceTable(list.resources));
+            return Ok(ExitCode.Ok);
+        });
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/queries/resourceTable.ts
@@ -0,0 +1,18 @@
+import type { ResourceAnswer } from "../client/resourceAnswer";
+import { renderTable } from "../output/renderTable";
+import { conditionStatus } from "./conditionStatus";
+
+/** Renders resources as a table with their conditions. */
+export const resourceTable = (resources: readonly ResourceAnswer[]): string =>
+    renderTable([
+        ["KIND", "NAME", "TEAM", "GENERATION", "VERSION", "IN FORCE", "READY"],
+        ...resources.map(resource => [
+            resource.kind,
+            resource.name,
+            resource.team,
+            String(resource.generation),
+            String(resource.version),
+            conditionStatus(resource, "InForce"),
+            conditionStatus(resource, "Ready"),
+        ]),
+    ]);
--- /dev/null
+++ b/packages/ctl/src/queries/watchCommand.ts
@@ -0,0 +1,83 @@
+import { backoffDelayMs, ErrorCode, type Failure } from "@ibislanding/core";
+import { Command, Option } from "clipanion";
+import { Ok, type Result } from "ts-results";
+import { IbisctlCommand } from "../cli/ibisctlCommand";
+import type { AdminClient } from "../client/adminClient";
+import { openEventStream } from "../client/openEventStream";
+import type { SseEvent } from "../client/sseEvent";
+import { ExitCode } from "../exit/exitCode";
+import type { WatchChange } from "./watchChange";
+
+const BACKOFF = { initialDelayMs: 200, maximumDelayMs: 3_000 };
+const SILENCE_TIMEOUT_MS = 30_000;
+const WHOLE_NUMBER = /^\d{1,15}$/;
+
+const toText = ({ revision, snapshot, resources, deleted, operations }: WatchChange): string => {
+    const operators = [...new Set(operations.map(({ changedBy }) => changedBy))].join(", ");
+    return [
+        `revision ${revision}${snapshot ? " (all resources)" : ""}${operators === "" ? "" : ` by ${operators}`}`,
+        ...resources.map(({ kind, name, generation }) => `  ${kind}/${name} generation ${generation}`),
+        ...deleted.map(({ kind, name }) => `  ${kind}/${name} deleted`),
+    ].join("\n");
+};
+
+/** `ibisctl watch`: writes each change of the configuration, and reconnects after a lost connection. */
+export class WatchCommand extends IbisctlCommand {
+    static override paths = [["watch"]];
+    static override usage = Command.Usage({
+        description: "Write each change of the configuration; reconnects until --timeout seconds without a server.",
+    });
+
+    afterRevision = Option.String("--after-revision", "0", { description: "Revision after which changes are shown." });
+    count = Option.String("--count", { description: "Number of changes after which the command ends." });
+
+    private seenRevision = 0;
+    private seenCount = 0;
+
+    run(): Promise<Result<ExitCode, Failure>> {
+        this.seenRevision = Number(this.afterRevision);
+        return this.withClient(client => this.follow(client));
+    }
+
+    protected override usageFault(): string | undefined {
+        return [this.afterRevision, this.count ?? "0"].every(text => WHOLE_NUMBER.test(text))
+            ? super.usageFault()
+            : "--after-revision and --count must be whole numbers";
+    }
+
+    private async follow(client: AdminClient): Promise<Result<ExitCode, Failure>> {
+        const { clock, random, timeoutMs } = this.timing();
+        let connectedAtMs = clock.monotonicMs();
+        for (let attempt = 0;; attempt++) {
+            const calls = client.exchangesOf({ method: "GET", path: `/v1/watch?afterRevision=${this.seenRevision}` });
+            const call = calls[attempt % calls.length];
+            if (call === undefined) {
+                return Ok(ExitCode.Failure);
+            }
+            const result = await openEventStream({ ...call, timeoutMs: SILENCE_TIMEOUT_MS }, event => {
+                connectedAtMs = clock.monotonicMs();
+                return this.takeEvent(event);
+            });
+            if (result.ok) {
+                return Ok(ExitCode.Ok);
+            }
+            const isFinal = result.val.code !== ErrorCode.PeerUnavailable && result.val.code !== ErrorCode.NotReady;
+            if (isFinal || clock.monotonicMs() - connectedAtMs > timeoutMs) {
+                return result;
+            }
+            this.note(`ibisctl: ${result.val.message} Connecting again after revision ${this.seenRevision}.`);
+            await clock.sleep(backoffDelayMs(0, BACKOFF, random));
+        }
+    }
+
+    /** Writes a change; returns whether more are wanted. */
+    private takeEvent(event: SseEvent): boolean {
+        const change = JSON.parse(event.data) as WatchChange;
+        if (change.revision > this.seenRevision) {
+            this.seenRevision = change.revision;
+            this.seenCount++;
+            this.context.stdout.write(`${this.output === "json" ? event.data : toText(change)}\n`);
+        }
+        return this.count === undefined || this.seenCount < Number(this.count);
+    }
+}
--- a/packages/ledger/__tests__/support/runScenario.ts
+++ b/packages/ledger/__tests__/support/runScenario.ts
@@ -30,8 +30,7 @@
 const STORE_TIMEOUT_MS = 30;
 const PEER_TIMEOUT_MS = 40;
 const QUIET_MS = 30_000;
-const HOUR_MS = 3_600_000;
-const DAY_MS = 24 * HOUR_MS;
+const DAY_MS = 86_400_000;
 
 const limits = {
     ...defaultLedgerLimits,
@@ -39,7 +38,7 @@
     sealBytes: 700,
     maximumSegmentBytes: 4_000,
     mergeSegmentCount: 3,
-    retentionMs: HOUR_MS,
+    retentionMs: 30 * DAY_MS,
 };
 
 const timing = { ...defaultLedgerTiming, storeTimeoutMs: STORE_TIMEOUT_MS, claimTimeoutMs: 200, recordTimeoutMs: 100 };
--- a/packages/ledger/src/storage/decodeHead.ts
+++ b/packages/ledger/src/storage/decodeHead.ts
@@ -27,7 +27,6 @@
     };
 
     return {
-        shardTimeMs: encoded.shardTimeMs,
         records: Object.fromEntries(
             Object.entries(encoded.records).map(([id, record]) => [id, decodeRecord(id, record)]),
         ),
