--- a/packages/ledger/__tests__/shard.spec.ts
+++ b/packages/ledger/__tests__/shard.spec.ts
@@ -1,4 +1,11 @@
-import { type AccountId, type ActionKey, createFakeClock, createRandom, type HostId } from "@ibislanding/core";
+import {
+    type AccountId,
+    type ActionKey,
+    type Clock,
+    createFakeClock,
+    createRandom,
+    type HostId,
+} from "@ibislanding/core";
 import {
     type ClaimId,
     createShardStorage,
@@ -34,11 +41,11 @@
     const clock = createFakeClock(1_000_000);
     const random = createRandom(7);
     const store = createFakeKeyValueStore(clock, () => clock.sleep(5));
-    const createTask = () =>
+    const createTask = (taskClock: Clock = clock) =>
         createShardTask({
             storage: createShardStorage({ store, shard: 0, random, timeoutMs: 100 }),
             limits: { ...defaultLedgerLimits, ...changedLimits },
-            clock,
+            clock: taskClock,
             random,
             backoff: { initialDelayMs: 10, maximumDelayMs: 100 },
             groupDelayMs: 1,
@@ -143,6 +150,24 @@
         expect((await readHead()).segments.length).toBeLessThanOrEqual(1);
     });
 
+    it("keeps keys when a wall clock is wrong", async () => {
+        const { clock, createTask, run } = createShard();
+        await run([claim("key")]);
+        await run([finish("key")]);
+        clock.jumpWall(2 * defaultLedgerLimits.retentionMs);
+        const retryAt = async (task: ReturnType<typeof createTask>) => {
+            const retried = task.submit(claim("key", 2));
+            await clock.advance(1_000);
+            return kindsOf([await retried]);
+        };
+        expect(await retryAt(createTask())).toEqual(["recorded"]);
+        expect(await retryAt(createTask({ ...clock, monotonicMs: clock.wallMs }))).toEqual(["recorded"]);
+        const wallClockTask = createTask({ ...clock, monotonicMs: clock.wallMs });
+        await retryAt(wallClockTask);
+        clock.jumpWall(2 * defaultLedgerLimits.retentionMs);
+        expect(await retryAt(wallClockTask)).toEqual(["claimed"]);
+    });
+
     it("lets only the holder change its record", async () => {
         const { run } = createShard();
         await run([claim("key")]);
--- a/packages/ledger/__tests__/support/runScenario.ts
+++ b/packages/ledger/__tests__/support/runScenario.ts
@@ -30,7 +30,8 @@
 const STORE_TIMEOUT_MS = 30;
 const PEER_TIMEOUT_MS = 40;
 const QUIET_MS = 30_000;
-const DAY_MS = 86_400_000;
+const HOUR_MS = 3_600_000;
+const DAY_MS = 24 * HOUR_MS;
 
 const limits = {
     ...defaultLedgerLimits,
@@ -38,7 +39,7 @@
     sealBytes: 700,
     maximumSegmentBytes: 4_000,
     mergeSegmentCount: 3,
-    retentionMs: 30 * DAY_MS,
+    retentionMs: HOUR_MS,
 };
 
 const timing = { ...defaultLedgerTiming, storeTimeoutMs: STORE_TIMEOUT_MS, claimTimeoutMs: 200, recordTimeoutMs: 100 };
--- a/packages/ledger/src/commands/expireRecords.ts
+++ b/packages/ledger/src/commands/expireRecords.ts
@@ -18,5 +18,5 @@
     const changed = segments.length !== head.segments.length
         || entries.length !== Object.keys(head.records).length
         || entries.some(([id, record]) => head.records[id] !== record);
-    return changed ? { records: Object.fromEntries(entries), segments } : head;
+    return changed ? { ...head, records: Object.fromEntries(entries), segments } : head;
 };
--- a/packages/ledger/src/shard/createShardCommitter.ts
+++ b/packages/ledger/src/shard/createShardCommitter.ts
@@ -15,6 +15,7 @@
 import { createSegmentCache } from "../storage/createSegmentCache";
 import type { VersionedHead } from "../storage/versionedHead";
 import type { CommitOutcome } from "./commitOutcome";
+import { createShardTime } from "./createShardTime";
 import type { ShardCommitter } from "./shardCommitter";
 import type { ShardTaskOptions } from "./shardTaskOptions";
 
@@ -38,6 +39,7 @@
 export const createShardCommitter = ({ storage, limits, clock }: CommitterOptions): ShardCommitter => {
     const cache = createSegmentCache(storage);
     let last: VersionedHead | undefined;
+    const shardTime = createShardTime(clock);
     /** True while a write whose answer was lost may still be applied. */
     let uncertain = false;
 
@@ -125,7 +127,7 @@
             const outcome = toOutcome(sealed.val);
             return isFresh ? { kind: "failed", failure: sealed.val } : outcome;
         }
-        const context = { nowMs: clock.wallMs(), limits };
+        const context = { nowMs: shardTime.observe(before.head), limits };
         const view = { head: expireRecords(before.head, context), sealed: sealed.val };
         const applied = applyOperations(view, operations, context);
         if (applied.head === before.head && !uncertain) {
@@ -136,7 +138,7 @@
             }
             return readAnswers(view, applied.results);
         }
-        const result = await write(before, applied.head);
+        const result = await write(before, { ...applied.head, shardTimeMs: context.nowMs });
         return result.err ? toOutcome(result.val) : readAnswers(view, applied.results);
     };
 
--- a/packages/ledger/src/storage/decodeHead.ts
+++ b/packages/ledger/src/storage/decodeHead.ts
@@ -27,6 +27,7 @@
     };
 
     return {
+        shardTimeMs: encoded.shardTimeMs,
         records: Object.fromEntries(
             Object.entries(encoded.records).map(([id, record]) => [id, decodeRecord(id, record)]),
         ),
--- a/packages/ledger/src/storage/encodeHead.ts
+++ b/packages/ledger/src/storage/encodeHead.ts
@@ -13,6 +13,7 @@
     const hosts = [...new Set(records.map(([, record]) => hostTextOf(record)))];
     const positions = new Map(hosts.map((host, position) => [host, position]));
     const encoded: EncodedHead = {
+        shardTimeMs: head.shardTimeMs,
         hosts: hosts.map(host => JSON.parse(host) as EncodedHead["hosts"][number]),
         records: Object.fromEntries(records.map(([id, record]) => [id, {
             digest: record.requestSha256,
--- a/packages/ledger/src/storage/encodedHead.ts
+++ b/packages/ledger/src/storage/encodedHead.ts
@@ -17,6 +17,7 @@
 
 /** JSON form of a head; it names each writer once. */
 export interface EncodedHead {
+    readonly shardTimeMs: number;
     readonly hosts: readonly (readonly [hostId: string, address: string])[];
     readonly records: Readonly<Record<string, EncodedRecord>>;
     readonly segments: readonly SegmentReference[];
--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -35,6 +35,7 @@
     let observation: Observation | undefined;
     let grant: LeaseGrant | undefined;
     let renewedAtMs = -Infinity;
+    let observedAtMs = -Infinity;
     let released = false;
 
     const currentGrant = (): LeaseGrant | undefined =>
@@ -128,6 +129,10 @@
             observation = undefined;
             return;
         }
+        if (clock.monotonicMs() - observedAtMs < durationMs / RENEWALS_PER_DURATION) {
+            return;
+        }
+        observedAtMs = clock.monotonicMs();
         const seen = await read();
         if (seen !== undefined && !released && canTake(seen, rank)) {
             await take(seen);
--- /dev/null
+++ b/packages/platform/src/http/createPlatformCaller.ts
@@ -0,0 +1,52 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import { createHttpExchange } from "./createHttpExchange";
+import type { JsonRequest } from "./jsonRequest";
+import type { JsonResponse } from "./jsonResponse";
+import type { PlatformCaller } from "./platformCaller";
+
+const TIMEOUT_MS = 2_000;
+
+const REFUSED_STATUS = 409;
+
+const refusalCodes: Readonly<Record<string, ErrorCode>> = {
+    [ErrorCode.PlatformRefused]: ErrorCode.PlatformRefused,
+    [ErrorCode.StaleFencingNumber]: ErrorCode.StaleFencingNumber,
+};
+
+const toRefusal = (response: JsonResponse): Failure => {
+    try {
+        const { code = "", retryAfterMs } = JSON.parse(response.body) as { code?: string; retryAfterMs?: number; };
+        return createFailure(refusalCodes[code] ?? ErrorCode.PlatformUnavailable, { retryAfterMs });
+    }
+    catch {
+        return createFailure(ErrorCode.PlatformUnavailable);
+    }
+};
+
+const parseBody = <T>(body: string): Result<T, Failure> => {
+    try {
+        return Ok((body === "" ? undefined : JSON.parse(body)) as T);
+    }
+    catch {
+        return Err(createFailure(ErrorCode.PlatformUnavailable));
+    }
+};
+
+/** Creates a caller for the platform service at a base URL. */
+export const createPlatformCaller = (baseUrl: string): PlatformCaller => {
+    const client = createHttpExchange();
+    return {
+        call: async <T>(request: Pick<JsonRequest, "method" | "body" | "signal">, path: string, waitMs = 0) => {
+            const timeoutMs = TIMEOUT_MS + waitMs;
+            const result = await client.exchange({ ...request, url: `${baseUrl}${path}`, timeoutMs });
+            if (result.ok && result.val.status === REFUSED_STATUS) {
+                return Err(toRefusal(result.val));
+            }
+            return result.err || result.val.status >= 300
+                ? Err(createFailure(ErrorCode.PlatformUnavailable))
+                : parseBody<T>(result.val.body);
+        },
+        [Symbol.asyncDispose]: () => client[Symbol.asyncDispose](),
+    };
+};
--- /dev/null
+++ b/packages/standins/src/cloud/hostListClient.ts
@@ -0,0 +1,8 @@
+import type { UpstreamRecord } from "@ibislanding/platform";
+
+/** Calls of the cloud stand-in to the host list and to upstreams. */
+export interface HostListClient extends AsyncDisposable {
+    readonly put: (record: UpstreamRecord) => Promise<void>;
+    readonly list: () => Promise<readonly UpstreamRecord[]>;
+    readonly post: (url: string, body: unknown) => Promise<void>;
+}
--- a/packages/standins/src/hostList/createHostListStandIn.ts
+++ b/packages/standins/src/hostList/createHostListStandIn.ts
@@ -4,11 +4,13 @@
 import type { Route } from "../server/route";
 import type { StandInServer } from "../server/standInServer";
 
-/** Starts the stand-in of the host list; changes of upstreams show after the lag. */
-export const createHostListStandIn = (port: number, lagMs = 0): Promise<StandInServer> => {
+/** Starts the stand-in of the host list; changes of upstreams show after the lag, which `POST /lag` sets. */
+export const createHostListStandIn = (port: number, initialLagMs = 0): Promise<StandInServer> => {
     const upstreams = new Map<string, UpstreamRecord>();
     const systemHosts = new Map<string, SystemHostRecord>();
 
+    let lagMs = initialLagMs;
+
     const showLater = (change: () => void): void => {
         if (lagMs === 0) {
             change();
@@ -19,6 +21,14 @@
     };
 
     const routes: readonly Route[] = [
+        {
+            method: "POST",
+            pattern: /^\/lag$/,
+            handle: ({ response, body }) => {
+                lagMs = (JSON.parse(body) as { lagMs: number; }).lagMs;
+                answerJson(response, 200, {});
+            },
+        },
         {
             method: "GET",
             pattern: /^\/v1\/upstreams$/,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,8 +7,12 @@
 export type { StandInServer } from "./server/standInServer";
 
 // Platform
+export type { CloudStandInOptions } from "./cloud/cloudStandInOptions";
+export { createCloudStandIn } from "./cloud/createCloudStandIn";
+export type { StartRefusal } from "./cloud/startRefusal";
 export { createHostListStandIn } from "./hostList/createHostListStandIn";
 export { createKeyValueStandIn } from "./keyValue/createKeyValueStandIn";
+export { createWeightStoreStandIn } from "./weightStore/createWeightStoreStandIn";
 
 // Upstreams
 export { answerTokens } from "./engine/answerTokens";
