feat(membership): gossip membership with suspicion, witnesses and notices

Cause: the processes must know within seconds who is live and which upstreams are leaving, at a cost a node that doesn't grow with the group. Change: a deterministic state machine probes the next member on two hash rings and one at random each 500 ms; updates travel with probes, bounded in bytes; a suspicion needs two witnesses that answered; a paused process drops its probes and gives suspects their time back. createMembership runs it as a task over gRPC.

--- /dev/null
+++ b/packages/membership/__tests__/simulation/createSimulation.ts
@@ -0,0 +1,249 @@
+import { type AccountId, type AvailabilityZone, createRandom, type HostId, type Region } from "@ibislanding/core";
+import {
+    createMembershipState,
+    defaultMembershipPolicy,
+    handleEvent,
+    type MembershipEffect,
+    type MembershipEvent,
+    type MembershipPolicy,
+    type MembershipState,
+} from "@ibislanding/membership";
+import { type PeerAddress, ProbeRequest, ProbeResponse, SyncRequest, SyncResponse } from "@ibislanding/protocol";
+import { createEventHeap } from "./createEventHeap";
+
+interface Node {
+    readonly state: MembershipState;
+    readonly address: PeerAddress;
+    readonly zone: string;
+    /** "killed" refuses connections, "silent" answers nothing. */
+    condition: "up" | "paused" | "killed" | "silent";
+    readonly waiting: (() => void)[];
+    bytesSent: number;
+    bytesReceived: number;
+    messagesSent: number;
+    answers: Map<number, (response: unknown) => void>;
+}
+
+export interface SimulationOptions {
+    readonly seed: number;
+    readonly size: number;
+    readonly policy?: MembershipPolicy;
+    readonly lossRate?: number;
+    readonly delayMs?: (from: string, to: string) => number;
+    readonly usagesEveryMs?: number;
+}
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+const START_WALL_MS = 1_800_000_000_000;
+const ACCOUNTS = Array.from({ length: 5 }, (_, index) => `account-${index}` as AccountId);
+
+/** Runs many state machines over a simulated network and clock. */
+export const createSimulation = (options: SimulationOptions) => {
+    const { seed, size, policy = defaultMembershipPolicy, lossRate = 0 } = options;
+    const delayMs = options.delayMs ?? ((from, to) => (from === to ? 0.5 : 20));
+    const random = createRandom(seed);
+    const heap = createEventHeap();
+    const nodes = new Map<PeerAddress, Node>();
+    let nowMs = 0;
+    let nextCallId = 1;
+    let isCut: (from: Node, to: Node) => boolean = () => false;
+
+    const later = (delay: number, run: () => void): void => heap.push(nowMs + delay, run);
+
+    const dispatch = (node: Node, event: MembershipEvent): void => {
+        const run = (): void => {
+            const effects: MembershipEffect[] = [];
+            const wallMs = START_WALL_MS + nowMs;
+            handleEvent(node.state, event, {
+                nowMs,
+                wallMs,
+                random,
+                policy,
+                emit: effect => void effects.push(effect),
+            });
+            effects.forEach(effect => carryOut(node, effect));
+        };
+        if (node.condition === "paused") {
+            node.waiting.push(run);
+        }
+        else if (node.condition === "up") {
+            run();
+        }
+    };
+
+    /** A process that resumes runs its timers before it reads what arrived. */
+    const whenRunning = (node: Node, place: "first" | "last", run: () => void): void => {
+        if (node.condition !== "paused") {
+            run();
+            return;
+        }
+        node.waiting.splice(place === "first" ? 0 : node.waiting.length, 0, run);
+    };
+
+    const count = (from: Node, to: Node, bytes: number): void => {
+        from.bytesSent += bytes;
+        from.messagesSent++;
+        to.bytesReceived += bytes;
+    };
+
+    const call = (
+        from: Node,
+        address: PeerAddress,
+        timeoutMs: number,
+        sizes: readonly [number, (response: never) => number],
+        deliver: (to: Node, callId: number) => void,
+        end: (response?: never) => void,
+    ): void => {
+        let ended = false;
+        const finish = (response: unknown): void => {
+            if (!ended) {
+                ended = true;
+                end(response as never);
+            }
+        };
+        later(timeoutMs, () => whenRunning(from, "first", () => finish(undefined)));
+        const to = nodes.get(address);
+        if (to === undefined || isCut(from, to) || to.condition === "silent" || random.nextUnit() < lossRate) {
+            return;
+        }
+        const oneWayMs = delayMs(from.zone, to.zone) * (1 + random.nextUnit() * 0.2);
+        if (to.condition === "killed") {
+            later(2 * oneWayMs, () => finish(undefined));
+            return;
+        }
+        count(from, to, sizes[0]);
+        const callId = nextCallId++;
+        to.answers.set(callId, response => {
+            to.answers.delete(callId);
+            count(to, from, sizes[1](response as never));
+            if (random.nextUnit() >= lossRate && !isCut(to, from)) {
+                later(oneWayMs, () => whenRunning(from, "last", () => finish(response)));
+            }
+        });
+        later(oneWayMs, () => deliver(to, callId));
+    };
+
+    const carryOut = (node: Node, effect: MembershipEffect): void => {
+        if (effect.type === "sendProbe") {
+            const { address, end, id, request, timeoutMs } = effect;
+            call(
+                node,
+                address,
+                timeoutMs,
+                [ProbeRequest.encode(request).finish().length, r => ProbeResponse.encode(r).finish().length],
+                (to, callId) => dispatch(to, { type: "probeReceived", callId, request }),
+                response =>
+                    dispatch(
+                        node,
+                        end === "relayEnded"
+                            ? { type: end, callId: id, response }
+                            : { type: end, probeId: id, response },
+                    ),
+            );
+        }
+        else if (effect.type === "sendSync") {
+            const { address, request, timeoutMs } = effect;
+            call(
+                node,
+                address,
+                timeoutMs,
+                [SyncRequest.encode(request).finish().length, r => SyncResponse.encode(r).finish().length],
+                (to, callId) => dispatch(to, { type: "syncReceived", callId, request }),
+                response => dispatch(node, { type: "syncEnded", response }),
+            );
+        }
+        else if (effect.type !== "notifySubscribers") {
+            node.answers.get(effect.callId)?.(effect.response);
+        }
+    };
+
+    const tick = (node: Node): void => {
+        dispatch(node, { type: "tick" });
+        if (node.condition === "paused") {
+            node.waiting.push(() => later(0, () => tick(node)));
+            return;
+        }
+        later(policy.timing.tickMs, () => tick(node));
+    };
+
+    const publish = (node: Node, sequence: number, everyMs: number): void => {
+        const accounts = ACCOUNTS.map(accountId => ({
+            accountId,
+            demandPerSecond: random.nextUnit() * 100,
+            admittedPerSecond: random.nextUnit() * 100,
+            running: random.nextInt(200),
+        }));
+        dispatch(node, { type: "usagesPublished", report: { hostId: node.state.self.hostId, sequence, accounts } });
+        later(everyMs, () => publish(node, Math.floor(nowMs), everyMs));
+    };
+
+    const add = (index: number): Node => {
+        const address = `10.0.${index >> 8}.${index & 255}:7000` as PeerAddress;
+        const zone = ZONES[index % ZONES.length] as string;
+        const identity = {
+            hostId: `entry-${random.nextHex(12)}` as HostId,
+            address,
+            role: "entry",
+            region: zone as Region,
+            availabilityZone: zone as AvailabilityZone,
+        };
+        const seeds = ["10.0.0.0:7000", "10.0.0.1:7000", "10.0.0.2:7000"] as PeerAddress[];
+        const state = createMembershipState(identity, seeds, policy, nowMs);
+        const node: Node = {
+            state,
+            address,
+            zone,
+            condition: "up",
+            waiting: [],
+            bytesSent: 0,
+            bytesReceived: 0,
+            messagesSent: 0,
+            answers: new Map(),
+        };
+        nodes.set(address, node);
+        later(random.nextUnit() * policy.timing.tickMs, () => tick(node));
+        if (options.usagesEveryMs !== undefined) {
+            publish(node, 1, options.usagesEveryMs);
+        }
+        return node;
+    };
+
+    const advance = (durationMs: number): void => {
+        const untilMs = nowMs + durationMs;
+        for (let next = heap.pop(untilMs); next !== undefined; next = heap.pop(untilMs)) {
+            nowMs = next.atMs;
+            next.run();
+        }
+        nowMs = untilMs;
+    };
+
+    Array.from({ length: size }, (_, index) => add(index));
+    const created = [...nodes.values()];
+
+    return {
+        nodes: created,
+        up: () => created.filter(node => node.condition === "up"),
+        nowMs: () => nowMs,
+        wallMs: () => START_WALL_MS + nowMs,
+        dispatch,
+        advance,
+        /** Advances until the condition holds and returns the time taken, or undefined at the limit. */
+        until: (condition: () => boolean, limitMs: number): number | undefined => {
+            const startMs = nowMs;
+            while (!condition() && nowMs - startMs < limitMs) {
+                advance(50);
+            }
+            return condition() ? nowMs - startMs : undefined;
+        },
+        resume: (node: Node): void => {
+            node.condition = "up";
+            node.waiting.splice(0).forEach(run => run());
+        },
+        cut: (rule: (from: Node, to: Node) => boolean): void => {
+            isCut = rule;
+        },
+        stateOf: (viewer: Node, subject: Node) => viewer.state.members.get(subject.state.self.hostId)?.state,
+        /** Lets another process answer at an address. */
+        redirect: (address: PeerAddress, node: Node): void => void nodes.set(address, node),
+    };
+};
--- /dev/null
+++ b/packages/membership/src/commands/concludeProbe.ts
@@ -0,0 +1,24 @@
+import type { MembershipState } from "../state/membershipState";
+import type { Probe } from "../state/probe";
+import type { TransitionContext } from "../state/transitionContext";
+import { setMemberState } from "./setMemberState";
+
+/** Suspects the target of a probe that nobody could get answered, if that is justified. */
+export const concludeProbe = (state: MembershipState, probe: Probe, context: TransitionContext): void => {
+    const { nowMs, policy } = context;
+    const target = state.members.get(probe.targetHostId);
+    const evidence = {
+        helpersAsked: probe.helpersAsked,
+        witnesses: probe.witnesses,
+        sinceAnswerMs: nowMs - state.lastAnswerAtMs,
+    };
+    if (target === undefined || !policy.justifiesSuspicion(evidence, policy.timing)) {
+        return;
+    }
+    if (target.state === "alive") {
+        setMemberState(state, target, "suspect", nowMs, context);
+    }
+    else if (target.state === "leaving") {
+        setMemberState(state, target, "dead", nowMs, context);
+    }
+};
--- /dev/null
+++ b/packages/membership/src/commands/enqueueMember.ts
@@ -0,0 +1,13 @@
+import { Member as WireMember, MemberStatus } from "@ibislanding/protocol";
+import type { MemberRecord } from "../state/memberRecord";
+import type { MembershipState } from "../state/membershipState";
+import { toWireMember } from "../wire/toWireMember";
+import { toWireStatus } from "../wire/toWireStatus";
+
+/** Queues a member to be sent to others, whole or only its status. */
+export const enqueueMember = (state: MembershipState, record: MemberRecord, isWhole: boolean): void => {
+    const sizeBytes = isWhole
+        ? WireMember.encode(toWireMember(record, 0)).finish().length
+        : MemberStatus.encode(toWireStatus(record, 0)).finish().length;
+    state.queue.put(isWhole ? "member" : "status", record.hostId, sizeBytes);
+};
--- /dev/null
+++ b/packages/membership/src/commands/handleProbeEnded.ts
@@ -0,0 +1,30 @@
+import type { HostId } from "@ibislanding/core";
+import type { MembershipEvent } from "../state/membershipEvent";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { concludeProbe } from "./concludeProbe";
+import { sendIndirectProbes } from "./sendIndirectProbes";
+import { syncIfDifferent } from "./syncIfDifferent";
+import { takeAnswer } from "./takeAnswer";
+
+/** Takes the answer of a direct probe, or goes on with indirect ones. */
+export const handleProbeEnded = (
+    state: MembershipState,
+    { probeId, response }: MembershipEvent & { type: "probeEnded"; },
+    context: TransitionContext,
+): void => {
+    const probe = state.probes.get(probeId);
+    if (response !== undefined) {
+        state.probes.delete(probeId);
+        takeAnswer(state, probe, response, context);
+        syncIfDifferent(state, response.hostId as HostId, response.gossip, context);
+    }
+    else if (probe !== undefined) {
+        probe.helpersAsked = sendIndirectProbes(state, probeId, probe, context);
+        probe.helpersPending = probe.helpersAsked;
+        if (probe.helpersAsked === 0) {
+            state.probes.delete(probeId);
+            concludeProbe(state, probe, context);
+        }
+    }
+};
--- /dev/null
+++ b/packages/membership/src/commands/handleRelayEnded.ts
@@ -0,0 +1,17 @@
+import type { HostId } from "@ibislanding/core";
+import { buildGossip } from "../queries/buildGossip";
+import type { MembershipEvent } from "../state/membershipEvent";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { mergeGossip } from "./mergeGossip";
+
+/** Reports to the asking member whether the target of an indirect probe answered. */
+export const handleRelayEnded = (
+    state: MembershipState,
+    { callId, response }: MembershipEvent & { type: "relayEnded"; },
+    context: TransitionContext,
+): void => {
+    mergeGossip(state, response?.gossip, context);
+    const gossip = buildGossip(state, "" as HostId, context);
+    context.emit({ type: "answerProbe", callId, response: { hostId: response?.hostId ?? "", gossip } });
+};
--- /dev/null
+++ b/packages/membership/src/commands/handleSyncEnded.ts
@@ -0,0 +1,18 @@
+import type { MembershipEvent } from "../state/membershipEvent";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { mergeFacts } from "./mergeFacts";
+import { mergeTable } from "./mergeTable";
+
+/** Takes over the table with which another process answered. */
+export const handleSyncEnded = (
+    state: MembershipState,
+    { response }: MembershipEvent & { type: "syncEnded"; },
+    context: TransitionContext,
+): void => {
+    if (response !== undefined) {
+        state.lastAnswerAtMs = context.nowMs;
+        mergeTable(state, response.members, context);
+        mergeFacts(state, response.notices, response.usages, context);
+    }
+};
--- /dev/null
+++ b/packages/membership/src/commands/handleSyncReceived.ts
@@ -0,0 +1,28 @@
+import type { MembershipEvent } from "../state/membershipEvent";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { toWireMember } from "../wire/toWireMember";
+import { toWireNotice } from "../wire/toWireNotice";
+import { toWireUsage } from "../wire/toWireUsage";
+import { mergeFacts } from "./mergeFacts";
+import { mergeTable } from "./mergeTable";
+
+/** Takes over the table of another process and answers with this one's. */
+export const handleSyncReceived = (
+    state: MembershipState,
+    { callId, request }: MembershipEvent & { type: "syncReceived"; },
+    context: TransitionContext,
+): void => {
+    mergeTable(state, request.members, context);
+    mergeFacts(state, request.notices, [], context);
+    context.emit({
+        type: "answerSync",
+        callId,
+        response: {
+            hostId: state.self.hostId,
+            members: [...state.members.values()].map(member => toWireMember(member, context.nowMs)),
+            notices: [...state.notices.values()].map(toWireNotice),
+            usages: [...state.usages.values()].map(toWireUsage),
+        },
+    });
+};
--- /dev/null
+++ b/packages/membership/src/commands/handleTick.ts
@@ -0,0 +1,23 @@
+import { selectProbeTargets } from "../queries/selectProbeTargets";
+import type { MembershipEvent } from "../state/membershipEvent";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { expire } from "./expire";
+import { rejoin } from "./rejoin";
+import { sendProbes } from "./sendProbes";
+
+/** Does what is due by time. */
+export const handleTick = (
+    state: MembershipState,
+    _: MembershipEvent & { type: "tick"; },
+    context: TransitionContext,
+): void => {
+    const { nowMs, policy: { timing } } = context;
+    state.lastTickAtMs = nowMs;
+    expire(state, context);
+    rejoin(state, context);
+    if (nowMs >= state.nextRoundAtMs) {
+        state.nextRoundAtMs = nowMs + timing.periodMs - timing.tickMs / 2;
+        sendProbes(state, selectProbeTargets(state, context), context);
+    }
+};
--- /dev/null
+++ b/packages/membership/src/commands/mergeFacts.ts
@@ -0,0 +1,23 @@
+import type { UpstreamNotice as WireUpstreamNotice, UsageReport as WireUsageReport } from "@ibislanding/protocol";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { fromWireNotice } from "../wire/fromWireNotice";
+import { fromWireUsage } from "../wire/fromWireUsage";
+import { mergeNotice } from "./mergeNotice";
+import { mergeUsage } from "./mergeUsage";
+
+/** Takes over notices and usage reports of another process. */
+export const mergeFacts = (
+    state: MembershipState,
+    notices: readonly WireUpstreamNotice[],
+    usages: readonly WireUsageReport[],
+    context: TransitionContext,
+): void => {
+    notices.forEach(wireNotice => {
+        const notice = fromWireNotice(wireNotice);
+        if (notice !== undefined) {
+            mergeNotice(state, notice, context);
+        }
+    });
+    usages.forEach(report => mergeUsage(state, fromWireUsage(report)));
+};
--- /dev/null
+++ b/packages/membership/src/commands/mergeTable.ts
@@ -0,0 +1,26 @@
+import type { Member as WireMember } from "@ibislanding/protocol";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { fromWireIdentity } from "../wire/fromWireIdentity";
+import { fromWireStatus } from "../wire/fromWireStatus";
+import type { ReceivedStatus } from "../wire/receivedStatus";
+import { mergeStatus } from "./mergeStatus";
+
+/** After a split, either side's table holds the other side dead; as suspects its members can refute in time. */
+const soften = (state: MembershipState, status: ReceivedStatus): ReceivedStatus => {
+    const isHeldAlive = (state.members.get(status.hostId)?.state ?? "dead") !== "dead";
+    return status.state === "dead" && isHeldAlive ? { ...status, state: "suspect", suspicionAgeMs: 0 } : status;
+};
+
+/** Takes over the whole table of another process. */
+export const mergeTable = (
+    state: MembershipState,
+    members: readonly WireMember[],
+    context: TransitionContext,
+): void =>
+    members.forEach(member => {
+        const status = member.status === undefined ? undefined : fromWireStatus(member.status, member.hostId);
+        if (status !== undefined) {
+            mergeStatus(state, soften(state, status), fromWireIdentity(member), context);
+        }
+    });
--- /dev/null
+++ b/packages/membership/src/commands/mergeUsage.ts
@@ -0,0 +1,15 @@
+import type { UsageReport } from "../model/usageReport";
+import type { MembershipState } from "../state/membershipState";
+import { usageSizeBytes } from "../wire/usageSizeBytes";
+
+/** Takes over a newer usage report of a known member and queues it for the others. */
+export const mergeUsage = (state: MembershipState, report: UsageReport): void => {
+    const member = state.members.get(report.hostId);
+    const known = state.usages.get(report.hostId);
+    const isNewer = known === undefined || report.sequence > known.sequence;
+    if (member === undefined || member === state.self || member.state === "dead" || !isNewer) {
+        return;
+    }
+    state.usages.set(report.hostId, report);
+    state.queue.put("usage", report.hostId, usageSizeBytes(report));
+};
--- /dev/null
+++ b/packages/membership/src/commands/sendIndirectProbes.ts
@@ -0,0 +1,33 @@
+import { buildGossip } from "../queries/buildGossip";
+import { scaledTimeoutMs } from "../queries/scaledTimeoutMs";
+import { selectHelpers } from "../queries/selectHelpers";
+import type { MembershipState } from "../state/membershipState";
+import type { Probe } from "../state/probe";
+import type { TransitionContext } from "../state/transitionContext";
+
+/** Asks other members to probe the target that did not answer; returns how many were asked. */
+export const sendIndirectProbes = (
+    state: MembershipState,
+    probeId: number,
+    probe: Probe,
+    context: TransitionContext,
+): number => {
+    const target = state.members.get(probe.targetHostId);
+    const helpers = target === undefined ? [] : selectHelpers(state, probe.targetHostId, context);
+    helpers.forEach(helper =>
+        context.emit({
+            type: "sendProbe",
+            end: "helperEnded",
+            id: probeId,
+            address: helper.address,
+            request: {
+                fromHostId: state.self.hostId,
+                targetHostId: probe.targetHostId,
+                gossip: buildGossip(state, helper.hostId, context),
+                indirectAddress: target?.address ?? "",
+            },
+            timeoutMs: scaledTimeoutMs(state, context.policy.timing.indirectTimeoutMs),
+        })
+    );
+    return helpers.length;
+};
--- /dev/null
+++ b/packages/membership/src/commands/sendSync.ts
@@ -0,0 +1,23 @@
+import type { PeerAddress } from "@ibislanding/protocol";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { toWireMember } from "../wire/toWireMember";
+import { toWireNotice } from "../wire/toWireNotice";
+
+const SYNC_TIMEOUT_MS = 2_000;
+
+/** Starts an exchange of the whole tables with a process. */
+export const sendSync = (state: MembershipState, address: PeerAddress, context: TransitionContext): void => {
+    const { syncMs } = context.policy.timing;
+    state.nextSyncAtMs = context.nowMs + syncMs * (0.5 + context.random.nextUnit());
+    context.emit({
+        type: "sendSync",
+        address,
+        request: {
+            fromHostId: state.self.hostId,
+            members: [...state.members.values()].map(member => toWireMember(member, context.nowMs)),
+            notices: [...state.notices.values()].map(toWireNotice),
+        },
+        timeoutMs: SYNC_TIMEOUT_MS,
+    });
+};
--- /dev/null
+++ b/packages/membership/src/commands/setMemberState.ts
@@ -0,0 +1,28 @@
+import type { MemberState } from "../model/memberState";
+import type { MemberRecord } from "../state/memberRecord";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { enqueueMember } from "./enqueueMember";
+import { markChanged } from "./markChanged";
+
+/** States that others should learn ahead of the next period. */
+const urgentStates: readonly MemberState[] = ["suspect", "leaving"];
+
+/** Changes the state of a member and queues it for the others. */
+export const setMemberState = (
+    state: MembershipState,
+    record: MemberRecord,
+    next: MemberState,
+    sinceMs: number,
+    context: TransitionContext,
+): void => {
+    const wasDead = record.state === "dead";
+    record.state = next;
+    record.stateSinceMs = sinceMs;
+    state.isUrgent ||= urgentStates.includes(next);
+    if (next === "dead") {
+        state.usages.delete(record.hostId);
+    }
+    enqueueMember(state, record, wasDead);
+    markChanged(state, context);
+};
--- /dev/null
+++ b/packages/membership/src/commands/syncIfDifferent.ts
@@ -0,0 +1,21 @@
+import type { HostId } from "@ibislanding/core";
+import type { Gossip } from "@ibislanding/protocol";
+import { tableDigest } from "../queries/tableDigest";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import { sendSync } from "./sendSync";
+
+/** Exchanges the tables with a process whose table still differs after recent updates have spread. */
+export const syncIfDifferent = (
+    state: MembershipState,
+    peer: HostId,
+    gossip: Gossip | undefined,
+    context: TransitionContext,
+): void => {
+    const { nowMs, policy } = context;
+    const address = state.members.get(peer)?.address;
+    const isSettled = nowMs - state.changedAtMs >= policy.timing.settleMs && nowMs >= state.nextSyncAtMs;
+    if (address !== undefined && isSettled && gossip !== undefined && gossip.digest !== tableDigest(state)) {
+        sendSync(state, address, context);
+    }
+};
--- /dev/null
+++ b/packages/membership/src/commands/takeAnswer.ts
@@ -0,0 +1,31 @@
+import type { HostId } from "@ibislanding/core";
+import type { ProbeResponse } from "@ibislanding/protocol";
+import type { MembershipState } from "../state/membershipState";
+import type { Probe } from "../state/probe";
+import type { TransitionContext } from "../state/transitionContext";
+import { mergeGossip } from "./mergeGossip";
+import { setMemberState } from "./setMemberState";
+import { setSlowness } from "./setSlowness";
+
+/** Takes over the updates of an answer, and tells what it says about the target of the probe. */
+export const takeAnswer = (
+    state: MembershipState,
+    probe: Probe | undefined,
+    response: ProbeResponse,
+    context: TransitionContext,
+): "reached" | "replaced" | "unreached" => {
+    state.lastAnswerAtMs = context.nowMs;
+    mergeGossip(state, response.gossip, context);
+    if (response.hostId === "" || probe === undefined) {
+        return "unreached";
+    }
+    if (response.hostId === probe.targetHostId) {
+        setSlowness(state, -1);
+        return "reached";
+    }
+    const target = state.members.get(probe.targetHostId);
+    if (target !== undefined && target.state !== "dead" && response.hostId as HostId !== state.self.hostId) {
+        setMemberState(state, target, "dead", context.nowMs, context);
+    }
+    return "replaced";
+};
--- /dev/null
+++ b/packages/membership/src/queries/buildGossip.ts
@@ -0,0 +1,67 @@
+import type { HostId } from "@ibislanding/core";
+import { Gossip } from "@ibislanding/protocol";
+import type { MembershipState } from "../state/membershipState";
+import type { TransitionContext } from "../state/transitionContext";
+import type { UpdateQueue } from "../state/updateQueue";
+import { toWireMember } from "../wire/toWireMember";
+import { toWireNotice } from "../wire/toWireNotice";
+import { toWireStatus } from "../wire/toWireStatus";
+import { toWireUsage } from "../wire/toWireUsage";
+import { tableDigest } from "./tableDigest";
+
+type Update = ReturnType<UpdateQueue["take"]>[number];
+
+const SENDS_PER_DOUBLING = 3;
+
+/** Number of messages in which each process passes on an update, enough to reach everyone. */
+const maximumSends = (state: MembershipState): number =>
+    SENDS_PER_DOUBLING * Math.ceil(Math.log2(state.members.size + 2));
+
+type AddUpdate = (gossip: Gossip, state: MembershipState, key: string, nowMs: number) => void;
+
+const adders: Readonly<Record<Update["kind"], AddUpdate>> = {
+    member: (gossip, state, key, nowMs) => {
+        const record = state.members.get(key as HostId);
+        if (record !== undefined) {
+            gossip.members.push(toWireMember(record, nowMs));
+        }
+    },
+    status: (gossip, state, key, nowMs) => {
+        const record = state.members.get(key as HostId);
+        if (record !== undefined) {
+            gossip.statuses.push(toWireStatus(record, nowMs));
+        }
+    },
+    notice: (gossip, state, key) => {
+        const notice = state.notices.get(key);
+        if (notice !== undefined) {
+            gossip.notices.push(toWireNotice(notice));
+        }
+    },
+    usage: (gossip, state, key) => {
+        const report = state.usages.get(key as HostId);
+        if (report !== undefined) {
+            gossip.usages.push(toWireUsage(report));
+        }
+    },
+};
+
+/** A receiver that is thought to have failed learns it first, so that it can refute. */
+const addReceiver = (gossip: Gossip, state: MembershipState, receiver: HostId, nowMs: number): void => {
+    const record = state.members.get(receiver);
+    if (record?.state === "suspect" || record?.state === "dead") {
+        adders.status(gossip, state, receiver, nowMs);
+    }
+};
+
+/** Takes the updates for one message to a receiver out of the queue. */
+export const buildGossip = (state: MembershipState, receiver: HostId, context: TransitionContext): Gossip => {
+    const { messageBytes, usageBytes, usageSends } = context.policy.timing;
+    const gossip = Gossip.create({ digest: tableDigest(state) });
+    addReceiver(gossip, state, receiver, context.nowMs);
+    const news = state.queue.take(["member", "status", "notice"], messageBytes, maximumSends(state));
+    const leftBytes = news.reduce((left, update) => left - update.sizeBytes, messageBytes);
+    const usages = state.queue.take(["usage"], Math.min(usageBytes, leftBytes), usageSends);
+    [...news, ...usages].forEach(update => adders[update.kind](gossip, state, update.key, context.nowMs));
+    return gossip;
+};
--- /dev/null
+++ b/packages/membership/src/state/createMembershipState.ts
@@ -0,0 +1,47 @@
+import type { Revision } from "@ibislanding/core";
+import type { PeerAddress } from "@ibislanding/protocol";
+import type { MemberIdentity } from "../model/memberIdentity";
+import type { MembershipPolicy } from "../model/membershipPolicy";
+import { ringPositionsOf } from "../queries/ringPositionsOf";
+import { createUpdateQueue } from "./createUpdateQueue";
+import type { MembershipState } from "./membershipState";
+
+/** Creates the state of a process that knows only itself and its seeds. */
+export const createMembershipState = (
+    identity: MemberIdentity,
+    seeds: readonly PeerAddress[],
+    policy: MembershipPolicy,
+    nowMs: number,
+): MembershipState => {
+    const self = {
+        ...identity,
+        incarnation: 1,
+        state: "alive" as const,
+        configurationRevision: 0 as Revision,
+        reportVersion: 0,
+        stateSinceMs: nowMs,
+        ringPositions: ringPositionsOf(identity.hostId, policy.timing.ringTargets),
+    };
+    return {
+        self,
+        members: new Map([[self.hostId, self]]),
+        notices: new Map(),
+        usages: new Map(),
+        queue: createUpdateQueue(),
+        probes: new Map(),
+        seeds,
+        version: 0,
+        changedAtMs: nowMs,
+        digest: undefined,
+        nextProbeId: 1,
+        lastTickAtMs: nowMs,
+        nextRoundAtMs: nowMs,
+        nextRejoinAtMs: nowMs,
+        nextSyncAtMs: nowMs,
+        nextUrgentAtMs: nowMs,
+        isUrgent: false,
+        lastAnswerAtMs: nowMs,
+        usagePublishedAtMs: undefined,
+        slowness: 0,
+    };
+};
--- /dev/null
+++ b/packages/membership/src/state/createUpdateQueue.ts
@@ -0,0 +1,42 @@
+import type { UpdateQueue } from "./updateQueue";
+
+interface Entry {
+    readonly kind: Parameters<UpdateQueue["put"]>[0];
+    readonly key: string;
+    readonly sizeBytes: number;
+    sends: number;
+}
+
+/** Creates an empty queue. */
+export const createUpdateQueue = (): UpdateQueue => {
+    const entries = new Map<string, Entry>();
+
+    const fitting = (candidates: readonly Entry[], budgetBytes: number): readonly Entry[] => {
+        let leftBytes = budgetBytes;
+        return candidates.filter(entry => {
+            const fits = entry.sizeBytes <= leftBytes;
+            leftBytes -= fits ? entry.sizeBytes : 0;
+            return fits;
+        });
+    };
+
+    const countSend = (entry: Entry, maximumSends: number): void => {
+        entry.sends++;
+        if (entry.sends >= maximumSends) {
+            entries.delete(`${entry.kind}:${entry.key}`);
+        }
+    };
+
+    return {
+        put: (kind, key, sizeBytes) => void entries.set(`${kind}:${key}`, { kind, key, sizeBytes, sends: 0 }),
+        take: (kinds, budgetBytes, maximumSends) => {
+            const candidates = [...entries.values()]
+                .filter(entry => kinds.includes(entry.kind))
+                .sort((left, right) => left.sends - right.sends);
+            const taken = fitting(candidates, budgetBytes);
+            taken.forEach(entry => countSend(entry, maximumSends));
+            return taken;
+        },
+        size: () => entries.size,
+    };
+};
--- /dev/null
+++ b/packages/membership/src/state/membershipEvent.ts
@@ -0,0 +1,20 @@
+import type { Revision } from "@ibislanding/core";
+import type { PeerAddress, ProbeRequest, ProbeResponse, SyncRequest, SyncResponse } from "@ibislanding/protocol";
+import type { UpstreamNotice } from "../model/upstreamNotice";
+import type { UsageReport } from "../model/usageReport";
+
+/** Something that happened to the state machine. */
+export type MembershipEvent =
+    | { readonly type: "tick"; }
+    | { readonly type: "seedsChanged"; readonly seeds: readonly PeerAddress[]; }
+    | { readonly type: "probeReceived"; readonly callId: number; readonly request: ProbeRequest; }
+    /** Response is undefined when the call failed. */
+    | { readonly type: "probeEnded"; readonly probeId: number; readonly response: ProbeResponse | undefined; }
+    | { readonly type: "helperEnded"; readonly probeId: number; readonly response: ProbeResponse | undefined; }
+    | { readonly type: "relayEnded"; readonly callId: number; readonly response: ProbeResponse | undefined; }
+    | { readonly type: "syncReceived"; readonly callId: number; readonly request: SyncRequest; }
+    | { readonly type: "syncEnded"; readonly response: SyncResponse | undefined; }
+    | { readonly type: "noticePublished"; readonly notice: UpstreamNotice; }
+    | { readonly type: "usagesPublished"; readonly report: UsageReport; }
+    | { readonly type: "configurationAdvanced"; readonly revision: Revision; }
+    | { readonly type: "leaveRequested"; };
--- /dev/null
+++ b/packages/membership/src/task/loop.ts
@@ -0,0 +1,4 @@
+/** A running loop. */
+export interface Loop {
+    readonly stop: () => void;
+}
--- /dev/null
+++ b/packages/membership/src/task/membershipDump.ts
@@ -0,0 +1,18 @@
+import type { Member } from "../model/member";
+import type { UpstreamNotice } from "../model/upstreamNotice";
+import type { MembershipCounters } from "./membershipCounters";
+
+/** State of a membership for diagnosis, bounded in size. */
+export interface MembershipDump {
+    readonly self: Member;
+    readonly memberCounts: Readonly<Record<string, number>>;
+    /** Members that are not plainly alive first. */
+    readonly members: readonly Member[];
+    readonly notices: readonly UpstreamNotice[];
+    readonly queuedUpdates: number;
+    readonly probesInFlight: number;
+    readonly slowness: number;
+    readonly sinceAnswerMs: number;
+    readonly usageIntervalMs: number;
+    readonly counters: MembershipCounters;
+}
--- /dev/null
+++ b/packages/membership/src/task/subscribers.ts
@@ -0,0 +1,6 @@
+/** Listeners of a change. */
+export interface Subscribers {
+    /** Adds a listener; returns a function that removes it. */
+    readonly add: (listener: () => void) => () => void;
+    readonly notify: () => void;
+}
--- /dev/null
+++ b/packages/membership/src/task/trafficCounters.ts
@@ -0,0 +1,11 @@
+import type { MessageFns } from "@ibislanding/protocol";
+import type { MembershipCounters } from "./membershipCounters";
+
+type Codec<T> = Pick<MessageFns<T>, "encode">;
+
+/** Counts messages by their encoded size. */
+export interface TrafficCounters {
+    readonly countSent: <T>(codec: Codec<T>, message: T) => void;
+    readonly countReceived: <T>(codec: Codec<T>, message: T) => void;
+    readonly read: () => MembershipCounters;
+}
--- /dev/null
+++ b/packages/membership/src/wire/toWireMember.ts
@@ -0,0 +1,13 @@
+import type { Member as WireMember } from "@ibislanding/protocol";
+import type { MemberRecord } from "../state/memberRecord";
+import { toWireStatus } from "./toWireStatus";
+
+/** Converts a member to its message. */
+export const toWireMember = (record: MemberRecord, nowMs: number): WireMember => ({
+    hostId: record.hostId,
+    address: record.address,
+    role: record.role,
+    region: record.region,
+    availabilityZone: record.availabilityZone,
+    status: { ...toWireStatus(record, nowMs), hostId: "" },
+});
--- /dev/null
+++ b/packages/membership/src/wire/toWireUsage.ts
@@ -0,0 +1,9 @@
+import type { UsageReport as WireUsageReport } from "@ibislanding/protocol";
+import type { UsageReport } from "../model/usageReport";
+
+/** Converts a usage report to its message. */
+export const toWireUsage = (report: UsageReport): WireUsageReport => ({
+    hostId: report.hostId,
+    sequence: report.sequence,
+    accounts: report.accounts.map(account => ({ ...account })),
+});
