--- a/packages/admin/__tests__/startTestAdmin.ts
+++ b/packages/admin/__tests__/startTestAdmin.ts
@@ -1,14 +1,10 @@
-import { createRandom, createSystemClock } from "@ibislanding/core";
+import { createConfigurationFollower } from "@ibislanding/configuration";
+import { createFailure, createRandom, createSystemClock, ErrorCode } from "@ibislanding/core";
 import { createFakeKeyValueStore } from "@ibislanding/platform";
 import { createHttpListener, createMetricsRegistry } from "@ibislanding/runtime";
 import { createHash } from "node:crypto";
-import {
-    createAdminHandler,
-    createAdminServices,
-    createAuthenticator,
-    type MemberReport,
-    noConfigurationPeers,
-} from "../src";
+import { Err } from "ts-results";
+import { createAdminHandler, createAdminServices, createAuthenticator, type MemberReport } from "../src";
 
 const sha256 = (text: string): string => createHash("sha256").update(text).digest("hex");
 
@@ -36,11 +32,17 @@
     const random = createRandom(1);
     const store = createFakeKeyValueStore(clock);
     const stopping = new AbortController();
-    const { services, follower } = createAdminServices({
+    const peers = {
+        sample: () => [],
+        fetch: async () => Err(createFailure(ErrorCode.PeerUnavailable)),
+        announce: async () => Err(createFailure(ErrorCode.PeerUnavailable)),
+    };
+    const follower = createConfigurationFollower({ store, clock, random, peers });
+    const services = createAdminServices({
         store,
+        follower,
         clock,
         random,
-        peers: noConfigurationPeers,
         members: { list: () => reports },
         maximumWatches: 2,
         watchHeartbeatMs: 50,
--- a/packages/admin/src/adminDependencies.ts
+++ b/packages/admin/src/adminDependencies.ts
@@ -1,4 +1,4 @@
-import type { ConfigurationPeers } from "@ibislanding/configuration";
+import type { ConfigurationFollower } from "@ibislanding/configuration";
 import type { Clock, RandomSource } from "@ibislanding/core";
 import type { KeyValueStore } from "@ibislanding/platform";
 import type { MemberReports } from "./ports/memberReports";
@@ -6,7 +6,7 @@
 /** What the administration API is built on. */
 export interface AdminDependencies {
     readonly store: KeyValueStore;
-    readonly peers: ConfigurationPeers;
+    readonly follower: ConfigurationFollower;
     readonly members: MemberReports;
     readonly clock: Clock;
     readonly random: RandomSource;
--- a/packages/admin/src/createAdminServices.ts
+++ b/packages/admin/src/createAdminServices.ts
@@ -1,8 +1,4 @@
-import {
-    type ConfigurationFollower,
-    createConfigurationFollower,
-    createConfigurationWriter,
-} from "@ibislanding/configuration";
+import { createConfigurationWriter } from "@ibislanding/configuration";
 import type { AdminDependencies } from "./adminDependencies";
 import type { AdminServices } from "./adminServices";
 import { createConfigurationAccess } from "./ports/createConfigurationAccess";
@@ -10,18 +6,11 @@
 import { createWatchSlots } from "./queries/createWatchSlots";
 import { createConditionTimes } from "./views/createConditionTimes";
 
-interface CreatedServices {
-    readonly services: AdminServices;
-    /** Owned by the caller, who disposes of it. */
-    readonly follower: ConfigurationFollower;
-}
-
 /** Creates the services of the routes; each accepted change is offered to the follower, which informs its peers. */
-export const createAdminServices = (dependencies: AdminDependencies): CreatedServices => {
-    const { store, peers, members, clock, random, watchHeartbeatMs, stopSignal } = dependencies;
-    const follower = createConfigurationFollower({ store, peers, clock, random });
+export const createAdminServices = (dependencies: AdminDependencies): AdminServices => {
+    const { store, follower, members, clock, random, watchHeartbeatMs, stopSignal } = dependencies;
     const writer = createConfigurationWriter({ store, clock, random, onAccepted: follower.offer });
-    const services = {
+    return {
         configuration: createConfigurationAccess({ store, writer, follower }),
         members,
         statuses: createKeyValueStatusRecords(store),
@@ -32,5 +21,4 @@
         watchHeartbeatMs,
         stopSignal,
     };
-    return { services, follower };
 };
--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -6,7 +6,6 @@
 export { createAuthenticator } from "./operators/createAuthenticator";
 export type { MemberReport } from "./ports/memberReport";
 export type { MemberReports } from "./ports/memberReports";
-export { noConfigurationPeers } from "./ports/noConfigurationPeers";
 
 // Settings
 export type { AdminSettings } from "./settings/adminSettings";
--- a/packages/admin/src/settings/adminSettingsSchema.ts
+++ b/packages/admin/src/settings/adminSettingsSchema.ts
@@ -23,6 +23,10 @@
     }),
     /** Listener for the system's other processes. */
     internal: listenerSettingsSchema,
+    membership: z.strictObject({
+        /** Internal addresses of other hosts, besides those in the host list. */
+        seeds: z.array(z.string().min(1)).default([]),
+    }).prefault({}),
     /** Operators who may use the administration API. */
     operators: z.array(operatorSettingsSchema).min(1),
 });
--- a/packages/admin/src/startAdmin.ts
+++ b/packages/admin/src/startAdmin.ts
@@ -1,10 +1,10 @@
+import { createConfigurationFollower } from "@ibislanding/configuration";
 import { createHttpKeyValueStore } from "@ibislanding/platform";
 import { createHttpListener, type ProgramContext, type RunningProgram } from "@ibislanding/runtime";
 import { createAdminServices } from "./createAdminServices";
 import { createAdminHandler } from "./http/createAdminHandler";
 import { createAuthenticator } from "./operators/createAuthenticator";
 import { noConfigurationPeers } from "./ports/noConfigurationPeers";
-import { noMemberReports } from "./ports/noMemberReports";
 import type { AdminSettings } from "./settings/adminSettings";
 
 /** Starts the follower of the configuration and the listener of the administration API. */
@@ -14,10 +14,11 @@
     const { admin, operators, platform } = settings;
     const stopping = new AbortController();
     const store = createHttpKeyValueStore(platform.keyValueUrl);
-    const { services, follower } = createAdminServices({
+    const follower = createConfigurationFollower({ store, peers: noConfigurationPeers, clock, random });
+    const services = createAdminServices({
         store,
-        peers: noConfigurationPeers,
-        members: noMemberReports,
+        follower,
+        members: { list: () => [] },
         clock,
         random,
         maximumWatches: admin.maximumWatches,
--- a/packages/admin/src/views/toResourceView.ts
+++ b/packages/admin/src/views/toResourceView.ts
@@ -5,6 +5,9 @@
 import type { ResourceView } from "./resourceView";
 import type { ViewSource } from "./viewSource";
 
+/** Conditions that are not passed on as they are stored. */
+const DERIVED_TYPES = new Set(["Accepted", "InForce", "Ready"]);
+
 type Verdict = Pick<Condition, "status" | "reason"> & { readonly changedAtMs?: number; };
 
 type ReadyRule = (record: StatusRecord | undefined, inForce: Verdict, resource: Resource) => Verdict;
@@ -64,6 +67,7 @@
                 toCondition("Accepted", { status: "True", reason: "Stored", changedAtMs }),
                 toCondition("InForce", inForce),
                 toCondition("Ready", verdictOnReady(resource, inForce, record)),
+                ...(stored?.conditions ?? []).filter(({ type }) => !DERIVED_TYPES.has(type)),
             ],
             zones: stored?.zones ?? [],
         },
--- a/packages/ctl/src/exit/exitCodeOf.ts
+++ b/packages/ctl/src/exit/exitCodeOf.ts
@@ -2,11 +2,11 @@
 import { ExitCode } from "./exitCode";
 
 const exitCodes: Partial<Readonly<Record<ErrorCode, ExitCode>>> = {
+    [ErrorCode.InvalidSettings]: ExitCode.Usage,
     [ErrorCode.VersionConflict]: ExitCode.Conflict,
     [ErrorCode.KeyReused]: ExitCode.Conflict,
     [ErrorCode.KeyValueConflict]: ExitCode.Conflict,
     [ErrorCode.InvalidResource]: ExitCode.Invalid,
-    [ErrorCode.InvalidSettings]: ExitCode.Invalid,
     [ErrorCode.BadRequest]: ExitCode.Invalid,
     [ErrorCode.BodyTooLarge]: ExitCode.Invalid,
     [ErrorCode.KeyValueTooLarge]: ExitCode.Invalid,
