--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -86,6 +86,15 @@
             from: { path: "^packages/placement/src" },
             to: { path: "^packages/", pathNot: "^packages/(placement|core|platform|resources)/" },
         },
+        {
+            name: "peering-imports",
+            severity: "error",
+            from: { path: "^packages/peering/src" },
+            to: {
+                path: "^packages/",
+                pathNot: "^packages/(peering|core|configuration|membership|platform|protocol|resources|runtime)/",
+            },
+        },
         {
             name: "entry-imports",
             severity: "error",
@@ -112,7 +121,7 @@
             from: { path: "^packages/admin/src" },
             to: {
                 path: "^packages/",
-                pathNot: "^packages/(admin|core|resources|protocol|platform|runtime|membership|configuration)/",
+                pathNot: "^packages/(admin|peering|core|resources|protocol|platform|runtime|membership|configuration)/",
             },
         },
         {
--- /dev/null
+++ b/packages/peering/src/samplePeers.ts
@@ -0,0 +1,11 @@
+import type { RandomSource } from "@ibislanding/core";
+import type { Member } from "@ibislanding/membership";
+import type { PeerAddress } from "@ibislanding/protocol";
+
+/** Returns the addresses of up to `count` random members. */
+export const samplePeers = (members: readonly Member[], count: number, random: RandomSource): readonly PeerAddress[] =>
+    members
+        .map(({ address }) => ({ address, order: random.nextUnit() }))
+        .sort((left, right) => left.order - right.order)
+        .slice(0, count)
+        .map(({ address }) => address);
