feat(entry): callers' HTTP to engines and services

Chat completions are streamed with signed event ids; any entry host resumes from one. Account limits and retry budgets are applied before an upstream is chosen; upstreams are a subset of bounded size for each host.

--- /dev/null
+++ b/packages/entry/src/chat/chatAnswerHead.ts
@@ -0,0 +1,7 @@
+/** Fields that all parts of a chat answer repeat. */
+export interface ChatAnswerHead {
+    readonly requestId: string;
+    readonly callerRequestId: string;
+    readonly model: string;
+    readonly createdAtMs: number;
+}
--- /dev/null
+++ b/packages/entry/src/chat/chatRequest.ts
@@ -0,0 +1,16 @@
+import type { ChatMessage } from "@ibislanding/upstreams";
+
+/** A checked chat request. */
+export interface ChatRequest {
+    /** Name as the caller sent it, `model` or `model:adapter`. */
+    readonly requestedModel: string;
+    readonly model: string;
+    readonly messages: readonly ChatMessage[];
+    readonly streamed: boolean;
+    readonly includeUsage: boolean;
+    readonly maximumTokens: number | undefined;
+    readonly temperature: number | undefined;
+    readonly seed: number | undefined;
+    /** SHA-256 of the body, to which event ids are bound. */
+    readonly bodySha256: string;
+}
--- /dev/null
+++ b/packages/entry/src/chat/createStreamedChatAnswer.ts
@@ -0,0 +1,76 @@
+import { type Failure, toProblem } from "@ibislanding/core";
+import { sendProblem } from "@ibislanding/runtime";
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { ChatAnswer } from "./chatAnswer";
+import type { ChatAnswerHead } from "./chatAnswerHead";
+
+const MS_PER_SECOND = 1_000;
+
+/** Creates an answer of server-sent events in the form of chat completion chunks. */
+export const createStreamedChatAnswer = (
+    response: ServerResponse,
+    head: ChatAnswerHead,
+    includeUsage: boolean,
+): ChatAnswer => {
+    const common = {
+        id: `chatcmpl-${head.requestId}`,
+        object: "chat.completion.chunk",
+        created: Math.floor(head.createdAtMs / MS_PER_SECOND),
+        model: head.model,
+    };
+    let promptTokens = 0;
+    let roleSent = false;
+
+    const open = (): void => {
+        if (!response.headersSent) {
+            response.writeHead(200, {
+                "content-type": "text/event-stream",
+                "cache-control": "no-store",
+                "x-request-id": head.callerRequestId,
+            });
+        }
+    };
+
+    const formatChunk = (delta: object, finishReason: string | null): string =>
+        JSON.stringify({ ...common, choices: [{ index: 0, delta, finish_reason: finishReason }] });
+
+    return {
+        started: tokens => {
+            promptTokens = tokens;
+            open();
+        },
+        token: async (text, eventId) => {
+            open();
+            const delta = roleSent ? { content: text } : { role: "assistant", content: text };
+            roleSent = true;
+            if (!response.write(`id: ${eventId}\ndata: ${formatChunk(delta, null)}\n\n`) && !response.destroyed) {
+                await Promise.race([once(response, "drain"), once(response, "close")]);
+            }
+        },
+        finished: (reason, totalTokens) => {
+            open();
+            const usage = {
+                prompt_tokens: promptTokens,
+                completion_tokens: totalTokens,
+                total_tokens: promptTokens + totalTokens,
+            };
+            const last = includeUsage ? `data: ${JSON.stringify({ ...common, choices: [], usage })}\n\n` : "";
+            response.end(`data: ${formatChunk({}, reason)}\n\n${last}data: [DONE]\n\n`);
+        },
+        failed: (failure: Failure) => {
+            if (!response.headersSent) {
+                sendProblem(response, failure, head.callerRequestId);
+                return;
+            }
+            response.end(
+                `event: error\ndata: ${JSON.stringify({ error: toProblem(failure, head.callerRequestId) })}\n\n`,
+            );
+        },
+        heartbeat: () => {
+            if (response.headersSent && !response.writableEnded) {
+                response.write(": heartbeat\n\n");
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/entry/src/chat/parseChatRequest.ts
@@ -0,0 +1,44 @@
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { toValidationIssues } from "@ibislanding/resources";
+import type { ChatMessage } from "@ibislanding/upstreams";
+import { createHash } from "node:crypto";
+import { Err, Ok, type Result } from "ts-results";
+import type { ChatRequest } from "./chatRequest";
+import { chatRequestSchema } from "./chatRequestSchema";
+
+const parseJson = (body: Buffer): unknown => {
+    try {
+        return JSON.parse(body.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const toRole = (role: string): ChatMessage["role"] => (role === "developer" ? "system" : role) as ChatMessage["role"];
+
+/** Parses and checks the body of a chat request; the failure names every faulty field. */
+export const parseChatRequest = (body: Buffer): Result<ChatRequest, Failure> => {
+    const input = parseJson(body);
+    if (input === undefined) {
+        return Err(createFailure(ErrorCode.BadRequest, { message: "The body is not valid JSON." }));
+    }
+    const parsed = chatRequestSchema.safeParse(input);
+    if (!parsed.success) {
+        // Values are left out: they may hold parts of a prompt.
+        const issues = toValidationIssues(parsed.error, undefined, "").map(({ field, reason }) => ({ field, reason }));
+        return Err(createFailure(ErrorCode.BadRequest, { details: { issues } }));
+    }
+    const { data } = parsed;
+    return Ok({
+        requestedModel: data.model,
+        model: data.model.split(":")[0] ?? data.model,
+        messages: data.messages.map(({ role, content }) => ({ role: toRole(role), content })),
+        streamed: data.stream ?? false,
+        includeUsage: data.stream_options?.include_usage ?? false,
+        maximumTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
+        temperature: data.temperature ?? undefined,
+        seed: data.seed ?? undefined,
+        bodySha256: createHash("sha256").update(body).digest("hex"),
+    });
+};
--- /dev/null
+++ b/packages/entry/src/describeEntry.ts
@@ -0,0 +1,19 @@
+import { describeLimits } from "@ibislanding/limits";
+import type { PeerGroup } from "@ibislanding/peering";
+import type { EntryServices } from "./entryServices";
+
+/** Returns the state of an entry host for operators. */
+export const describeEntry = (
+    { hostId, limits, clock, directory }: EntryServices,
+    group: PeerGroup,
+    activeRequests: number,
+    stopping: boolean,
+) => ({
+    hostId,
+    stopping,
+    activeRequests,
+    configuration: group.configuration.stateDump(),
+    membership: group.membership.stateDump(),
+    limits: describeLimits(limits, clock.monotonicMs()),
+    upstreams: directory.stateDump(),
+});
--- /dev/null
+++ b/packages/entry/src/entryServices.ts
@@ -0,0 +1,23 @@
+import type { Clock, Hasher, HostId, RandomSource } from "@ibislanding/core";
+import type { LimitsState } from "@ibislanding/limits";
+import type { Logger } from "@ibislanding/runtime";
+import type { EventIdCodec } from "@ibislanding/streams";
+import type { EntryMetrics } from "./entryMetrics";
+import type { EntrySettings } from "./settings/entrySettings";
+import type { UpstreamDirectory } from "./upstreams/upstreamDirectory";
+
+/** What the request handlers share. */
+export interface EntryServices {
+    readonly settings: EntrySettings;
+    readonly hostId: HostId;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly hasher: Hasher;
+    readonly logger: Logger;
+    readonly limits: LimitsState;
+    readonly metrics: EntryMetrics;
+    readonly directory: UpstreamDirectory;
+    readonly eventIds: EventIdCodec;
+    /** Aborts when this host stops and running streams go on at other hosts. */
+    readonly handover: AbortSignal;
+}
--- /dev/null
+++ b/packages/entry/src/limits/admittedRequest.ts
@@ -0,0 +1,2 @@
+/** A request that was admitted; disposing of it gives its place back. */
+export type AdmittedRequest = Disposable;
--- /dev/null
+++ b/packages/entry/src/services/callRepeatable.ts
@@ -0,0 +1,38 @@
+import { ErrorCode, type Failure, type UpstreamId } from "@ibislanding/core";
+import type { ServiceAnswer, ServiceCall } from "@ibislanding/upstreams";
+import type { Result } from "ts-results";
+import type { EntryServices } from "../entryServices";
+import { callReplica } from "./callReplica";
+
+const MAXIMUM_ATTEMPTS = 3;
+
+const RETRIED: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.UpstreamUnreachable,
+    ErrorCode.UpstreamRefused,
+    ErrorCode.UpstreamSilent,
+    ErrorCode.UpstreamInvalidAnswer,
+]);
+
+/** Sends a call that may be repeated; tries other replicas after a failure while the retry budget lasts. */
+export const callRepeatable = async (
+    services: EntryServices,
+    service: string,
+    call: ServiceCall,
+    permitRetry: () => boolean,
+    signal: AbortSignal,
+): Promise<Result<ServiceAnswer, Failure>> => {
+    const excluded = new Set<UpstreamId>();
+    let result = await callReplica(services, service, call, excluded, signal);
+    for (let attempt = 1; attempt < MAXIMUM_ATTEMPTS && result.err && RETRIED.has(result.val.code); attempt++) {
+        if (signal.aborted || !permitRetry()) {
+            return result;
+        }
+        const next = await callReplica(services, service, call, excluded, signal);
+        // Without another replica the first failure tells more.
+        if (next.err && next.val.code === ErrorCode.Overloaded) {
+            return result;
+        }
+        result = next;
+    }
+    return result;
+};
--- /dev/null
+++ b/packages/entry/src/services/callReplica.ts
@@ -0,0 +1,59 @@
+import {
+    type AvailabilityZone,
+    createFailure,
+    ErrorCode,
+    type Failure,
+    type Region,
+    type UpstreamId,
+} from "@ibislanding/core";
+import { applyRoutingEvent, selectServiceReplica } from "@ibislanding/routing";
+import type { ServiceAnswer, ServiceCall } from "@ibislanding/upstreams";
+import { Err, type Result } from "ts-results";
+import type { EntryServices } from "../entryServices";
+
+const outcomeOf = (result: Result<ServiceAnswer, Failure>): "succeeded" | "failed" | "refused" | "cancelled" => {
+    if (result.ok) {
+        return "succeeded";
+    }
+    return result.val.code === ErrorCode.Cancelled ? "cancelled" : "failed";
+};
+
+/** Sends a call to one replica of a service that was not tried before; adds the replica to `excluded`. */
+export const callReplica = async (
+    services: EntryServices,
+    service: string,
+    call: ServiceCall,
+    excluded: Set<UpstreamId>,
+    signal: AbortSignal,
+): Promise<Result<ServiceAnswer, Failure>> => {
+    const { clock, directory, metrics, random, settings } = services;
+    const { routing } = directory;
+    const { requestId } = call;
+    const selected = selectServiceReplica(
+        routing,
+        {
+            service,
+            region: settings.process.region as Region,
+            availabilityZone: settings.process.availabilityZone as AvailabilityZone,
+            excluded,
+        },
+        clock.monotonicMs(),
+        random,
+    );
+    if (selected.err) {
+        return selected;
+    }
+    const upstreamId = selected.val;
+    excluded.add(upstreamId);
+    const client = directory.service(upstreamId);
+    if (client === undefined) {
+        return Err(createFailure(ErrorCode.UpstreamUnreachable));
+    }
+    const started = { type: "request-started", requestId, upstreamId, blockHashes: [], uncachedTokens: 0 } as const;
+    applyRoutingEvent(routing, started, clock.monotonicMs());
+    const result = await client.call(call, signal);
+    const outcome = outcomeOf(result);
+    applyRoutingEvent(routing, { type: "request-finished", requestId, upstreamId, outcome }, clock.monotonicMs());
+    metrics.attempts.add(1, { service, outcome });
+    return result;
+};
--- /dev/null
+++ b/packages/entry/src/services/forwardedHeaders.ts
@@ -0,0 +1,27 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** Headers that concern one connection, or that only the system may set. */
+const DROPPED = new Set([
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+]);
+
+/** Returns the headers of a message that may be passed on. */
+export const forwardedHeaders = (
+    headers: IncomingHttpHeaders | Readonly<Record<string, string>>,
+): Record<string, string> =>
+    Object.fromEntries(
+        Object.entries(headers).flatMap(([name, value]) =>
+            value === undefined || DROPPED.has(name) ? [] : [[name, Array.isArray(value) ? value.join(", ") : value]]
+        ),
+    );
--- /dev/null
+++ b/packages/entry/src/upstreams/createUpstreamDirectory.ts
@@ -0,0 +1,150 @@
+import type { Failure, UpstreamId } from "@ibislanding/core";
+import type { UpstreamRecord } from "@ibislanding/platform";
+import { applyRoutingEvent, createRoutingState } from "@ibislanding/routing";
+import type { EngineClient, ServiceClient } from "@ibislanding/upstreams";
+import { Ok, type Result } from "ts-results";
+import { createLeavingWatches } from "./createLeavingWatches";
+import type { DirectoryOptions } from "./directoryOptions";
+import { selectSubset } from "./selectSubset";
+import type { UpstreamDirectory } from "./upstreamDirectory";
+
+const HOST_LIST_PERIOD_MS = 1_000;
+const LOAD_PERIOD_MS = 500;
+
+interface KnownUpstream {
+    readonly record: UpstreamRecord;
+    readonly engine: (EngineClient & AsyncDisposable) | undefined;
+    readonly service: (ServiceClient & AsyncDisposable) | undefined;
+    cacheSequence: number;
+}
+
+/** Creates the directory and starts polling. */
+export const createUpstreamDirectory = (options: DirectoryOptions): UpstreamDirectory => {
+    const { clock, hostList, logger } = options;
+    const routing = createRoutingState(options.hasher);
+    const watches = createLeavingWatches(clock);
+    const known = new Map<UpstreamId, KnownUpstream>();
+    const seenLeaving = new Set<UpstreamId>();
+    const stopped = new AbortController();
+
+    const create = (record: UpstreamRecord): KnownUpstream => ({
+        record,
+        engine: record.kind === "engine" ? options.createEngineClient(record.url) : undefined,
+        service: record.kind === "service" ? options.createServiceClient(record.url) : undefined,
+        cacheSequence: 0,
+    });
+
+    const remove = async (upstreamId: UpstreamId): Promise<void> => {
+        const upstream = known.get(upstreamId);
+        known.delete(upstreamId);
+        watches.forget(upstreamId);
+        seenLeaving.delete(upstreamId);
+        await upstream?.engine?.[Symbol.asyncDispose]();
+        await upstream?.service?.[Symbol.asyncDispose]();
+    };
+
+    const hasWork = (upstreamId: UpstreamId): boolean => (routing.upstreams.get(upstreamId)?.inFlight.size ?? 0) > 0;
+
+    const applyRecords = async (records: readonly UpstreamRecord[]): Promise<void> => {
+        const rank = ({ upstreamId }: UpstreamRecord): number => options.rankUpstream(upstreamId);
+        const subset = selectSubset(records.filter(({ phase }) => phase !== "gone"), options.subsetSize, rank);
+        applyRoutingEvent(routing, { type: "upstreams-listed", upstreams: subset }, clock.monotonicMs());
+        subset.forEach(record => {
+            const earlier = known.get(record.upstreamId);
+            known.set(record.upstreamId, earlier === undefined ? create(record) : { ...earlier, record });
+            if (record.phase === "leaving") {
+                noteLeaving(record.upstreamId, record.deadlineMs);
+            }
+        });
+        const listed = new Set(subset.map(({ upstreamId }) => upstreamId));
+        await Promise.all([...known.keys()].filter(id => !listed.has(id) && !hasWork(id)).map(remove));
+    };
+
+    const refresh = async (): Promise<Result<void, Failure>> => {
+        const records = await hostList.listUpstreams();
+        if (records.err) {
+            return records;
+        }
+        await applyRecords(records.val);
+        return Ok(undefined);
+    };
+
+    const noteLeaving = (upstreamId: UpstreamId, deadlineWallMs: number | undefined): void => {
+        if (!seenLeaving.has(upstreamId) && known.has(upstreamId)) {
+            seenLeaving.add(upstreamId);
+            logger.info("upstream is leaving", { upstreamId, deadlineWallMs });
+        }
+        applyRoutingEvent(routing, { type: "upstream-leaving", upstreamId }, clock.monotonicMs());
+        if (deadlineWallMs !== undefined) {
+            watches.setDeadline(upstreamId, deadlineWallMs);
+        }
+    };
+
+    const pollLoad = async (upstreamId: UpstreamId, engine: EngineClient): Promise<void> => {
+        const load = await engine.load();
+        if (load.err) {
+            return;
+        }
+        const ageMs = clock.wallMs() - load.val.measuredAtMs;
+        applyRoutingEvent(routing, { type: "load-reported", report: load.val, ageMs }, clock.monotonicMs());
+        if (load.val.leaving && !seenLeaving.has(upstreamId)) {
+            noteLeaving(upstreamId, undefined);
+            options.onLeavingSeen(upstreamId);
+        }
+    };
+
+    const pollCache = async (upstream: KnownUpstream, engine: EngineClient): Promise<void> => {
+        const changes = await engine.cacheEvents(upstream.cacheSequence);
+        if (changes.err) {
+            return;
+        }
+        const { upstreamId } = upstream.record;
+        const { events, lastSequence } = changes.val;
+        const event = { type: "cache-changed", upstreamId, changes: events, lastSequence } as const;
+        applyRoutingEvent(routing, event, clock.monotonicMs());
+        upstream.cacheSequence = lastSequence;
+    };
+
+    const pollEngine = async (upstream: KnownUpstream): Promise<void> => {
+        if (upstream.engine !== undefined) {
+            await pollLoad(upstream.record.upstreamId, upstream.engine);
+            await pollCache(upstream, upstream.engine);
+        }
+    };
+
+    const repeat = async (periodMs: number, action: () => Promise<unknown>): Promise<void> => {
+        while (!stopped.signal.aborted) {
+            await action();
+            await clock.sleep(periodMs, stopped.signal);
+        }
+    };
+
+    const polling = Promise.all([
+        repeat(HOST_LIST_PERIOD_MS, refresh),
+        repeat(LOAD_PERIOD_MS, () => Promise.all([...known.values()].map(pollEngine))),
+    ]);
+
+    return {
+        routing,
+        record: upstreamId => known.get(upstreamId)?.record,
+        engine: upstreamId => known.get(upstreamId)?.engine,
+        service: upstreamId => known.get(upstreamId)?.service,
+        refresh,
+        noteLeaving,
+        watchLeaving: watches.watch,
+        stateDump: () =>
+            [...routing.upstreams.values()].map(({ description, report, leaving, inFlight, ejectedUntilMs }) => ({
+                ...description,
+                leaving,
+                deadlineWallMs: watches.deadlines().get(description.upstreamId),
+                inFlight: inFlight.size,
+                isEjected: ejectedUntilMs > clock.monotonicMs(),
+                report,
+            })),
+        [Symbol.asyncDispose]: async () => {
+            stopped.abort();
+            await polling;
+            await Promise.all([...known.keys()].map(remove));
+        },
+    };
+};
