--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 export { describeRouting } from "./queries/describeRouting";
 export type { Selection } from "./queries/selection";
 export type { SelectionRequest } from "./queries/selectionRequest";
+export { priceOf } from "./queries/priceOf";
 export { selectServiceReplica } from "./queries/selectServiceReplica";
 export { selectUpstream } from "./queries/selectUpstream";
 export type { ServiceRequest } from "./queries/serviceRequest";
--- a/packages/runner/src/system/startSystem.ts
+++ b/packages/runner/src/system/startSystem.ts
@@ -12,6 +12,15 @@
 const STOP_TIMEOUT_MS = 45_000;
 const SECRET_BYTES = 32;
 
+/** Waits for all starts, so that after a failure every process that did start is known and can be stopped. */
+const allStarted = async (starts: readonly Promise<ManagedProcess>[]): Promise<readonly ManagedProcess[]> => {
+    const settled = await Promise.allSettled(starts);
+    settled.filter(result => result.status === "rejected").forEach(result => {
+        throw result.reason;
+    });
+    return Promise.all(starts);
+};
+
 /** Programs in the order in which they are stopped. */
 const STOP_ORDER = ["ibis-entry", "ibis-admin", "ibis-control", "ibis-standin"];
 
@@ -115,14 +124,14 @@
     };
 
     try {
-        await Promise.all([
+        await allStarted([
             ...deployment.zones.flatMap(zone =>
                 Array.from({ length: options.enginesPerZone }, () => startEngine(zone))
             ),
             startService(home),
         ]);
         const tokenSha256 = createHash("sha256").update(operatorToken).digest("hex");
-        const system = await Promise.all([
+        const system = await allStarted([
             startWithSettings("admin-1", "ibis-admin", home, settingsFor.admin(home, platform, tokenSha256)),
             ...Array.from({ length: options.controls }, (_, index) =>
                 startWithSettings(
