--- a/packages/ledger/src/actions/actionRequest.ts
+++ b/packages/ledger/src/actions/actionRequest.ts
@@ -15,7 +15,8 @@
     readonly service: ServiceCapabilities;
     /**
      * Sends the action to an upstream; called at most once per attempt unless the service deduplicates. Failures
-     * other than `upstream_unreachable`, `upstream_refused` and `upstream_leaving` mean that it may have run.
+     * other than `upstream_unreachable`, `upstream_refused`, `upstream_leaving` and `overloaded` mean that it may have
+     * run.
      */
     readonly send: (context: SendContext) => Promise<Result<ActionAnswer, Failure>>;
 }
--- a/packages/ledger/src/actions/notRunCodes.ts
+++ b/packages/ledger/src/actions/notRunCodes.ts
@@ -5,4 +5,5 @@
     ErrorCode.UpstreamUnreachable,
     ErrorCode.UpstreamRefused,
     ErrorCode.UpstreamLeaving,
+    ErrorCode.Overloaded,
 ]);
