--- a/packages/admin/src/startAdmin.ts
+++ b/packages/admin/src/startAdmin.ts
@@ -1,24 +1,40 @@
-import { createConfigurationFollower } from "@ibislanding/configuration";
-import { createHttpKeyValueStore } from "@ibislanding/platform";
+import { createResourceStack } from "@ibislanding/core";
+import { createPeerGroup } from "@ibislanding/peering";
+import { createHttpHostList, createHttpKeyValueStore } from "@ibislanding/platform";
 import { createHttpListener, type ProgramContext, type RunningProgram } from "@ibislanding/runtime";
 import { createAdminServices } from "./createAdminServices";
 import { createAdminHandler } from "./http/createAdminHandler";
 import { createAuthenticator } from "./operators/createAuthenticator";
-import { noConfigurationPeers } from "./ports/noConfigurationPeers";
 import type { AdminSettings } from "./settings/adminSettings";
 
 /** Starts the follower of the configuration and the listener of the administration API. */
 export const startAdmin = async (
-    { settings, logger, metrics, clock, random }: ProgramContext<AdminSettings>,
+    { settings, hostId, logger, metrics, clock, random }: ProgramContext<AdminSettings>,
 ): Promise<RunningProgram> => {
     const { admin, operators, platform } = settings;
     const stopping = new AbortController();
-    const store = createHttpKeyValueStore(platform.keyValueUrl);
-    const follower = createConfigurationFollower({ store, peers: noConfigurationPeers, clock, random });
+    const stack = createResourceStack();
+    const store = stack.use(createHttpKeyValueStore(platform.keyValueUrl));
+    const group = stack.use(
+        await createPeerGroup({
+            hostId,
+            role: "admin",
+            process: settings.process,
+            listener: settings.internal,
+            seeds: settings.membership.seeds,
+            store,
+            hostList: stack.use(createHttpHostList(platform.hostListUrl)),
+            clock,
+            random,
+            logger,
+            onConfiguration: ({ revision }) => logger.info("configuration in force", { revision }),
+        }),
+    );
+    const { configuration: follower, membership } = group;
     const services = createAdminServices({
         store,
         follower,
-        members: { list: () => [] },
+        members: { list: membership.members },
         clock,
         random,
         maximumWatches: admin.maximumWatches,
@@ -32,7 +48,7 @@
         logger,
         metrics,
     });
-    const listener = await createHttpListener(admin.listener, handler);
+    const listener = stack.use(await createHttpListener(admin.listener, handler));
     metrics.gauge("ibis_admin_open_watches", "Open watch streams.", services.watchSlots.inUse);
     metrics.gauge("ibis_configuration_revision", "Known revision.", () => follower.current()?.revision ?? 0);
 
@@ -51,16 +67,14 @@
             members: services.members.list(),
             operators: operators.map(({ name, teams }) => ({ name, teams })),
         }),
-        urls: { admin: listener.url },
+        urls: { admin: listener.url, internal: group.address },
         drain: async deadlineMs => {
             stopping.abort();
+            const left = membership.leave();
             listener.stopAccepting();
             await listener.drained(deadlineMs);
+            await left;
         },
-        [Symbol.asyncDispose]: async () => {
-            await listener[Symbol.asyncDispose]();
-            await follower[Symbol.asyncDispose]();
-            await store[Symbol.asyncDispose]();
-        },
+        [Symbol.asyncDispose]: () => stack[Symbol.asyncDispose](),
     };
 };
