--- a/packages/entry/__tests__/startTestSystem.ts
+++ b/packages/entry/__tests__/startTestSystem.ts
@@ -77,7 +77,7 @@
         version: 1 as Revision,
         changedBy: "test",
         changedAtMs: 0,
-    } as Resource)),
+    })),
     recentChanges: [],
 });
 
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -1,4 +1,4 @@
-import { createHasher, createResourceStack, type HostId } from "@ibislanding/core";
+import { createHasher, createResourceStack } from "@ibislanding/core";
 import { createLimitsState } from "@ibislanding/limits";
 import { createPeerGroup } from "@ibislanding/peering";
 import { createHttpHostList, createHttpKeyValueStore } from "@ibislanding/platform";
