feat(control): ibis-control with leases, reclaim handling and statuses

Cause: declared placements had nobody to carry them out.

Change: the program observes host list and engines, follows the configuration, waits for reclaim notices, replaces leaving replicas and writes statuses when they change. A graceful stop ends the orders in hand and gives the leases back, so that the successor need not wait for them to lapse.

Ruled out: one lease for all services (one host would do all the work), and every host contending for every lease (calls would grow with the hosts).

Measured: with stand-ins over HTTP on loopback, two control hosts bring up 3 replicas in 3 zones, replace a reclaimed zone while its starts are refused, hand over at a graceful stop and replace a second zone (1 test, about 2.4 s).

--- a/packages/control/__tests__/createControlWorld.ts
+++ b/packages/control/__tests__/createControlWorld.ts
@@ -174,6 +174,8 @@
             timeoutMs: 1_000,
             routingPolicy: "cost-aware",
         },
+        serviceGeneration: 1,
+        modelResources: [],
         placementName: "advisor",
         placementGeneration: 1,
         placement: {
--- /dev/null
+++ b/packages/control/src/createControlTasks.ts
@@ -0,0 +1,116 @@
+import { createResourceStack } from "@ibislanding/core";
+import { createLeaseHolder, defaultPlacementPolicy, rankHolders } from "@ibislanding/placement";
+import type { ControlTasks } from "./controlTasks";
+import type { ControlTasksOptions } from "./controlTasksOptions";
+import { createUpstreamObserver } from "./observe/createUpstreamObserver";
+import { createOrderObserver } from "./orders/createOrderObserver";
+import type { OrderPorts } from "./orders/orderPorts";
+import { createReclaimWatcher } from "./reclaim/createReclaimWatcher";
+import { createServiceTask } from "./service/createServiceTask";
+import { createServiceTasks } from "./service/createServiceTasks";
+import type { DesiredService } from "./service/desiredService";
+import { createStatusWriter } from "./status/createStatusWriter";
+import { createPeriodicTask } from "./tasks/createPeriodicTask";
+
+/** Hosts that contend for the lease of one service. */
+const CONTENDERS = 2;
+
+/** Hosts that wait for reclaim notices, so that one gets through while others die. */
+const RECLAIM_WATCHERS = 3;
+
+/** Steps of a lease within its duration; most of them make no call. */
+const STEPS_PER_LEASE = 10;
+
+/** Starts the tasks of a control host. */
+export const createControlTasks = (options: ControlTasksOptions): ControlTasks => {
+    const { context, hasher, store, cloud, group } = options;
+    const { settings, hostId, clock, random, logger, metrics } = context;
+    const { control } = settings;
+    const resources = createResourceStack();
+    const onError = (error: unknown): void =>
+        logger.error("task failed", { reason: error instanceof Error ? error.stack : typeof error });
+    const onOrder = createOrderObserver(logger, metrics);
+
+    const rankFor = (partition: string, contenders: number): number | undefined => {
+        const rank = rankHolders(hasher, partition, group.controlHosts()).indexOf(hostId);
+        return rank < 0 || rank >= contenders ? undefined : rank;
+    };
+
+    const ports: OrderPorts = {
+        cloud,
+        cloudHonoursFencing: control.cloudHonoursFencing,
+        weights: options.weights,
+        engineAt: url => options.engines.at(url).client,
+        announceLeaving: group.announceLeaving,
+    };
+
+    const startService = (service: string, desired: () => DesiredService | undefined) =>
+        createServiceTask({
+            createLease: onChange =>
+                createLeaseHolder({
+                    store,
+                    clock,
+                    random,
+                    key: `control/leases/${service}`,
+                    holder: hostId,
+                    durationMs: control.leaseDurationMs,
+                    longestPauseMs: control.longestPauseMs,
+                    rank: () => rankFor(service, CONTENDERS),
+                    onChange: held => {
+                        logger.info("lease changed", { service, held });
+                        onChange(held);
+                    },
+                }),
+            store,
+            clock,
+            random,
+            ports,
+            policy: defaultPlacementPolicy,
+            desired,
+            upstreams: () => observer.upstreamsOf(service),
+            demand: () => observer.demandOf(service),
+            reclaimDeadlinesMs: group.reclaimDeadlinesMs,
+            scaleInDelayMs: control.scaleInDelayMs,
+            statuses: createStatusWriter(store, clock),
+            leaseStepMs: control.leaseDurationMs / STEPS_PER_LEASE,
+            roundIntervalMs: control.roundIntervalMs,
+            onOrder,
+            onError,
+        });
+
+    const services = createServiceTasks(startService);
+    const observer = resources.use(createUpstreamObserver({
+        clock,
+        hostList: options.hostList,
+        engines: options.engines,
+        services: services.heldServices,
+    }));
+    resources.use(createPeriodicTask({
+        clock,
+        intervalMs: control.roundIntervalMs,
+        run: observer.observe,
+        onError,
+    }));
+    resources.use(createReclaimWatcher({
+        clock,
+        cloud,
+        isActive: () => rankFor("reclaim-notices", RECLAIM_WATCHERS) !== undefined,
+        onNotice: ({ upstreamId, deadlineMs }) => {
+            logger.info("reclaim announced", { upstreamId, deadlineMs });
+            group.announceLeaving(upstreamId, deadlineMs);
+            services.trigger();
+        },
+    }));
+    resources.use(services);
+    metrics.gauge(
+        "ibis_control_leases",
+        "Services whose lease this process holds.",
+        () => services.heldServices().size,
+    );
+
+    return {
+        applyConfiguration: services.apply,
+        stateDump: services.stateDump,
+        [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
+    };
+};
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -8,3 +8,8 @@
 // Orders
 export type { OrderOutcome } from "./orders/orderOutcome";
 export type { OrderPorts } from "./orders/orderPorts";
+
+// Program
+export type { ControlSettings } from "./settings/controlSettings";
+export { controlSettingsSchema } from "./settings/controlSettingsSchema";
+export { startControl } from "./startControl";
--- /dev/null
+++ b/packages/control/src/observe/createEngineClients.ts
@@ -0,0 +1,32 @@
+import type { Clock } from "@ibislanding/core";
+import type { EngineClients } from "./engineClients";
+import type { ObservedEngine } from "./observedEngine";
+
+/** Creates an empty pool. */
+export const createEngineClients = (
+    clock: Clock,
+    connect: (url: string) => ObservedEngine["client"],
+): EngineClients => {
+    const engines = new Map<string, ObservedEngine>();
+
+    const close = async (url: string): Promise<void> => {
+        const engine = engines.get(url);
+        engines.delete(url);
+        await engine?.client[Symbol.asyncDispose]();
+    };
+
+    return {
+        at: url => {
+            const engine = engines.get(url)
+                ?? { client: connect(url), load: undefined, answeredAtMs: clock.monotonicMs() };
+            engines.set(url, engine);
+            return engine;
+        },
+        retain: async urls => {
+            await Promise.all([...engines.keys()].filter(url => !urls.has(url)).map(close));
+        },
+        [Symbol.asyncDispose]: async () => {
+            await Promise.all([...engines.keys()].map(close));
+        },
+    };
+};
--- a/packages/control/src/service/createServiceController.ts
+++ b/packages/control/src/service/createServiceController.ts
@@ -6,6 +6,7 @@
     type ControlEffect,
     effectKey,
     type LeaseGrant,
+    type ObservedUpstream,
     type PlacementConditions,
     planOrders,
     planPlacement,
@@ -82,14 +83,18 @@
     const refusedKeys = (): ReadonlySet<string> =>
         new Set([...refusals].filter(([, { untilMs }]) => clock.monotonicMs() < untilMs).map(([key]) => key));
 
-    const decide = (desired: DesiredService, plan: ServicePlan): ServicePlan => {
+    const decide = (
+        desired: DesiredService,
+        plan: ServicePlan,
+        upstreams: readonly ObservedUpstream[],
+    ): ServicePlan => {
         const nowMs = clock.monotonicMs();
         demand.record(options.demand(), nowMs);
         const decision = planPlacement({
             ...desired,
             nowMs: clock.wallMs(),
             plan,
-            upstreams: options.upstreams(),
+            upstreams,
             reclaimDeadlinesMs: options.reclaimDeadlinesMs(),
             demand: demand.current(nowMs),
             recentPeakDemand: demand.recentPeak(nowMs),
@@ -100,7 +105,10 @@
         return decision.plan;
     };
 
-    const listOrders = (plan: ServicePlan): readonly ControlEffect[] => {
+    const listOrders = (
+        plan: ServicePlan,
+        upstreams: readonly ObservedUpstream[],
+    ): readonly ControlEffect[] => {
         const monotonicMs = clock.monotonicMs();
         [...sentAtMs].filter(([, atMs]) => monotonicMs - atMs >= policy.orderRetryMs)
             .forEach(([key]) => sentAtMs.delete(key));
@@ -108,7 +116,7 @@
             nowMs: clock.wallMs(),
             monotonicMs,
             plan,
-            upstreams: options.upstreams(),
+            upstreams,
             role: undefined,
             sentAtMs,
             loadsNotBeforeMs,
@@ -165,12 +173,16 @@
             forget();
             return;
         }
+        const upstreams = options.upstreams();
         const previous = await load(desired.name, grant);
-        const decided = previous === undefined ? undefined : await commit(previous, decide(desired, previous.plan));
+        if (previous === undefined || upstreams === undefined) {
+            return;
+        }
+        const decided = await commit(previous, decide(desired, previous.plan, upstreams));
         if (decided === undefined) {
             return;
         }
-        const sent = await Promise.all(listOrders(decided.plan).map(sendOne));
+        const sent = await Promise.all(listOrders(decided.plan, upstreams).map(sendOne));
         await commit(decided, sent.reduce(applyStart, decided.plan));
     };
 
--- a/packages/control/src/service/listDesiredServices.ts
+++ b/packages/control/src/service/listDesiredServices.ts
@@ -9,19 +9,21 @@
     if (service === undefined) {
         return [];
     }
-    const models = listResources(document, "ModelVersion")
-        .filter(({ spec }) => spec.service === service.name && spec.active)
-        .map(({ spec: { model, version, artifact } }) => ({ model, version, artifact }));
+    const modelResources = listResources(document, "ModelVersion")
+        .filter(({ spec }) => spec.service === service.name && spec.active);
+    const models = modelResources.map(({ spec: { model, version, artifact } }) => ({ model, version, artifact }));
     const modelNames = new Set(models.map(({ model }) => model));
     return [{
         name: service.name,
         revision: document.revision,
         spec: service.spec,
+        serviceGeneration: service.generation,
         placementName: placement.name,
         placementGeneration: placement.generation,
         placement: placement.spec,
         machineClasses: new Map(listResources(document, "MachineClass").map(({ name, spec }) => [name, spec])),
         models,
+        modelResources,
         adapters: listResources(document, "Adapter")
             .filter(({ spec }) => modelNames.has(spec.model))
             .map(({ name, spec: { model, artifact } }) => ({ adapter: name, model, artifact })),
--- a/packages/control/src/service/serviceControllerOptions.ts
+++ b/packages/control/src/service/serviceControllerOptions.ts
@@ -21,7 +21,8 @@
     readonly policy: PlacementPolicy;
     /** The service as the configuration in force at this process declares it. */
     readonly desired: () => DesiredService | undefined;
-    readonly upstreams: () => readonly ObservedUpstream[];
+    /** Observed upstreams; undefined until there was an observation, and no decision is made before. */
+    readonly upstreams: () => readonly ObservedUpstream[] | undefined;
     readonly demand: () => ServiceDemand;
     /** Deadlines of announced reclaims, by upstream id. */
     readonly reclaimDeadlinesMs: () => ReadonlyMap<string, number>;
--- /dev/null
+++ b/packages/control/src/settings/controlSettingsSchema.ts
@@ -0,0 +1,33 @@
+import { listenerSettingsSchema, platformSettingsSchema, processSettingsSchema } from "@ibislanding/runtime";
+import { z } from "zod";
+
+const DEFAULT_LEASE_DURATION_MS = 9_000;
+const MINIMUM_LEASE_DURATION_MS = 1_000;
+const DEFAULT_LONGEST_PAUSE_MS = 10_000;
+const DEFAULT_ROUND_INTERVAL_MS = 1_000;
+const MINIMUM_ROUND_INTERVAL_MS = 100;
+const DEFAULT_SCALE_IN_DELAY_MS = 600_000;
+
+/** Settings of `ibis-control`. */
+export const controlSettingsSchema = z.strictObject({
+    process: processSettingsSchema,
+    platform: platformSettingsSchema,
+    /** Listener for the other processes of the system. */
+    internal: listenerSettingsSchema,
+    control: z.strictObject({
+        /** Time after which the lease of a service lapses unless it is renewed; the same on all control hosts. */
+        leaseDurationMs: z.int().min(MINIMUM_LEASE_DURATION_MS).default(DEFAULT_LEASE_DURATION_MS),
+        /** Longest pause of a process after which its orders may still arrive at upstreams that don't check fencing. */
+        longestPauseMs: z.int().min(0).default(DEFAULT_LONGEST_PAUSE_MS),
+        /** Time between two decisions about a service. */
+        roundIntervalMs: z.int().min(MINIMUM_ROUND_INTERVAL_MS).default(DEFAULT_ROUND_INTERVAL_MS),
+        /** Time for which the demand must have been lower before replicas are given up. */
+        scaleInDelayMs: z.int().min(0).default(DEFAULT_SCALE_IN_DELAY_MS),
+        /** Whether the cloud API refuses orders with an old fencing number. */
+        cloudHonoursFencing: z.boolean().default(false),
+    }).prefault({}),
+    membership: z.strictObject({
+        /** Internal addresses of other hosts, besides those in the host list. */
+        seeds: z.array(z.string().min(1)).default([]),
+    }).prefault({}),
+});
--- a/packages/standins/src/cloud/createNoticeLog.ts
+++ b/packages/standins/src/cloud/createNoticeLog.ts
@@ -23,6 +23,7 @@
                         resolve();
                     };
                     const timer = setTimeout(wake, waitMs);
+                    timer.unref();
                     waiters.add(wake);
                 });
             }
