feat(admin): keep every change in the audit trail

The configuration document lists only its most recent 128 changes, so who changed what was lost after that. Usage errors of ibisctl are one line with the same prefix as the others, and settings refuse operators that share a name or a token.

--- a/packages/admin/src/adminServices.ts
+++ b/packages/admin/src/adminServices.ts
@@ -1,4 +1,5 @@
 import type { Clock, RandomSource } from "@ibislanding/core";
+import type { AuditArchive } from "./ports/auditArchive";
 import type { ConfigurationAccess } from "./ports/configurationAccess";
 import type { MemberReports } from "./ports/memberReports";
 import type { StatusRecords } from "./ports/statusRecords";
@@ -8,6 +9,7 @@
 /** What the routes of the administration API use. */
 export interface AdminServices {
     readonly configuration: ConfigurationAccess;
+    readonly auditArchive: AuditArchive;
     readonly members: MemberReports;
     readonly statuses: StatusRecords;
     readonly conditionTimes: ConditionTimes;
--- a/packages/admin/src/queries/listAudit.ts
+++ b/packages/admin/src/queries/listAudit.ts
@@ -1,29 +1,45 @@
+import { Ok } from "ts-results";
 import type { AdminRoute } from "../http/adminRoute";
 import { parseCount } from "./parseCount";
 import { snapshotHeaders } from "./snapshotHeaders";
 
 const DEFAULT_LIMIT = 100;
+const MAXIMUM_LIMIT = 1_000;
 
-/** Lists who changed what, the latest change first. */
+/** Lists who changed what, the latest change first; changes that the document no longer lists come from the archive. */
 export const listAudit: AdminRoute = {
     method: "GET",
     path: "/v1/audit",
-    handle: async ({ query }, services) => {
-        const limit = parseCount(query, "limit", DEFAULT_LIMIT);
+    handle: async ({ query }, { configuration, auditArchive }) => {
+        const requested = parseCount(query, "limit", DEFAULT_LIMIT);
         const afterRevision = parseCount(query, "afterRevision", 0);
-        if (limit.err) {
-            return limit;
+        if (requested.err) {
+            return requested;
         }
         if (afterRevision.err) {
             return afterRevision;
         }
-        return (await services.configuration.read()).map(snapshot => {
-            const { revision, recentChanges } = snapshot.document;
-            const changes = recentChanges
-                .filter(change => change.revision > afterRevision.val)
-                .reverse()
-                .slice(0, limit.val);
-            return { type: "json", status: 200, body: { revision, changes }, headers: snapshotHeaders(snapshot) };
-        });
+        const snapshot = await configuration.read();
+        if (snapshot.err) {
+            return snapshot;
+        }
+        const limit = Math.min(requested.val, MAXIMUM_LIMIT);
+        const { revision, recentChanges } = snapshot.val.document;
+        const recent = recentChanges
+            .filter(change => change.revision > afterRevision.val)
+            .reverse()
+            .slice(0, limit);
+        const beforeRevision = recentChanges[0]?.revision ?? 0;
+        const isArchiveNeeded = recent.length < limit && beforeRevision > afterRevision.val + 1;
+        const archived = isArchiveNeeded
+            ? await auditArchive.read({
+                beforeRevision,
+                afterRevision: afterRevision.val,
+                limit: limit - recent.length,
+            })
+            : undefined;
+        const older = archived?.ok === true ? archived.val : [];
+        const body = { revision, changes: [...recent, ...older], archiveRead: archived?.err !== true };
+        return Ok({ type: "json", status: 200, body, headers: snapshotHeaders(snapshot.val) });
     },
 };
--- a/packages/admin/src/settings/adminSettingsSchema.ts
+++ b/packages/admin/src/settings/adminSettingsSchema.ts
@@ -7,6 +7,8 @@
 const DEFAULT_MAXIMUM_WATCHES = 100;
 const DEFAULT_WATCH_HEARTBEAT_MS = 10_000;
 
+const isUnique = (texts: readonly string[]): boolean => new Set(texts).size === texts.length;
+
 /** Settings of `ibis-admin`. */
 export const adminSettingsSchema = z.strictObject({
     process: processSettingsSchema,
@@ -28,5 +30,7 @@
         seeds: z.array(z.string().min(1)).default([]),
     }).prefault({}),
     /** Operators who may use the administration API. */
-    operators: z.array(operatorSettingsSchema).min(1),
+    operators: z.array(operatorSettingsSchema).min(1)
+        .refine(operators => isUnique(operators.map(({ name }) => name)), "names must differ")
+        .refine(operators => isUnique(operators.map(({ tokenSha256 }) => tokenSha256)), "tokens must differ"),
 });
--- a/packages/ctl/__tests__/ibisctl.spec.ts
+++ b/packages/ctl/__tests__/ibisctl.spec.ts
@@ -149,7 +149,9 @@
         [["completion", "fish"], 2],
         [["completion", "bash"], 0],
     ])("ends %j with its exit code", async (argumentTexts, exitCode) => {
-        expect((await runIbisctl(argumentTexts)).exitCode).toBe(exitCode);
+        const result = await runIbisctl(argumentTexts);
+        expect(result.exitCode).toBe(exitCode);
+        expect(result.stderr).toMatch(exitCode === 0 ? /^$/ : /^ibisctl: /);
     });
 
     it("validates files offline and lists all faults", async () => {
--- a/packages/ctl/src/cli/runCommandLine.ts
+++ b/packages/ctl/src/cli/runCommandLine.ts
@@ -2,6 +2,10 @@
 import { ExitCode } from "../exit/exitCode";
 import { createCli } from "./createCli";
 
+/** The fault itself, without the list of all commands that may follow it. */
+const describe = (error: unknown): string =>
+    (error instanceof Error ? error.message : String(error)).split("\n")[0]?.replace(/; did you mean.*$/, "") ?? "";
+
 /** Runs one command line; returns the exit code. */
 export const runCommandLine = async (
     argumentTexts: readonly string[],
@@ -14,7 +18,7 @@
         command = cli.process([...argumentTexts], context);
     }
     catch (error) {
-        stderr.write(cli.error(error));
+        stderr.write(`ibisctl: usage: ${describe(error)}\nRun "ibisctl --help" or "ibisctl <command> --help".\n`);
         return ExitCode.Usage;
     }
     return cli.run(command, context);
--- a/packages/ctl/src/client/exchange.ts
+++ b/packages/ctl/src/client/exchange.ts
@@ -1,17 +1,9 @@
 import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
-import type { IncomingMessage } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import type { HttpCall } from "./httpCall";
 import type { HttpReply } from "./httpReply";
 import { openRequest } from "./openRequest";
-
-const readText = async (response: IncomingMessage): Promise<string> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of response) {
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-};
+import { readText } from "./readText";
 
 /**
  * Makes one HTTP exchange.
--- a/packages/ctl/src/client/openEventStream.ts
+++ b/packages/ctl/src/client/openEventStream.ts
@@ -6,21 +6,14 @@
 import type { HttpCall } from "./httpCall";
 import { openRequest } from "./openRequest";
 import { parseReply } from "./parseReply";
+import { readText } from "./readText";
 import type { SseEvent } from "./sseEvent";
 
 const lost = (url: string, reason: string): Failure =>
     createFailure(ErrorCode.PeerUnavailable, { message: `${url}: ${reason}` });
 
-const readAll = async (response: IncomingMessage): Promise<string> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of response) {
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-};
-
 const refuse = async (response: IncomingMessage): Promise<Failure> => {
-    const reply = parseReply<never>({ status: response.statusCode ?? 0, body: await readAll(response) });
+    const reply = parseReply<never>({ status: response.statusCode ?? 0, body: await readText(response) });
     return reply.err ? reply.val : createFailure(ErrorCode.Internal, { message: "The answer is not a stream." });
 };
 
