--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -102,7 +102,7 @@
             to: {
                 path: "^packages/",
                 pathNot:
-                    "^packages/(entry|core|resources|protocol|platform|runtime|upstreams|routing|limits|membership|configuration|ledger|streams)/",
+                    "^packages/(entry|peering|core|resources|protocol|platform|runtime|upstreams|routing|limits|membership|configuration|ledger|streams)/",
             },
         },
         {
--- a/packages/entry/__tests__/startTestSystem.ts
+++ b/packages/entry/__tests__/startTestSystem.ts
@@ -7,7 +7,7 @@
 } from "@ibislanding/core";
 import { entrySettingsSchema, startEntry } from "@ibislanding/entry";
 import { createHttpExchange } from "@ibislanding/platform";
-import { type ConfigurationDocument, parseManifestText, type Resource } from "@ibislanding/resources";
+import { type ConfigurationDocument, parseManifestText } from "@ibislanding/resources";
 import { createMetricsRegistry, type Logger, type RunningProgram } from "@ibislanding/runtime";
 import {
     createEngineStandIn,
