--- a/packages/control/src/createControlTasks.ts
+++ b/packages/control/src/createControlTasks.ts
@@ -102,6 +102,7 @@
         },
     }));
     resources.use(services);
+    group.subscribe(services.trigger);
     metrics.gauge(
         "ibis_control_leases",
         "Services whose lease this process holds.",
--- /dev/null
+++ b/packages/control/src/group/createLeavingNotices.ts
@@ -0,0 +1,28 @@
+import type { Clock } from "@ibislanding/core";
+import type { Membership } from "@ibislanding/membership";
+import type { ControlGroup } from "./controlGroup";
+
+/** An announced upstream is announced again after this time. */
+const REPEAT_MS = 30_000;
+
+/** Creates the part of a control group that spreads which upstreams are leaving. */
+export const createLeavingNotices = (
+    membership: Pick<Membership, "notices" | "publishNotice">,
+    clock: Clock,
+): Pick<ControlGroup, "announceLeaving" | "reclaimDeadlinesMs"> => ({
+    announceLeaving: (upstreamId, deadlineMs) => {
+        const isKnown = membership.notices().some(notice =>
+            notice.upstreamId === upstreamId && notice.kind === "leaving" && notice.deadlineMs === deadlineMs
+            && clock.wallMs() - notice.observedAtMs < REPEAT_MS
+        );
+        if (!isKnown) {
+            membership.publishNotice({ upstreamId, kind: "leaving", observedAtMs: clock.wallMs(), deadlineMs });
+        }
+    },
+    reclaimDeadlinesMs: () =>
+        new Map(
+            membership.notices().flatMap(({ upstreamId, kind, deadlineMs }) =>
+                kind === "leaving" && deadlineMs !== undefined ? [[upstreamId as string, deadlineMs] as const] : []
+            ),
+        ),
+});
--- a/packages/control/src/startControl.ts
+++ b/packages/control/src/startControl.ts
@@ -1,5 +1,5 @@
-import { type ConfigurationPeers, createConfigurationFollower } from "@ibislanding/configuration";
-import { createFailure, createHasher, createResourceStack, ErrorCode } from "@ibislanding/core";
+import { createConfigurationFollower } from "@ibislanding/configuration";
+import { createHasher, createResourceStack } from "@ibislanding/core";
 import {
     createHttpCloudApi,
     createHttpHostList,
@@ -8,19 +8,12 @@
 } from "@ibislanding/platform";
 import type { ProgramContext, RunningProgram } from "@ibislanding/runtime";
 import { createHttpEngineClient } from "@ibislanding/upstreams";
-import { Err } from "ts-results";
 import { createControlTasks } from "./createControlTasks";
-import { createSoleGroup } from "./group/createSoleGroup";
+import { createControlGroup } from "./group/createControlGroup";
 import { createEngineClients } from "./observe/createEngineClients";
 import { createUnavailablePlatform } from "./orders/createUnavailablePlatform";
 import type { ControlSettings } from "./settings/controlSettings";
 
-const noPeers: ConfigurationPeers = {
-    sample: () => [],
-    fetch: async () => Err(createFailure(ErrorCode.PeerUnavailable)),
-    announce: async () => Err(createFailure(ErrorCode.PeerUnavailable)),
-};
-
 /** Starts a control host. */
 export const startControl = async (context: ProgramContext<ControlSettings>): Promise<RunningProgram> => {
     const { settings, hostId, clock, random, logger } = context;
@@ -28,12 +21,13 @@
     const resources = createResourceStack();
     const unavailable = createUnavailablePlatform();
     const store = resources.use(createHttpKeyValueStore(keyValueUrl));
-    const group = resources.use(createSoleGroup(hostId));
+    const hostList = resources.use(createHttpHostList(hostListUrl));
+    const group = resources.use(await createControlGroup({ context, hostList }));
     const tasks = resources.use(createControlTasks({
         context,
         hasher: await createHasher(),
         store,
-        hostList: resources.use(createHttpHostList(hostListUrl)),
+        hostList,
         cloud: cloudUrl === undefined ? unavailable : resources.use(createHttpCloudApi(cloudUrl)),
         weights: weightStoreUrl === undefined ? unavailable : resources.use(createHttpWeightStore(weightStoreUrl)),
         engines: createEngineClients(clock, url => createHttpEngineClient(url)),
@@ -41,7 +35,7 @@
     }));
     const follower = resources.use(createConfigurationFollower({
         store,
-        peers: noPeers,
+        peers: group.configurationPeers,
         clock,
         random,
         onAdvance: document => {
@@ -50,6 +44,7 @@
             logger.info("configuration in force", { revision: document.revision });
         },
     }));
+    group.serveConfiguration(follower);
     const state = { stopping: false };
     context.metrics.gauge("ibis_configuration_revision", "Revision in force.", () => follower.current()?.revision ?? 0);
 
--- a/packages/placement/src/plan/choosePlacement.ts
+++ b/packages/placement/src/plan/choosePlacement.ts
@@ -3,16 +3,18 @@
 import type { ReplicaOption } from "./replicaOption";
 import { replicasNeeded } from "./replicasNeeded";
 
-interface Unit {
+/** Equal replicas of one option. */
+interface Batch {
     readonly option: ReplicaOption;
-    /** Price, with a discount for a replica that exists already. */
+    readonly count: number;
+    /** Price of one replica, with a discount for those that exist already. */
     readonly price: number;
-    /** Price by which units are ranked; dearer for reclaimable hosts when their share is limited. */
+    /** Price by which batches are ranked; dearer for reclaimable hosts when their share is limited. */
     readonly rankPrice: number;
 }
 
 interface Candidate {
-    readonly replicas: readonly ReplicaOption[];
+    readonly batches: readonly Batch[];
     readonly price: number;
 }
 
@@ -23,45 +25,51 @@
     readonly moveSavingShare: number;
 }
 
-const listUnits = (
+const listBatches = (
     options: readonly ReplicaOption[],
     { existing, moveSavingShare }: ChoiceContext,
     perZone: number,
     reclaimablePenalty: number,
-): readonly Unit[] =>
-    options.flatMap(option => {
-        const existingCount = existing.get(choiceKey(option.choice)) ?? 0;
-        const count = option.refused ? Math.min(perZone, existingCount) : perZone;
+): readonly Batch[] =>
+    options.flatMap((option): readonly Batch[] => {
+        const kept = Math.min(perZone, existing.get(choiceKey(option.choice)) ?? 0);
+        const keptPrice = option.pricePerHour * (1 - moveSavingShare);
         const penalty = option.choice.reclaimable ? reclaimablePenalty : 0;
-        return Array.from({ length: count }, (_, index) => {
-            const price = option.pricePerHour * (index < existingCount ? 1 - moveSavingShare : 1);
-            return { option, price, rankPrice: price + penalty };
-        });
-    }).sort((left, right) => left.rankPrice - right.rankPrice);
+        return [
+            { option, count: kept, price: keptPrice, rankPrice: keptPrice + penalty },
+            {
+                option,
+                count: option.refused ? 0 : perZone - kept,
+                price: option.pricePerHour,
+                rankPrice: option.pricePerHour + penalty,
+            },
+        ];
+    }).filter(({ count }) => count > 0).sort((left, right) => left.rankPrice - right.rankPrice);
 
-/** Takes the cheapest units within the limits for one zone and for reclaimable hosts. */
-const takeUnits = (
-    units: readonly Unit[],
+/** Takes the cheapest replicas within the limits for one zone and for reclaimable hosts. */
+const takeCheapest = (
+    batches: readonly Batch[],
     total: number,
     perZone: number,
     reclaimableLimit: number,
-): readonly Unit[] => {
+): readonly Batch[] => {
     const zoneCounts = new Map<string, number>();
     let reclaimableCount = 0;
     let takenCount = 0;
-    return units.filter(({ option: { choice } }) => {
-        const zoneCount = zoneCounts.get(choice.availabilityZone) ?? 0;
-        const overShare = choice.reclaimable && reclaimableCount >= reclaimableLimit;
-        if (takenCount >= total || zoneCount >= perZone || overShare) {
-            return false;
-        }
-        takenCount++;
-        reclaimableCount += choice.reclaimable ? 1 : 0;
-        zoneCounts.set(choice.availabilityZone, zoneCount + 1);
-        return true;
+    return batches.map(batch => {
+        const { availabilityZone, reclaimable } = batch.option.choice;
+        const zoneCount = zoneCounts.get(availabilityZone) ?? 0;
+        const shareLeft = reclaimable ? reclaimableLimit - reclaimableCount : Infinity;
+        const count = Math.min(batch.count, total - takenCount, perZone - zoneCount, shareLeft);
+        takenCount += count;
+        reclaimableCount += reclaimable ? count : 0;
+        zoneCounts.set(availabilityZone, zoneCount + count);
+        return { ...batch, count };
     });
 };
 
+const countOf = (batches: readonly Batch[]): number => batches.reduce((sum, { count }) => sum + count, 0);
+
 /** Penalties at which the choice between a reclaimable and an on-demand host turns over. */
 const penaltiesOf = (options: readonly ReplicaOption[]): readonly number[] => {
     const onDemand = options.filter(({ choice }) => !choice.reclaimable);
@@ -78,11 +86,11 @@
 ): readonly Candidate[] => {
     const reclaimableLimit = Math.floor(total * context.requirement.reclaimableShare);
     return penaltiesOf(options)
-        .map(penalty => takeUnits(listUnits(options, context, perZone, penalty), total, perZone, reclaimableLimit))
-        .filter(units => units.length === total)
-        .map(units => ({
-            replicas: units.map(unit => unit.option),
-            price: units.reduce((sum, unit) => sum + unit.price, 0),
+        .map(penalty => takeCheapest(listBatches(options, context, perZone, penalty), total, perZone, reclaimableLimit))
+        .filter(batches => countOf(batches) === total)
+        .map(batches => ({
+            batches,
+            price: batches.reduce((sum, { price, count }) => sum + price * count, 0),
         }));
 };
 
@@ -109,10 +117,11 @@
     context: ChoiceContext,
 ): readonly ReplicaOption[] | undefined => {
     const classes = [...new Set(options.map(({ choice }) => choice.machineClass))];
-    return classes
+    const best = classes
         .flatMap(name => candidatesOfClass(options.filter(({ choice }) => choice.machineClass === name), context))
         .reduce<Candidate | undefined>(
-            (best, candidate) => (best === undefined || candidate.price < best.price ? candidate : best),
+            (cheapest, candidate) => cheapest === undefined || candidate.price < cheapest.price ? candidate : cheapest,
             undefined,
-        )?.replicas;
+        );
+    return best?.batches.flatMap(({ option, count }) => Array<ReplicaOption>(count).fill(option));
 };
--- a/packages/standins/src/cloud/createCloudStandIn.ts
+++ b/packages/standins/src/cloud/createCloudStandIn.ts
@@ -116,6 +116,7 @@
                     hosts: hosts.list().map(({ request, record, phase }) => ({
                         upstreamId: record.upstreamId,
                         operationId: request?.operationId,
+                        url: record.url,
                         service: record.service,
                         availabilityZone: record.availabilityZone,
                         machineClass: record.machineClass,
