feat(routing): upstream views, routing policies and account limits

Entry hosts need decisions that hold up under lagged load reports and late cache events. The routing state merges host list, reports, own requests since, leaving notices, ejection and a bounded prefix index per upstream; five policies choose. Account limits use local shares that follow demand and freeze in a split.

--- /dev/null
+++ b/packages/limits/__tests__/accountLimits.spec.ts
@@ -0,0 +1,154 @@
+import { type AccountId, createRandom, ErrorCode, type Failure, type HostId } from "@ibislanding/core";
+import {
+    admitRequest,
+    applyEntryHosts,
+    applyUsageReport,
+    createLimitsState,
+    createUsageReport,
+    type LimitsOptions,
+    releaseRequest,
+} from "@ibislanding/limits";
+import fc from "fast-check";
+
+const ACCOUNT = "parks" as AccountId;
+const GOSSIP_MS = 500;
+const STEP_MS = 10;
+
+interface Run {
+    readonly seed: number;
+    readonly hosts: number;
+    readonly ratePerSecond: number;
+    /** Offered load relative to the limit. */
+    readonly demand: number;
+    /** Relative demand of each host, changed every few seconds. */
+    readonly weights: readonly (readonly number[])[];
+    /** Whether the hosts are cut into two groups after the first third. */
+    readonly isSplit: boolean;
+    readonly isSharing: boolean;
+    readonly options: Partial<LimitsOptions>;
+}
+
+const PHASE_MS = 5_000;
+const PHASES = 6;
+const WARM_UP_MS = PHASES / 3 * PHASE_MS;
+
+/** Returns the requests that all hosts admitted after the warm-up, relative to what the limit allows. */
+const admittedShare = (run: Run): number => {
+    const random = createRandom(run.seed);
+    const ids = Array.from({ length: run.hosts }, (_, index) => `entry-${index}` as HostId);
+    const states = ids.map(id => createLimitsState(id, run.options));
+    if (run.isSharing) {
+        states.forEach(state => applyEntryHosts(state, ids));
+    }
+    const limits = {
+        requestsPerSecond: run.ratePerSecond,
+        burstRequests: run.hosts,
+        maximumConcurrent: 1_000_000,
+        priority: "normal",
+    } as const;
+    const sideOf = (index: number, nowMs: number): number => run.isSplit && nowMs >= WARM_UP_MS ? index % 2 : 0;
+    let admitted = 0;
+    for (let nowMs = 0; nowMs < PHASES * PHASE_MS; nowMs += STEP_MS) {
+        const weights = run.weights[Math.floor(nowMs / PHASE_MS) % run.weights.length] ?? [];
+        const total = states.reduce((sum, _, index) => sum + (weights[index] ?? 1), 0);
+        states.forEach((state, index) => {
+            const expected = run.ratePerSecond * run.demand * STEP_MS / 1_000 * (weights[index] ?? 1) / total;
+            const arrivals = Math.floor(expected) + (random.nextUnit() < expected % 1 ? 1 : 0);
+            Array.from({ length: arrivals }).forEach(() => {
+                const isAdmitted = admitRequest(state, ACCOUNT, limits, nowMs, random).ok;
+                releaseRequest(state, isAdmitted ? ACCOUNT : "" as AccountId);
+                admitted += isAdmitted && nowMs >= WARM_UP_MS ? 1 : 0;
+            });
+            if (run.isSharing && (nowMs + index * 50) % GOSSIP_MS === 0) {
+                const report = createUsageReport(state, nowMs);
+                states.filter((_, other) => sideOf(other, nowMs) === sideOf(index, nowMs))
+                    .forEach(other => applyUsageReport(other, report, nowMs));
+            }
+        });
+    }
+    const allowed = run.ratePerSecond * (PHASES * PHASE_MS - WARM_UP_MS) / 1_000 + limits.burstRequests;
+    return admitted / allowed;
+};
+
+const runArbitrary = fc.record({
+    seed: fc.integer(),
+    hosts: fc.integer({ min: 2, max: 8 }),
+    ratePerSecond: fc.integer({ min: 50, max: 200 }),
+    demand: fc.double({ min: 1.5, max: 4, noNaN: true }),
+    weights: fc.array(
+        fc.array(fc.double({ min: 0, max: 1, noNaN: true }).map(w => w + 0.05), {
+            minLength: 8,
+            maxLength: 8,
+        }),
+        { minLength: 1, maxLength: 3 },
+    ),
+});
+
+// Each Err captures a stack trace, which takes most of the time of a long run.
+const stackTraceLimit = Error.stackTraceLimit;
+Error.stackTraceLimit = 0;
+afterAll(() => {
+    Error.stackTraceLimit = stackTraceLimit;
+});
+
+const check = (property: (run: Omit<Run, "isSplit" | "isSharing" | "options">) => void): void =>
+    fc.assert(fc.property(runArbitrary, property), { seed: 20261203, numRuns: 10, endOnFailure: true });
+
+const worst = (fixed: Pick<Run, "isSplit" | "isSharing" | "options">): number =>
+    Math.max(
+        ...fc.sample(runArbitrary, { seed: 20261203, numRuns: 10 }).map(run => admittedShare({ ...run, ...fixed })),
+    );
+
+describe("limit of a client account over all entry hosts", () => {
+    it("is kept within 5% and used to 70% while all demand moves between hosts every few seconds", () => {
+        check(run => {
+            const share = admittedShare({ ...run, isSplit: false, isSharing: true, options: {} });
+            expect(share).toBeLessThanOrEqual(1.05);
+            expect(share).toBeGreaterThanOrEqual(0.7);
+        });
+    });
+
+    it("is used to 90% under steady uneven demand", () => {
+        check(run => {
+            const steady = { ...run, weights: run.weights.slice(0, 1), isSplit: false, isSharing: true, options: {} };
+            expect(admittedShare(steady)).toBeGreaterThanOrEqual(0.9);
+        });
+    });
+
+    it("is kept within 15% in a split", () => {
+        check(run => {
+            expect(admittedShare({ ...run, isSplit: true, isSharing: true, options: {} })).toBeLessThanOrEqual(1.15);
+        });
+    });
+
+    it("is exceeded without shares", () => {
+        expect(worst({ isSplit: false, isSharing: false, options: {} })).toBeGreaterThan(2);
+    });
+
+    it("is exceeded in a split without the bound on the reachable share", () => {
+        expect(worst({ isSplit: true, isSharing: true, options: { splitExcess: 100 } })).toBeGreaterThan(1.5);
+    });
+});
+
+describe("admitRequest", () => {
+    const limits = { requestsPerSecond: 1, burstRequests: 2, maximumConcurrent: 1, priority: "low" } as const;
+    const random = createRandom(1);
+
+    it("refuses over the concurrent limit until a request is released", () => {
+        const state = createLimitsState("entry-1" as HostId);
+        expect(admitRequest(state, ACCOUNT, limits, 0, random).ok).toBe(true);
+        expect((admitRequest(state, ACCOUNT, limits, 0, random).val as Failure).code).toBe(ErrorCode.OverLimit);
+        releaseRequest(state, ACCOUNT);
+        expect(admitRequest(state, ACCOUNT, limits, 0, random).ok).toBe(true);
+    });
+
+    it("refuses low priority first when the process is full, with a jittered time to retry after", () => {
+        const state = createLimitsState("entry-1" as HostId, { maximumInFlight: 4 });
+        const wide = { ...limits, burstRequests: 100, maximumConcurrent: 100 };
+        Array.from({ length: 3 }, () => admitRequest(state, ACCOUNT, wide, 0, random));
+        const refused = Array.from({ length: 5 }, () => admitRequest(state, ACCOUNT, wide, 0, random).val as Failure);
+        expect(refused.map(({ code }) => code)).toEqual(Array(5).fill(ErrorCode.Overloaded));
+        expect(new Set(refused.map(({ retryAfterMs }) => retryAfterMs)).size).toBeGreaterThan(1);
+        expect(admitRequest(state, ACCOUNT, { ...wide, priority: "high" }, 0, random).ok).toBe(true);
+    });
+});
--- /dev/null
+++ b/packages/limits/__tests__/retries.spec.ts
@@ -0,0 +1,51 @@
+import { ErrorCode, type Failure, type HostId } from "@ibislanding/core";
+import { createLimitsState, deadlineOf, earnRetries, remainingMs, spendRetry } from "@ibislanding/limits";
+import fc from "fast-check";
+
+/** Returns attempts per request when attempts fail as told and each failed attempt asks for another, up to three. */
+const attemptsPerRequest = (failures: readonly boolean[], retryRatio: number): number => {
+    const state = createLimitsState("entry-1" as HostId, { retryRatio, maximumSavedRetries: 1e9 });
+    const outcomes = failures.values();
+    const attempt = (retriesLeft: number): number => {
+        const hasFailed = outcomes.next().value ?? true;
+        return 1
+            + (hasFailed && retriesLeft > 0 && spendRetry(state, "advisor", "retry") ? attempt(retriesLeft - 1) : 0);
+    };
+    const requests = Math.max(1, failures.length);
+    const attempts = Array.from({ length: requests }, () => {
+        earnRetries(state, "advisor");
+        return attempt(3);
+    });
+    return attempts.reduce((sum, count) => sum + count, 0) / requests;
+};
+
+describe("retry budget", () => {
+    it("keeps attempts per request at 1.1 or less through any pattern of failures", () => {
+        fc.assert(
+            fc.property(fc.array(fc.boolean(), { maxLength: 300 }), failures => {
+                expect(attemptsPerRequest(failures, 0.1)).toBeLessThanOrEqual(1.1);
+            }),
+            { seed: 7, numRuns: 200, endOnFailure: true },
+        );
+    });
+
+    it("would reach four attempts per request without the budget", () => {
+        expect(attemptsPerRequest(Array(100).fill(true), 4)).toBe(4);
+    });
+
+    it("always lets an accepted stream move, at the cost of later retries", () => {
+        const state = createLimitsState("entry-1" as HostId);
+        Array.from({ length: 10 }, () => earnRetries(state, "advisor"));
+        expect([spendRetry(state, "advisor", "move"), spendRetry(state, "advisor", "move")]).toEqual([true, true]);
+        expect(spendRetry(state, "advisor", "retry")).toBe(false);
+    });
+});
+
+describe("deadlines", () => {
+    it("takes the shorter of the service's and the caller's time", () => {
+        expect(deadlineOf(30_000, undefined, 5)).toBe(30_005);
+        expect(deadlineOf(30_000, 100, 5)).toBe(105);
+        expect(remainingMs(105, 55).val).toBe(50);
+        expect((remainingMs(105, 105).val as Failure).code).toBe(ErrorCode.DeadlinePassed);
+    });
+});
--- /dev/null
+++ b/packages/limits/src/commands/admitRequest.ts
@@ -0,0 +1,48 @@
+import { type AccountId, createFailure, ErrorCode, type Failure, type RandomSource } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import type { AccountLimits } from "../model/accountLimits";
+import type { LimitsState } from "../state/limitsState";
+import { touchAccount } from "./touchAccount";
+
+const MS_PER_SECOND = 1_000;
+
+const refuse = (
+    state: LimitsState,
+    code: ErrorCode,
+    capacityInMs: number,
+    random: RandomSource,
+): Result<void, Failure> => {
+    const { minimumRetryAfterMs, maximumRetryAfterMs } = state.options;
+    const baseMs = Math.min(maximumRetryAfterMs / 2, Math.max(minimumRetryAfterMs, capacityInMs));
+    return Err(createFailure(code, { retryAfterMs: Math.round(baseMs * (1 + random.nextUnit())) }));
+};
+
+/**
+ * Admits a request or refuses it at once: `over_limit` when the account's local share is used up, `overloaded` when the
+ * process has no room for the priority. An admitted request is given back by `releaseRequest`.
+ */
+export const admitRequest = (
+    state: LimitsState,
+    accountId: AccountId,
+    limits: AccountLimits & { readonly priority: "high" | "normal" | "low"; },
+    nowMs: number,
+    random: RandomSource,
+): Result<void, Failure> => {
+    const account = touchAccount(state, accountId, limits, nowMs);
+    account.demand.add(nowMs);
+    if (account.tokens < 1) {
+        const ratePerSecond = limits.requestsPerSecond * account.share;
+        return refuse(state, ErrorCode.OverLimit, (1 - account.tokens) / ratePerSecond * MS_PER_SECOND, random);
+    }
+    if (account.running >= Math.max(1, Math.floor(limits.maximumConcurrent * account.share))) {
+        return refuse(state, ErrorCode.OverLimit, state.options.minimumRetryAfterMs, random);
+    }
+    if (state.inFlight >= state.options.maximumInFlight * state.options.inFlightShares[limits.priority]) {
+        return refuse(state, ErrorCode.Overloaded, state.options.minimumRetryAfterMs, random);
+    }
+    account.tokens--;
+    account.admitted.add(nowMs);
+    account.running++;
+    state.inFlight++;
+    return Ok(undefined);
+};
--- /dev/null
+++ b/packages/limits/src/commands/applyUsageReport.ts
@@ -0,0 +1,15 @@
+import type { UsageReport } from "../model/usageReport";
+import type { LimitsState } from "../state/limitsState";
+
+/** Takes over another host's report unless a newer one is known. */
+export const applyUsageReport = (state: LimitsState, report: UsageReport, nowMs: number): void => {
+    const known = state.peers.get(report.hostId);
+    if (report.hostId === state.hostId || known !== undefined && known.sequence >= report.sequence) {
+        return;
+    }
+    state.peers.set(report.hostId, {
+        sequence: report.sequence,
+        heardAtMs: nowMs,
+        accounts: new Map(report.accounts.map(account => [account.accountId, account])),
+    });
+};
--- /dev/null
+++ b/packages/limits/src/commands/createUsageReport.ts
@@ -0,0 +1,14 @@
+import type { UsageReport } from "../model/usageReport";
+import type { LimitsState } from "../state/limitsState";
+
+/** Creates this host's next report for the other entry hosts. */
+export const createUsageReport = (state: LimitsState, nowMs: number): UsageReport => ({
+    hostId: state.hostId,
+    sequence: ++state.reportSequence,
+    accounts: [...state.accounts].map(([accountId, account]) => ({
+        accountId,
+        demandPerSecond: account.demand.perSecond(nowMs),
+        admittedPerSecond: account.admitted.perSecond(nowMs),
+        running: account.running,
+    })),
+});
--- /dev/null
+++ b/packages/limits/src/queries/accountShares.ts
@@ -0,0 +1,25 @@
+import type { AccountId, HostId } from "@ibislanding/core";
+import type { LimitsState } from "../state/limitsState";
+
+/**
+ * Returns each entry host's part of an account's limit. Parts follow demand, so that what one host leaves unspent moves to
+ * the others; a host without demand keeps a small part for its next request.
+ */
+export const accountShares = (
+    state: LimitsState,
+    accountId: AccountId,
+    nowMs: number,
+): ReadonlyMap<HostId, number> => {
+    const ownDemand = state.accounts.get(accountId)?.demand.perSecond(nowMs) ?? 0;
+    const demands: (readonly [HostId, number])[] = [
+        [state.hostId, ownDemand],
+        ...[...state.peers].map(([hostId, peer]) =>
+            [hostId, peer?.accounts.get(accountId)?.demandPerSecond ?? 0] as const
+        ),
+    ];
+    const meanDemand = demands.reduce((sum, [, demand]) => sum + demand, 0) / demands.length;
+    const leastWeight = Math.max(meanDemand, Number.EPSILON) * state.options.minimumWeight;
+    const weights = demands.map(([hostId, demand]) => [hostId, Math.max(demand, leastWeight)] as const);
+    const total = weights.reduce((sum, [, weight]) => sum + weight, 0);
+    return new Map(weights.map(([hostId, weight]) => [hostId, weight / total]));
+};
--- /dev/null
+++ b/packages/limits/src/queries/describeLimits.ts
@@ -0,0 +1,32 @@
+import type { AccountId, HostId } from "@ibislanding/core";
+import type { LimitsState } from "../state/limitsState";
+
+/** Returns the local shares and retry budgets, for the dump of a process's state. */
+export const describeLimits = (
+    state: LimitsState,
+    nowMs: number,
+): {
+    readonly hostId: HostId;
+    readonly inFlight: number;
+    readonly peers: number;
+    readonly accounts: readonly {
+        readonly accountId: AccountId;
+        readonly share: number;
+        readonly tokens: number;
+        readonly running: number;
+        readonly demandPerSecond: number;
+    }[];
+    readonly retryBalances: Readonly<Record<string, number>>;
+} => ({
+    hostId: state.hostId,
+    inFlight: state.inFlight,
+    peers: state.peers.size,
+    accounts: [...state.accounts].map(([accountId, account]) => ({
+        accountId,
+        share: account.share,
+        tokens: account.tokens,
+        running: account.running,
+        demandPerSecond: account.demand.perSecond(nowMs),
+    })),
+    retryBalances: Object.fromEntries(state.retryBalances),
+});
--- /dev/null
+++ b/packages/limits/src/state/accountState.ts
@@ -0,0 +1,23 @@
+import type { HostId } from "@ibislanding/core";
+import type { RateMeter } from "./rateMeter";
+
+/** Local share of one client account. */
+export interface AccountState {
+    readonly demand: RateMeter;
+    readonly admitted: RateMeter;
+    /** Requests that the local bucket admits at once. */
+    tokens: number;
+    filledAtMs: number;
+    running: number;
+    /** Requests that all hosts together admitted over the limit; negative when they stayed below it. */
+    excessRequests: number;
+    /** This host's part of the limit, computed at `sharedAtMs`. */
+    share: number;
+    /** Rate at which all hosts admit, computed at `sharedAtMs`. */
+    admittedByAll: number;
+    sharedAtMs: number;
+    /** Shares at `keptAtMs` and at an earlier time, when all hosts were in reach. */
+    keptShares: ReadonlyMap<HostId, number> | undefined;
+    olderShares: ReadonlyMap<HostId, number> | undefined;
+    keptAtMs: number;
+}
--- /dev/null
+++ b/packages/limits/src/state/peerState.ts
@@ -0,0 +1,9 @@
+import type { AccountId } from "@ibislanding/core";
+import type { UsageReport } from "../model/usageReport";
+
+/** Last report of another entry host. */
+export interface PeerState {
+    readonly sequence: number;
+    readonly heardAtMs: number;
+    readonly accounts: ReadonlyMap<AccountId, UsageReport["accounts"][number]>;
+}
--- /dev/null
+++ b/packages/routing/__tests__/selectUpstream.spec.ts
@@ -0,0 +1,309 @@
+import {
+    type AvailabilityZone,
+    createHasher,
+    createRandom,
+    ErrorCode,
+    type Failure,
+    type Hasher,
+    type Region,
+    type RequestId,
+    type UpstreamId,
+} from "@ibislanding/core";
+import { type RoutingPolicyName } from "@ibislanding/resources";
+import {
+    applyRoutingEvent,
+    createRoutingState,
+    type LoadReport,
+    type RoutingOptions,
+    type RoutingState,
+    type Selection,
+    type SelectionRequest,
+    selectServiceReplica,
+    selectUpstream,
+    type UpstreamDescription,
+} from "@ibislanding/routing";
+import fc from "fast-check";
+
+const POLICIES: readonly RoutingPolicyName[] = [
+    "cost-aware",
+    "random",
+    "round-robin",
+    "least-loaded",
+    "prefix-affinity",
+];
+const MARMARA = "marmara" as Region;
+
+const idOf = (index: number): UpstreamId => `engine-${index}` as UpstreamId;
+
+const describeEngine = (index: number, changes: Partial<UpstreamDescription> = {}): UpstreamDescription => ({
+    upstreamId: idOf(index),
+    kind: "engine",
+    service: "advisor",
+    region: MARMARA,
+    availabilityZone: "marmara-a" as AvailabilityZone,
+    machineClass: "large",
+    reclaimable: true,
+    phase: "live",
+    ...changes,
+});
+
+const reportOf = (index: number, changes: Partial<LoadReport> = {}): LoadReport => ({
+    upstreamId: idOf(index),
+    runningSequences: 0,
+    queuedSequences: 0,
+    queuedPromptTokens: 0,
+    concurrentSequences: 16,
+    prefillTokensPerSecond: 10_000,
+    leaving: false,
+    modelVersions: { advisor: "1" },
+    adapters: [],
+    ...changes,
+});
+
+const request: SelectionRequest = {
+    service: "advisor",
+    model: "advisor",
+    modelVersion: "1",
+    adapter: undefined,
+    policy: "cost-aware",
+    priority: "normal",
+    firstTokenTargetMs: 790,
+    region: MARMARA,
+    promptTokens: 1_280,
+    blockHashes: Array.from({ length: 20 }, (_, index) => `block-${index}`),
+    transferBytes: 10_000,
+    excluded: new Set(),
+    isResume: false,
+};
+
+describe("selectUpstream", () => {
+    let hasher: Hasher;
+
+    beforeAll(async () => {
+        hasher = await createHasher();
+    });
+
+    const createState = (engines: number, options: Partial<RoutingOptions> = {}): RoutingState => {
+        const state = createRoutingState(hasher, options);
+        const indexes = Array.from({ length: engines }, (_, index) => index);
+        applyRoutingEvent(state, {
+            type: "upstreams-listed",
+            upstreams: indexes.map(index => describeEngine(index)),
+        }, 0);
+        indexes.forEach(index =>
+            applyRoutingEvent(state, { type: "load-reported", report: reportOf(index), ageMs: 0 }, 0)
+        );
+        return state;
+    };
+
+    const start = (
+        state: RoutingState,
+        requestId: string,
+        index: number,
+        nowMs: number,
+        uncachedTokens = 1_280,
+    ): void =>
+        applyRoutingEvent(state, {
+            type: "request-started",
+            requestId: requestId as RequestId,
+            upstreamId: idOf(index),
+            blockHashes: request.blockHashes,
+            uncachedTokens,
+        }, nowMs);
+
+    const finish = (state: RoutingState, requestId: string, index: number, outcome: "failed" | "succeeded"): void =>
+        applyRoutingEvent(state, {
+            type: "request-finished",
+            requestId: requestId as RequestId,
+            upstreamId: idOf(index),
+            outcome,
+        }, 10);
+
+    it("never chooses leaving, excluded or unlisted upstreams, whatever the policy and the lagging list say", () => {
+        fc.assert(
+            fc.property(
+                fc.constantFrom(...POLICIES),
+                fc.integer({ min: 1, max: 8 }),
+                fc.array(fc.nat(7), { maxLength: 8 }),
+                fc.array(fc.nat(7), { maxLength: 8 }),
+                fc.boolean(),
+                (policy, engines, leaving, excluded, isListedAgain) => {
+                    const state = createState(engines);
+                    leaving.forEach(index =>
+                        applyRoutingEvent(state, { type: "upstream-leaving", upstreamId: idOf(index) }, 1)
+                    );
+                    const listed = isListedAgain ? engines : Math.ceil(engines / 2);
+                    applyRoutingEvent(state, {
+                        type: "upstreams-listed",
+                        upstreams: Array.from({ length: listed }, (_, index) => describeEngine(index)),
+                    }, 2);
+                    const allowed = Array.from({ length: listed }, (_, index) => index)
+                        .filter(index => !leaving.includes(index) && !excluded.includes(index)).map(idOf);
+                    const input = { ...request, policy, excluded: new Set(excluded.map(idOf)) };
+                    const result = selectUpstream(state, input, 3, createRandom(1));
+                    expect(result.ok ? allowed.includes(result.val.upstreamId) : allowed.length === 0).toBe(true);
+                },
+            ),
+            { seed: 5, numRuns: 200, endOnFailure: true },
+        );
+    });
+
+    it("sends a prompt back to the engine that holds it, and elsewhere once that one is over the target", () => {
+        const state = createState(4);
+        applyRoutingEvent(state, {
+            type: "cache-changed",
+            upstreamId: idOf(2),
+            changes: request.blockHashes.map((blockHash, index) => ({
+                sequence: index + 1,
+                type: "stored",
+                blockHash,
+            })),
+            lastSequence: 20,
+        }, 1);
+        const first = selectUpstream(state, request, 2, createRandom(1)).unwrap();
+        expect([first.upstreamId, first.expectedCachedTokens]).toEqual([idOf(2), 1_280]);
+        const report = reportOf(2, { queuedPromptTokens: 20_000 });
+        applyRoutingEvent(state, { type: "load-reported", report, ageMs: 0 }, 3);
+        expect(selectUpstream(state, request, 4, createRandom(1)).unwrap().upstreamId).not.toBe(idOf(2));
+    });
+
+    it("prefers the cheaper host and the own region", () => {
+        const state = createState(3);
+        const spec = {
+            prefillTokensPerSecond: 10_000,
+            concurrentSequences: 16,
+            pricePerHour: 4,
+            reclaimablePricePerHour: 1,
+            crossRegionPricePerGigabyte: 1_000,
+            zonePrices: [],
+        };
+        applyRoutingEvent(state, { type: "machine-classes-declared", classes: { large: spec } }, 0);
+        applyRoutingEvent(state, {
+            type: "upstreams-listed",
+            upstreams: [
+                describeEngine(0, { reclaimable: false }),
+                describeEngine(1),
+                describeEngine(2, { region: "ege" as Region }),
+            ],
+        }, 0);
+        expect(selectUpstream(state, request, 1, createRandom(3)).unwrap().upstreamId).toBe(idOf(1));
+    });
+
+    it("refuses at once with a jittered time when no upstream meets the target, and lets high priority and resumes in", () => {
+        const state = createState(2);
+        [0, 1].forEach(index => {
+            const report = reportOf(index, { queuedPromptTokens: 15_000 });
+            applyRoutingEvent(state, { type: "load-reported", report, ageMs: 0 }, 0);
+        });
+        const random = createRandom(1);
+        const refusals = Array.from({ length: 5 }, () => selectUpstream(state, request, 1, random).val as Failure);
+        expect(refusals.map(({ code }) => code)).toEqual(Array(5).fill(ErrorCode.Overloaded));
+        expect(new Set(refusals.map(({ retryAfterMs }) => retryAfterMs)).size).toBeGreaterThan(1);
+        expect(selectUpstream(state, { ...request, priority: "high" }, 1, random).ok).toBe(true);
+        expect(selectUpstream(state, { ...request, isResume: true }, 1, random).ok).toBe(true);
+    });
+
+    const busiestShare = (policy: RoutingPolicyName, notesStarts: boolean): number => {
+        const state = createState(8);
+        const random = createRandom(11);
+        const counts = new Map<string, number>();
+        Array.from({ length: 100 }, (_, index) => index).forEach(index => {
+            const input = { ...request, policy, blockHashes: [], promptTokens: 20 };
+            const { upstreamId } = selectUpstream(state, input, 1, random).unwrap();
+            counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + 1);
+            if (notesStarts) {
+                start(state, `r-${index}`, Number(upstreamId.slice("engine-".length)), 1, 20);
+            }
+        });
+        return Math.max(...counts.values()) / 100;
+    };
+
+    it("does not herd to one upstream between load reports", () => {
+        expect(busiestShare("cost-aware", true)).toBeLessThanOrEqual(0.2);
+        expect(busiestShare("least-loaded", true)).toBeLessThanOrEqual(0.2);
+    });
+
+    it("would send a burst over capacity if own requests since the report were not counted", () => {
+        const outcomes = (notesStarts: boolean): number => {
+            const state = createState(2);
+            return Array.from({ length: 60 }, (_, index) => {
+                const result = selectUpstream(state, request, 1, createRandom(index));
+                if (result.ok && notesStarts) {
+                    start(state, `r-${index}`, Number(result.val.upstreamId.slice("engine-".length)), 1);
+                }
+                return result.ok;
+            }).filter(isTaken => isTaken).length;
+        };
+        expect(outcomes(true)).toBeLessThan(40);
+        expect(outcomes(false)).toBe(60);
+    });
+
+    it("ejects an upstream after failures in a row, never more than the greatest share, and takes it back", () => {
+        const state = createState(4);
+        const failAll = (indexes: readonly number[]): void =>
+            indexes.forEach(index =>
+                Array.from({ length: 5 }, (_, attempt) => `r-${index}-${attempt}`).forEach(requestId => {
+                    start(state, requestId, index, 5);
+                    finish(state, requestId, index, "failed");
+                })
+            );
+        const random = createRandom(1);
+        const chosenAt = (nowMs: number): ReadonlySet<string> =>
+            new Set(
+                Array.from({ length: 100 }, () =>
+                    selectUpstream(state, { ...request, policy: "random" }, nowMs, random).unwrap().upstreamId),
+            );
+        failAll([0]);
+        expect(chosenAt(11)).toEqual(new Set([idOf(1), idOf(2), idOf(3)]));
+        failAll([1, 2, 3]);
+        expect(chosenAt(11).size).toBe(2);
+        expect(chosenAt(5_011).size).toBe(4);
+    });
+
+    it("chooses the same upstream for a new prompt at every entry host", () => {
+        const selections = [1, 2, 3, 4].map(seed => selectUpstream(createState(8), request, 1, createRandom(seed)));
+        const chosen = selections.map(result => (result.val as Selection).upstreamId);
+        expect(new Set(chosen).size).toBe(1);
+    });
+
+    it("uses upstreams without a fresh report or the wanted version only as declared", () => {
+        const state = createState(2);
+        applyRoutingEvent(state, { type: "load-reported", report: reportOf(1), ageMs: 0 }, 4_000);
+        expect(selectUpstream(state, request, 4_001, createRandom(1)).unwrap().upstreamId).toBe(idOf(1));
+        expect(selectUpstream(state, request, 9_000, createRandom(1)).ok).toBe(true);
+        expect(selectUpstream(state, { ...request, modelVersion: "2" }, 4_001, createRandom(1)).ok).toBe(false);
+    });
+});
+
+describe("selectServiceReplica", () => {
+    it("prefers the own zone until its replicas are busy, then the region", async () => {
+        const state = createRoutingState(await createHasher());
+        const service = "subscriptions";
+        applyRoutingEvent(state, {
+            type: "upstreams-listed",
+            upstreams: [
+                describeEngine(0, { kind: "service", service }),
+                describeEngine(1, { kind: "service", service, availabilityZone: "marmara-b" as AvailabilityZone }),
+                describeEngine(2, { kind: "service", service, region: "ege" as Region }),
+            ],
+        }, 0);
+        const call = {
+            service,
+            region: MARMARA,
+            availabilityZone: "marmara-a" as AvailabilityZone,
+            excluded: new Set<UpstreamId>(),
+        };
+        const choose = (): UpstreamId => selectServiceReplica(state, call, 0, createRandom(1)).unwrap();
+        expect(choose()).toBe(idOf(0));
+        Array.from({ length: 16 }, (_, index) =>
+            applyRoutingEvent(state, {
+                type: "request-started",
+                requestId: `r-${index}` as RequestId,
+                upstreamId: idOf(0),
+                blockHashes: [],
+                uncachedTokens: 0,
+            }, 0));
+        expect(choose()).toBe(idOf(1));
+        expect(selectServiceReplica(state, { ...call, service: "none" }, 0, createRandom(1)).ok).toBe(false);
+    });
+});
--- /dev/null
+++ b/packages/routing/src/commands/acceptPrompt.ts
@@ -0,0 +1,17 @@
+import type { UpstreamState } from "../state/upstreamState";
+import { addBacklog } from "./addBacklog";
+
+/** Corrects the estimated work of a request by what the engine found in its cache. */
+export const acceptPrompt = (
+    upstream: UpstreamState,
+    requestId: string,
+    uncachedTokens: number,
+    nowMs: number,
+): void => {
+    const request = upstream.inFlight.get(requestId);
+    if (request === undefined) {
+        return;
+    }
+    addBacklog(upstream, uncachedTokens - request.uncachedTokens, nowMs);
+    upstream.inFlight.set(requestId, { ...request, uncachedTokens });
+};
--- /dev/null
+++ b/packages/routing/src/commands/applyRoutingEvent.ts
@@ -0,0 +1,68 @@
+import type { UpstreamId } from "@ibislanding/core";
+import { match } from "ts-pattern";
+import type { RoutingEvent } from "../model/routingEvent";
+import type { RoutingState } from "../state/routingState";
+import type { UpstreamState } from "../state/upstreamState";
+import { acceptPrompt } from "./acceptPrompt";
+import { applyLoadReport } from "./applyLoadReport";
+import { applyUpstreamList } from "./applyUpstreamList";
+import { finishRequest } from "./finishRequest";
+import { startRequest } from "./startRequest";
+
+/** Brings a router's knowledge up to date; `nowMs` is monotonic. Events of unknown upstreams are ignored. */
+export const applyRoutingEvent = (state: RoutingState, event: RoutingEvent, nowMs: number): void => {
+    const withUpstream = (id: string, change: (upstream: UpstreamState) => void): void => {
+        const upstream = state.upstreams.get(id as UpstreamId);
+        if (upstream !== undefined) {
+            change(upstream);
+        }
+    };
+    match(event)
+        .with({ type: "upstreams-listed" }, ({ upstreams }) => applyUpstreamList(state, upstreams, nowMs))
+        .with({ type: "machine-classes-declared" }, ({ classes }) => {
+            state.machineClasses = classes;
+        })
+        .with({ type: "entry-hosts-counted" }, ({ count }) => {
+            state.entryHosts = Math.max(1, count);
+        })
+        .with(
+            { type: "load-reported" },
+            ({ report, ageMs }) =>
+                withUpstream(
+                    report.upstreamId,
+                    upstream => applyLoadReport(state, upstream, report, nowMs - Math.max(0, ageMs)),
+                ),
+        )
+        .with(
+            { type: "cache-changed" },
+            ({ upstreamId, changes, lastSequence }) =>
+                withUpstream(upstreamId, ({ prefixes }) => prefixes.apply(changes, lastSequence, nowMs)),
+        )
+        .with({ type: "upstream-leaving" }, ({ upstreamId }) =>
+            withUpstream(upstreamId, upstream => {
+                upstream.leaving = true;
+            }))
+        .with(
+            { type: "request-started" },
+            ({ requestId, upstreamId, uncachedTokens, blockHashes }) =>
+                withUpstream(
+                    upstreamId,
+                    upstream =>
+                        startRequest(state, upstream, requestId, { startedAtMs: nowMs, uncachedTokens, blockHashes }),
+                ),
+        )
+        .with(
+            { type: "prompt-accepted" },
+            ({ requestId, upstreamId, promptTokens, cachedTokens }) =>
+                withUpstream(
+                    upstreamId,
+                    upstream => acceptPrompt(upstream, requestId, promptTokens - cachedTokens, nowMs),
+                ),
+        )
+        .with(
+            { type: "request-finished" },
+            ({ requestId, upstreamId, outcome }) =>
+                withUpstream(upstreamId, upstream => finishRequest(state, upstream, requestId, outcome, nowMs)),
+        )
+        .exhaustive();
+};
--- /dev/null
+++ b/packages/routing/src/commands/applyUpstreamList.ts
@@ -0,0 +1,27 @@
+import type { UpstreamDescription } from "../model/upstreamDescription";
+import { createUpstreamState } from "../state/createUpstreamState";
+import type { RoutingState } from "../state/routingState";
+
+/** Takes over the host list; an upstream known to be leaving stays so although the list lags. */
+export const applyUpstreamList = (
+    state: RoutingState,
+    upstreams: readonly UpstreamDescription[],
+    nowMs: number,
+): void => {
+    const listed = new Map(upstreams.map(description => [description.upstreamId, description]));
+    [...state.upstreams.values()]
+        .filter(({ description, inFlight }) => !listed.has(description.upstreamId) && inFlight.size === 0)
+        .forEach(({ description }) => state.upstreams.delete(description.upstreamId));
+    [...state.upstreams.values()]
+        .filter(({ description }) => !listed.has(description.upstreamId))
+        .forEach(upstream => {
+            upstream.leaving = true;
+        });
+    listed.forEach(description => {
+        const upstream = state.upstreams.get(description.upstreamId)
+            ?? createUpstreamState(description, state.options, nowMs);
+        upstream.description = description;
+        upstream.leaving ||= description.phase === "leaving" || description.phase === "gone";
+        state.upstreams.set(description.upstreamId, upstream);
+    });
+};
--- /dev/null
+++ b/packages/routing/src/commands/startRequest.ts
@@ -0,0 +1,16 @@
+import type { InFlightRequest } from "../state/inFlightRequest";
+import type { RoutingState } from "../state/routingState";
+import type { UpstreamState } from "../state/upstreamState";
+import { addBacklog } from "./addBacklog";
+
+/** Notes that a request was sent to an upstream. */
+export const startRequest = (
+    state: RoutingState,
+    upstream: UpstreamState,
+    requestId: string,
+    request: InFlightRequest,
+): void => {
+    upstream.inFlight.set(requestId, request);
+    upstream.prefixes.guess(request.blockHashes, request.startedAtMs);
+    addBacklog(upstream, request.uncachedTokens * state.entryHosts, request.startedAtMs);
+};
--- /dev/null
+++ b/packages/routing/src/model/upstreamDescription.ts
@@ -0,0 +1,14 @@
+import type { AvailabilityZone, Region, UpstreamId } from "@ibislanding/core";
+
+/** What the host list tells of one upstream; the list lags. */
+export interface UpstreamDescription {
+    readonly upstreamId: UpstreamId;
+    readonly kind: "engine" | "service";
+    /** Name of the service that the upstream belongs to. */
+    readonly service: string;
+    readonly region: Region;
+    readonly availabilityZone: AvailabilityZone;
+    readonly machineClass: string;
+    readonly reclaimable: boolean;
+    readonly phase: "starting" | "live" | "leaving" | "gone";
+}
--- /dev/null
+++ b/packages/routing/src/policies/chooseCostAware.ts
@@ -0,0 +1,76 @@
+import type { RandomSource } from "@ibislanding/core";
+import type { Candidate } from "../queries/candidate";
+import { chooseOfTwo } from "./chooseOfTwo";
+import type { PolicyChoice } from "./policyChoice";
+import type { PolicyInput } from "./policyInput";
+import { rendezvousOrder } from "./rendezvousOrder";
+import type { RoutingPolicy } from "./routingPolicy";
+
+const latencyOf = ({ predictedFirstTokenMs }: Candidate): number => predictedFirstTokenMs;
+
+const withinTolerance = (
+    candidates: readonly Candidate[],
+    valueOf: (candidate: Candidate) => number,
+    tolerance: number,
+): readonly Candidate[] => {
+    const bound = Math.min(...candidates.map(valueOf)) * (1 + tolerance);
+    return candidates.filter(candidate => valueOf(candidate) <= bound);
+};
+
+/**
+ * Latency that a request may have. A prompt too long for its target even on an idle upstream gets what the best idle
+ * one needs and half the target for waiting, so that it is not refused for ever.
+ */
+const latencyBoundMs = ({ state, request, candidates }: PolicyInput): number => {
+    const targetMs = request.firstTokenTargetMs * state.options.targetShares[request.priority];
+    const idleMs = Math.min(...candidates.map(({ idleFirstTokenMs }) => idleFirstTokenMs));
+    return Math.max(targetMs, idleMs + targetMs / 2);
+};
+
+/** Chooses where a prompt that no upstream holds goes: by its hash, among cheap upstreams below the load bound. */
+const chooseCold = (input: PolicyInput, meeting: readonly Candidate[]): Candidate => {
+    const { state, request, random } = input;
+    const { spreadTolerance, loadBound } = state.options;
+    const cheap = withinTolerance(meeting, ({ costEstimate }) => costEstimate, spreadTolerance);
+    const meanSequences = cheap.reduce((sum, { sequences }) => sum + sequences, 0) / cheap.length;
+    const belowBound = cheap.filter(({ sequences }) => sequences <= Math.ceil(meanSequences * loadBound));
+    const [first] = rendezvousOrder(state, belowBound, request.blockHashes) ?? [];
+    return first ?? chooseOfTwo(cheap, latencyOf, random);
+};
+
+/** Chooses where a prompt goes that some upstream holds: by cost, weighted with predicted latency. */
+const chooseWarm = (input: PolicyInput, meeting: readonly Candidate[]): Candidate => {
+    const { state, request, random } = input;
+    const scoreOf = ({ costEstimate, predictedFirstTokenMs }: Candidate): number =>
+        costEstimate * (1 + state.options.latencyWeight * predictedFirstTokenMs / request.firstTokenTargetMs);
+    return chooseOfTwo(withinTolerance(meeting, scoreOf, state.options.scoreTolerance), latencyOf, random);
+};
+
+const chooseBest = (candidates: readonly Candidate[], random: RandomSource): Candidate =>
+    chooseOfTwo(withinTolerance(candidates, latencyOf, 0), latencyOf, random);
+
+/** Decides on a request that no upstream is predicted to serve in time. */
+const chooseOverloaded = ({ state, request, candidates, random }: PolicyInput, boundMs: number): PolicyChoice => {
+    const best = chooseBest(candidates, random);
+    const overrunMs = request.firstTokenTargetMs * state.options.highPriorityOverrun + best.idleFirstTokenMs;
+    const isTaken = request.isResume || request.priority === "high" && best.predictedFirstTokenMs <= overrunMs;
+    return isTaken
+        ? { type: "chosen", candidate: best, meetingTargetCount: 0 }
+        : { type: "refused", capacityInMs: best.predictedFirstTokenMs - boundMs };
+};
+
+/**
+ * Chooses the least cost among the candidates predicted to meet the latency target. When there is none, requests below
+ * high priority are refused.
+ */
+export const chooseCostAware: RoutingPolicy = input => {
+    const { state, request, candidates } = input;
+    const boundMs = latencyBoundMs(input);
+    const meeting = candidates.filter(({ predictedFirstTokenMs }) => predictedFirstTokenMs <= boundMs);
+    if (meeting.length === 0) {
+        return chooseOverloaded(input, boundMs);
+    }
+    const isWarm = meeting.some(({ cachedTokens }) => cachedTokens >= request.promptTokens * state.options.warmShare);
+    const candidate = isWarm ? chooseWarm(input, meeting) : chooseCold(input, meeting);
+    return { type: "chosen", candidate, meetingTargetCount: meeting.length };
+};
--- /dev/null
+++ b/packages/routing/src/policies/chooseLeastLoaded.ts
@@ -0,0 +1,12 @@
+import type { RoutingPolicy } from "./routingPolicy";
+import { toChoice } from "./toChoice";
+
+/** Chooses a candidate with the fewest estimated sequences for its slots; equal ones by chance. */
+export const chooseLeastLoaded: RoutingPolicy = input => {
+    const loads = input.candidates.map(({ sequences, upstream }) =>
+        sequences / (upstream.report?.concurrentSequences ?? 1)
+    );
+    const least = Math.min(...loads);
+    const idlest = loads.flatMap((load, index) => (load === least ? [index] : []));
+    return toChoice(input, idlest[input.random.nextInt(idlest.length)] ?? 0);
+};
--- /dev/null
+++ b/packages/routing/src/policies/chooseRoundRobin.ts
@@ -0,0 +1,10 @@
+import type { RoutingPolicy } from "./routingPolicy";
+import { toChoice } from "./toChoice";
+
+/** Chooses the candidates in turn. */
+export const chooseRoundRobin: RoutingPolicy = input => {
+    const { state, request, candidates } = input;
+    const position = state.roundRobin.get(request.service) ?? 0;
+    state.roundRobin.set(request.service, position + 1);
+    return toChoice(input, position % candidates.length);
+};
--- /dev/null
+++ b/packages/routing/src/policies/policyInput.ts
@@ -0,0 +1,13 @@
+import type { RandomSource } from "@ibislanding/core";
+import type { Candidate } from "../queries/candidate";
+import type { SelectionRequest } from "../queries/selectionRequest";
+import type { RoutingState } from "../state/routingState";
+
+/** What a policy chooses from. */
+export interface PolicyInput {
+    readonly state: RoutingState;
+    readonly request: SelectionRequest;
+    /** Never empty. */
+    readonly candidates: readonly Candidate[];
+    readonly random: RandomSource;
+}
--- /dev/null
+++ b/packages/routing/src/policies/routingPolicies.ts
@@ -0,0 +1,16 @@
+import type { RoutingPolicyName } from "@ibislanding/resources";
+import { chooseCostAware } from "./chooseCostAware";
+import { chooseLeastLoaded } from "./chooseLeastLoaded";
+import { choosePrefixAffinity } from "./choosePrefixAffinity";
+import { chooseRandom } from "./chooseRandom";
+import { chooseRoundRobin } from "./chooseRoundRobin";
+import type { RoutingPolicy } from "./routingPolicy";
+
+/** All routing policies by their declared name. */
+export const routingPolicies: Readonly<Record<RoutingPolicyName, RoutingPolicy>> = {
+    "cost-aware": chooseCostAware,
+    random: chooseRandom,
+    "round-robin": chooseRoundRobin,
+    "least-loaded": chooseLeastLoaded,
+    "prefix-affinity": choosePrefixAffinity,
+};
--- /dev/null
+++ b/packages/routing/src/queries/listEligible.ts
@@ -0,0 +1,21 @@
+import type { UpstreamId } from "@ibislanding/core";
+import type { RoutingState } from "../state/routingState";
+import type { UpstreamState } from "../state/upstreamState";
+import { isEjected } from "./isEjected";
+
+/** Returns the upstreams of a service that may take new work, without those that the test rejects. */
+export const listEligible = (
+    state: RoutingState,
+    service: string,
+    excluded: ReadonlySet<UpstreamId>,
+    accepts: (upstream: UpstreamState) => boolean,
+    nowMs: number,
+): readonly UpstreamState[] =>
+    [...state.upstreams.values()].filter(upstream =>
+        upstream.description.service === service
+        && upstream.description.phase === "live"
+        && !upstream.leaving
+        && !isEjected(upstream, nowMs)
+        && !excluded.has(upstream.description.upstreamId)
+        && accepts(upstream)
+    );
--- /dev/null
+++ b/packages/routing/src/queries/listEngines.ts
@@ -0,0 +1,25 @@
+import type { RoutingState } from "../state/routingState";
+import type { UpstreamState } from "../state/upstreamState";
+import { listEligible } from "./listEligible";
+import type { SelectionRequest } from "./selectionRequest";
+
+/** Returns the engines that can run a request; engines without a fresh load report only when no others are left. */
+export const listEngines = (
+    state: RoutingState,
+    request: SelectionRequest,
+    nowMs: number,
+): readonly UpstreamState[] => {
+    const { service, model, modelVersion, adapter, excluded } = request;
+    const canRun = ({ report }: UpstreamState): boolean => {
+        const version = report?.modelVersions[model];
+        return report === undefined
+            || version !== undefined
+                && (modelVersion === undefined || version === modelVersion)
+                && (adapter === undefined || report.adapters.includes(adapter));
+    };
+    const engines = listEligible(state, service, excluded, canRun, nowMs);
+    const reporting = engines.filter(({ report, measuredAtMs }) =>
+        report !== undefined && nowMs - measuredAtMs < state.options.reportExpiryMs
+    );
+    return reporting.length > 0 ? reporting : engines;
+};
--- /dev/null
+++ b/packages/routing/src/queries/selectUpstream.ts
@@ -0,0 +1,38 @@
+import type { Failure, RandomSource } from "@ibislanding/core";
+import { Err, Ok, type Result } from "ts-results";
+import { routingPolicies } from "../policies/routingPolicies";
+import type { RoutingState } from "../state/routingState";
+import { listEngines } from "./listEngines";
+import type { Selection } from "./selection";
+import type { SelectionRequest } from "./selectionRequest";
+import { toCandidate } from "./toCandidate";
+import { toOverloaded } from "./toOverloaded";
+
+/**
+ * Chooses the engine for a request, or refuses it with `overloaded` and `retryAfterMs`. The caller then reports
+ * `request-started`, so that the next selection counts the request.
+ */
+export const selectUpstream = (
+    state: RoutingState,
+    request: SelectionRequest,
+    nowMs: number,
+    random: RandomSource,
+): Result<Selection, Failure> => {
+    const candidates = listEngines(state, request, nowMs).map(engine => toCandidate(state, engine, request, nowMs));
+    if (candidates.length === 0) {
+        return Err(toOverloaded(state.options, state.options.minimumRetryAfterMs, random));
+    }
+    const choice = routingPolicies[request.policy]({ state, request, candidates, random });
+    if (choice.type === "refused") {
+        return Err(toOverloaded(state.options, choice.capacityInMs, random));
+    }
+    const { upstream, cachedTokens, predictedFirstTokenMs, costEstimate } = choice.candidate;
+    return Ok({
+        upstreamId: upstream.description.upstreamId,
+        expectedCachedTokens: cachedTokens,
+        predictedFirstTokenMs,
+        costEstimate,
+        eligibleCount: candidates.length,
+        meetingTargetCount: choice.meetingTargetCount,
+    });
+};
--- /dev/null
+++ b/packages/routing/src/queries/toOverloaded.ts
@@ -0,0 +1,9 @@
+import { createFailure, ErrorCode, type Failure, type RandomSource } from "@ibislanding/core";
+import type { RoutingOptions } from "../model/routingOptions";
+
+/** Creates the failure of a request for which there is no capacity, with a jittered time to retry after. */
+export const toOverloaded = (options: RoutingOptions, capacityInMs: number, random: RandomSource): Failure => {
+    const { minimumRetryAfterMs, maximumRetryAfterMs } = options;
+    const baseMs = Math.min(maximumRetryAfterMs / 2, Math.max(minimumRetryAfterMs, capacityInMs));
+    return createFailure(ErrorCode.Overloaded, { retryAfterMs: Math.round(baseMs * (1 + random.nextUnit())) });
+};
--- /dev/null
+++ b/packages/routing/src/state/createRoutingState.ts
@@ -0,0 +1,15 @@
+import type { Hasher } from "@ibislanding/core";
+import { defaultRoutingOptions } from "../model/defaultRoutingOptions";
+import type { RoutingOptions } from "../model/routingOptions";
+import type { RoutingState } from "./routingState";
+
+/** Creates the state of a router that knows no upstream yet. */
+export const createRoutingState = (hasher: Hasher, options: Partial<RoutingOptions> = {}): RoutingState => ({
+    options: { ...defaultRoutingOptions, ...options },
+    hasher,
+    upstreams: new Map(),
+    machineClasses: {},
+    entryHosts: 1,
+    sequenceMs: new Map(),
+    roundRobin: new Map(),
+});
--- /dev/null
+++ b/packages/routing/src/state/routingState.ts
@@ -0,0 +1,17 @@
+import type { Hasher, UpstreamId } from "@ibislanding/core";
+import type { MachineClassSpec } from "@ibislanding/resources";
+import type { RoutingOptions } from "../model/routingOptions";
+import type { UpstreamState } from "./upstreamState";
+
+/** Knowledge of one router; changed only by `applyRoutingEvent` and the selections' own counters. */
+export interface RoutingState {
+    readonly options: RoutingOptions;
+    readonly hasher: Hasher;
+    readonly upstreams: Map<UpstreamId, UpstreamState>;
+    machineClasses: Readonly<Record<string, MachineClassSpec>>;
+    entryHosts: number;
+    /** Mean time that a sequence holds a slot, by service. */
+    readonly sequenceMs: Map<string, number>;
+    /** Position of the round-robin policy, by service. */
+    readonly roundRobin: Map<string, number>;
+}
--- /dev/null
+++ b/packages/routing/src/state/upstreamState.ts
@@ -0,0 +1,23 @@
+import type { LoadReport } from "../model/loadReport";
+import type { UpstreamDescription } from "../model/upstreamDescription";
+import type { PrefixIndex } from "../prefix/prefixIndex";
+import type { InFlightRequest } from "./inFlightRequest";
+
+/** What a router knows of one upstream; owned and changed by its routing state. */
+export interface UpstreamState {
+    description: UpstreamDescription;
+    report: LoadReport | undefined;
+    /** Local time at which the report was measured, or the upstream was first seen. */
+    measuredAtMs: number;
+    leaving: boolean;
+    readonly inFlight: Map<string, InFlightRequest>;
+    /** Start times of requests that ended after the report was measured. */
+    finishedSince: { readonly startedAtMs: number; readonly finishedAtMs: number; }[];
+    /** Prompt tokens waiting at `backlogAtMs`. */
+    backlogTokens: number;
+    backlogAtMs: number;
+    readonly prefixes: PrefixIndex;
+    failuresInRow: number;
+    ejections: number;
+    ejectedUntilMs: number;
+}
