--- a/packages/proofs/src/faults/reclaimEngines.ts
+++ b/packages/proofs/src/faults/reclaimEngines.ts
@@ -20,7 +20,7 @@
             url: engine.urls["standIn"],
             region: engine.region,
             availabilityZone: engine.availabilityZone,
-            machineClass: context.system.deployment.machineClass,
+            machineClass: context.system.deployment.engineMachineClass,
             reclaimable: true,
             phase: "leaving",
             deadlineMs,
--- a/packages/runner/src/deployments/deployments.ts
+++ b/packages/runner/src/deployments/deployments.ts
@@ -17,7 +17,8 @@
         model: "advisor",
         engineService: "advisor",
         plainService: "payments",
-        machineClass: "standard",
+        engineMachineClass: "standard",
+        plainMachineClass: "small",
         clientAccounts: accountsOf("cimenbilim", ["mobile", "web", "crew", "parks", "batch-plans"]),
     },
     federation: {
@@ -31,7 +32,8 @@
         model: "letters",
         engineService: "letters",
         plainService: "register",
-        machineClass: "standard",
+        engineMachineClass: "standard",
+        plainMachineClass: "small",
         clientAccounts: accountsOf("federation", ["quimper", "rennes", "vannes", "market-stall", "newsletter"]),
     },
 };
--- /dev/null
+++ b/packages/runner/src/system/cloudArguments.ts
@@ -0,0 +1,12 @@
+import type { Deployment } from "./deployment";
+
+/** Arguments of the cloud stand-in for a deployment. */
+export const cloudArguments = (deployment: Deployment, hostListUrl: string): readonly string[] => [
+    "cloud",
+    "--host-list-url",
+    hostListUrl,
+    "--plain-service",
+    deployment.plainService,
+    ...deployment.zones.flatMap(({ region, availabilityZone }) => ["--zone", `${region}/${availabilityZone}`]),
+    ...[deployment.engineMachineClass, deployment.plainMachineClass].flatMap(name => ["--machine-class", name]),
+];
--- a/packages/runner/src/system/deployment.ts
+++ b/packages/runner/src/system/deployment.ts
@@ -7,6 +7,7 @@
     readonly model: string;
     readonly engineService: string;
     readonly plainService: string;
-    readonly machineClass: string;
+    readonly engineMachineClass: string;
+    readonly plainMachineClass: string;
     readonly clientAccounts: readonly { readonly name: string; readonly key: string; }[];
 }
--- a/packages/runner/src/system/startSystem.ts
+++ b/packages/runner/src/system/startSystem.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import type { ManagedProcess } from "../processes/managedProcess";
 import { startProcess } from "../processes/startProcess";
+import { cloudArguments } from "./cloudArguments";
 import type { RunningSystem } from "./runningSystem";
 import { settingsFor } from "./settingsFor";
 import type { SystemOptions } from "./systemOptions";
@@ -52,16 +53,24 @@
     };
 
     const startPlatform = async () => {
-        const [keyValue, hostList] = await Promise.all([
+        const [keyValue, hostList, weightStore] = await Promise.all([
             start("key-value", "ibis-standin", home, ["key-value"]),
             start("host-list", "ibis-standin", home, ["host-list", "--lag-ms", "200"]),
+            start("weight-store", "ibis-standin", home, ["weight-store"]),
         ]);
-        return { keyValueUrl: keyValue.urls["standIn"] ?? "", hostListUrl: hostList.urls["standIn"] ?? "" };
+        const hostListUrl = hostList.urls["standIn"] ?? "";
+        const cloud = await start("cloud", "ibis-standin", home, cloudArguments(deployment, hostListUrl));
+        return {
+            keyValueUrl: keyValue.urls["standIn"] ?? "",
+            hostListUrl,
+            cloudUrl: cloud.urls["standIn"] ?? "",
+            weightStoreUrl: weightStore.urls["standIn"] ?? "",
+        };
     };
 
     const platform = await startPlatform();
 
-    const placeArgs = (name: string, place: typeof home): readonly string[] => [
+    const placeArgs = (name: string, place: typeof home, machineClass: string): readonly string[] => [
         "--id",
         name,
         "--region",
@@ -71,14 +80,14 @@
         "--host-list-url",
         platform.hostListUrl,
         "--machine-class",
-        deployment.machineClass,
+        machineClass,
     ];
 
     const startEngine = (place: typeof home) => {
         const name = nextName("engine");
         return start(name, "ibis-standin", place, [
             "engine",
-            ...placeArgs(name, place),
+            ...placeArgs(name, place, deployment.engineMachineClass),
             "--service",
             deployment.engineService,
             "--model",
@@ -91,7 +100,7 @@
         const name = nextName(deployment.plainService);
         const args = [
             "service",
-            ...placeArgs(name, place),
+            ...placeArgs(name, place, deployment.engineMachineClass),
             "--service",
             deployment.plainService,
             ...options.serviceArgs,
@@ -128,7 +137,7 @@
             ...deployment.zones.flatMap(zone =>
                 Array.from({ length: options.enginesPerZone }, () => startEngine(zone))
             ),
-            startService(home),
+            ...deployment.zones.map(startService),
         ]);
         const tokenSha256 = createHash("sha256").update(operatorToken).digest("hex");
         const system = await allStarted([
