--- a/packages/runner/src/system/startSystem.ts
+++ b/packages/runner/src/system/startSystem.ts
@@ -100,7 +100,7 @@
         const name = nextName(deployment.plainService);
         const args = [
             "service",
-            ...placeArgs(name, place, deployment.engineMachineClass),
+            ...placeArgs(name, place, deployment.plainMachineClass),
             "--service",
             deployment.plainService,
             ...options.serviceArgs,
