feat(entry): actions go through the ledger

Cause: calls to services that are not repeatable were sent once per request, so a caller's retry could run an action twice.

Change: such calls, other than GET, HEAD and OPTIONS, need an Idempotency-Key and run through the ledger of the host; a caller that leaves does not stop its action. Deadlines passed to clients are whole milliseconds, as AbortSignal.timeout throws on others, and an error thrown while sending is logged.

--- a/packages/entry/src/describeEntry.ts
+++ b/packages/entry/src/describeEntry.ts
@@ -4,7 +4,7 @@
 
 /** Returns the state of an entry host for operators. */
 export const describeEntry = (
-    { hostId, limits, clock, directory }: EntryServices,
+    { hostId, limits, clock, directory, ledger }: EntryServices,
     group: PeerGroup,
     activeRequests: number,
     stopping: boolean,
@@ -14,6 +14,7 @@
     activeRequests,
     configuration: group.configuration.stateDump(),
     membership: group.membership.stateDump(),
+    ledger: ledger.dump(),
     limits: describeLimits(limits, clock.monotonicMs()),
     upstreams: directory.stateDump(),
 });
--- a/packages/entry/src/entryServices.ts
+++ b/packages/entry/src/entryServices.ts
@@ -1,4 +1,5 @@
 import type { Clock, Hasher, HostId, RandomSource } from "@ibislanding/core";
+import type { ActionLedger } from "@ibislanding/ledger";
 import type { LimitsState } from "@ibislanding/limits";
 import type { Logger } from "@ibislanding/runtime";
 import type { EventIdCodec } from "@ibislanding/streams";
@@ -17,6 +18,7 @@
     readonly limits: LimitsState;
     readonly metrics: EntryMetrics;
     readonly directory: UpstreamDirectory;
+    readonly ledger: ActionLedger;
     readonly eventIds: EventIdCodec;
     /** Aborts when this host stops and running streams go on at other hosts. */
     readonly handover: AbortSignal;
--- a/packages/entry/src/services/handleService.ts
+++ b/packages/entry/src/services/handleService.ts
@@ -2,12 +2,13 @@
 import { earnRetries } from "@ibislanding/limits";
 import { findResource } from "@ibislanding/resources";
 import { readBody, sendProblem } from "@ibislanding/runtime";
-import type { ServiceAnswer, ServiceCall } from "@ibislanding/upstreams";
+import type { ServiceCall } from "@ibislanding/upstreams";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok } from "ts-results";
 import type { CallerContext } from "../callers/callerContext";
 import type { EntryServices } from "../entryServices";
 import { permitRetry } from "../limits/permitRetry";
+import { callAction } from "./callAction";
 import { callRepeatable } from "./callRepeatable";
 import { forwardedHeaders } from "./forwardedHeaders";
 import { sendServiceAnswer } from "./sendServiceAnswer";
@@ -46,7 +47,7 @@
     response.on("close", () => abort.abort());
     const method = incoming.method ?? "GET";
     const { spec } = service.val;
-    const remainingMs = Math.max(1, context.deadlineMs - services.clock.monotonicMs());
+    const remainingMs = Math.max(1, Math.ceil(context.deadlineMs - services.clock.monotonicMs()));
     const isRepeatable = spec.repeatable || READ_METHODS.has(method);
     const call: ServiceCall = {
         requestId: context.requestId,
@@ -58,13 +59,15 @@
         freshConnection: !isRepeatable,
     };
     earnRetries(services.limits, route.service);
-    const result: Result<ServiceAnswer, Failure> = await callRepeatable(
-        services,
-        route.service,
-        call,
-        () => isRepeatable && permitRetry(services, route.service).ok,
-        abort.signal,
-    );
+    const result = isRepeatable
+        ? await callRepeatable(
+            services,
+            route.service,
+            call,
+            () => permitRetry(services, route.service).ok,
+            abort.signal,
+        )
+        : await callAction(services, service.val, call, incoming, context);
     if (result.err) {
         return fail(result.val);
     }
--- /dev/null
+++ b/packages/entry/src/services/sendAction.ts
@@ -0,0 +1,35 @@
+import { ErrorCode, type Failure, type UpstreamId } from "@ibislanding/core";
+import type { ServiceAnswer, ServiceCall } from "@ibislanding/upstreams";
+import type { Result } from "ts-results";
+import type { EntryServices } from "../entryServices";
+import { callReplica } from "./callReplica";
+import { forwardedHeaders } from "./forwardedHeaders";
+
+const MAXIMUM_ATTEMPTS = 3;
+
+/** Failures after which nothing ran, so that another replica may be tried. */
+const NOTHING_RAN: ReadonlySet<ErrorCode> = new Set([
+    ErrorCode.UpstreamUnreachable,
+    ErrorCode.UpstreamRefused,
+    ErrorCode.UpstreamLeaving,
+]);
+
+/** Sends an action to one replica, and to another only while it certainly did not run. */
+export const sendAction = async (
+    services: EntryServices,
+    service: string,
+    call: ServiceCall,
+): Promise<Result<ServiceAnswer, Failure>> => {
+    const excluded = new Set<UpstreamId>();
+    // A caller that leaves does not stop the action: its answer is recorded for a retry.
+    const { signal } = new AbortController();
+    let result = await callReplica(services, service, call, excluded, signal);
+    for (
+        let attempt = 1;
+        attempt < MAXIMUM_ATTEMPTS && result.err && NOTHING_RAN.has(result.val.code);
+        attempt++
+    ) {
+        result = await callReplica(services, service, call, excluded, signal);
+    }
+    return result.map(answer => ({ ...answer, headers: forwardedHeaders(answer.headers) }));
+};
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -1,6 +1,7 @@
 import { createHasher, createResourceStack } from "@ibislanding/core";
+import { createLedgerService } from "@ibislanding/ledger";
 import { createLimitsState } from "@ibislanding/limits";
-import { createPeerGroup } from "@ibislanding/peering";
+import { createPeerGroup, type PeerGroup } from "@ibislanding/peering";
 import { createHttpHostList, createHttpKeyValueStore } from "@ibislanding/platform";
 import { type ConfigurationDocument, listResources } from "@ibislanding/resources";
 import { applyRoutingEvent } from "@ibislanding/routing";
@@ -13,6 +14,7 @@
 import type { EntryServices } from "./entryServices";
 import { followMembership } from "./followMembership";
 import { startUsageExchange } from "./limits/startUsageExchange";
+import { createEntryLedger } from "./services/createEntryLedger";
 import type { EntrySettings } from "./settings/entrySettings";
 import { createUpstreamDirectory } from "./upstreams/createUpstreamDirectory";
 
@@ -54,7 +56,7 @@
         logger.info("configuration in force", { revision: document.revision });
     };
 
-    const group = stack.use(
+    const group: PeerGroup = stack.use(
         await createPeerGroup({
             hostId,
             role: "entry",
@@ -67,8 +69,13 @@
             random,
             logger,
             onConfiguration: applyConfiguration,
+            services: () => [createLedgerService({
+                claimStatus: claimId => ledger.peerHandler.claimStatus(claimId),
+                commit: (shard, operation) => ledger.peerHandler.commit(shard, operation),
+            })],
         }),
     );
+    const ledger = stack.use(createEntryLedger({ hostId, group, store, clock, random, hasher, logger }));
     stack.defer(followMembership(group.membership, directory, clock));
     stack.use(startUsageExchange(limits, group.membership, clock));
 
@@ -82,6 +89,7 @@
         limits,
         metrics: createEntryMetrics(context.metrics),
         directory,
+        ledger,
         eventIds: createEventIdCodec(settings.streams.eventIdSecret),
         handover: handover.signal,
     };
--- a/packages/ledger/src/actions/createActionRunner.ts
+++ b/packages/ledger/src/actions/createActionRunner.ts
@@ -20,7 +20,7 @@
 import { withTimeout } from "./withTimeout";
 
 interface ActionRunnerOptions
-    extends Pick<ActionLedgerOptions, "self" | "peers" | "clock" | "limits" | "timing" | "strategy"> {
+    extends Pick<ActionLedgerOptions, "self" | "peers" | "clock" | "limits" | "timing" | "strategy" | "onError"> {
     readonly claims: ClaimTable;
     readonly router: OperationRouter;
     readonly recorder: EndRecorder;
@@ -44,7 +44,7 @@
 export const createActionRunner = (options: ActionRunnerOptions): ActionLedger["runAction"] => {
     const { self, peers, clock, limits, timing, strategy, claims, router, recorder } = options;
 
-    const remainingMs = ({ deadlineMs }: Attempt): number => Math.max(0, deadlineMs - clock.monotonicMs());
+    const remainingMs = ({ deadlineMs }: Attempt): number => Math.max(0, Math.ceil(deadlineMs - clock.monotonicMs()));
 
     const notRun = (reason: ErrorCode): Failure =>
         createFailure(ErrorCode.NotRun, { retryAfterMs: timing.retryAfterMs, details: { reason } });
@@ -80,7 +80,8 @@
         try {
             return await attempt.request.send({ claimId: attempt.claimId, timeoutMs: remainingMs(attempt) });
         }
-        catch {
+        catch (error) {
+            options.onError(error);
             return Err(createFailure(ErrorCode.Internal));
         }
     };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -15,9 +15,9 @@
 
 // Decisions
 export { describeRouting } from "./queries/describeRouting";
+export { priceOf } from "./queries/priceOf";
 export type { Selection } from "./queries/selection";
 export type { SelectionRequest } from "./queries/selectionRequest";
-export { priceOf } from "./queries/priceOf";
 export { selectServiceReplica } from "./queries/selectServiceReplica";
 export { selectUpstream } from "./queries/selectUpstream";
 export type { ServiceRequest } from "./queries/serviceRequest";
