fix(admin): a revision is not in force before all listed hosts were heard

An ibis-admin that had just started knew some of the members and called a revision in force when those had it.

--- a/packages/admin/src/startAdmin.ts
+++ b/packages/admin/src/startAdmin.ts
@@ -5,9 +5,10 @@
 import { createAdminServices } from "./createAdminServices";
 import { createAdminHandler } from "./http/createAdminHandler";
 import { createAuthenticator } from "./operators/createAuthenticator";
+import { createListedMemberReports } from "./ports/createListedMemberReports";
 import type { AdminSettings } from "./settings/adminSettings";
 
-/** Starts the follower of the configuration and the listener of the administration API. */
+/** Joins the group of the system's processes and starts the listener of the administration API. */
 export const startAdmin = async (
     { settings, hostId, logger, metrics, clock, random }: ProgramContext<AdminSettings>,
 ): Promise<RunningProgram> => {
@@ -15,6 +16,7 @@
     const stopping = new AbortController();
     const stack = createResourceStack();
     const store = stack.use(createHttpKeyValueStore(platform.keyValueUrl));
+    const hostList = stack.use(createHttpHostList(platform.hostListUrl));
     const group = stack.use(
         await createPeerGroup({
             hostId,
@@ -23,7 +25,7 @@
             listener: settings.internal,
             seeds: settings.membership.seeds,
             store,
-            hostList: stack.use(createHttpHostList(platform.hostListUrl)),
+            hostList,
             clock,
             random,
             logger,
@@ -34,7 +36,7 @@
     const services = createAdminServices({
         store,
         follower,
-        members: { list: membership.members },
+        members: stack.use(createListedMemberReports({ membership, hostList, clock })),
         clock,
         random,
         maximumWatches: admin.maximumWatches,
