--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -142,6 +142,12 @@
             from: { path: "^packages/runner/src" },
             to: { path: "^packages/", pathNot: "^packages/(runner|core|resources|platform|standins|upstreams)/" },
         },
+        {
+            name: "capacity-imports",
+            severity: "error",
+            from: { path: "^packages/capacity/src" },
+            to: { path: "^packages/", pathNot: "^packages/(capacity|core|platform|runner)/" },
+        },
         {
             name: "bench-imports",
             severity: "error",
--- /dev/null
+++ b/packages/capacity/src/sample.ts
@@ -0,0 +1,8 @@
+/** Readings of one entry host at one time. */
+export interface Sample {
+    readonly atMs: number;
+    readonly cpuSeconds: number;
+    readonly residentBytes: number;
+    readonly gossipBytes: number;
+    readonly gossipMessages: number;
+}
--- a/packages/runtime/src/program/createOperationsHandler.ts
+++ b/packages/runtime/src/program/createOperationsHandler.ts
@@ -46,7 +46,7 @@
     };
 
     return async (request, response) => {
-        const path = new URL(request.url ?? "/", "http://localhost").pathname;
+        const path = (request.url ?? "/").split("?")[0] ?? "/";
         const handler = handlers[path];
         const further = program()?.operationsHandler;
         if (handler !== undefined) {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,6 +10,7 @@
     "ibis-standin": "packages/standins/src/program.ts",
     "ibis-runner": "packages/runner/src/program.ts",
     "ibis-bench": "packages/bench/src/program.ts",
+    "ibis-capacity": "packages/capacity/src/program.ts",
     "ibis-proofs": "packages/proofs/src/program.ts",
 };
 
