fix(streams): an upstream that leaves costs no retry budget

Cause: a host with few requests has no retries saved, so a request that met an engine which had just announced its leaving was answered overloaded. The refusal runs nothing, so going on elsewhere is a move.

--- a/packages/streams/__tests__/createAnswerStream.spec.ts
+++ b/packages/streams/__tests__/createAnswerStream.spec.ts
@@ -29,7 +29,16 @@
 
 /** How an engine behaves on one attempt: tokens before a fault, and the fault. */
 interface Script {
-    readonly fault: "none" | "refuse" | "unreachable" | "silent" | "gap" | "wrong-total" | "leaving" | "duplicate";
+    readonly fault:
+        | "none"
+        | "refuse"
+        | "refuse-leaving"
+        | "unreachable"
+        | "silent"
+        | "gap"
+        | "wrong-total"
+        | "leaving"
+        | "duplicate";
     readonly after: number;
 }
 
@@ -41,6 +50,7 @@
 const faultEvents: Readonly<Record<Script["fault"], (from: number) => readonly Outcome[]>> = {
     none: () => [],
     refuse: () => [],
+    "refuse-leaving": () => [],
     unreachable: () => [],
     silent: () => [Err(createFailure(ErrorCode.UpstreamSilent))],
     gap: from => [token(from + 2)],
@@ -51,6 +61,7 @@
 
 const openFailures: Partial<Record<Script["fault"], ErrorCode>> = {
     refuse: ErrorCode.UpstreamRefused,
+    "refuse-leaving": ErrorCode.UpstreamLeaving,
     unreachable: ErrorCode.UpstreamUnreachable,
 };
 
@@ -90,6 +101,7 @@
     scripts: readonly Script[],
     strategy: AnswerStrategy = defaultAnswerStrategy,
     resumeFrom?: StreamPosition,
+    permitRetry: AnswerPorts["permitRetry"] = () => Ok(undefined),
 ): Promise<{ texts: string; failure: Failure | undefined; finished: boolean; released: number; selected: number; }> => {
     const clock = createFakeClock();
     const pending = [...scripts];
@@ -116,7 +128,7 @@
         },
         find: toUpstream,
         watchLeaving: () => () => undefined,
-        permitRetry: () => Ok(undefined),
+        permitRetry,
     };
     const journal = createTokenJournal(hasher);
     const events = createAnswerStream(
@@ -200,6 +212,15 @@
         expect((await fc.check(property, { seed: 21, numRuns: 150 })).failed).toBe(true);
     });
 
+    it.each<[Script["fault"], boolean]>([["refuse-leaving", true], ["refuse", false]])(
+        "without retry budget, goes on after %s: %s",
+        async (fault, expected) => {
+            const noBudget = (): Result<void, Failure> => Err(createFailure(ErrorCode.Overloaded));
+            const result = await run(hasher, [{ fault, after: 0 }], defaultAnswerStrategy, undefined, noBudget);
+            expect(result.finished).toBe(expected);
+        },
+    );
+
     it("continues behind the tokens that the caller has", async () => {
         const journal = createTokenJournal(hasher);
         ANSWER.slice(0, 5).forEach((text, index) => journal.append(index, text));
--- a/packages/streams/src/answer/createAnswerStream.ts
+++ b/packages/streams/src/answer/createAnswerStream.ts
@@ -23,6 +23,10 @@
     ErrorCode.UnknownEvent,
 ]);
 
+/** Whether an attempt ended because its upstream leaves; going on elsewhere then needs no retry budget. */
+const isMove = (end: AttemptEnd): boolean =>
+    end.type === "evacuated" || end.type === "failed" && end.failure.code === ErrorCode.UpstreamLeaving;
+
 /** Progress of one answer over its attempts. */
 interface Progress {
     readonly excluded: Set<UpstreamId>;
@@ -114,8 +118,7 @@
         if (end.type === "failed" && !(strategy.recovers && RECOVERABLE.has(end.failure.code))) {
             return Err(end.failure);
         }
-        // A move is not a retry: the work done so far is kept.
-        return end.type === "evacuated" || progress.accepted ? Ok(undefined) : ports.permitRetry();
+        return isMove(end) || progress.accepted ? Ok(undefined) : ports.permitRetry();
     };
 
     let plan = await planFirst();
