--- a/packages/proofs/src/commands/runCommand.ts
+++ b/packages/proofs/src/commands/runCommand.ts
@@ -5,6 +5,7 @@
 import { runProof } from "../run/runProof";
 
 const MS_PER_SECOND = 1_000;
+const IN_FORCE_MS = 9_000;
 const MAXIMUM_VIOLATIONS = 20;
 
 const sets: Readonly<Record<string, readonly FaultKind[]>> = {
@@ -38,6 +39,7 @@
             chatCallers: Number(this.chatCallers),
             actionCallers: Number(this.actionCallers),
             operators: Number(this.operators),
+            inForceMs: IN_FORCE_MS,
             distDirectory: "dist",
             reportDirectory: "reports",
         });
--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -13,3 +13,9 @@
 export type { ConfigurationBounds } from "./checks/configurationBounds";
 export type { HistoryBounds } from "./checks/historyBounds";
 export type { Violation } from "./checks/violation";
+
+// Runs
+export type { FaultKind } from "./faults/faultKind";
+export type { RunOptions } from "./run/runOptions";
+export { runProof } from "./run/runProof";
+export type { RunResult } from "./run/runResult";
--- a/packages/proofs/src/run/runOptions.ts
+++ b/packages/proofs/src/run/runOptions.ts
@@ -8,6 +8,8 @@
     readonly chatCallers: number;
     readonly actionCallers: number;
     readonly operators: number;
+    /** Bound for a change to be in force everywhere; undefined checks no time. */
+    readonly inForceMs: number | undefined;
     readonly distDirectory: string;
     /** Directory for the history. */
     readonly reportDirectory: string;
--- a/packages/proofs/src/run/runProof.ts
+++ b/packages/proofs/src/run/runProof.ts
@@ -21,7 +21,6 @@
 
 const FIRST_FAULT_MS = 1_500;
 const PAUSE_BETWEEN_FAULTS_MS = 500;
-const IN_FORCE_MS = 9_000;
 
 const injectFaults = async (context: FaultContext, options: RunOptions): Promise<void> => {
     await pause(FIRST_FAULT_MS);
@@ -87,7 +86,7 @@
     const records = history.records();
     return {
         totals: countTotals(records),
-        violations: checkHistory(records, { inForceMs: IN_FORCE_MS, leavingMs: undefined }),
+        violations: checkHistory(records, { inForceMs: options.inForceMs, leavingMs: undefined }),
         historyFile,
         uncleanStops,
     };
