perf(entry): engines that a host does not use are polled every two seconds

Reports stay younger than the age at which the router stops trusting them; notices of leaving engines come by gossip.

--- a/packages/entry/src/upstreams/createUpstreamDirectory.ts
+++ b/packages/entry/src/upstreams/createUpstreamDirectory.ts
@@ -9,13 +9,23 @@
 import type { UpstreamDirectory } from "./upstreamDirectory";
 
 const HOST_LIST_PERIOD_MS = 1_000;
-const LOAD_PERIOD_MS = 500;
+
+/** Time between two polls of an engine that has requests of this host, or had some lately. */
+const BUSY_POLL_PERIOD_MS = 500;
+
+/** Time between two polls of any other engine; below the age at which the router stops trusting a report. */
+const IDLE_POLL_PERIOD_MS = 2_000;
+
+/** Time after its last request for which an engine counts as busy. */
+const BUSY_AFTER_REQUEST_MS = 5_000;
 
 interface KnownUpstream {
     readonly record: UpstreamRecord;
     readonly engine: (EngineClient & AsyncDisposable) | undefined;
     readonly service: (ServiceClient & AsyncDisposable) | undefined;
     cacheSequence: number;
+    polledAtMs: number;
+    busyAtMs: number;
 }
 
 /** Creates the directory and starts polling. */
@@ -32,6 +42,8 @@
         engine: record.kind === "engine" ? options.createEngineClient(record.url) : undefined,
         service: record.kind === "service" ? options.createServiceClient(record.url) : undefined,
         cacheSequence: 0,
+        polledAtMs: -Infinity,
+        busyAtMs: -Infinity,
     });
 
     const remove = async (upstreamId: UpstreamId): Promise<void> => {
@@ -112,6 +124,23 @@
         }
     };
 
+    const isDue = (upstream: KnownUpstream): boolean => {
+        const nowMs = clock.monotonicMs();
+        if (hasWork(upstream.record.upstreamId)) {
+            upstream.busyAtMs = nowMs;
+        }
+        const isBusy = nowMs - upstream.busyAtMs <= BUSY_AFTER_REQUEST_MS;
+        return isBusy || nowMs - upstream.polledAtMs >= IDLE_POLL_PERIOD_MS;
+    };
+
+    const pollDue = async (): Promise<void> => {
+        const due = [...known.values()].filter(isDue);
+        due.forEach(upstream => {
+            upstream.polledAtMs = clock.monotonicMs();
+        });
+        await Promise.all(due.map(pollEngine));
+    };
+
     const repeat = async (periodMs: number, action: () => Promise<unknown>): Promise<void> => {
         while (!stopped.signal.aborted) {
             await action();
@@ -121,7 +150,7 @@
 
     const polling = Promise.all([
         repeat(HOST_LIST_PERIOD_MS, refresh),
-        repeat(LOAD_PERIOD_MS, () => Promise.all([...known.values()].map(pollEngine))),
+        repeat(BUSY_POLL_PERIOD_MS, pollDue),
     ]);
 
     return {
--- a/packages/runner/src/system/startSystem.ts
+++ b/packages/runner/src/system/startSystem.ts
@@ -33,6 +33,8 @@
     const eventIdSecret = randomBytes(SECRET_BYTES).toString("hex");
     const processes: ManagedProcess[] = [];
     const counts: Record<string, number> = {};
+    // Whatever ends this process must leave none of the others behind.
+    process.on("exit", () => processes.filter(({ hasExited }) => !hasExited()).forEach(one => one.signal("SIGKILL")));
     const home = deployment.zones[0] ?? { region: "local", availabilityZone: "local" };
 
     const nextName = (prefix: string): string => {
@@ -41,9 +43,9 @@
     };
 
     const start = async (name: string, program: string, place: typeof home, args: readonly string[]) => {
-        const process = await startProcess({ name, program, ...place, args }, distDirectory, directory);
-        processes.push(process);
-        return process;
+        const started = await startProcess({ name, program, ...place, args }, distDirectory, directory);
+        processes.push(started);
+        return started;
     };
 
     const startWithSettings = (name: string, program: string, place: typeof home, settings: string) => {
