fix(placement): a lease that was given back is taken at once by any contender

Cause: in a trial with processes on loopback a graceful stop handed its services over after 7.6 s, as a second contender treated a released lease like a lapsed one.

Change: a released lease may be taken at once; two contenders that try are told apart by compare-and-swap.

--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -100,10 +100,10 @@
 
     const canTake = ({ record, unchangedSinceMs }: Observation, rank: number): boolean => {
         const unchangedMs = clock.monotonicMs() - unchangedSinceMs;
-        if (record === undefined || record.released) {
+        if (record === undefined) {
             return rank === 0 || unchangedMs >= durationMs;
         }
-        return record.holder === holder || unchangedMs >= Math.max(durationMs, record.durationMs);
+        return record.released || record.holder === holder || unchangedMs >= Math.max(durationMs, record.durationMs);
     };
 
     const take = async ({ record, version }: Observation): Promise<void> => {
--- a/packages/placement/src/lease/leaseHolderOptions.ts
+++ b/packages/placement/src/lease/leaseHolderOptions.ts
@@ -14,8 +14,8 @@
     /** Longest time for which a process may be paused between the check of its lease and an order. */
     readonly longestPauseMs: number;
     /**
-     * Order in which this process takes a lease that nobody holds: 0 takes it at once, a greater number waits as for a
-     * lapsed lease, and undefined doesn't contend.
+     * Order in which this process takes a lease that nobody ever held: 0 takes it at once, a greater number waits as
+     * for a lapsed lease, and undefined doesn't contend. A lease that was given back is taken at once by any rank.
      */
     readonly rank: () => number | undefined;
     readonly strategy?: LeaseStrategy;
