fix(placement): a released lease carries the rest of its settling time

Cause: a holder that stopped gracefully soon after a takeover let its lease lapse, because its predecessor might still be paused; the successor sent nothing for 8.2 s in a trial with processes, fenced upstreams included.

Change: the released record names the settling time that is left; the successor takes the lease at once, orders fenced upstreams at once and the others after that time.

--- a/packages/placement/__tests__/createLeaseHolder.spec.ts
+++ b/packages/placement/__tests__/createLeaseHolder.spec.ts
@@ -8,7 +8,7 @@
 const createHolders = () => {
     const clock = createFakeClock();
     const store = createFakeKeyValueStore(clock);
-    const holders = [0, 1].map(rank =>
+    const createHolder = (rank: number): LeaseHolder =>
         createLeaseHolder({
             store,
             clock,
@@ -18,9 +18,8 @@
             durationMs: DURATION_MS,
             longestPauseMs: LONGEST_PAUSE_MS,
             rank: () => rank,
-        })
-    );
-    const [first, second] = holders as [LeaseHolder, LeaseHolder];
+        });
+    const [first, second] = [createHolder(0), createHolder(1)];
     /** Steps the given holders every second. */
     const run = async (durationMs: number, ...active: readonly LeaseHolder[]): Promise<void> => {
         for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1_000) {
@@ -30,7 +29,7 @@
             await clock.advance(1_000);
         }
     };
-    return { store, first, second, run };
+    return { createHolder, store, first, second, run };
 };
 
 const mayOrder = (holder: LeaseHolder, honoursFencing: boolean): boolean => holder.check({ honoursFencing }).ok;
@@ -71,6 +70,19 @@
         expect(second.check({ honoursFencing: false }).unwrap()).toBe(2);
     });
 
+    it("hands the rest of the settling time over with a released lease", async () => {
+        const { createHolder, first, second, run } = createHolders();
+        await run(1_000, first);
+        await run(DURATION_MS + 1_000, second);
+        await second.release();
+        const third = createHolder(1);
+        await run(1_000, third);
+        expect(third.check({ honoursFencing: true }).unwrap()).toBe(3);
+        expect(mayOrder(third, false)).toBe(false);
+        await run(LONGEST_PAUSE_MS, third);
+        expect(mayOrder(third, false)).toBe(true);
+    });
+
     it("stops sending when an outage outlasts the lease, and takes it again afterwards", async () => {
         const { store, first, run } = createHolders();
         await run(2_000, first);
--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -77,12 +77,13 @@
         return seen?.record?.writeId === record.writeId ? seen.version : undefined;
     };
 
-    const createRecord = (fencingNumber: number, isReleased = false): LeaseRecord => ({
+    const createRecord = (fencingNumber: number): LeaseRecord => ({
         fencingNumber,
         holder,
         writeId: options.random.nextHex(WRITE_ID_LENGTH),
         durationMs,
-        released: isReleased,
+        released: false,
+        settlingMs: 0,
     });
 
     const renew = async (held: LeaseGrant): Promise<void> => {
@@ -106,19 +107,25 @@
         return record.released || record.holder === holder || unchangedMs >= Math.max(durationMs, record.durationMs);
     };
 
+    const settlingMsAfter = (record: LeaseRecord | undefined): number => {
+        if (record === undefined) {
+            return 0;
+        }
+        return record.released ? record.settlingMs : strategy.settlingMs(options.longestPauseMs);
+    };
+
     const take = async ({ record, version }: Observation): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         // Every grant writes the key, so the store's version is never below the number of an unreadable record.
         const fencingNumber = strategy.nextFencingNumber(record?.fencingNumber ?? version);
         const writtenVersion = await write(createRecord(fencingNumber), version);
-        const isSuccessor = record !== undefined && !record.released;
         if (writtenVersion !== undefined && !released) {
             renewedAtMs = sentAtMs;
             setGrant({
                 fencingNumber: fencingNumber as FencingNumber,
                 version: writtenVersion,
                 validUntilMs: sentAtMs + durationMs * VALID_SHARE,
-                settledAtMs: clock.monotonicMs() + (isSuccessor ? strategy.settlingMs(options.longestPauseMs) : 0),
+                settledAtMs: clock.monotonicMs() + settlingMsAfter(record),
             });
         }
     };
@@ -157,9 +164,9 @@
         const held = currentGrant();
         released = true;
         setGrant(undefined);
-        // Before the settling time is over the successor must wait for the predecessor as well.
-        if (held !== undefined && clock.monotonicMs() >= held.settledAtMs) {
-            await write(createRecord(held.fencingNumber, true), held.version);
+        if (held !== undefined) {
+            const settlingMs = Math.max(0, held.settledAtMs - clock.monotonicMs());
+            await write({ ...createRecord(held.fencingNumber), released: true, settlingMs }, held.version);
         }
     };
 
--- a/packages/placement/src/lease/leaseRecord.ts
+++ b/packages/placement/src/lease/leaseRecord.ts
@@ -8,4 +8,6 @@
     readonly durationMs: number;
     /** Whether the holder gave the lease back and sends nothing under it any more. */
     readonly released: boolean;
+    /** With a lease given back: time for which upstreams that don't check fencing numbers must still be left alone. */
+    readonly settlingMs: number;
 }
--- a/packages/placement/src/lease/parseLeaseRecord.ts
+++ b/packages/placement/src/lease/parseLeaseRecord.ts
@@ -11,6 +11,7 @@
                 writeId: value.writeId ?? "",
                 durationMs: value.durationMs ?? 0,
                 released: value.released === true,
+                settlingMs: value.settlingMs ?? 0,
             }
             : undefined;
     }
