fix(ledger): only a commit starts the time of a shard

Cause: a host that read an empty shard kept its own wall clock as the time of the shard. After a jump of that clock another host's first commit looked older than the retention, its records were dropped, and an action ran twice.

Change: an empty shard leaves no trace in the measure of its time. Measured: the scenario fails before the change and passes after it; it is an explicit example of the property now.

--- a/packages/ledger/__tests__/atMostOnce.spec.ts
+++ b/packages/ledger/__tests__/atMostOnce.spec.ts
@@ -8,6 +8,21 @@
 const seed = Number(process.env["IBIS_SEED"] ?? 20_261_203);
 const numRuns = Number(process.env["IBIS_RUNS"] ?? 150);
 
+/** Two hosts see an empty shard, with a jump of the wall clock between them. */
+const clockJumpBeforeFirstCommit: Scenario = {
+    seed: 857_596_604,
+    hostCount: 2,
+    faultPercent: 0,
+    attempts: [[19, 1, 0, 0], [60, 1, 0, 2], [2, 0, 1, 0], [22, 0, 0, 0], [28, 0, 0, 0], [0, 1, 0, 1]].map(
+        ([atMs = 0, host = 0, account = 0, key = 0]) => ({ atMs, host, account, key, otherBody: false }),
+    ),
+    events: [
+        { atMs: 0, host: 0, kind: "jumpClock" },
+        { atMs: 48, host: 0, kind: "pause" },
+        { atMs: 163, host: 0, kind: "jumpClock" },
+    ],
+};
+
 const findFailure = async (strategy: ClaimStrategy): Promise<fc.RunDetails<[Scenario]>> =>
     fc.check(
         fc.asyncProperty(
@@ -23,7 +38,7 @@
             fc.asyncProperty(scenarioArbitrary, async scenario => {
                 expect(findViolations(await runScenario(scenario, confirmedClaimStrategy))).toEqual([]);
             }),
-            { seed, numRuns },
+            { seed, numRuns, examples: [[clockJumpBeforeFirstCommit]] },
         ), 600_000);
 
     it("keeps one effect for each key with a service that deduplicates", () =>
--- a/packages/ledger/src/shard/createShardTime.ts
+++ b/packages/ledger/src/shard/createShardTime.ts
@@ -9,9 +9,12 @@
     return {
         /** Takes the time of a head into account and returns the present time of the shard. */
         observe: (head: ShardHead): number => {
+            if (head === emptyShardHead) {
+                // Only a commit starts the time of a shard; another host may start it elsewhere.
+                return Math.floor(clock.wallMs());
+            }
             const nowMs = clock.monotonicMs();
-            const startMs = head === emptyShardHead ? clock.wallMs() : head.shardTimeMs;
-            const seenOffsetMs = startMs - nowMs;
+            const seenOffsetMs = head.shardTimeMs - nowMs;
             offsetMs = Math.max(offsetMs ?? seenOffsetMs, seenOffsetMs);
             return Math.floor(nowMs + offsetMs);
         },
