feat(bench): compare routing policies in simulated time; cheaper and calmer default policy

Scaling own requests by the number of entry hosts was noisy, and admission up to the whole target let every request miss it under overload.

--- /dev/null
+++ b/packages/bench/src/report/measures.ts
@@ -0,0 +1,16 @@
+import type { ExperimentResult } from "../simulation/experimentResult";
+
+/** Measures that reports show, with how each is read from a result. */
+export const measures: Readonly<Record<string, (result: ExperimentResult) => number>> = {
+    recomputedTokens: ({ recomputedTokens }) => recomputedTokens,
+    neededTokens: ({ neededTokens }) => neededTokens,
+    firstTokenMsP50: ({ firstTokenMsP50 }) => firstTokenMsP50,
+    firstTokenMsP95: ({ firstTokenMsP95 }) => firstTokenMsP95,
+    firstTokenMsP99: ({ firstTokenMsP99 }) => firstTokenMsP99,
+    targetShare: ({ targetShare }) => targetShare,
+    highPriorityTargetShare: ({ highPriorityTargetShare }) => highPriorityTargetShare,
+    goodputPerSecond: ({ goodputPerSecond }) => goodputPerSecond,
+    refusedShare: ({ refusedRequests, offeredRequests }) => refusedRequests / offeredRequests,
+    movedRequests: ({ movedRequests }) => movedRequests,
+    costPerHour: ({ costPerHour }) => costPerHour,
+};
--- /dev/null
+++ b/packages/bench/src/scenario/scenarioSchema.ts
@@ -0,0 +1,64 @@
+import { z } from "zod";
+
+const requestKindSchema = z.strictObject({
+    name: z.string().min(1),
+    /** Relative frequency. */
+    weight: z.number().positive(),
+    /** Number of different long prefixes, such as the histories of associations. */
+    sharedPrefixes: z.int().min(1),
+    /** Exponent of the popularity of the prefixes; 0 makes all equally frequent. */
+    popularityExponent: z.number().min(0),
+    prefixTokens: z.number().min(0),
+    /** Standard deviation of the logarithm of the prefix length. */
+    prefixSpread: z.number().min(0),
+    /** Tokens that only this request has. */
+    uniqueTokens: z.number().min(1),
+    answerTokens: z.number().min(1),
+});
+
+const accountSchema = z.strictObject({
+    name: z.string().min(1),
+    weight: z.number().positive(),
+    priority: z.enum(["high", "normal", "low"]),
+    firstTokenTargetMs: z.number().positive(),
+});
+
+const zoneSchema = z.strictObject({
+    region: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    pricePerHour: z.number().min(0),
+    reclaimablePricePerHour: z.number().min(0),
+});
+
+/** One load with the system that takes it. */
+export const scenarioSchema = z.strictObject({
+    name: z.string().min(1),
+    durationMs: z.number().positive(),
+    warmUpMs: z.number().min(0),
+    requestsPerSecond: z.number().positive(),
+    /** Tokens that all prompts begin with. */
+    systemPromptTokens: z.number().min(0),
+    kinds: z.array(requestKindSchema).min(1),
+    accounts: z.array(accountSchema).min(1),
+    entryHosts: z.int().min(1),
+    replicas: z.int().min(1),
+    /** Part of the replicas on reclaimable hosts. */
+    reclaimableShare: z.number().min(0).max(1),
+    zones: z.array(zoneSchema).min(1),
+    crossRegionPricePerGigabyte: z.number().min(0),
+    crossRegionDelayMs: z.number().min(0),
+    engine: z.strictObject({
+        iterationMs: z.number().positive(),
+        prefillTokensPerSecond: z.number().positive(),
+        concurrentSequences: z.int().min(1),
+        cacheBlocks: z.int().min(1),
+        reportLagMs: z.number().positive(),
+        cacheEventLagMs: z.number().min(0),
+        cacheEventLoss: z.number().min(0).max(1),
+    }),
+    /** Zones reclaimed during the run. */
+    reclaims: z.array(z.strictObject({
+        atMs: z.number().min(0),
+        availabilityZone: z.string().min(1),
+    })).default([]),
+});
--- /dev/null
+++ b/packages/bench/src/simulation/fakeEngine.ts
@@ -0,0 +1,18 @@
+import type { UpstreamId } from "@ibislanding/core";
+import type { CacheChange, LoadReport } from "@ibislanding/routing";
+import type { Arrival } from "../workload/arrival";
+import type { EngineJob } from "./engineJob";
+
+/** An engine that batches continuously and caches prompt blocks, without I/O. */
+export interface FakeEngine {
+    readonly upstreamId: UpstreamId;
+    readonly submit: (arrival: Arrival) => void;
+    /** Runs one iteration that ends at the given time. */
+    readonly iterate: (nowMs: number) => void;
+    readonly measureLoad: () => LoadReport;
+    /** Returns the cache changes since the last call, without those that are lost, and the newest sequence number. */
+    readonly takeCacheChanges: () => { readonly changes: readonly CacheChange[]; readonly lastSequence: number; };
+    /** Stops the engine and returns the jobs it had. */
+    readonly stop: () => readonly EngineJob[];
+    readonly prefilledTokens: () => number;
+}
--- /dev/null
+++ b/packages/bench/src/workload/arrival.ts
@@ -0,0 +1,12 @@
+import type { Scenario } from "../scenario/scenario";
+
+/** One request of a load. */
+export interface Arrival {
+    readonly requestId: string;
+    readonly atMs: number;
+    readonly account: Scenario["accounts"][number];
+    readonly entryHost: number;
+    readonly promptTokens: number;
+    readonly answerTokens: number;
+    readonly blockHashes: readonly string[];
+}
--- a/packages/routing/src/commands/acceptPrompt.ts
+++ b/packages/routing/src/commands/acceptPrompt.ts
@@ -1,8 +1,10 @@
+import type { RoutingState } from "../state/routingState";
 import type { UpstreamState } from "../state/upstreamState";
 import { addBacklog } from "./addBacklog";
 
 /** Corrects the estimated work of a request by what the engine found in its cache. */
 export const acceptPrompt = (
+    state: RoutingState,
     upstream: UpstreamState,
     requestId: string,
     uncachedTokens: number,
@@ -12,6 +14,6 @@
     if (request === undefined) {
         return;
     }
-    addBacklog(upstream, uncachedTokens - request.uncachedTokens, nowMs);
+    addBacklog(state, upstream, uncachedTokens - request.uncachedTokens, nowMs);
     upstream.inFlight.set(requestId, { ...request, uncachedTokens });
 };
--- a/packages/routing/src/commands/applyLoadReport.ts
+++ b/packages/routing/src/commands/applyLoadReport.ts
@@ -21,5 +21,5 @@
     upstream.backlogAtMs = measuredAtMs;
     [...upstream.inFlight.values()]
         .filter(({ startedAtMs }) => startedAtMs >= measuredAtMs)
-        .forEach(request => addBacklog(upstream, request.uncachedTokens * state.entryHosts, request.startedAtMs));
+        .forEach(request => addBacklog(state, upstream, request.uncachedTokens, request.startedAtMs));
 };
--- a/packages/routing/src/commands/applyRoutingEvent.ts
+++ b/packages/routing/src/commands/applyRoutingEvent.ts
@@ -56,7 +56,7 @@
             ({ requestId, upstreamId, promptTokens, cachedTokens }) =>
                 withUpstream(
                     upstreamId,
-                    upstream => acceptPrompt(upstream, requestId, promptTokens - cachedTokens, nowMs),
+                    upstream => acceptPrompt(state, upstream, requestId, promptTokens - cachedTokens, nowMs),
                 ),
         )
         .with(
--- a/packages/routing/src/commands/finishRequest.ts
+++ b/packages/routing/src/commands/finishRequest.ts
@@ -21,6 +21,7 @@
     const request = upstream.inFlight.get(requestId);
     upstream.inFlight.delete(requestId);
     if (request !== undefined) {
+        upstream.finishRate.add(1, nowMs);
         upstream.finishedSince.push({ startedAtMs: request.startedAtMs, finishedAtMs: nowMs });
     }
     if (request !== undefined && outcome === "succeeded") {
--- a/packages/routing/src/commands/startRequest.ts
+++ b/packages/routing/src/commands/startRequest.ts
@@ -12,5 +12,7 @@
 ): void => {
     upstream.inFlight.set(requestId, request);
     upstream.prefixes.guess(request.blockHashes, request.startedAtMs);
-    addBacklog(upstream, request.uncachedTokens * state.entryHosts, request.startedAtMs);
+    upstream.startRate.add(1, request.startedAtMs);
+    upstream.tokenRate.add(request.uncachedTokens, request.startedAtMs);
+    addBacklog(state, upstream, request.uncachedTokens, request.startedAtMs);
 };
--- a/packages/routing/src/model/routingOptions.ts
+++ b/packages/routing/src/model/routingOptions.ts
@@ -12,6 +12,10 @@
     readonly reportExpiryMs: number;
     /** Part of the sequence slots kept for streams that move from leaving upstreams. */
     readonly drainHeadroomShare: number;
+    /** Time over which the rates of own requests are averaged, from which those of other entry hosts are estimated. */
+    readonly rateWindowMs: number;
+    /** Exponent of the host price in the cost of machine time; 0 makes all hosts equally dear. */
+    readonly priceWeight: number;
     /** Weight of predicted latency, relative to its target, in the score of the cost-aware policy. */
     readonly latencyWeight: number;
     /** Relative difference of scores that counts as equal. */
@@ -24,8 +28,10 @@
     readonly warmShare: number;
     /** Multiple of the latency target beyond which high-priority requests are refused too. */
     readonly highPriorityOverrun: number;
-    /** Part of the latency target that each priority may use up. */
+    /** Part of the latency target up to which each priority is admitted; the rest is for what the prediction misses. */
     readonly targetShares: Readonly<Record<"high" | "normal" | "low", number>>;
+    /** Factors on the wait for a sequence slot, as engines let requests of higher priority pass. */
+    readonly slotWaitFactors: Readonly<Record<"high" | "normal" | "low", number>>;
     readonly sameRegionDelayMs: number;
     readonly crossRegionDelayMs: number;
     /** Time of an engine for a request besides queueing and prefill. */
--- a/packages/routing/src/queries/describeRouting.ts
+++ b/packages/routing/src/queries/describeRouting.ts
@@ -28,7 +28,7 @@
         ejected: isEjected(upstream, nowMs),
         reportAgeMs: upstream.report === undefined ? undefined : nowMs - upstream.measuredAtMs,
         inFlight: upstream.inFlight.size,
-        sequences: estimateSequences(upstream, state.entryHosts),
-        backlogTokens: Math.round(backlogTokensAt(upstream, nowMs)),
+        sequences: estimateSequences(upstream, state.entryHosts, nowMs),
+        backlogTokens: Math.round(backlogTokensAt(state, upstream, nowMs)),
         cachedBlocks: upstream.prefixes.size(),
     }));
--- a/packages/routing/src/queries/toCandidate.ts
+++ b/packages/routing/src/queries/toCandidate.ts
@@ -28,13 +28,14 @@
     const { options } = state;
     const cachedTokens = cachedTokensOf(state, upstream, request, nowMs);
     const prefillMs = (request.promptTokens - cachedTokens) / prefillRateOf(upstream);
-    const waitMs = backlogTokensAt(upstream, nowMs) / prefillRateOf(upstream);
+    const waitMs = backlogTokensAt(state, upstream, nowMs) / prefillRateOf(upstream);
 
-    const sequences = estimateSequences(upstream, state.entryHosts);
+    const sequences = estimateSequences(upstream, state.entryHosts, nowMs);
     const slots = upstream.report?.concurrentSequences ?? DEFAULT_CONCURRENT_SEQUENCES;
     const usableSlots = request.isResume ? slots : Math.max(1, slots * (1 - options.drainHeadroomShare));
     const sequenceMs = state.sequenceMs.get(request.service) ?? options.initialSequenceMs;
-    const slotWaitMs = Math.max(0, sequences + 1 - usableSlots) * sequenceMs / slots;
+    const slotWaitMs = Math.max(0, sequences + 1 - usableSlots) * sequenceMs / slots
+        * options.slotWaitFactors[request.priority];
 
     const isSameRegion = upstream.description.region === request.region;
     const delayMs = isSameRegion ? options.sameRegionDelayMs : options.crossRegionDelayMs;
@@ -43,12 +44,13 @@
     const { pricePerHour, crossRegionPricePerGigabyte } = priceOf(state, upstream);
     const machineMs = prefillMs + sequenceMs / slots;
     const transferCost = isSameRegion ? 0 : request.transferBytes / BYTES_PER_GIGABYTE * crossRegionPricePerGigabyte;
+    const weightedPrice = pricePerHour ** options.priceWeight;
     return {
         upstream,
         cachedTokens,
         sequences,
         predictedFirstTokenMs: idleFirstTokenMs + Math.max(waitMs, slotWaitMs),
         idleFirstTokenMs,
-        costEstimate: pricePerHour * machineMs / MS_PER_HOUR + transferCost,
+        costEstimate: weightedPrice * machineMs / MS_PER_HOUR + transferCost,
     };
 };
--- a/packages/routing/src/state/createUpstreamState.ts
+++ b/packages/routing/src/state/createUpstreamState.ts
@@ -1,6 +1,7 @@
 import type { RoutingOptions } from "../model/routingOptions";
 import type { UpstreamDescription } from "../model/upstreamDescription";
 import { createPrefixIndex } from "../prefix/createPrefixIndex";
+import { createRateMeter } from "./createRateMeter";
 import type { UpstreamState } from "./upstreamState";
 
 /** Creates the state of an upstream that was just listed. */
@@ -15,6 +16,9 @@
     leaving: false,
     inFlight: new Map(),
     finishedSince: [],
+    startRate: createRateMeter(options.rateWindowMs),
+    finishRate: createRateMeter(options.rateWindowMs),
+    tokenRate: createRateMeter(options.rateWindowMs),
     backlogTokens: 0,
     backlogAtMs: nowMs,
     prefixes: createPrefixIndex(options.maximumBlocksPerUpstream, options.guessLifetimeMs),
--- a/packages/routing/src/state/upstreamState.ts
+++ b/packages/routing/src/state/upstreamState.ts
@@ -2,6 +2,7 @@
 import type { UpstreamDescription } from "../model/upstreamDescription";
 import type { PrefixIndex } from "../prefix/prefixIndex";
 import type { InFlightRequest } from "./inFlightRequest";
+import type { RateMeter } from "./rateMeter";
 
 /** What a router knows of one upstream; owned and changed by its routing state. */
 export interface UpstreamState {
@@ -13,6 +14,10 @@
     readonly inFlight: Map<string, InFlightRequest>;
     /** Start times of requests that ended after the report was measured. */
     finishedSince: { readonly startedAtMs: number; readonly finishedAtMs: number; }[];
+    /** Smoothed rates of what this entry host does at the upstream. */
+    readonly startRate: RateMeter;
+    readonly finishRate: RateMeter;
+    readonly tokenRate: RateMeter;
     /** Prompt tokens waiting at `backlogAtMs`. */
     backlogTokens: number;
     backlogAtMs: number;
