fix(entry): router learns of cache hits, refusals and departures; no engine delays another's polls

Cause, found by reading the calls against the router's contract: one frozen engine held back the load polls of all, so that every report went stale; a caller that left counted as a failure of the engine and could eject a healthy one; an answer whose reader stopped early was never released; an elapsed timeout was reported as cancelled instead of silent; listeners piled up on reused connections.

--- a/packages/entry/src/chat/createAnswerPorts.ts
+++ b/packages/entry/src/chat/createAnswerPorts.ts
@@ -1,4 +1,5 @@
 import { createFailure, ErrorCode, type Failure, type RequestId, type UpstreamId } from "@ibislanding/core";
+import { spendRetry } from "@ibislanding/limits";
 import { applyRoutingEvent, priceOf, type SelectionRequest, selectUpstream } from "@ibislanding/routing";
 import type { AnswerPorts, SelectedUpstream } from "@ibislanding/streams";
 import { Err, Ok, type Result } from "ts-results";
@@ -9,7 +10,13 @@
 const BYTES_PER_GIGABYTE = 1e9;
 const DEFAULT_PREFILL_TOKENS_PER_SECOND = 10_000;
 
-const outcomes = { finished: "succeeded", failed: "failed", moved: "cancelled" } as const;
+const outcomes = {
+    finished: "succeeded",
+    failed: "failed",
+    moved: "cancelled",
+    refused: "refused",
+    cancelled: "cancelled",
+} as const;
 
 /** Connects an answer stream to the router and the clients of this host. */
 export const createAnswerPorts = (
@@ -47,6 +54,12 @@
                     ? 0
                     : crossRegionPricePerGigabyte / BYTES_PER_GIGABYTE,
             pricePerSecond: pricePerHour / MS_PER_HOUR * MS_PER_SECOND,
+            noteStarted: (startedPromptTokens, cachedTokens) =>
+                applyRoutingEvent(
+                    routing,
+                    { type: "prompt-accepted", requestId, upstreamId, promptTokens: startedPromptTokens, cachedTokens },
+                    clock.monotonicMs(),
+                ),
             release: outcome => {
                 metrics.attempts.add(1, { service, outcome });
                 applyRoutingEvent(
@@ -72,5 +85,6 @@
         find: upstreamId => toSelected(upstreamId, 0),
         watchLeaving: directory.watchLeaving,
         permitRetry,
+        noteMove: () => void spendRetry(services.limits, selection.service, "move"),
     };
 };
--- a/packages/entry/src/services/callReplica.ts
+++ b/packages/entry/src/services/callReplica.ts
@@ -11,11 +11,17 @@
 import { Err, type Result } from "ts-results";
 import type { EntryServices } from "../entryServices";
 
+const outcomesByCode: Partial<Record<ErrorCode, "refused" | "cancelled">> = {
+    [ErrorCode.Cancelled]: "cancelled",
+    [ErrorCode.UpstreamLeaving]: "refused",
+    [ErrorCode.UpstreamRefused]: "refused",
+};
+
 const outcomeOf = (result: Result<ServiceAnswer, Failure>): "succeeded" | "failed" | "refused" | "cancelled" => {
     if (result.ok) {
         return "succeeded";
     }
-    return result.val.code === ErrorCode.Cancelled ? "cancelled" : "failed";
+    return outcomesByCode[result.val.code] ?? "failed";
 };
 
 /** Sends a call to one replica of a service that was not tried before; adds the replica to `excluded`. */
--- a/packages/entry/src/upstreams/createUpstreamDirectory.ts
+++ b/packages/entry/src/upstreams/createUpstreamDirectory.ts
@@ -20,12 +20,13 @@
 const BUSY_AFTER_REQUEST_MS = 5_000;
 
 interface KnownUpstream {
-    readonly record: UpstreamRecord;
+    record: UpstreamRecord;
     readonly engine: (EngineClient & AsyncDisposable) | undefined;
     readonly service: (ServiceClient & AsyncDisposable) | undefined;
     cacheSequence: number;
     polledAtMs: number;
     busyAtMs: number;
+    polling: boolean;
 }
 
 /** Creates the directory and starts polling. */
@@ -44,6 +45,7 @@
         cacheSequence: 0,
         polledAtMs: -Infinity,
         busyAtMs: -Infinity,
+        polling: false,
     });
 
     const remove = async (upstreamId: UpstreamId): Promise<void> => {
@@ -63,7 +65,7 @@
         applyRoutingEvent(routing, { type: "upstreams-listed", upstreams: subset }, clock.monotonicMs());
         subset.forEach(record => {
             const earlier = known.get(record.upstreamId);
-            known.set(record.upstreamId, earlier === undefined ? create(record) : { ...earlier, record });
+            known.set(record.upstreamId, earlier === undefined ? create(record) : Object.assign(earlier, { record }));
             if (record.phase === "leaving") {
                 noteLeaving(record.upstreamId, record.deadlineMs);
             }
@@ -133,13 +135,15 @@
         return isBusy || nowMs - upstream.polledAtMs >= IDLE_POLL_PERIOD_MS;
     };
 
-    const pollDue = async (): Promise<void> => {
-        const due = [...known.values()].filter(isDue);
-        due.forEach(upstream => {
+    /** Starts the polls that are due and not still running; an engine that is frozen delays no other. */
+    const pollDue = (): void =>
+        [...known.values()].filter(upstream => !upstream.polling && isDue(upstream)).forEach(upstream => {
+            upstream.polling = true;
             upstream.polledAtMs = clock.monotonicMs();
+            void pollEngine(upstream).finally(() => {
+                upstream.polling = false;
+            });
         });
-        await Promise.all(due.map(pollEngine));
-    };
 
     const repeat = async (periodMs: number, action: () => Promise<unknown>): Promise<void> => {
         while (!stopped.signal.aborted) {
@@ -150,7 +154,7 @@
 
     const polling = Promise.all([
         repeat(HOST_LIST_PERIOD_MS, refresh),
-        repeat(BUSY_POLL_PERIOD_MS, pollDue),
+        repeat(BUSY_POLL_PERIOD_MS, async () => pollDue()),
     ]);
 
     return {
--- a/packages/streams/__tests__/createAnswerStream.spec.ts
+++ b/packages/streams/__tests__/createAnswerStream.spec.ts
@@ -116,6 +116,7 @@
             prefillTokensPerSecond: 1_000,
             pricePerByteFrom: () => 0,
             pricePerSecond: 0,
+            noteStarted: () => undefined,
             release: () => void counts.released++,
         };
     };
@@ -129,6 +130,7 @@
         find: toUpstream,
         watchLeaving: () => () => undefined,
         permitRetry,
+        noteMove: () => undefined,
     };
     const journal = createTokenJournal(hasher);
     const events = createAnswerStream(
@@ -234,6 +236,7 @@
         const position = { requestId: REQUEST_ID, upstreamId: "a" as UpstreamId, tokens: 5, digest: "0000" };
         const result = await run(hasher, [], defaultAnswerStrategy, position);
         expect(result.failure?.code).toBe(ErrorCode.StreamDiverged);
+        expect(result.released).toBe(result.selected);
         expect(result.texts).toBe("");
     });
 });
--- a/packages/streams/src/answer/answerPorts.ts
+++ b/packages/streams/src/answer/answerPorts.ts
@@ -14,4 +14,6 @@
     readonly watchLeaving: (upstreamId: UpstreamId, leadMs: number, onDue: () => void) => () => void;
     /** Called before another attempt; fails when the retry budget is spent. */
     readonly permitRetry: () => Result<void, Failure>;
+    /** Called before an attempt that needs no permission because the upstream leaves. */
+    readonly noteMove: () => void;
 }
--- a/packages/streams/src/answer/createAnswerStream.ts
+++ b/packages/streams/src/answer/createAnswerStream.ts
@@ -1,4 +1,5 @@
 import { backoffDelayMs, createFailure, ErrorCode, type Failure, type UpstreamId } from "@ibislanding/core";
+import { match } from "ts-pattern";
 import { Err, Ok, type Result } from "ts-results";
 import type { AnswerEvent } from "./answerEvent";
 import type { AnswerOptions } from "./answerOptions";
@@ -27,6 +28,19 @@
 const isMove = (end: AttemptEnd): boolean =>
     end.type === "evacuated" || end.type === "failed" && end.failure.code === ErrorCode.UpstreamLeaving;
 
+const REFUSALS: ReadonlySet<ErrorCode> = new Set([ErrorCode.UpstreamLeaving, ErrorCode.UpstreamRefused]);
+
+/** What an attempt's end says of its upstream. */
+const outcomeOf = (end: AttemptEnd): Parameters<SelectedUpstream["release"]>[0] =>
+    match(end)
+        .with({ type: "finished" }, () => "finished" as const)
+        .with({ type: "evacuated" }, () => "moved" as const)
+        .with(
+            { type: "failed" },
+            ({ failure }) => (REFUSALS.has(failure.code) ? "refused" as const : "failed" as const),
+        )
+        .exhaustive();
+
 /** Progress of one answer over its attempts. */
 interface Progress {
     readonly excluded: Set<UpstreamId>;
@@ -118,21 +132,37 @@
         if (end.type === "failed" && !(strategy.recovers && RECOVERABLE.has(end.failure.code))) {
             return Err(end.failure);
         }
-        return isMove(end) || progress.accepted ? Ok(undefined) : ports.permitRetry();
+        if (isMove(end)) {
+            ports.noteMove();
+            return Ok(undefined);
+        }
+        return progress.accepted ? Ok(undefined) : ports.permitRetry();
+    };
+
+    /** Follows one attempt to its end; the upstream is released also when the reader of the answer stops early. */
+    const follow = async function*(current: AttemptPlan): AsyncGenerator<Result<AnswerEvent, Failure>, AttemptEnd> {
+        const attempt = runAttempt(current, options, ports, strategy);
+        let outcome: Parameters<SelectedUpstream["release"]>[0] = "cancelled";
+        try {
+            let step = await attempt.next();
+            while (step.done !== true) {
+                progress.accepted = true;
+                yield Ok(step.value);
+                step = await attempt.next();
+            }
+            outcome = options.signal.aborted ? "cancelled" : outcomeOf(step.value);
+            return step.value;
+        }
+        finally {
+            current.upstream.release(outcome);
+            await attempt.return({ type: "failed", failure: createFailure(ErrorCode.Cancelled) });
+        }
     };
 
     let plan = await planFirst();
     while (plan.ok) {
         const current: AttemptPlan = plan.val;
-        const attempt = runAttempt(current, options, ports, strategy);
-        let step = await attempt.next();
-        while (step.done !== true) {
-            progress.accepted = true;
-            yield Ok(step.value);
-            step = await attempt.next();
-        }
-        const end = step.value;
-        current.upstream.release(end.type === "evacuated" ? "moved" : end.type);
+        const end = yield* follow(current);
         if (end.type === "finished") {
             return;
         }
--- a/packages/streams/src/answer/runAttempt.ts
+++ b/packages/streams/src/answer/runAttempt.ts
@@ -60,6 +60,7 @@
                 }
             }
             else if (value.type === "started") {
+                plan.upstream.noteStarted(value.promptTokens, value.cachedTokens);
                 yield value;
             }
             else if (value.type === "finished") {
--- a/packages/streams/src/answer/selectedUpstream.ts
+++ b/packages/streams/src/answer/selectedUpstream.ts
@@ -14,5 +14,7 @@
     /** Price of a second of the upstream's time. */
     readonly pricePerSecond: number;
     /** Ends the attempt in the accounts of the router; call once. */
-    readonly release: (outcome: "finished" | "failed" | "moved") => void;
+    readonly release: (outcome: "finished" | "failed" | "moved" | "refused" | "cancelled") => void;
+    /** Tells the router how many prompt tokens the upstream found in its cache. */
+    readonly noteStarted: (promptTokens: number, cachedTokens: number) => void;
 }
--- a/packages/upstreams/src/engine/createHttpEngineClient.ts
+++ b/packages/upstreams/src/engine/createHttpEngineClient.ts
@@ -15,6 +15,8 @@
 const IMPORT_TIMEOUT_MS = 10_000;
 const MAXIMUM_ANSWER_BYTES = 4_000_000;
 
+const neverAborted = new AbortController().signal;
+
 /** Time without an event after which a stream counts as silent; engines send heartbeats more often. */
 const DEFAULT_SILENCE_TIMEOUT_MS = 3_000;
 
@@ -56,8 +58,7 @@
         });
 
     const call = async <T>(method: string, path: string, body?: unknown, timeoutMs = CALL_TIMEOUT_MS) => {
-        const signal = AbortSignal.timeout(timeoutMs);
-        const response = await open(method, path, body, timeoutMs, signal);
+        const response = await open(method, path, body, timeoutMs, neverAborted);
         if (response.err) {
             return response;
         }
--- a/packages/upstreams/src/http/sendRequest.ts
+++ b/packages/upstreams/src/http/sendRequest.ts
@@ -39,9 +39,12 @@
         request.on("close", () => signal.removeEventListener("abort", abort));
         request.on("socket", socket => {
             connected = !socket.connecting;
-            socket.once("connect", () => {
-                connected = true;
-            });
+            // A reused socket never connects again, so a listener would stay on it.
+            if (socket.connecting) {
+                socket.once("connect", () => {
+                    connected = true;
+                });
+            }
         });
         request.on("error", fail);
         request.on("response", response => finish(Ok(response)));
--- a/packages/upstreams/src/service/createHttpServiceClient.ts
+++ b/packages/upstreams/src/service/createHttpServiceClient.ts
@@ -30,7 +30,7 @@
                 body: call.body,
                 agent: call.freshConnection ? false : agent,
                 timeoutMs: call.timeoutMs,
-                signal: AbortSignal.any([signal, AbortSignal.timeout(call.timeoutMs)]),
+                signal,
             });
             if (response.err) {
                 return response;
