fix(routing): an upstream missing from one host list is used again when listed

Cause: an upstream with requests in flight that was missing from a host list was marked as leaving, which is never undone; entry hosts that route to a changing subset would have lost it for good. Change: being listed is kept apart from leaving. A test covers both.

--- a/packages/routing/__tests__/selectUpstream.spec.ts
+++ b/packages/routing/__tests__/selectUpstream.spec.ts
@@ -266,6 +266,23 @@
         expect(new Set(chosen).size).toBe(1);
     });
 
+    it("uses an upstream again that was missing from one host list, unless it is leaving", () => {
+        const state = createState(2);
+        const list = (...indexes: readonly number[]): void =>
+            applyRoutingEvent(state, {
+                type: "upstreams-listed",
+                upstreams: indexes.map(index => describeEngine(index)),
+            }, 1);
+        [0, 1].forEach(index => start(state, `r-${index}`, index, 1));
+        applyRoutingEvent(state, { type: "upstream-leaving", upstreamId: idOf(1) }, 1);
+        list();
+        expect(selectUpstream(state, request, 1, createRandom(1)).ok).toBe(false);
+        list(0, 1);
+        expect(selectUpstream(state, request, 1, createRandom(1)).unwrap().upstreamId).toBe(idOf(0));
+        const excluded = new Set([idOf(0)]);
+        expect(selectUpstream(state, { ...request, excluded }, 1, createRandom(1)).ok).toBe(false);
+    });
+
     it("uses upstreams without a fresh report or the wanted version only as declared", () => {
         const state = createState(2);
         applyRoutingEvent(state, { type: "load-reported", report: reportOf(1), ageMs: 0 }, 4_000);
--- a/packages/routing/src/commands/applyUpstreamList.ts
+++ b/packages/routing/src/commands/applyUpstreamList.ts
@@ -15,12 +15,13 @@
     [...state.upstreams.values()]
         .filter(({ description }) => !listed.has(description.upstreamId))
         .forEach(upstream => {
-            upstream.leaving = true;
+            upstream.listed = false;
         });
     listed.forEach(description => {
         const upstream = state.upstreams.get(description.upstreamId)
             ?? createUpstreamState(description, state.options, nowMs);
         upstream.description = description;
+        upstream.listed = true;
         upstream.leaving ||= description.phase === "leaving" || description.phase === "gone";
         state.upstreams.set(description.upstreamId, upstream);
     });
--- a/packages/routing/src/queries/listEligible.ts
+++ b/packages/routing/src/queries/listEligible.ts
@@ -14,6 +14,7 @@
     [...state.upstreams.values()].filter(upstream =>
         upstream.description.service === service
         && upstream.description.phase === "live"
+        && upstream.listed
         && !upstream.leaving
         && !isEjected(upstream, nowMs)
         && !excluded.has(upstream.description.upstreamId)
--- a/packages/routing/src/state/createUpstreamState.ts
+++ b/packages/routing/src/state/createUpstreamState.ts
@@ -13,6 +13,7 @@
     description,
     report: undefined,
     measuredAtMs: nowMs,
+    listed: true,
     leaving: false,
     inFlight: new Map(),
     finishedSince: [],
--- a/packages/routing/src/state/upstreamState.ts
+++ b/packages/routing/src/state/upstreamState.ts
@@ -10,6 +10,8 @@
     report: LoadReport | undefined;
     /** Local time at which the report was measured, or the upstream was first seen. */
     measuredAtMs: number;
+    /** Whether the newest host list has the upstream. */
+    listed: boolean;
     leaving: boolean;
     readonly inFlight: Map<string, InFlightRequest>;
     /** Start times of requests that ended after the report was measured. */
