--- a/packages/configuration/src/follower/createPeerExchange.ts
+++ b/packages/configuration/src/follower/createPeerExchange.ts
@@ -7,6 +7,9 @@
 
 const BOOTSTRAP_INTERVAL_MS = 300;
 
+/** Number of groups of peers that a document is offered to until one peer confirms it. */
+const FORWARD_ROUNDS = 3;
+
 /** Creates the exchange; `onDocument` gets the documents that peers answer with. */
 export const createPeerExchange = (
     options: ConfigurationFollowerOptions,
@@ -56,12 +59,18 @@
     const nextDelayMs = (intervalMs: number): number =>
         current() === undefined ? BOOTSTRAP_INTERVAL_MS : intervalMs * (0.5 + random.nextUnit());
 
+    const forwardOnce = async (document: ConfigurationDocument): Promise<number> => {
+        const answers = await Promise.all(peers.sample(strategy.fanOut).map(peer => peers.announce(peer, document)));
+        return answers.filter(answer => answer.ok).length;
+    };
+
     return {
         forward: async document => {
-            const answers = await Promise.all(
-                peers.sample(strategy.fanOut).map(peer => peers.announce(peer, document)),
-            );
-            return answers.filter(answer => answer.ok).length;
+            let confirmed = 0;
+            for (let round = 0; round < FORWARD_ROUNDS && confirmed === 0; round++) {
+                confirmed = await forwardOnce(document);
+            }
+            return confirmed;
         },
         run: async signal => {
             const intervalMs = strategy.antiEntropyIntervalMs;
--- a/packages/configuration/src/follower/createStoreWatch.ts
+++ b/packages/configuration/src/follower/createStoreWatch.ts
@@ -5,7 +5,6 @@
 import { configurationKey } from "../documents/configurationKey";
 import { parseDocument } from "../documents/parseDocument";
 import { readHead } from "../queries/readHead";
-import { readStoreVersion } from "../queries/readStoreVersion";
 import type { ConfigurationFollowerOptions } from "./configurationFollowerOptions";
 import { defaultFollowerStrategy } from "./defaultFollowerStrategy";
 import type { StoreWatch } from "./storeWatch";
@@ -37,14 +36,13 @@
     /** Reads the head once; tells whether the read was current. */
     const readFirst = async (signal: AbortSignal): Promise<boolean> => {
         const head = await readHead(store, signal);
-        const version = strategy.confirmsFirstRead && head.ok ? await readStoreVersion(store, signal) : undefined;
-        const isCurrent = head.ok && (version === undefined || (version.ok && version.val <= head.val.storeVersion));
-        if (head.ok && isCurrent) {
-            failures = 0;
-            storeVersion = head.val.storeVersion;
-            onDocument(head.val.document);
+        if (head.err || !(await strategy.isCurrentRead(store, head.val, signal))) {
+            return false;
         }
-        return isCurrent;
+        failures = 0;
+        storeVersion = head.val.storeVersion;
+        onDocument(head.val.document);
+        return true;
     };
 
     const takeAnswer = (answer: Result<KeyValueEntry | undefined, Failure>): boolean => {
--- a/packages/configuration/src/follower/defaultFollowerStrategy.ts
+++ b/packages/configuration/src/follower/defaultFollowerStrategy.ts
@@ -1,3 +1,4 @@
+import { readStoreVersion } from "../queries/readStoreVersion";
 import type { FollowerStrategy } from "./followerStrategy";
 
 /** Strategy of the programs. */
@@ -6,5 +7,8 @@
     fanOut: 3,
     antiEntropyIntervalMs: 1_000,
     bootstrapPeers: 5,
-    confirmsFirstRead: true,
+    isCurrentRead: async (store, head, signal) => {
+        const version = await readStoreVersion(store, signal);
+        return version.ok && version.val <= head.storeVersion;
+    },
 };
--- a/packages/configuration/src/follower/followerStrategy.ts
+++ b/packages/configuration/src/follower/followerStrategy.ts
@@ -1,4 +1,6 @@
+import type { KeyValueStore } from "@ibislanding/platform";
 import type { ConfigurationDocument } from "@ibislanding/resources";
+import type { ConfigurationHead } from "../documents/configurationHead";
 
 /** Choices of a follower on how documents are taken and spread. */
 export interface FollowerStrategy {
@@ -10,6 +12,6 @@
     readonly antiEntropyIntervalMs: number | undefined;
     /** Number of peers that a newcomer asks when the store cannot be read. */
     readonly bootstrapPeers: number;
-    /** Whether the first read from the store is checked against the version of the key. */
-    readonly confirmsFirstRead: boolean;
+    /** Tells whether the first read from the store was not an old one. */
+    readonly isCurrentRead: (store: KeyValueStore, head: ConfigurationHead, signal: AbortSignal) => Promise<boolean>;
 }
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,6 +1,7 @@
 // Documents and operations
 export type { AppliedOperation } from "./documents/appliedOperation";
 export type { ChangeContext } from "./documents/changeContext";
+export type { ConfigurationHead } from "./documents/configurationHead";
 export { configurationKey } from "./documents/configurationKey";
 export type { ConfigurationOperation } from "./documents/configurationOperation";
 export { parseDocument } from "./documents/parseDocument";
