refactor: control uses the shared peer group; the engine stand-in in parts

Control had its own copy of listener, membership and configuration; it now keeps only its view of the group. Its prefix cache evicted the heads of chains first, which made the rest of a chain useless; heads now count as used last.

--- a/packages/control/src/startControl.ts
+++ b/packages/control/src/startControl.ts
@@ -1,14 +1,16 @@
-import { createConfigurationFollower } from "@ibislanding/configuration";
 import { createHasher, createResourceStack } from "@ibislanding/core";
+import { createPeerGroup } from "@ibislanding/peering";
 import {
     createHttpCloudApi,
     createHttpHostList,
     createHttpKeyValueStore,
     createHttpWeightStore,
 } from "@ibislanding/platform";
+import type { ConfigurationDocument } from "@ibislanding/resources";
 import type { ProgramContext, RunningProgram } from "@ibislanding/runtime";
 import { createHttpEngineClient } from "@ibislanding/upstreams";
 import { createControlTasks } from "./createControlTasks";
+import { CONTROL_ROLE } from "./group/controlRole";
 import { createControlGroup } from "./group/createControlGroup";
 import { createEngineClients } from "./observe/createEngineClients";
 import { createUnavailablePlatform } from "./orders/createUnavailablePlatform";
@@ -22,7 +24,21 @@
     const unavailable = createUnavailablePlatform();
     const store = resources.use(createHttpKeyValueStore(keyValueUrl));
     const hostList = resources.use(createHttpHostList(hostListUrl));
-    const group = resources.use(await createControlGroup({ context, hostList }));
+    const { membership, configuration, address } = resources.use(
+        await createPeerGroup({
+            hostId,
+            role: CONTROL_ROLE,
+            process: settings.process,
+            listener: settings.internal,
+            seeds: settings.membership.seeds,
+            store,
+            hostList,
+            clock,
+            random,
+            logger,
+            onConfiguration: ({ revision }) => logger.info("configuration in force", { revision }),
+        }),
+    );
     const tasks = resources.use(createControlTasks({
         context,
         hasher: await createHasher(),
@@ -31,42 +47,41 @@
         cloud: cloudUrl === undefined ? unavailable : resources.use(createHttpCloudApi(cloudUrl)),
         weights: weightStoreUrl === undefined ? unavailable : resources.use(createHttpWeightStore(weightStoreUrl)),
         engines: createEngineClients(clock, url => createHttpEngineClient(url)),
-        group,
+        group: createControlGroup(membership, clock),
     }));
-    const follower = resources.use(createConfigurationFollower({
-        store,
-        peers: group.configurationPeers,
-        clock,
-        random,
-        onAdvance: document => {
+    const applyConfiguration = (document: ConfigurationDocument | undefined): void => {
+        if (document !== undefined) {
             tasks.applyConfiguration(document);
-            group.setConfigurationRevision(document.revision);
-            logger.info("configuration in force", { revision: document.revision });
-        },
-    }));
-    group.serveConfiguration(follower);
+        }
+    };
+    resources.defer(configuration.subscribe(applyConfiguration));
+    applyConfiguration(configuration.current());
     const state = { stopping: false };
-    context.metrics.gauge("ibis_configuration_revision", "Revision in force.", () => follower.current()?.revision ?? 0);
+    context.metrics.gauge(
+        "ibis_configuration_revision",
+        "Revision in force.",
+        () => configuration.current()?.revision ?? 0,
+    );
 
     return {
         notReadyReason: () => {
             if (state.stopping) {
                 return "stopping";
             }
-            return follower.current() === undefined ? "no configuration" : undefined;
+            return configuration.current() === undefined ? "no configuration" : undefined;
         },
-        urls: {},
+        urls: { internal: address },
         stateDump: () => ({
             hostId,
             stopping: state.stopping,
-            configuration: follower.stateDump(),
-            group: group.stateDump(),
+            configuration: configuration.stateDump(),
+            membership: membership.stateDump(),
             services: tasks.stateDump(),
         }),
         drain: async () => {
             state.stopping = true;
             await tasks[Symbol.asyncDispose]();
-            await group.leave();
+            await membership.leave();
         },
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
--- /dev/null
+++ b/packages/standins/src/engine/attachReader.ts
@@ -0,0 +1,21 @@
+import type { EngineEvent } from "@ibislanding/upstreams";
+import type { ServerResponse } from "node:http";
+import type { EngineSequence } from "./engineSequence";
+import { sendEngineEvent } from "./sendEngineEvent";
+
+/** Makes a response the reader of a sequence; a later reader takes its place. */
+export const attachReader = (sequence: EngineSequence, response: ServerResponse): void => {
+    const reader = (event: EngineEvent): void => {
+        sendEngineEvent(response, event);
+        if (event.type === "finished") {
+            response.end();
+        }
+    };
+    sequence.reader = reader;
+    response.on("close", () => {
+        if (sequence.reader === reader) {
+            sequence.reader = undefined;
+            sequence.detachedAtMs = performance.now();
+        }
+    });
+};
--- /dev/null
+++ b/packages/standins/src/engine/createEngineOrders.ts
@@ -0,0 +1,39 @@
+import type { EngineOrder } from "@ibislanding/upstreams";
+import type { EngineOrders } from "./engineOrders";
+import type { EngineProfile } from "./engineProfile";
+
+/** Creates the state of an engine that has the model of its profile loaded. */
+export const createEngineOrders = (profile: EngineProfile): EngineOrders => {
+    const versions: Record<string, string> = { [profile.model]: profile.version };
+    const adapters = new Set<string>();
+    const newest = { fencingNumber: 0, generation: 0 };
+    let role = "serve";
+
+    const handlers: Readonly<Record<EngineOrder["type"], (order: EngineOrder) => void>> = {
+        "load-model": ({ model, version }) => {
+            versions[model ?? profile.model] = version ?? "";
+        },
+        "load-adapter": ({ adapter }) => void adapters.add(adapter ?? ""),
+        "unload-adapter": ({ adapter }) => void adapters.delete(adapter ?? ""),
+        "set-role": order => {
+            role = order.role ?? role;
+        },
+        // The engine itself stops taking new work.
+        drain: () => undefined,
+    };
+
+    return {
+        apply: order => {
+            if (profile.checksFencing && order.fencingNumber < newest.fencingNumber) {
+                return false;
+            }
+            newest.fencingNumber = Math.max(newest.fencingNumber, order.fencingNumber);
+            if (order.generation >= newest.generation) {
+                newest.generation = order.generation;
+                handlers[order.type](order);
+            }
+            return true;
+        },
+        describe: () => ({ modelVersions: { ...versions }, adapters: [...adapters], role }),
+    };
+};
--- a/packages/standins/src/engine/createEngineStandIn.ts
+++ b/packages/standins/src/engine/createEngineStandIn.ts
@@ -1,40 +1,31 @@
-import { createHasher, createRandom, ErrorCode, type Hasher } from "@ibislanding/core";
+import { createHasher, ErrorCode, type Hasher } from "@ibislanding/core";
 import { createHttpExchange } from "@ibislanding/platform";
 import {
-    type CacheEvent,
     countTokens,
-    type EngineEvent,
     type EngineLoad,
     type EngineOrder,
     type GenerateRequest,
     promptBlockHashes,
     renderPrompt,
 } from "@ibislanding/upstreams";
-import type { ServerResponse } from "node:http";
 import { answerJson } from "../server/answerJson";
 import { createStandInServer } from "../server/createStandInServer";
 import type { Route } from "../server/route";
 import { answerTokens } from "./answerTokens";
+import { attachReader } from "./attachReader";
+import { createCacheEventLog } from "./createCacheEventLog";
 import { createEngineCore } from "./createEngineCore";
+import { createEngineOrders } from "./createEngineOrders";
 import { createPrefixCache } from "./createPrefixCache";
 import type { EngineProfile } from "./engineProfile";
 import type { EngineSequence } from "./engineSequence";
 import type { EngineStandIn } from "./engineStandIn";
+import { openEngineStream } from "./openEngineStream";
+import { replaySequence } from "./replaySequence";
 
-const HEARTBEAT_MS = 1_000;
-const MAXIMUM_CACHE_EVENTS = 4_096;
 const IMPORT_TIMEOUT_MS = 5_000;
 const TRANSFER_BYTES_PER_SECOND = 100_000_000;
 
-interface PublishedEvent extends CacheEvent {
-    readonly visibleAtMs: number;
-    readonly lost: boolean;
-}
-
-const sendEvent = (response: ServerResponse, event: EngineEvent): void => {
-    response.write(`data: ${JSON.stringify(event)}\n\n`);
-};
-
 const toSequence = (
     request: GenerateRequest,
     importedTokens: number,
@@ -65,24 +56,11 @@
 export const createEngineStandIn = async (port: number, profile: EngineProfile): Promise<EngineStandIn> => {
     const hasher = await createHasher();
     const http = createHttpExchange();
-    const random = createRandom(profile.seed);
-    const events: PublishedEvent[] = [];
     const exported = new Map<string, { tokens: number; sizeBytes: number; }>();
-    const versions: Record<string, string> = { [profile.model]: profile.version };
-    const adapters = new Set<string>();
-    const order = { fencingNumber: 0, generation: 0, role: "serve" };
-    let lastSequence = 0;
+    const orders = createEngineOrders(profile);
     let leaving = false;
-    const cache = createPrefixCache(profile.cacheBlocks, (type, blockHash) => {
-        events.push({
-            sequence: ++lastSequence,
-            type,
-            blockHash,
-            visibleAtMs: performance.now() + profile.reportLagMs,
-            lost: random.nextUnit() < profile.cacheEventLoss,
-        });
-        events.splice(0, Math.max(0, events.length - MAXIMUM_CACHE_EVENTS));
-    });
+    const cacheEvents = createCacheEventLog(profile);
+    const cache = createPrefixCache(profile.cacheBlocks, cacheEvents.publish);
     const core = createEngineCore(profile, cache);
 
     const measureLoad = (): EngineLoad => ({
@@ -94,73 +72,10 @@
         concurrentSequences: profile.concurrentSequences,
         prefillTokensPerSecond: profile.prefillTokensPerSecond,
         leaving,
-        modelVersions: { ...versions },
-        adapters: [...adapters],
-        role: order.role,
+        ...orders.describe(),
     });
     let reportedLoad = measureLoad();
 
-    const attachReader = (sequence: EngineSequence, response: ServerResponse): void => {
-        const reader = (event: EngineEvent): void => {
-            sendEvent(response, event);
-            if (event.type === "finished") {
-                response.end();
-            }
-        };
-        sequence.reader = reader;
-        response.on("close", () => {
-            if (sequence.reader === reader) {
-                sequence.reader = undefined;
-                sequence.detachedAtMs = performance.now();
-            }
-        });
-    };
-
-    const openStream = (response: ServerResponse, requestId: string): void => {
-        response.writeHead(200, { "content-type": "text/event-stream" });
-        sendEvent(response, { type: "heartbeat", requestId });
-        const timer = setInterval(() => sendEvent(response, { type: "heartbeat", requestId }), HEARTBEAT_MS);
-        response.on("close", () => clearInterval(timer));
-    };
-
-    const replay = (sequence: EngineSequence, afterTokens: number, response: ServerResponse): void => {
-        const { requestId, promptTokens, cachedTokens, finishReason: reason, generated } = sequence;
-        sendEvent(response, { type: "started", requestId, promptTokens, cachedTokens });
-        sequence.answer.slice(afterTokens, generated).forEach((text, offset) =>
-            sendEvent(response, { type: "token", requestId, index: afterTokens + offset, text })
-        );
-        if (sequence.state === "finished") {
-            sendEvent(response, { type: "finished", requestId, reason, totalTokens: generated });
-            response.end();
-        }
-    };
-
-    const applyOrder = (incoming: EngineOrder): boolean => {
-        if (profile.checksFencing && incoming.fencingNumber < order.fencingNumber) {
-            return false;
-        }
-        order.fencingNumber = Math.max(order.fencingNumber, incoming.fencingNumber);
-        if (incoming.generation < order.generation) {
-            return true;
-        }
-        order.generation = incoming.generation;
-        const handlers: Readonly<Record<EngineOrder["type"], () => void>> = {
-            "load-model": () => {
-                versions[incoming.model ?? profile.model] = incoming.version ?? "";
-            },
-            "load-adapter": () => void adapters.add(incoming.adapter ?? ""),
-            "unload-adapter": () => void adapters.delete(incoming.adapter ?? ""),
-            "set-role": () => {
-                order.role = incoming.role ?? order.role;
-            },
-            drain: () => {
-                leaving = true;
-            },
-        };
-        handlers[incoming.type]();
-        return true;
-    };
-
     const routes: readonly Route[] = [
         {
             method: "POST",
@@ -173,7 +88,7 @@
                     return;
                 }
                 const sequence = toSequence(request, exported.get(request.cacheHandle ?? "")?.tokens ?? 0, hasher);
-                openStream(response, request.requestId);
+                openEngineStream(response, request.requestId);
                 attachReader(sequence, response);
                 core.submit(sequence);
             },
@@ -187,8 +102,8 @@
                     answerJson(response, 404, { code: ErrorCode.UnknownEvent });
                     return;
                 }
-                openStream(response, requestId);
-                replay(sequence, (JSON.parse(body) as { afterTokens: number; }).afterTokens, response);
+                openEngineStream(response, requestId);
+                replaySequence(sequence, (JSON.parse(body) as { afterTokens: number; }).afterTokens, response);
                 attachReader(sequence, response);
             },
         },
@@ -247,23 +162,16 @@
         {
             method: "GET",
             pattern: /^\/v1\/cache-events$/,
-            handle: ({ response, url }) => {
-                const after = Number(url.searchParams.get("after") ?? 0);
-                const nowMs = performance.now();
-                const visible = events.filter(event =>
-                    event.sequence > after && event.visibleAtMs <= nowMs && !event.lost
-                );
-                answerJson(response, 200, {
-                    events: visible.map(({ sequence, type, blockHash }) => ({ sequence, type, blockHash })),
-                    lastSequence: Math.max(after, ...visible.map(({ sequence }) => sequence)),
-                });
-            },
+            handle: ({ response, url }) =>
+                answerJson(response, 200, cacheEvents.after(Number(url.searchParams.get("after") ?? 0))),
         },
         {
             method: "POST",
             pattern: /^\/v1\/orders$/,
             handle: ({ response, body }) => {
-                const applied = applyOrder(JSON.parse(body) as EngineOrder);
+                const order = JSON.parse(body) as EngineOrder;
+                const applied = orders.apply(order);
+                leaving ||= applied && order.type === "drain";
                 answerJson(response, applied ? 200 : 409, applied ? {} : { code: ErrorCode.StaleFencingNumber });
             },
         },
--- a/packages/standins/src/engine/createPrefixCache.ts
+++ b/packages/standins/src/engine/createPrefixCache.ts
@@ -12,6 +12,9 @@
         blocks.set(hash, true);
     };
 
+    /** Marks a chain as used, its head last: a block is of no use without those before it. */
+    const touchAll = (hashes: readonly string[]): void => [...hashes].reverse().forEach(touch);
+
     const evictOldest = (): void => {
         const oldest = blocks.keys().next().value;
         if (oldest !== undefined) {
@@ -24,19 +27,14 @@
         match: hashes => {
             const firstMiss = hashes.findIndex(hash => !blocks.has(hash));
             const matched = hashes.slice(0, firstMiss === -1 ? hashes.length : firstMiss);
-            matched.forEach(touch);
+            touchAll(matched);
             return matched.length;
         },
-        store: hashes =>
-            hashes.forEach(hash => {
-                if (!blocks.has(hash)) {
-                    publish("stored", hash);
-                }
-                touch(hash);
-                if (blocks.size > capacityBlocks) {
-                    evictOldest();
-                }
-            }),
+        store: hashes => {
+            hashes.filter(hash => !blocks.has(hash)).forEach(hash => publish("stored", hash));
+            touchAll(hashes);
+            Array.from({ length: Math.max(0, blocks.size - capacityBlocks) }).forEach(evictOldest);
+        },
         size: () => blocks.size,
     };
 };
--- /dev/null
+++ b/packages/standins/src/engine/replaySequence.ts
@@ -0,0 +1,16 @@
+import type { ServerResponse } from "node:http";
+import type { EngineSequence } from "./engineSequence";
+import { sendEngineEvent } from "./sendEngineEvent";
+
+/** Sends what a sequence generated behind the given number of tokens, and its end when it has finished. */
+export const replaySequence = (sequence: EngineSequence, afterTokens: number, response: ServerResponse): void => {
+    const { requestId, promptTokens, cachedTokens, finishReason: reason, generated } = sequence;
+    sendEngineEvent(response, { type: "started", requestId, promptTokens, cachedTokens });
+    sequence.answer.slice(afterTokens, generated).forEach((text, offset) =>
+        sendEngineEvent(response, { type: "token", requestId, index: afterTokens + offset, text })
+    );
+    if (sequence.state === "finished") {
+        sendEngineEvent(response, { type: "finished", requestId, reason, totalTokens: generated });
+        response.end();
+    }
+};
