perf(entry): one signature a stream, and engine connections that are used again

Cause, from a CPU profile at 64 streams: 11% of the busy time went into an HMAC for each token; every finished stream was aborted, which built stack traces and closed a connection that could have been kept; the same chunk head was serialized for each token.

Change: an HMAC over stream, upstream, account and body is computed once a stream, and each place is checked with a hash keyed by a secret part of it; a finished stream is read to its end; chunk heads are serialized once.

--- /dev/null
+++ b/packages/bench/src/commands/passThroughCommand.ts
@@ -0,0 +1,18 @@
+import { Command, Option } from "clipanion";
+import { createPassThrough } from "../throughput/createPassThrough";
+
+/** Runs the bare pass-through until it is ended. */
+export class PassThroughCommand extends Command {
+    static override paths = [["pass-through"]];
+
+    target = Option.String("--target", { required: true });
+
+    async execute(): Promise<number> {
+        const url = await createPassThrough(this.target);
+        this.context.stdout.write(
+            `${JSON.stringify({ name: "pass-through", pid: process.pid, urls: { standIn: url } })}\n`,
+        );
+        await new Promise(resolve => process.once("SIGTERM", resolve));
+        return 0;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/throughput/createPassThrough.ts
@@ -0,0 +1,26 @@
+import { Agent, createServer, request as openRequest } from "node:http";
+import type { AddressInfo } from "node:net";
+
+const CPU_PATH = "/cpu";
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Starts a bare streaming pass-through to one engine, the baseline of the entry host; `GET /cpu` shows its CPU time. */
+export const createPassThrough = async (targetUrl: string): Promise<string> => {
+    const agent = new Agent({ keepAlive: true });
+    const server = createServer((incoming, response) => {
+        if (incoming.url === CPU_PATH) {
+            const { user, system } = process.cpuUsage();
+            response.end(String((user + system) / MICROSECONDS_PER_SECOND));
+            return;
+        }
+        const { method, headers } = incoming;
+        const outgoing = openRequest(`${targetUrl}${incoming.url}`, { method, headers, agent }, answer => {
+            response.writeHead(answer.statusCode ?? 0, answer.headers);
+            answer.pipe(response);
+        });
+        outgoing.on("error", () => response.destroy());
+        incoming.pipe(outgoing);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
--- /dev/null
+++ b/packages/bench/src/throughput/measureThroughput.ts
@@ -0,0 +1,89 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { Agent, request as openRequest } from "node:http";
+import type { LoadTarget } from "./loadTarget";
+import type { ThroughputResult } from "./throughputResult";
+
+const MS_PER_SECOND = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
+
+interface Counts {
+    requests: number;
+    failures: number;
+    events: number;
+}
+
+const countEvents = (text: string): number => text.split("\n\n").length - 1;
+
+/** Sends one request and reads its whole stream. */
+const follow = (target: LoadTarget, agent: Agent, count: number, counts: Counts, first: Histogram): Promise<void> =>
+    new Promise(resolve => {
+        const startMs = performance.now();
+        let seen = false;
+        const { url, headers } = target;
+        const request = openRequest(url, {
+            method: "POST",
+            agent,
+            headers: { "content-type": "application/json", ...headers },
+        });
+        const fail = (): void => {
+            counts.failures++;
+            resolve();
+        };
+        request.on("error", fail);
+        request.on("response", response => {
+            if (response.statusCode !== 200) {
+                response.resume();
+                fail();
+                return;
+            }
+            response.setEncoding("utf8");
+            response.on("data", (text: string) => {
+                // The first event with a token, not a heartbeat or the head of the stream.
+                if (!seen && /"token"|"content"/.test(text)) {
+                    seen = true;
+                    first.recordValue(Math.round((performance.now() - startMs) * MICROSECONDS_PER_MS));
+                }
+                counts.events += countEvents(text);
+            });
+            response.on("end", () => {
+                counts.requests++;
+                resolve();
+            });
+            response.on("error", fail);
+        });
+        request.end(target.bodyOf(count));
+    });
+
+/** Keeps a number of streams open for a time and measures the target's CPU time. */
+export const measureThroughput = async (
+    target: LoadTarget,
+    streams: number,
+    durationMs: number,
+): Promise<ThroughputResult> => {
+    const agent = new Agent({ keepAlive: true, maxSockets: streams });
+    const counts: Counts = { requests: 0, failures: 0, events: 0 };
+    const first = build();
+    const startMs = performance.now();
+    const cpuBefore = await target.cpuSeconds();
+    let next = 0;
+    const run = async (): Promise<void> => {
+        while (performance.now() - startMs < durationMs) {
+            await follow(target, agent, next++, counts, first);
+        }
+    };
+    await Promise.all(Array.from({ length: streams }, run));
+    const elapsedSeconds = (performance.now() - startMs) / MS_PER_SECOND;
+    const cpuSeconds = await target.cpuSeconds() - cpuBefore;
+    agent.destroy();
+    return {
+        name: target.name,
+        streams,
+        requests: counts.requests,
+        failures: counts.failures,
+        eventsPerSecond: counts.events / elapsedSeconds,
+        eventsPerCpuSecond: counts.events / cpuSeconds,
+        cpuShare: cpuSeconds / elapsedSeconds,
+        firstEventP50Ms: first.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+        firstEventP99Ms: first.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+    };
+};
--- /dev/null
+++ b/packages/bench/src/throughput/throughputResult.ts
@@ -0,0 +1,12 @@
+/** Load that one target served, and what it cost. */
+export interface ThroughputResult {
+    readonly name: string;
+    readonly streams: number;
+    readonly requests: number;
+    readonly failures: number;
+    readonly eventsPerSecond: number;
+    readonly eventsPerCpuSecond: number;
+    readonly cpuShare: number;
+    readonly firstEventP50Ms: number;
+    readonly firstEventP99Ms: number;
+}
--- a/packages/entry/src/chat/createStreamedChatAnswer.ts
+++ b/packages/entry/src/chat/createStreamedChatAnswer.ts
@@ -32,8 +32,10 @@
         }
     };
 
-    const formatChunk = (delta: object, finishReason: string | null): string =>
-        JSON.stringify({ ...common, choices: [{ index: 0, delta, finish_reason: finishReason }] });
+    const prefix = `${JSON.stringify(common).slice(0, -1)},"choices":[{"index":0,"delta":`;
+
+    const formatChunk = (delta: string, finishReason: string): string =>
+        `${prefix}${delta},"finish_reason":${finishReason}}]}`;
 
     return {
         started: tokens => {
@@ -42,9 +44,10 @@
         },
         token: async (text, eventId) => {
             open();
-            const delta = roleSent ? { content: text } : { role: "assistant", content: text };
+            const role = roleSent ? "" : "\"role\":\"assistant\",";
+            const chunk = formatChunk(`{${role}"content":${JSON.stringify(text)}}`, "null");
             roleSent = true;
-            if (!response.write(`id: ${eventId}\ndata: ${formatChunk(delta, null)}\n\n`) && !response.destroyed) {
+            if (!response.write(`id: ${eventId}\ndata: ${chunk}\n\n`) && !response.destroyed) {
                 await Promise.race([once(response, "drain"), once(response, "close")]);
             }
         },
@@ -56,7 +59,7 @@
                 total_tokens: promptTokens + totalTokens,
             };
             const last = includeUsage ? `data: ${JSON.stringify({ ...common, choices: [], usage })}\n\n` : "";
-            response.end(`data: ${formatChunk({}, reason)}\n\n${last}data: [DONE]\n\n`);
+            response.end(`data: ${formatChunk("{}", JSON.stringify(reason))}\n\n${last}data: [DONE]\n\n`);
         },
         failed: (failure: Failure) => {
             if (!response.headersSent) {
--- a/packages/entry/src/chat/handleChat.ts
+++ b/packages/entry/src/chat/handleChat.ts
@@ -11,7 +11,6 @@
 } from "@ibislanding/streams";
 import { countTokens, promptBlockHashes, renderPrompt } from "@ibislanding/upstreams";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { match } from "ts-pattern";
 import { Ok, type Result } from "ts-results";
 import type { CallerContext } from "../callers/callerContext";
 import type { EntryServices } from "../entryServices";
@@ -108,7 +107,7 @@
     const startedMs = clock.monotonicMs();
     let lastTokenMs: number | undefined;
 
-    const sendToken = async (event: Extract<AnswerEvent, { type: "token"; }>): Promise<undefined> => {
+    const sendToken = async (event: Extract<AnswerEvent, { type: "token"; }>): Promise<void> => {
         const nowMs = clock.monotonicMs();
         if (lastTokenMs === undefined) {
             metrics.firstTokenMs.record(nowMs - startedMs);
@@ -120,7 +119,18 @@
         metrics.tokens.add();
         const place = { requestId, upstreamId: event.upstreamId, tokens: event.index + 1, digest: journal.digest() };
         await answer.token(event.text, request.streamed ? services.eventIds.encode(place, binding) : "");
-        return undefined;
+    };
+
+    const senders: {
+        readonly [K in AnswerEvent["type"]]: (event: Extract<AnswerEvent, { type: K; }>) => Promise<void> | void;
+    } = {
+        token: sendToken,
+        started: started => {
+            metrics.promptTokens.add(started.promptTokens);
+            metrics.cachedTokens.add(started.cachedTokens);
+            answer.started(started.promptTokens);
+        },
+        finished: ({ reason, totalTokens }) => answer.finished(reason, totalTokens),
     };
 
     const send = async (event: Result<AnswerEvent, Failure>): Promise<Failure | undefined> => {
@@ -128,19 +138,8 @@
             answer.failed(event.val);
             return event.val;
         }
-        return match(event.val)
-            .with({ type: "token" }, sendToken)
-            .with({ type: "started" }, async started => {
-                metrics.promptTokens.add(started.promptTokens);
-                metrics.cachedTokens.add(started.cachedTokens);
-                answer.started(started.promptTokens);
-                return undefined;
-            })
-            .with({ type: "finished" }, async ({ reason, totalTokens }) => {
-                answer.finished(reason, totalTokens);
-                return undefined;
-            })
-            .exhaustive();
+        await (senders[event.val.type] as (event: AnswerEvent) => Promise<void> | void)(event.val);
+        return undefined;
     };
 
     const heartbeat = setInterval(answer.heartbeat, settings.streams.heartbeatMs);
--- a/packages/entry/src/startEntry.ts
+++ b/packages/entry/src/startEntry.ts
@@ -90,7 +90,7 @@
         metrics: createEntryMetrics(context.metrics),
         directory,
         ledger,
-        eventIds: createEventIdCodec(settings.streams.eventIdSecret),
+        eventIds: createEventIdCodec(settings.streams.eventIdSecret, hasher),
         handover: handover.signal,
     };
     const { configuration } = group;
--- a/packages/runner/src/index.ts
+++ b/packages/runner/src/index.ts
@@ -4,6 +4,8 @@
 
 // Systems
 export type { ManagedProcess } from "./processes/managedProcess";
+export type { ProcessPlan } from "./processes/processPlan";
+export { startProcess } from "./processes/startProcess";
 export { applyResources } from "./system/applyResources";
 export { describeSystem } from "./system/describeSystem";
 export type { RunningSystem } from "./system/runningSystem";
--- a/packages/streams/__tests__/createEventIdCodec.spec.ts
+++ b/packages/streams/__tests__/createEventIdCodec.spec.ts
@@ -1,5 +1,5 @@
-import type { AccountId, RequestId, UpstreamId } from "@ibislanding/core";
-import { createEventIdCodec, type StreamBinding, type StreamPosition } from "@ibislanding/streams";
+import { type AccountId, createHasher, type Hasher, type RequestId, type UpstreamId } from "@ibislanding/core";
+import { createEventIdCodec, type EventIdCodec, type StreamBinding, type StreamPosition } from "@ibislanding/streams";
 import fc from "fast-check";
 
 const binding: StreamBinding = { accountId: "mobile" as AccountId, bodySha256: "ab" };
@@ -11,11 +11,17 @@
 };
 
 describe("createEventIdCodec", () => {
-    const codec = createEventIdCodec("s".repeat(32));
-    const id = codec.encode(position, binding);
+    let hasher: Hasher;
+    let codec: EventIdCodec;
+    let id: string;
+    beforeAll(async () => {
+        hasher = await createHasher();
+        codec = createEventIdCodec("s".repeat(32), hasher);
+        id = codec.encode(position, binding);
+    });
 
     it("decodes what it encoded, also with another instance of the same secret", () => {
-        expect(createEventIdCodec("s".repeat(32)).decode(id, binding).val).toEqual(position);
+        expect(createEventIdCodec("s".repeat(32), hasher).decode(id, binding).val).toEqual(position);
     });
 
     it.each([
--- a/packages/streams/src/answer/runAttempt.ts
+++ b/packages/streams/src/answer/runAttempt.ts
@@ -34,6 +34,7 @@
     const { upstreamId } = plan.upstream;
     const abort = new AbortController();
     const evacuation = { due: false };
+    let finished = false;
     const stopWatching = ports.watchLeaving(upstreamId, strategy.evacuationLeadMs, () => {
         evacuation.due = true;
         abort.abort();
@@ -46,6 +47,9 @@
             return evacuation.due ? { type: "evacuated" } : { type: "failed", failure: events.val };
         }
         for await (const event of events.val) {
+            if (finished) {
+                continue;
+            }
             if (event.err) {
                 return evacuation.due ? { type: "evacuated" } : { type: "failed", failure: event.val };
             }
@@ -68,14 +72,20 @@
                     return failed(ErrorCode.UpstreamInvalidAnswer);
                 }
                 yield value;
-                return { type: "finished" };
+                finished = true;
             }
         }
+        // The stream was read to its end, so its connection can be used again.
+        if (finished) {
+            return { type: "finished" };
+        }
         return evacuation.due ? { type: "evacuated" } : failed(ErrorCode.UpstreamSilent);
     }
     finally {
         stopWatching();
         options.signal.removeEventListener("abort", onCancel);
-        abort.abort();
+        if (!finished) {
+            abort.abort();
+        }
     }
 };
--- a/packages/streams/src/eventId/createEventIdCodec.ts
+++ b/packages/streams/src/eventId/createEventIdCodec.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type RequestId, type UpstreamId } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Hasher, type RequestId, type UpstreamId } from "@ibislanding/core";
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { Err, Ok } from "ts-results";
 import type { EventIdCodec } from "./eventIdCodec";
@@ -9,23 +9,57 @@
 const MAXIMUM_ID_LENGTH = 512;
 const FIELD_PATTERN = /^[A-Za-z0-9._-]+$/;
 
-/** Creates a codec; all entry hosts share the secret. */
-export const createEventIdCodec = (secret: string): EventIdCodec => {
-    const sign = (payload: string, { accountId, bodySha256 }: StreamBinding): string =>
-        createHmac("sha256", secret).update(`${payload}\n${accountId}\n${bodySha256}`).digest("base64url")
-            .slice(0, SIGNATURE_LENGTH);
+/** Bytes of the signature that are kept secret and key the check of a place. */
+const SEED_OFFSET = 24;
 
-    const isSigned = (payload: string, signature: string, binding: StreamBinding): boolean => {
-        const expected = Buffer.from(sign(payload, binding));
-        const actual = Buffer.from(signature);
-        return expected.length === actual.length && timingSafeEqual(expected, actual);
+/** Streams whose signatures are remembered, so that a token costs no new one. */
+const MAXIMUM_REMEMBERED = 10_000;
+
+interface StreamSignature {
+    readonly signature: string;
+    readonly seed: bigint;
+}
+
+/**
+ * Creates a codec; all entry hosts share the secret. An id carries an HMAC over its stream, upstream, client account and
+ * body, which is computed once for each stream, and a hash of its place that is keyed with a secret part of that HMAC.
+ */
+export const createEventIdCodec = (secret: string, hasher: Hasher): EventIdCodec => {
+    const remembered = new Map<string, StreamSignature>();
+
+    const sign = (stream: string, { accountId, bodySha256 }: StreamBinding): StreamSignature => {
+        const mac = createHmac("sha256", secret).update(`${stream}\n${accountId}\n${bodySha256}`).digest();
+        return {
+            signature: mac.subarray(0, SEED_OFFSET).toString("base64url").slice(0, SIGNATURE_LENGTH),
+            seed: mac.readBigUInt64BE(SEED_OFFSET),
+        };
+    };
+
+    const signOnce = (stream: string, binding: StreamBinding): StreamSignature => {
+        const key = `${stream}\n${binding.accountId}\n${binding.bodySha256}`;
+        const known = remembered.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const signed = sign(stream, binding);
+        remembered.set(key, signed);
+        if (remembered.size > MAXIMUM_REMEMBERED) {
+            remembered.delete(remembered.keys().next().value ?? "");
+        }
+        return signed;
     };
 
-    const parse = (payload: string): StreamPosition | undefined => {
-        const [requestId = "", upstreamId = "", tokens = "", digest = "", ...rest] = payload.split("~");
-        const valid = rest.length === 0 && /^\d{1,9}$/.test(tokens)
-            && [requestId, upstreamId, digest].every(field => FIELD_PATTERN.test(field));
-        return valid
+    const encode = (position: StreamPosition, { signature, seed }: StreamSignature): string => {
+        const { requestId, upstreamId, tokens, digest } = position;
+        const check = hasher.hash64Hex(`${tokens}~${digest}`, seed);
+        return `${requestId}~${upstreamId}~${tokens}~${digest}~${signature}${check}`;
+    };
+
+    const parse = (text: string): StreamPosition | undefined => {
+        const [requestId = "", upstreamId = "", tokens = "", digest = "", signature = "", ...rest] = text.split("~");
+        const isValid = rest.length === 0 && /^\d{1,9}$/.test(tokens)
+            && [requestId, upstreamId, digest, signature].every(field => FIELD_PATTERN.test(field));
+        return isValid
             ? {
                 requestId: requestId as RequestId,
                 upstreamId: upstreamId as UpstreamId,
@@ -35,18 +69,21 @@
             : undefined;
     };
 
+    const isAuthentic = (position: StreamPosition, text: string, binding: StreamBinding): boolean => {
+        const signed = sign(`${position.requestId}~${position.upstreamId}`, binding);
+        const expected = Buffer.from(encode(position, signed));
+        const actual = Buffer.from(text);
+        return expected.length === actual.length && timingSafeEqual(expected, actual);
+    };
+
     return {
-        encode: ({ requestId, upstreamId, tokens, digest }, binding) => {
-            const payload = `${requestId}~${upstreamId}~${tokens}~${digest}`;
-            return `${payload}~${sign(payload, binding)}`;
-        },
+        encode: (position, binding) =>
+            encode(position, signOnce(`${position.requestId}~${position.upstreamId}`, binding)),
         decode: (text, binding) => {
-            const cut = text.lastIndexOf("~");
-            const payload = text.slice(0, Math.max(0, cut));
-            const position = text.length <= MAXIMUM_ID_LENGTH && isSigned(payload, text.slice(cut + 1), binding)
-                ? parse(payload)
-                : undefined;
-            return position === undefined ? Err(createFailure(ErrorCode.UnknownEvent)) : Ok(position);
+            const position = text.length <= MAXIMUM_ID_LENGTH ? parse(text) : undefined;
+            return position !== undefined && isAuthentic(position, text, binding)
+                ? Ok(position)
+                : Err(createFailure(ErrorCode.UnknownEvent));
         },
     };
 };
