--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -112,7 +112,7 @@
             to: {
                 path: "^packages/",
                 pathNot:
-                    "^packages/(control|core|resources|protocol|platform|runtime|upstreams|membership|configuration|placement)/",
+                    "^packages/(control|peering|core|resources|protocol|platform|runtime|upstreams|membership|configuration|placement)/",
             },
         },
         {
