fix(ledger): claims are refused at once while the key-value service is known to be away

Ruled out: a shorter back-off, which spends the service's calls when it is weakest. Until the back-off ends, claims fail with the last failure; after it the next one tries again.

--- a/packages/ledger/__tests__/shard.spec.ts
+++ b/packages/ledger/__tests__/shard.spec.ts
@@ -72,6 +72,22 @@
     results.map(result => result.ok ? result.val.kind : result.val.code);
 
 describe("createShardTask", () => {
+    it("refuses claims at once while the service is known to be away, and takes them again when it is back", async () => {
+        const { clock, store, task, run } = createShard();
+        store.setUnavailable(true);
+        expect(kindsOf(await run([claim("first")], 200))).toEqual(["key_value_unavailable"]);
+        const waiting = task.submit(finish("first"));
+        await clock.advance(200);
+        const beforeMs = clock.monotonicMs();
+        const refused = await task.submit(claim("second"));
+        expect(kindsOf([refused])).toEqual(["key_value_unavailable"]);
+        expect(clock.monotonicMs()).toBe(beforeMs);
+        store.setUnavailable(false);
+        await clock.advance(200);
+        expect((await waiting).ok).toBe(true);
+        expect(kindsOf(await run([claim("third")]))).toEqual(["claimed"]);
+    });
+
     it("commits operations that wait in one write", async () => {
         const { store, run } = createShard();
         const results = await run(Array.from({ length: 50 }, (_, number) => claim(`key-${number}`)));
--- a/packages/ledger/src/shard/createShardTask.ts
+++ b/packages/ledger/src/shard/createShardTask.ts
@@ -31,6 +31,7 @@
     const unsettled = new Set<PendingOperation>();
     let commitQueued = false;
     let failedAttempts = 0;
+    let refusal: { readonly failure: Failure; readonly untilMs: number; } | undefined;
 
     const queueCommit = (): void => {
         if (!commitQueued) {
@@ -39,12 +40,19 @@
         }
     };
 
-    const queueCommitLater = (): void => {
+    const queueCommitLater = (failure?: Failure): void => {
         commitQueued = true;
         const delayMs = backoffDelayMs(Math.max(0, failedAttempts - 1), options.backoff, random);
+        if (failure !== undefined && failedAttempts >= options.failFastAttempts) {
+            refusal = { failure, untilMs: clock.monotonicMs() + delayMs };
+        }
         clock.setTimer(delayMs, () => task.post({ kind: "commit" }));
     };
 
+    /** The failure with which an operation is refused while the service is known to be unavailable. */
+    const refusalOf = ({ kind }: LedgerOperation): Failure | undefined =>
+        refusal !== undefined && failsFast[kind] && clock.monotonicMs() < refusal.untilMs ? refusal.failure : undefined;
+
     const forget = (settled: readonly PendingOperation[]): void => {
         settled.forEach(operation => unsettled.delete(operation));
         pending = pending.filter(operation => unsettled.has(operation));
@@ -81,6 +89,7 @@
         match(outcome)
             .with({ kind: "committed" }, ({ results }) => {
                 failedAttempts = 0;
+                refusal = undefined;
                 settle(batch, results);
             })
             .with({ kind: "reread" }, () => undefined)
@@ -90,7 +99,7 @@
             await committer.mergeSegments();
         }
         if (outcome.kind === "failed") {
-            queueCommitLater();
+            queueCommitLater(outcome.failure);
         }
         else if (pending.length > 0) {
             queueCommit();
@@ -117,6 +126,10 @@
             if (disposal.signal.aborted) {
                 return Promise.resolve(Err(createFailure(ErrorCode.NotReady)));
             }
+            const refused = refusalOf(operation);
+            if (refused !== undefined) {
+                return Promise.resolve(Err(refused));
+            }
             const deferred = createDeferred<Awaited<ReturnType<ShardTask["submit"]>>>();
             const submitted = { operation, deferred, isCancelled };
             unsettled.add(submitted);
