--- a/packages/proofs/__tests__/checkHistory.spec.ts
+++ b/packages/proofs/__tests__/checkHistory.spec.ts
@@ -48,6 +48,9 @@
     ["an unknown outcome without effect", [...action("a1", "info"), effects(0)]],
     ["concurrent operators", [...apply("x", 1, 10, 2), ...apply("y", 2, 9, 1), seen(11, 2)]],
     ["a revision in force in time", [...apply("x", 1, 10, 1), seen(9_000, 0), seen(9_011, 1)]],
+    ["work offered within the bound", [
+        { ...at(9), type: "observe", subject: "last-offer", upstreamId: "e1", afterLeavingMs: 2_999 },
+    ]],
     ["work taken within the bound", [
         { ...at(0), type: "fault", kind: "reclaim", target: "e1" },
         { ...at(2_999), type: "observe", subject: "accepted", upstreamId: "e1" },
@@ -73,6 +76,9 @@
         { ...at(0), type: "fault", kind: "reclaim", target: "e1" },
         { ...at(3_001), type: "observe", subject: "accepted", upstreamId: "e1" },
     ]],
+    ["work offered after the bound", [
+        { ...at(9), type: "observe", subject: "last-offer", upstreamId: "e1", afterLeavingMs: 3_001 },
+    ]],
 ];
 
 describe("checkHistory", () => {
--- a/packages/proofs/__tests__/shortRun.spec.ts
+++ b/packages/proofs/__tests__/shortRun.spec.ts
@@ -14,6 +14,7 @@
             actionCallers: 2,
             operators: 1,
             inForceMs: undefined,
+            leavingMs: undefined,
             distDirectory: join(__dirname, "../../../dist"),
             reportDirectory: mkdtempSync(join(tmpdir(), "ibis-proof-")),
         });
--- a/packages/proofs/src/checks/checkLeaving.ts
+++ b/packages/proofs/src/checks/checkLeaving.ts
@@ -1,7 +1,20 @@
 import type { HistoryRecord } from "../history/historyRecord";
 import type { Violation } from "./violation";
 
-/** Checks that an upstream takes no new work a time after the fault `reclaim` named it. */
+const NAME = "leaving-upstreams";
+
+const checkLastOffers = (history: readonly HistoryRecord[], boundMs: number): readonly Violation[] =>
+    history.flatMap(record =>
+        record.type === "observe" && record.subject === "last-offer" && record.afterLeavingMs > boundMs
+            ? [{
+                check: NAME,
+                subject: record.upstreamId,
+                detail: `offered work after ${Math.round(record.afterLeavingMs)} ms`,
+            }]
+            : []
+    );
+
+/** Checks that an upstream takes and is offered no new work a time after the fault `reclaim` named it. */
 export const checkLeaving = (history: readonly HistoryRecord[], boundMs: number): readonly Violation[] => {
     const leavingSince = new Map(
         history.flatMap(
@@ -10,16 +23,17 @@
                 : []),
         ),
     );
-    return history.flatMap(record => {
+    const accepted = history.flatMap(record => {
         const since = record.type === "observe" && record.subject === "accepted"
             ? leavingSince.get(record.upstreamId)
             : undefined;
         return since !== undefined && record.atMs > since + boundMs
             ? [{
-                check: "leaving-upstreams",
+                check: NAME,
                 subject: record.process,
                 detail: `new work ${Math.round(record.atMs - since)} ms after`,
             }]
             : [];
     });
+    return [...accepted, ...checkLastOffers(history, boundMs)];
 };
--- a/packages/proofs/src/commands/runCommand.ts
+++ b/packages/proofs/src/commands/runCommand.ts
@@ -6,6 +6,7 @@
 
 const MS_PER_SECOND = 1_000;
 const IN_FORCE_MS = 9_000;
+const LEAVING_MS = 3_000;
 const MAXIMUM_VIOLATIONS = 20;
 
 const sets: Readonly<Record<string, readonly FaultKind[]>> = {
@@ -40,6 +41,7 @@
             actionCallers: Number(this.actionCallers),
             operators: Number(this.operators),
             inForceMs: IN_FORCE_MS,
+            leavingMs: LEAVING_MS,
             distDirectory: "dist",
             reportDirectory: "reports",
         });
--- a/packages/proofs/src/faults/faultContext.ts
+++ b/packages/proofs/src/faults/faultContext.ts
@@ -2,6 +2,8 @@
 
 /** What faults work on. */
 export interface FaultContext extends DriverContext {
+    /** Reads JSON from a stand-in. */
+    readonly ask: <T>(url: string) => Promise<T>;
     /** Sends a JSON body to a stand-in. */
     readonly tell: (url: string, body: unknown, method?: "POST" | "PUT") => Promise<void>;
 }
--- a/packages/proofs/src/faults/reclaimEngines.ts
+++ b/packages/proofs/src/faults/reclaimEngines.ts
@@ -2,6 +2,10 @@
 import { pause } from "../drivers/pause";
 import type { FaultContext } from "./faultContext";
 
+interface Statistics {
+    readonly lastOfferAfterLeavingMs: number;
+}
+
 /** Announces that engines will be reclaimed, kills them at the deadline, and starts replacements. */
 export const reclaimEngines = async (
     context: FaultContext,
@@ -27,6 +31,16 @@
         }, "PUT");
     }));
     await pause(noticeMs);
+    await Promise.all(engines.map(async ({ name, urls }) => {
+        const { lastOfferAfterLeavingMs } = await context.ask<Statistics>(`${urls["standIn"]}/statistics`);
+        const record = {
+            type: "observe",
+            subject: "last-offer",
+            upstreamId: name,
+            afterLeavingMs: lastOfferAfterLeavingMs,
+        } as const;
+        context.history.write("faults", record);
+    }));
     engines.forEach(engine => engine.signal("SIGKILL"));
     await Promise.all(engines.map(engine => context.system.addEngine(engine.availabilityZone)));
 };
--- a/packages/proofs/src/history/historyRecord.ts
+++ b/packages/proofs/src/history/historyRecord.ts
@@ -71,4 +71,11 @@
     }
     /** Start of a request at an upstream, by the upstream's own account. */
     | RecordHead & { readonly type: "observe"; readonly subject: "accepted"; readonly upstreamId: string; }
+    /** Last new request that was offered to a leaving upstream, by the upstream's own account. */
+    | RecordHead & {
+        readonly type: "observe";
+        readonly subject: "last-offer";
+        readonly upstreamId: string;
+        readonly afterLeavingMs: number;
+    }
     | RecordHead & { readonly type: "fault"; readonly kind: string; readonly target: string; };
--- a/packages/proofs/src/run/runOptions.ts
+++ b/packages/proofs/src/run/runOptions.ts
@@ -10,6 +10,8 @@
     readonly operators: number;
     /** Bound for a change to be in force everywhere; undefined checks no time. */
     readonly inForceMs: number | undefined;
+    /** Bound for new work to a leaving upstream to end; undefined checks no time. */
+    readonly leavingMs: number | undefined;
     readonly distDirectory: string;
     /** Directory for the history. */
     readonly reportDirectory: string;
--- a/packages/proofs/src/run/runProof.ts
+++ b/packages/proofs/src/run/runProof.ts
@@ -74,6 +74,8 @@
     const faults = injectFaults({
         ...driver(400),
         random,
+        ask: async <T>(url: string): Promise<T> =>
+            JSON.parse((await http.exchange({ method: "GET", url, timeoutMs: 2_000 })).unwrap().body) as T,
         tell: async (url, body, method = "POST") => {
             await http.exchange({ method, url, body: JSON.stringify(body), timeoutMs: 2_000 });
         },
@@ -86,7 +88,7 @@
     const records = history.records();
     return {
         totals: countTotals(records),
-        violations: checkHistory(records, { inForceMs: options.inForceMs, leavingMs: undefined }),
+        violations: checkHistory(records, { inForceMs: options.inForceMs, leavingMs: options.leavingMs }),
         historyFile,
         uncleanStops,
     };
--- a/packages/standins/src/engine/createEngineCore.ts
+++ b/packages/standins/src/engine/createEngineCore.ts
@@ -26,6 +26,7 @@
         generatedTokens: 0,
         cancelledRequests: 0,
         refusedAfterLeaving: 0,
+        lastOfferAfterLeavingMs: 0,
     };
 
     const inState = (...states: readonly EngineSequence["state"][]): readonly EngineSequence[] =>
@@ -120,8 +121,9 @@
                     sum + (state === "queued" ? promptTokens : prefillTokensLeft),
                 0,
             ),
-        countRefusal: () => {
+        countRefusal: afterLeavingMs => {
             statistics.refusedAfterLeaving++;
+            statistics.lastOfferAfterLeavingMs = afterLeavingMs;
         },
     };
 };
--- a/packages/standins/src/engine/createEngineStandIn.ts
+++ b/packages/standins/src/engine/createEngineStandIn.ts
@@ -58,11 +58,15 @@
     const http = createHttpExchange();
     const exported = new Map<string, { tokens: number; sizeBytes: number; }>();
     const orders = createEngineOrders(profile);
-    let leaving = false;
+    let leavingSinceMs: number | undefined;
     const cacheEvents = createCacheEventLog(profile);
     const cache = createPrefixCache(profile.cacheBlocks, cacheEvents.publish);
     const core = createEngineCore(profile, cache);
 
+    const leave = (): void => {
+        leavingSinceMs ??= performance.now();
+    };
+
     const measureLoad = (): EngineLoad => ({
         upstreamId: profile.upstreamId,
         measuredAtMs: Date.now(),
@@ -71,7 +75,7 @@
         queuedPromptTokens: core.queuedPromptTokens(),
         concurrentSequences: profile.concurrentSequences,
         prefillTokensPerSecond: profile.prefillTokensPerSecond,
-        leaving,
+        leaving: leavingSinceMs !== undefined,
         ...orders.describe(),
     });
     let reportedLoad = measureLoad();
@@ -82,8 +86,8 @@
             pattern: /^\/v1\/generate$/,
             handle: ({ response, body }) => {
                 const request = JSON.parse(body) as GenerateRequest;
-                if (leaving) {
-                    core.countRefusal();
+                if (leavingSinceMs !== undefined) {
+                    core.countRefusal(performance.now() - leavingSinceMs);
                     answerJson(response, 503, { code: ErrorCode.UpstreamLeaving });
                     return;
                 }
@@ -157,7 +161,8 @@
         {
             method: "GET",
             pattern: /^\/v1\/load$/,
-            handle: ({ response }) => answerJson(response, 200, { ...reportedLoad, leaving }),
+            handle: ({ response }) =>
+                answerJson(response, 200, { ...reportedLoad, leaving: leavingSinceMs !== undefined }),
         },
         {
             method: "GET",
@@ -171,7 +176,9 @@
             handle: ({ response, body }) => {
                 const order = JSON.parse(body) as EngineOrder;
                 const applied = orders.apply(order);
-                leaving ||= applied && order.type === "drain";
+                if (applied && order.type === "drain") {
+                    leave();
+                }
                 answerJson(response, applied ? 200 : 409, applied ? {} : { code: ErrorCode.StaleFencingNumber });
             },
         },
@@ -179,7 +186,7 @@
             method: "POST",
             pattern: /^\/leave$/,
             handle: ({ response }) => {
-                leaving = true;
+                leave();
                 answerJson(response, 200, {});
             },
         },
@@ -204,9 +211,7 @@
 
     return {
         ...server,
-        leave: () => {
-            leaving = true;
-        },
+        leave,
         kill,
         [Symbol.asyncDispose]: kill,
     };
--- a/packages/standins/src/engine/engineCore.ts
+++ b/packages/standins/src/engine/engineCore.ts
@@ -12,5 +12,6 @@
     readonly runningSequences: () => number;
     readonly queuedSequences: () => number;
     readonly queuedPromptTokens: () => number;
-    readonly countRefusal: () => void;
+    /** Counts a request that was refused the given time after the engine began to leave. */
+    readonly countRefusal: (afterLeavingMs: number) => void;
 }
--- a/packages/standins/src/engine/engineStatistics.ts
+++ b/packages/standins/src/engine/engineStatistics.ts
@@ -8,4 +8,6 @@
     readonly generatedTokens: number;
     readonly cancelledRequests: number;
     readonly refusedAfterLeaving: number;
+    /** Time from the start of leaving to the last new request that was offered. */
+    readonly lastOfferAfterLeavingMs: number;
 }
