--- a/packages/proofs/__tests__/shortRun.spec.ts
+++ b/packages/proofs/__tests__/shortRun.spec.ts
@@ -10,6 +10,7 @@
             seed: 5,
             durationMs: 8_000,
             faults: ["stop-entry", "kill-engine", "key-value-lost-answers", "service-lost-answers", "reclaim-engine"],
+            outageMs: 1_000,
             chatCallers: 3,
             actionCallers: 2,
             operators: 1,
--- a/packages/proofs/src/commands/runCommand.ts
+++ b/packages/proofs/src/commands/runCommand.ts
@@ -28,6 +28,7 @@
     seed = Option.String("--seed", "1");
     duration = Option.String("--duration", "30", { description: "Seconds of load." });
     faults = Option.String("--faults", "all", { description: "none, announced, all, or kinds separated by commas." });
+    outage = Option.String("--outage", "4", { description: "Seconds of an outage of the key-value service." });
     chatCallers = Option.String("--chat-callers", "6");
     actionCallers = Option.String("--action-callers", "4");
     operators = Option.String("--operators", "2");
@@ -37,6 +38,7 @@
             seed: Number(this.seed),
             durationMs: Number(this.duration) * MS_PER_SECOND,
             faults: parseFaults(this.faults),
+            outageMs: Number(this.outage) * MS_PER_SECOND,
             chatCallers: Number(this.chatCallers),
             actionCallers: Number(this.actionCallers),
             operators: Number(this.operators),
--- a/packages/proofs/src/faults/faultHandlers.ts
+++ b/packages/proofs/src/faults/faultHandlers.ts
@@ -5,7 +5,7 @@
 import { reclaimEngines } from "./reclaimEngines";
 
 const FREEZE_MS = 3_000;
-const OUTAGE_MS = 4_000;
+const LOST_ANSWERS_MS = 4_000;
 const NOTICE_MS = 5_000;
 const MINIMUM_ENTRIES = 2;
 
@@ -101,8 +101,9 @@
             await context.tell(`${engine.urls["standIn"]}/silence`, {});
         }
     },
-    "key-value-outage": tellStandIn("key-value-outage", "key-value", { mode: "refuse" }, OUTAGE_MS),
-    "key-value-lost-answers": tellStandIn("key-value-lost-answers", "key-value", { loseAnswers: 5 }, OUTAGE_MS),
+    "key-value-outage": context =>
+        tellStandIn("key-value-outage", "key-value", { mode: "refuse" }, context.outageMs)(context),
+    "key-value-lost-answers": tellStandIn("key-value-lost-answers", "key-value", { loseAnswers: 5 }, LOST_ANSWERS_MS),
     "service-lost-answers": async context => {
         const prefix = context.system.deployment.plainService;
         await tellStandIn("service-lost-answers", prefix, { loseAnswers: 1 }, 1_000)(context);
--- a/packages/proofs/src/run/runOptions.ts
+++ b/packages/proofs/src/run/runOptions.ts
@@ -5,6 +5,8 @@
     readonly seed: number;
     readonly durationMs: number;
     readonly faults: readonly FaultKind[];
+    /** Length of an outage of the key-value service. */
+    readonly outageMs: number;
     readonly chatCallers: number;
     readonly actionCallers: number;
     readonly operators: number;
--- a/packages/proofs/src/run/runProof.ts
+++ b/packages/proofs/src/run/runProof.ts
@@ -74,6 +74,7 @@
     const faults = injectFaults({
         ...driver(400),
         random,
+        outageMs: options.outageMs,
         ask: async <T>(url: string): Promise<T> =>
             JSON.parse((await http.exchange({ method: "GET", url, timeoutMs: 2_000 })).unwrap().body) as T,
         tell: async (url, body, method = "POST") => {
