--- a/packages/streams/__tests__/createAnswerStream.spec.ts
+++ b/packages/streams/__tests__/createAnswerStream.spec.ts
@@ -102,10 +102,22 @@
     strategy: AnswerStrategy = defaultAnswerStrategy,
     resumeFrom?: StreamPosition,
     permitRetry: AnswerPorts["permitRetry"] = () => Ok(undefined),
-): Promise<{ texts: string; failure: Failure | undefined; finished: boolean; released: number; selected: number; }> => {
+    leavesAfterTokens = Infinity,
+): Promise<
+    {
+        texts: string;
+        failure: Failure | undefined;
+        finished: boolean;
+        released: number;
+        selected: number;
+        outcomes: readonly string[];
+    }
+> => {
     const clock = createFakeClock();
     const pending = [...scripts];
     const counts = { released: 0, selected: 0 };
+    const outcomes: string[] = [];
+    const caller = new AbortController();
     const toUpstream = (upstreamId: UpstreamId): SelectedUpstream => {
         counts.selected++;
         return {
@@ -117,7 +129,10 @@
             pricePerByteFrom: () => 0,
             pricePerSecond: 0,
             noteStarted: () => undefined,
-            release: () => void counts.released++,
+            release: outcome => {
+                counts.released++;
+                outcomes.push(outcome);
+            },
         };
     };
     const ports: AnswerPorts = {
@@ -149,7 +164,7 @@
             journal,
             resumeFrom,
             deadlineMs: 60_000,
-            signal: new AbortController().signal,
+            signal: caller.signal,
         },
         ports,
         strategy,
@@ -158,6 +173,9 @@
     const collect = async (): Promise<void> => {
         for await (const event of resumeFrom === undefined ? events : filterResumed(events, journal, resumeFrom)) {
             collected.push(event);
+            if (collected.length > leavesAfterTokens) {
+                caller.abort();
+            }
         }
     };
     let collecting = true;
@@ -173,6 +191,7 @@
         failure: collected.flatMap(event => (event.err ? [event.val] : []))[0],
         finished: values.some(event => event.type === "finished"),
         ...counts,
+        outcomes,
     };
 };
 
@@ -223,6 +242,14 @@
         },
     );
 
+    it("does not hold a caller's departure against the upstream", async () => {
+        const permit = (): Result<void, Failure> => Ok(undefined);
+        const silent: Script = { fault: "silent", after: 3 };
+        const result = await run(hasher, [silent], defaultAnswerStrategy, undefined, permit, 3);
+        expect(result.outcomes).toEqual(["cancelled"]);
+        expect((await run(hasher, [silent, silent])).outcomes.slice(0, 2)).toEqual(["failed", "failed"]);
+    });
+
     it("continues behind the tokens that the caller has", async () => {
         const journal = createTokenJournal(hasher);
         ANSWER.slice(0, 5).forEach((text, index) => journal.append(index, text));
