--- a/packages/bench/src/commands/passThroughCommand.ts
+++ b/packages/bench/src/commands/passThroughCommand.ts
@@ -8,7 +8,8 @@
     target = Option.String("--target", { required: true });
 
     async execute(): Promise<number> {
-        const url = await createPassThrough(this.target);
+        await using passThrough = await createPassThrough(this.target);
+        const { url } = passThrough;
         this.context.stdout.write(
             `${JSON.stringify({ name: "pass-through", pid: process.pid, urls: { standIn: url } })}\n`,
         );
--- a/packages/bench/src/throughput/createPassThrough.ts
+++ b/packages/bench/src/throughput/createPassThrough.ts
@@ -5,7 +5,7 @@
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** Starts a bare streaming pass-through to one engine, the baseline of the entry host; `GET /cpu` shows its CPU time. */
-export const createPassThrough = async (targetUrl: string): Promise<string> => {
+export const createPassThrough = async (targetUrl: string): Promise<AsyncDisposable & { readonly url: string; }> => {
     const agent = new Agent({ keepAlive: true });
     const server = createServer((incoming, response) => {
         if (incoming.url === CPU_PATH) {
@@ -22,5 +22,12 @@
         incoming.pipe(outgoing);
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    return {
+        url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+        [Symbol.asyncDispose]: async () => {
+            server.close();
+            server.closeAllConnections();
+            agent.destroy();
+        },
+    };
 };
