--- a/packages/duties/__tests__/scaling.spec.ts
+++ b/packages/duties/__tests__/scaling.spec.ts
@@ -92,7 +92,9 @@
     const { clock, orders, step } = createTestScaler();
     const large = [zone("a", 0.85, { onDemand: 6 }), zone("b", 1.2), zone("c", 1)];
     await step(1, large);
-    expect(orders.some(({ availabilityZone, isReclaimable }) => availabilityZone === "a" && !isReclaimable)).toBe(false);
+    expect(orders.some(({ availabilityZone, isReclaimable }) => availabilityZone === "a" && !isReclaimable)).toBe(
+        false,
+    );
     await clock.advance(9_000);
     await step(1, large);
     expect(orders.some(({ availabilityZone, isReclaimable }) => availabilityZone === "a" && !isReclaimable)).toBe(true);
--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -1,4 +1,11 @@
-import { type AccountId, createFailure, createFakeClock, ErrorCode, type FencingNumber, type HostId } from "@ibislanding/core";
+import {
+    type AccountId,
+    createFailure,
+    createFakeClock,
+    ErrorCode,
+    type FencingNumber,
+    type HostId,
+} from "@ibislanding/core";
 import { createFakeKeyValueStore } from "@ibislanding/platform";
 import { Err, Ok } from "ts-results";
 import { createUsageCounts, createUsageReporter, type DutyApi } from "../src";
@@ -7,7 +14,10 @@
 const acme = "acme" as AccountId;
 const fence = (number: number) => () => number as FencingNumber;
 
-const createReporter = (clock: ReturnType<typeof createFakeClock>, store: ReturnType<typeof createFakeKeyValueStore>) => {
+const createReporter = (
+    clock: ReturnType<typeof createFakeClock>,
+    store: ReturnType<typeof createFakeKeyValueStore>,
+) => {
     const sent: { readonly window: number; readonly count: number | undefined; readonly fence: number; }[] = [];
     const state = { isDown: false, heardAll: true };
     const api: DutyApi = {
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -1,4 +1,10 @@
-import { type AvailabilityZone, createFakeClock, type HostId, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import {
+    type AvailabilityZone,
+    createFakeClock,
+    type HostId,
+    type ServiceName,
+    type UpstreamId,
+} from "@ibislanding/core";
 import {
     chooseUpstream,
     createUpstreamTable,
--- a/packages/gateway/src/upstreams/createPrefixDirectory.ts
+++ b/packages/gateway/src/upstreams/createPrefixDirectory.ts
@@ -68,7 +68,9 @@
         cachedTokens: ({ upstreamId }, parts, cacheTokens) => {
             const prefixes = prefixesOf(upstreamId);
             const oldestMs = clock.monotonicMs() - retentionMs(prefixes, cacheTokens);
-            const firstMissing = parts.findIndex(({ partId }) => !((prefixes.usedAtMs.get(partId) ?? -Infinity) >= oldestMs));
+            const firstMissing = parts.findIndex(({ partId }) =>
+                !((prefixes.usedAtMs.get(partId) ?? -Infinity) >= oldestMs)
+            );
             return parts.slice(0, firstMissing === -1 ? parts.length : firstMissing).reduce(
                 (sum, { tokens }) => sum + tokens,
                 0,
