--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -2,9 +2,16 @@
 import { createDutyHolder, createScaler, createUsageReporter, type DutyHolder } from "@ibislanding/duties";
 import type { EdgeDutiesOptions } from "./edgeDutiesOptions";
 
+/** Upstreams that started together register within this time. */
+const REGISTRATION_MS = 4_000;
+
+/** Work of an engine assumed of a fleet that is found running. */
+const FOUND_BUSY_SHARE = 0.4;
+
 /** Creates the duties and starts to contend for them. */
 export const createEdgeDuties = (options: EdgeDutiesOptions): DutyHolder => {
     const { clock, random, log, store, duties, settings, documents, usage, nowMs } = options;
+    const foundAtMs = new Map<ServiceName, number>();
     const peaks = new Map<ServiceName, { busy: number; atMs: number; }>();
 
     const noteFailure = (failure: Failure): void => {
@@ -42,22 +49,33 @@
     });
 
     /** Holds the peak of work for some time, as it may come back sooner than engines boot. */
-    const peakOf = (service: ServiceName): number => {
+    const peakOf = (service: ServiceName, running: number): number => {
+        // The fleet that is found is taken as right for the load until the load has been seen.
+        const known = peaks.get(service) ?? { busy: running * FOUND_BUSY_SHARE, atMs: clock.monotonicMs() };
         const busy = options.busyUpstreams(service);
-        const known = peaks.get(service);
-        const isNewPeak = known === undefined || busy >= known.busy
-            || clock.monotonicMs() - known.atMs > options.peakHoldMs;
+        const isNewPeak = busy >= known.busy || clock.monotonicMs() - known.atMs > options.peakHoldMs;
         const peak = isNewPeak ? { busy, atMs: clock.monotonicMs() } : known;
         peaks.set(service, peak);
         return peak.busy;
     };
 
+    /** Whether the upstreams have had time to register; before, their number says nothing. */
+    const isSettled = (service: ServiceName, running: number): boolean => {
+        if (running > 0 && !foundAtMs.has(service)) {
+            foundAtMs.set(service, clock.monotonicMs());
+        }
+        return clock.monotonicMs() - (foundAtMs.get(service) ?? Infinity) >= REGISTRATION_MS;
+    };
+
     const scale = async (fencingNumber: Parameters<typeof reporter.step>[0]): Promise<void> => {
         for (const { name, scaling } of options.configuration()?.source.services ?? []) {
             if (scaling === undefined) {
                 continue;
             }
             const records = options.upstreams.records().filter(record => record.service === name && !record.isLeaving);
+            if (!isSettled(name, records.length)) {
+                continue;
+            }
             const zones = [...scaling.zonePrices]
                 .filter(([zone]) => options.zonesInUse.has(zone))
                 .map(([availabilityZone, price]) => {
@@ -67,7 +85,7 @@
                 });
             await scaler.step(name, {
                 zones,
-                busyUpstreams: peakOf(name),
+                busyUpstreams: peakOf(name, records.length),
                 minimum: scaling.minimum,
                 maximum: scaling.maximum,
                 reclaimablePrice: scaling.reclaimablePrice,
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -6,7 +6,8 @@
 export const decodeHostReport = (text: string): HostReport | undefined => {
     try {
         const report = JSON.parse(text) as Partial<HostReport>;
-        const isValid = typeof report.hostId === "string" && typeof report.sequence === "number"
+        const isValid = typeof report.hostId === "string" && typeof report.hostName === "string"
+            && typeof report.sequence === "number"
             && typeof report.wallMs === "number" && typeof report.revisions === "object"
             && [report.loads, report.placements, report.admitted, report.began, report.work].every(isArray);
         return isValid ? report as HostReport : undefined;
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -3,6 +3,8 @@
 /** What a host tells the others; short names keep the report small. */
 export interface HostReport {
     readonly hostId: HostId;
+    /** The same for the processes that follow each other on a host. */
+    readonly hostName: string;
     /** Increases with each report of the process. */
     readonly sequence: number;
     readonly wallMs: number;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -17,11 +17,14 @@
 import { toWindowCounts } from "./toWindowCounts";
 
 /** Interval of reports: placements and limits act on what peers did up to two intervals ago. */
-const REPORT_INTERVAL_MS = 200;
+const REPORT_INTERVAL_MS = 300;
 
 /** Peers called in a round; each pair of a small group then exchanges reports a few times a second. */
 const REPORT_FANOUT = 2;
 
+/** Ended windows that reports repeat: the newest one is not final when it is first told. */
+const REPORTED_WINDOWS = 1;
+
 /** A peer that reported within this time counts as live. */
 const PEER_LIVE_MS = 2_000;
 
@@ -92,29 +95,36 @@
 
     const createReport = (): HostReport => ({
         hostId: settings.hostId,
+        hostName: settings.hostName,
         sequence: ++sequence,
         wallMs: clock.wallMs(),
         revisions: knowledge.revisions(),
         loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
         placements: upstreams.recentPlacements(),
         admitted: [...accounts.admittedTotals()],
-        began: [...usage.own()].flatMap(([window, counts]) =>
-            [...counts].map(([accountId, count]) => [window, accountId, count] as const)
-        ),
+        began: [...usage.own()]
+            .filter(([window]) => window >= usage.windowOf(time.nowMs()) - REPORTED_WINDOWS)
+            .flatMap(([window, counts]) =>
+                [...counts].map(([accountId, count]) => [window, accountId, count] as const)
+            ),
         work: [...work.busyUpstreams()],
     });
 
     const onReport = (report: HostReport): void => {
         time.observePeer(report.hostId, report.wallMs);
         upstreams.observePeer(
-            report.hostId,
+            report.hostName,
             new Map(report.loads.map(([id, running, backlogTokens]) => [
                 id as UpstreamId,
                 { running, backlogTokens },
             ])),
             report.placements as readonly (readonly [UpstreamId, string])[],
         );
-        accounts.observePeer(report.hostId, new Map(report.admitted.map(([id, units]) => [id as AccountId, units])));
+        accounts.observePeer(
+            report.hostName,
+            report.hostId,
+            new Map(report.admitted.map(([id, units]) => [id as AccountId, units])),
+        );
         usage.observePeer(report.hostId, toWindowCounts(report.began));
     };
 
--- a/packages/gateway/__tests__/limits.spec.ts
+++ b/packages/gateway/__tests__/limits.spec.ts
@@ -14,7 +14,7 @@
 const exchange = (meters: readonly (readonly [HostId, AccountMeter])[]): void =>
     meters.forEach(([hostId, meter]) =>
         meters.filter(([other]) => other !== hostId).forEach(([, peer]) =>
-            peer.observePeer(hostId, meter.admittedTotals())
+            peer.observePeer(hostId, hostId, meter.admittedTotals())
         )
     );
 
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -115,7 +115,7 @@
 test("the load that peers report counts until it is old", async () => {
     const { clock, table, place } = createTable([engine("a"), engine("b")]);
     table.observePeer(
-        "peer" as HostId,
+        "peer",
         new Map([["a" as UpstreamId, { running: 10, backlogTokens: 100_000 }]]),
         [],
     );
@@ -126,7 +126,7 @@
 
 test("a peer's placement makes the prefix count as cached there", () => {
     const { table, place } = createTable(["a", "b", "c"].map(id => engine(id)));
-    table.observePeer("peer" as HostId, new Map(), [["c" as UpstreamId, "system"], ["c" as UpstreamId, "s9"]]);
+    table.observePeer("peer", new Map(), [["c" as UpstreamId, "system"], ["c" as UpstreamId, "s9"]]);
     expect(upstreamOf(place(prompt("s9")))).toBe("c");
 });
 
@@ -149,7 +149,7 @@
     const clock = createFakeClock();
     const table = createUpstreamTable(clock, () => plain);
     table.replace([engine("a")]);
-    table.observePeer("peer" as HostId, new Map(), []);
+    table.observePeer("peer", new Map(), []);
     Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
     const request = prompt("s");
     expect(chooseUpstream(table.candidates(service, request), request)).toMatchObject({ reason: "saturated" });
--- a/packages/gateway/src/limits/accountMeter.ts
+++ b/packages/gateway/src/limits/accountMeter.ts
@@ -9,5 +9,10 @@
     readonly giveBack: (accountId: AccountId, units: number) => void;
     /** Units admitted by this host since its start. */
     readonly admittedTotals: () => ReadonlyMap<AccountId, number>;
-    readonly observePeer: (hostId: HostId, admittedTotals: ReadonlyMap<AccountId, number>) => void;
+    /** Takes what a process admitted; `hostName` is the same for the processes that follow each other on a host. */
+    readonly observePeer: (
+        hostName: string,
+        hostId: HostId,
+        admittedTotals: ReadonlyMap<AccountId, number>,
+    ) => void;
 }
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -36,7 +36,7 @@
  */
 export const createAccountMeter = (clock: Clock, toleratedUnits = 0): AccountMeter => {
     const accounts = new Map<AccountId, AccountState>();
-    const peerHeardAtMs = new Map<HostId, number>();
+    const peerHeardAtMs = new Map<string, number>();
 
     const stateOf = (accountId: AccountId): AccountState => {
         const state = accounts.get(accountId)
@@ -102,9 +102,9 @@
             state.total -= units;
         },
         admittedTotals: () => new Map([...accounts].map(([accountId, { total }]) => [accountId, total])),
-        observePeer: (hostId, totals) => {
+        observePeer: (hostName, hostId, totals) => {
             const nowMs = clock.monotonicMs();
-            peerHeardAtMs.set(hostId, nowMs);
+            peerHeardAtMs.set(hostName, nowMs);
             totals.forEach((total, accountId) => observeTotal(stateOf(accountId), hostId, total, nowMs));
         },
     };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -5,6 +5,9 @@
 /** Retry hint while a service has no usable upstream: a replacement or a return takes about this long. */
 const NO_UPSTREAM_RETRY_MS = 400;
 
+/** A first event this much later than the objective is worth little, and the work delays those still in time. */
+const LATEST_OBJECTIVE_FACTOR = 1.5;
+
 /** Part of the remaining time that the first event may take; a later one leaves no time for the rest of the answer. */
 const LATEST_FIRST_EVENT_SHARE = 0.6;
 
@@ -32,9 +35,13 @@
     return (roundTripMs + promptMs * Math.max(1, (running + 1) / record.slots)) * slowness;
 };
 
-/** Time to the first event, plus what the choice costs others: prompt work that a cached prefix would have saved. */
+/**
+ * Time to the first event, plus what the choice costs others: prompt work that a cached prefix would have saved, and
+ * bytes over long links, for which the round trip stands.
+ */
 const costMs = (candidate: PlacementCandidate): number =>
     predictMs(candidate)
+    + candidate.roundTripMs
     + (candidate.isEngine ? candidate.promptMs : 0)
     + (candidate.hasVanished ? VANISHED_PENALTY_MS : 0);
 
@@ -62,7 +69,10 @@
         return { kind: "refuse", reason: "no-upstream", retryAfterMs: NO_UPSTREAM_RETRY_MS };
     }
     const chosen = cheapest(considered.filter(hasRoom));
-    const latestMs = request.remainingMs * LATEST_FIRST_EVENT_SHARE;
+    const latestMs = Math.min(
+        request.remainingMs * LATEST_FIRST_EVENT_SHARE,
+        request.objectiveMs * LATEST_OBJECTIVE_FACTOR,
+    );
     if (chosen === undefined || predictMs(chosen) > latestMs) {
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestMs / 2;
         return { kind: "refuse", reason: "saturated", retryAfterMs: Math.max(NO_UPSTREAM_RETRY_MS / 2, excessMs) };
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, ServiceName, UpstreamId } from "@ibislanding/core";
+import type { Clock, ServiceName, UpstreamId } from "@ibislanding/core";
 import type { ServiceSpec } from "../configuration/serviceSpec";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -38,7 +38,7 @@
 /** Prompt rate assumed until answers show the real one: slower than current engines. */
 const INITIAL_TOKENS_PER_MS = 20;
 const LEAST_TOKENS_PER_MS = 1;
-const RATE_SMOOTHING = 0.05;
+const RATE_SMOOTHING = 0.1;
 
 /** Shorter prompts say little about the prompt rate. */
 const LEAST_SAMPLE_TOKENS = 1_000;
@@ -81,7 +81,7 @@
     onWork: (service: ServiceName, workMs: number) => void = () => undefined,
 ): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
-    const peers = new Map<HostId, PeerLoads>();
+    const peers = new Map<string, PeerLoads>();
     const rates = new Map<ServiceName, number>();
     const prefixes = createPrefixDirectory(clock);
 
@@ -279,8 +279,8 @@
                 state.openConnections = Math.max(0, state.openConnections + change);
             }
         },
-        observePeer: (hostId, loads, placements) => {
-            peers.set(hostId, { loads, heardAtMs: clock.monotonicMs() });
+        observePeer: (hostName, loads, placements) => {
+            peers.set(hostName, { loads, heardAtMs: clock.monotonicMs() });
             placements.forEach(([upstreamId, partId]) => prefixes.touch(upstreamId, partId));
         },
         ownLoads: () =>
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -1,4 +1,4 @@
-import type { HostId, ServiceName, UpstreamId } from "@ibislanding/core";
+import type { ServiceName, UpstreamId } from "@ibislanding/core";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
 import type { UpstreamLoad } from "./upstreamLoad";
@@ -22,7 +22,7 @@
     readonly changeConnections: (upstreamId: UpstreamId, change: number) => void;
     /** Takes the load that a peer reported. */
     readonly observePeer: (
-        hostId: HostId,
+        hostName: string,
         loads: ReadonlyMap<UpstreamId, UpstreamLoad>,
         placements: readonly (readonly [UpstreamId, string])[],
     ) => void;
