--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -9,7 +9,7 @@
 const SURVIVAL_BUSY_SHARE = 0.8;
 
 /** Work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
-const SHORTAGE_BUSY_SHARE = 0.55;
+const SHORTAGE_BUSY_SHARE = 0.7;
 
 const byPrice = (zones: readonly FleetZone[]): readonly FleetZone[] =>
     [...zones].sort((left, right) => left.price - right.price);
--- a/packages/edge/src/createWorkMeter.ts
+++ b/packages/edge/src/createWorkMeter.ts
@@ -2,7 +2,7 @@
 import type { WorkMeter } from "./workMeter";
 
 /** Time over which work is averaged: long against single prompts, short against the boot time of an engine. */
-const AVERAGE_MS = 2_500;
+const AVERAGE_MS = 5_000;
 
 /** Creates an idle meter. */
 export const createWorkMeter = (clock: Clock): WorkMeter => {
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -29,7 +29,7 @@
 const PEER_LIVE_MS = 2_000;
 
 /** A peak of work keeps the fleet at its size for this time. */
-const PEAK_HOLD_MS = 12_000;
+const PEAK_HOLD_MS = 10_000;
 
 /** Part of the permitted excess that is granted on purpose; reports that come late take the rest. */
 const ACCOUNT_SLACK_SHARE = 0.4;
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -82,10 +82,10 @@
 ): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = new Map<string, PeerLoads>();
-    const rates = new Map<ServiceName, number>();
+    const rates = new Map<ServiceName, { readonly tokensPerMs: number; readonly samples: number; }>();
     const prefixes = createPrefixDirectory(clock);
 
-    const tokensPerMs = (service: ServiceName): number => rates.get(service) ?? INITIAL_TOKENS_PER_MS;
+    const tokensPerMs = (service: ServiceName): number => rates.get(service)?.tokensPerMs ?? INITIAL_TOKENS_PER_MS;
 
     const peersHeardWithin = (lifetimeMs: number): readonly PeerLoads[] =>
         [...peers.values()].filter(peer => clock.monotonicMs() - peer.heardAtMs < lifetimeMs);
@@ -188,7 +188,10 @@
             return;
         }
         const sample = Math.max(LEAST_TOKENS_PER_MS, tokens / durationMs);
-        rates.set(service, smooth(tokensPerMs(service), sample, RATE_SMOOTHING));
+        const samples = (rates.get(service)?.samples ?? 0) + 1;
+        // The first samples are averaged, so that the assumed rate is soon forgotten.
+        const weight = Math.max(RATE_SMOOTHING, 1 / samples);
+        rates.set(service, { tokensPerMs: smooth(tokensPerMs(service), sample, weight), samples });
     };
 
     return {
