--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -33,14 +33,21 @@
                 sendsLeftMs: round(sendsLeftMs),
             });
         },
-        onRequestEnded: ({ firstByteMs, durationMs, ...request }) => {
+        onRequestEnded: ({ firstByteMs, durationMs, predictedMs, backlogMs, promptMs, ...request }) => {
             const service = request.service ?? "none";
             requests.add(1, { service, outcome: request.outcome, status: String(request.status) });
             durations.record(durationMs, { service });
             if (firstByteMs !== undefined) {
                 firstBytes.record(firstByteMs, { service });
             }
-            log.write("request_ended", { ...request, firstByteMs: round(firstByteMs), durationMs: round(durationMs) });
+            log.write("request_ended", {
+                ...request,
+                predictedMs: round(predictedMs),
+                backlogMs: round(backlogMs),
+                promptMs: round(promptMs),
+                firstByteMs: round(firstByteMs),
+                durationMs: round(durationMs),
+            });
         },
     };
 };
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -202,6 +202,7 @@
     let failure: Refusal | undefined;
     while (failure === undefined) {
         const decision = chooseUpstream(upstreams.candidates(service, placementRequest()), placementRequest());
+        progress.placement = decision;
         if (decision.kind === "refuse") {
             failure = failureAfter(decision.reason, decision.retryAfterMs);
             break;
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -28,5 +28,11 @@
         readonly firstByteMs: number | undefined;
         readonly durationMs: number;
         readonly objectiveMs: number | undefined;
+        /** The last upstream chosen and the inputs of the choice. */
+        readonly upstreamId: UpstreamId | undefined;
+        readonly predictedMs: number | undefined;
+        readonly backlogMs: number | undefined;
+        readonly promptMs: number | undefined;
+        readonly runningAtUpstream: number | undefined;
     }) => void;
 }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -49,7 +49,7 @@
 export const serveRequest = async (options: ServeOptions): Promise<void> => {
     const { clock, caller, events, random, request } = options;
     const arrivedAtMs = clock.monotonicMs();
-    const progress: RequestProgress = { attempts: 0, firstByteAtMs: undefined };
+    const progress: RequestProgress = { attempts: 0, placement: undefined, firstByteAtMs: undefined };
     const head: RequestHead = options.codec.readRequest(request);
 
     const refuse = (refusal: Refusal): Refusal => {
@@ -63,7 +63,8 @@
     };
 
     const report = (admitted: AdmittedRequest | undefined, outcome: string, reason: string, status: number): void => {
-        const { firstByteAtMs } = progress;
+        const { firstByteAtMs, placement } = progress;
+        const chosen = placement?.kind === "send" ? placement : undefined;
         events.onRequestEnded({
             requestId: head.requestId,
             route: admitted?.route.name,
@@ -77,6 +78,11 @@
             firstByteMs: firstByteAtMs === undefined ? undefined : firstByteAtMs - arrivedAtMs,
             durationMs: clock.monotonicMs() - arrivedAtMs,
             objectiveMs: admitted?.route.objectiveMs,
+            upstreamId: chosen?.upstream.upstreamId,
+            predictedMs: chosen?.predictedMs,
+            backlogMs: chosen?.backlogMs,
+            promptMs: chosen?.promptMs,
+            runningAtUpstream: chosen?.running,
         });
     };
 
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -77,5 +77,6 @@
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestMs / 2;
         return { kind: "refuse", reason: "saturated", retryAfterMs: Math.max(NO_UPSTREAM_RETRY_MS / 2, excessMs) };
     }
-    return { kind: "send", upstream: chosen.record, predictedMs: predictMs(chosen) };
+    const { record, backlogMs, promptMs, running } = chosen;
+    return { kind: "send", upstream: record, predictedMs: predictMs(chosen), backlogMs, promptMs, running };
 };
