--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -65,12 +65,12 @@
         return !isRepeated && !isRefused(key) && mayShrink(key, order.count < running);
     };
 
-    const send = async (order: ScaleOrder, fencingNumber: FencingNumber, busyUpstreams: number): Promise<void> => {
+    const send = async (order: ScaleOrder, fencingNumber: FencingNumber, state: FleetState): Promise<void> => {
         const key = keyOf(order);
         const result = await api.scale(order, fencingNumber);
         if (result.ok) {
             sent.set(key, { count: order.count, fencingNumber, sentAtMs: clock.monotonicMs() });
-            onOrdered(order, busyUpstreams);
+            onOrdered(order, state);
             return;
         }
         onFailure(order, result.val);
@@ -94,7 +94,7 @@
                     return;
                 }
                 if (isNeeded(order, runningOf(zones, order), fence)) {
-                    await send(order, fence, state.busyUpstreams);
+                    await send(order, fence, planned);
                 }
             }
         },
--- /dev/null
+++ b/packages/edge/src/createDemandMeter.ts
@@ -0,0 +1,45 @@
+import type { Clock, ServiceName } from "@ibislanding/core";
+import type { DemandMeter } from "./demandMeter";
+
+interface Demand {
+    averageBusy: number;
+    averagedAtMs: number;
+    peakBusy: number;
+    peakAtMs: number;
+}
+
+/** Time over which the average is taken: several boots of an engine. */
+const AVERAGE_MS = 15_000;
+
+/** A peak may come back sooner than engines boot again after they were given up. */
+const PEAK_HOLD_MS = 10_000;
+
+/** Work of an engine assumed of a fleet that is found running: it is taken as right until its load was seen. */
+const FOUND_BUSY_SHARE = 0.35;
+
+/** Creates a meter that has seen nothing. */
+export const createDemandMeter = (clock: Clock): DemandMeter => {
+    const services = new Map<ServiceName, Demand>();
+
+    const found = (busyUpstreams: number, running: number): Demand => {
+        const busy = Math.max(busyUpstreams, running * FOUND_BUSY_SHARE);
+        const nowMs = clock.monotonicMs();
+        return { averageBusy: busy, averagedAtMs: nowMs, peakBusy: busy, peakAtMs: nowMs };
+    };
+
+    return {
+        observe: (service, busyUpstreams, running) => {
+            const nowMs = clock.monotonicMs();
+            const demand = services.get(service) ?? found(busyUpstreams, running);
+            const weight = 1 - Math.exp((demand.averagedAtMs - nowMs) / AVERAGE_MS);
+            demand.averageBusy += (busyUpstreams - demand.averageBusy) * weight;
+            demand.averagedAtMs = nowMs;
+            if (busyUpstreams >= demand.peakBusy || nowMs - demand.peakAtMs > PEAK_HOLD_MS) {
+                demand.peakBusy = busyUpstreams;
+                demand.peakAtMs = nowMs;
+            }
+            services.set(service, demand);
+            return { averageBusy: demand.averageBusy, peakBusy: demand.peakBusy };
+        },
+    };
+};
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -1,18 +1,16 @@
 import { ErrorCode, type Failure, type ServiceName } from "@ibislanding/core";
 import { createDutyHolder, createScaler, createUsageReporter, type DutyHolder } from "@ibislanding/duties";
+import { createDemandMeter } from "./createDemandMeter";
 import type { EdgeDutiesOptions } from "./edgeDutiesOptions";
 
 /** Upstreams that started together register within this time. */
 const REGISTRATION_MS = 4_000;
 
-/** Work of an engine assumed of a fleet that is found running. */
-const FOUND_BUSY_SHARE = 0.4;
-
 /** Creates the duties and starts to contend for them. */
 export const createEdgeDuties = (options: EdgeDutiesOptions): DutyHolder => {
     const { clock, random, log, store, duties, settings, documents, usage, nowMs } = options;
     const foundAtMs = new Map<ServiceName, number>();
-    const peaks = new Map<ServiceName, { busy: number; atMs: number; }>();
+    const demand = createDemandMeter(clock);
 
     const noteFailure = (failure: Failure): void => {
         const fence = holder.fencingNumber();
@@ -40,25 +38,18 @@
     const scaler = createScaler({
         api: duties,
         clock,
-        onOrdered: (order, busyUpstreams) =>
-            log.write("fleet_ordered", { ...order, busyUpstreams: Number(busyUpstreams.toFixed(2)) }),
+        onOrdered: (order, { averageBusy, peakBusy }) =>
+            log.write("fleet_ordered", {
+                ...order,
+                averageBusy: Number(averageBusy.toFixed(2)),
+                peakBusy: Number(peakBusy.toFixed(2)),
+            }),
         onFailure: (order, failure) => {
             noteFailure(failure);
             log.write("fleet_order_failed", { ...order, reason: failure.code, details: failure.message });
         },
     });
 
-    /** Holds the peak of work for some time, as it may come back sooner than engines boot. */
-    const peakOf = (service: ServiceName, running: number): number => {
-        // The fleet that is found is taken as right for the load until the load has been seen.
-        const known = peaks.get(service) ?? { busy: running * FOUND_BUSY_SHARE, atMs: clock.monotonicMs() };
-        const busy = options.busyUpstreams(service);
-        const isNewPeak = busy >= known.busy || clock.monotonicMs() - known.atMs > options.peakHoldMs;
-        const peak = isNewPeak ? { busy, atMs: clock.monotonicMs() } : known;
-        peaks.set(service, peak);
-        return peak.busy;
-    };
-
     /** Whether the upstreams have had time to register; before, their number says nothing. */
     const isSettled = (service: ServiceName, running: number): boolean => {
         if (running > 0 && !foundAtMs.has(service)) {
@@ -85,7 +76,7 @@
                 });
             await scaler.step(name, {
                 zones,
-                busyUpstreams: peakOf(name, records.length),
+                ...demand.observe(name, options.busyUpstreams(name), records.length),
                 minimum: scaling.minimum,
                 maximum: scaling.maximum,
                 reclaimablePrice: scaling.reclaimablePrice,
--- a/packages/edge/src/edgeDutiesOptions.ts
+++ b/packages/edge/src/edgeDutiesOptions.ts
@@ -12,8 +12,6 @@
     readonly busyUpstreams: (service: ServiceName) => number;
     /** Availability zones in which upstreams may run. */
     readonly zonesInUse: ReadonlySet<AvailabilityZone>;
-    /** Time for which a peak of work keeps the fleet at its size. */
-    readonly peakHoldMs: number;
     /** True time. */
     readonly nowMs: () => number;
     readonly heardAllSince: (timeMs: number) => boolean;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -28,9 +28,6 @@
 /** A peer that reported within this time counts as live. */
 const PEER_LIVE_MS = 2_000;
 
-/** A peak of work keeps the fleet at its size for this time. */
-const PEAK_HOLD_MS = 10_000;
-
 /** Part of the permitted excess that is granted on purpose; reports that come late take the rest. */
 const ACCOUNT_SLACK_SHARE = 0.4;
 
@@ -171,7 +168,6 @@
         configuration: knowledge.configuration,
         busyUpstreams,
         zonesInUse: new Set(settings.availabilityZones),
-        peakHoldMs: PEAK_HOLD_MS,
         nowMs: time.nowMs,
         heardAllSince: timeMs => {
             const oldestMs = clock.monotonicMs() - (time.nowMs() - timeMs);
