fix(duties): on-demand upstreams are not cancelled while they boot

Change: refusals are remembered past the next try, and a shrink is measured against what was ordered. The test fails without the change. Also: .gitignore kept packages/discovery/src/reports out of the repository.

--- /dev/null
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -0,0 +1,181 @@
+import { createFailure, ErrorCode, type Failure, type HostId } from "@ibislanding/core";
+import {
+    createPeerClients,
+    createPeerServer,
+    createUnaryHandler,
+    type DocumentsRequest,
+    type DocumentsResponse,
+    type PeerAddress,
+    type ReportExchange as ReportMessage,
+    ReportServiceService,
+} from "@ibislanding/protocol";
+import { Err, Ok, type Result } from "ts-results";
+import type { DocumentSet } from "../documents/documentSet";
+import type { PeerReport } from "./peerReport";
+import type { ReportExchange } from "./reportExchange";
+import type { ReportExchangeOptions } from "./reportExchangeOptions";
+
+/** Answers of a peer take a link's round trip; a longer silence means that the peer or the connection is gone. */
+const CALL_TIMEOUT_MS = 400;
+
+const FETCH_TIMEOUT_MS = 1_000;
+
+/** Time that a watch gets to deliver what a peer already knows, before the peer is asked for it. */
+const FETCH_DELAY_MS = 150;
+
+/** An unreachable peer is called at this interval until it answers. */
+const UNREACHABLE_RETRY_MS = 1_000;
+
+const toDocumentSet = ({ revision, documents }: DocumentsResponse): DocumentSet => ({
+    revision,
+    entries: new Map(documents.map(document => [document.key, document])),
+});
+
+/** Starts the listener and the rounds of a host. */
+export const createReportExchange = async <Report extends { readonly hostId: HostId; readonly sequence: number; }>(
+    options: ReportExchangeOptions<Report>,
+): Promise<Result<ReportExchange<Report>, Failure>> => {
+    const { clock, random } = options;
+    const stop = new AbortController();
+    const reports = new Map<HostId, PeerReport<Report>>();
+    const unreachableSinceMs = new Map<string, number>();
+    const fetching = new Set<string>();
+    let peers: readonly string[] = [];
+
+    const receive = (text: string): Report | undefined => {
+        const report = options.decodeReport(text);
+        if (report === undefined) {
+            return undefined;
+        }
+        const known = reports.get(report.hostId);
+        if (known === undefined || report.sequence > known.report.sequence) {
+            reports.set(report.hostId, { hostId: report.hostId, report, heardAtMs: clock.monotonicMs() });
+            options.onReport(report);
+        }
+        return report;
+    };
+
+    const setReachable = (address: string, reachable: boolean, reason: string): void => {
+        if (reachable === unreachableSinceMs.has(address)) {
+            options.onPeer(address, reachable, reason);
+        }
+        if (reachable) {
+            unreachableSinceMs.delete(address);
+        }
+        else {
+            unreachableSinceMs.set(address, clock.monotonicMs());
+        }
+    };
+
+    const ownReport = (): string => JSON.stringify(options.createReport());
+
+    const exchange = (request: ReportMessage): Result<ReportMessage, Failure> =>
+        receive(request.report) === undefined
+            ? Err(createFailure(ErrorCode.BadRequest))
+            : Ok({ report: ownReport() });
+
+    const serveDocuments = (request: DocumentsRequest): Result<DocumentsResponse, Failure> => {
+        const set = options.documents(request.set);
+        if (set === undefined || set.revision <= request.knownRevision) {
+            return Ok({ revision: 0, documents: [] });
+        }
+        return Ok({ revision: set.revision, documents: [...set.entries.values()] });
+    };
+
+    const server = await createPeerServer({
+        address: options.address,
+        services: [{
+            definition: ReportServiceService,
+            implementation: {
+                exchange: createUnaryHandler(exchange),
+                fetchDocuments: createUnaryHandler(serveDocuments),
+            },
+        }],
+        shutdownTimeoutMs: CALL_TIMEOUT_MS,
+    });
+    if (server.err) {
+        return server;
+    }
+    const clients = createPeerClients();
+
+    const fetch = async (address: PeerAddress, set: string): Promise<void> => {
+        const key = `${address} ${set}`;
+        if (fetching.has(key)) {
+            return;
+        }
+        fetching.add(key);
+        const knownRevision = options.documents(set)?.revision ?? 0;
+        const result = await clients.call(
+            address,
+            ReportServiceService.fetchDocuments,
+            { set, knownRevision },
+            FETCH_TIMEOUT_MS,
+        );
+        fetching.delete(key);
+        if (result.ok && result.val.revision > 0) {
+            options.onDocuments(set, toDocumentSet(result.val));
+        }
+    };
+
+    const fetchStale = (address: PeerAddress, report: Report): void => {
+        if (options.staleSets(report).length === 0) {
+            return;
+        }
+        const isCold = options.staleSets(report).some(set => options.documents(set) === undefined);
+        clock.setTimer(isCold ? 0 : FETCH_DELAY_MS, () => {
+            options.staleSets(report).forEach(set => void fetch(address, set));
+        });
+    };
+
+    const callPeer = async (address: string): Promise<void> => {
+        const peer = address as PeerAddress;
+        const result = await clients.call(
+            peer,
+            ReportServiceService.exchange,
+            { report: ownReport() },
+            CALL_TIMEOUT_MS,
+        );
+        if (stop.signal.aborted) {
+            return;
+        }
+        setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
+        const report = result.ok ? receive(result.val.report) : undefined;
+        if (report !== undefined) {
+            fetchStale(peer, report);
+        }
+    };
+
+    const isDue = (address: string): boolean =>
+        clock.monotonicMs() - (unreachableSinceMs.get(address) ?? -Infinity) >= UNREACHABLE_RETRY_MS;
+
+    const choosePeers = (): readonly string[] =>
+        peers
+            .filter(isDue)
+            .map(address => ({ address, order: random.nextUnit() }))
+            .sort((left, right) => left.order - right.order)
+            .slice(0, options.fanout)
+            .map(({ address }) => address);
+
+    const run = async (): Promise<void> => {
+        while (!stop.signal.aborted) {
+            choosePeers().forEach(address => void callPeer(address));
+            // Rounds of different hosts must not fall together after they started together.
+            await clock.sleep(options.intervalMs * (0.75 + random.nextUnit() / 2), stop.signal);
+        }
+    };
+    const running = run();
+
+    return Ok({
+        address: server.val.address,
+        setPeers: addresses => {
+            peers = addresses;
+        },
+        reports: () => reports,
+        [Symbol.asyncDispose]: async () => {
+            stop.abort();
+            await running;
+            await clients[Symbol.asyncDispose]();
+            await server.val[Symbol.asyncDispose]();
+        },
+    });
+};
--- a/packages/duties/__tests__/scaling.spec.ts
+++ b/packages/duties/__tests__/scaling.spec.ts
@@ -94,6 +94,20 @@
     expect(reclaimable()).toBeGreaterThan(first);
 });
 
+test("on-demand upstreams ordered for refused ones are not cancelled while they boot", async () => {
+    const { clock, orders, refused, step } = createTestScaler();
+    refused.add(true);
+    const bare = ["a", "b", "c"].map(name => zone(name, 1, { onDemand: 1 }));
+    const onDemand = () => orders.filter(({ isReclaimable }) => !isReclaimable);
+    for (const _ of Array.from({ length: 20 })) {
+        await step(3, bare);
+        await clock.advance(300);
+    }
+    const counts = new Map(onDemand().map(({ availabilityZone, count }) => [availabilityZone, count]));
+    expect(onDemand()).toHaveLength(counts.size);
+    expect(Math.max(...counts.values())).toBeGreaterThan(1);
+});
+
 test("the fleet shrinks only after the smaller target has held", async () => {
     const { clock, orders, step } = createTestScaler();
     const large = [zone("a", 0.85, { onDemand: 6 }), zone("b", 1.2), zone("c", 1)];
--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -16,6 +16,9 @@
 /** Time for which a refused kind is not ordered again; reclaimable capacity is away for longer than this. */
 const REFUSED_MS = 2_500;
 
+/** A refusal is taken to hold for this time, past the next try, so that the plan does not change between tries. */
+const REFUSAL_MEMORY_MS = 6_000;
+
 /** A target below the running number must hold for this long: upstreams that are given up take seconds to return. */
 const SHRINK_DELAY_MS = 8_000;
 
@@ -31,7 +34,8 @@
     const refusedAtMs = new Map<string, number>();
     const shrinkSinceMs = new Map<string, number>();
 
-    const isRefused = (key: string): boolean => clock.monotonicMs() - (refusedAtMs.get(key) ?? -Infinity) < REFUSED_MS;
+    const isRefused = (key: string, durationMs: number): boolean =>
+        clock.monotonicMs() - (refusedAtMs.get(key) ?? -Infinity) < durationMs;
 
     const toOrders = (service: ServiceName, target: ZoneTarget): readonly ScaleOrder[] => [
         { service, availabilityZone: target.availabilityZone, isReclaimable: false, count: target.onDemand },
@@ -62,13 +66,15 @@
         }
         const isRepeated = last !== undefined && last.count === order.count && last.fencingNumber === fencingNumber
             && (running === order.count || clock.monotonicMs() - last.sentAtMs < REPEAT_MS);
-        return !isRepeated && !isRefused(key) && mayShrink(key, order.count < running);
+        return !isRepeated && !isRefused(key, REFUSED_MS)
+            && mayShrink(key, order.count < Math.max(running, last?.count ?? 0));
     };
 
     const send = async (order: ScaleOrder, fencingNumber: FencingNumber, state: FleetState): Promise<void> => {
         const key = keyOf(order);
         const result = await api.scale(order, fencingNumber);
         if (result.ok) {
+            refusedAtMs.delete(key);
             sent.set(key, { count: order.count, fencingNumber, sentAtMs: clock.monotonicMs() });
             onOrdered(order, state);
             return;
@@ -85,6 +91,7 @@
                 ...zone,
                 isReclaimableRefused: isRefused(
                     keyOf({ service, availabilityZone: zone.availabilityZone, isReclaimable: true, count: 0 }),
+                    REFUSAL_MEMORY_MS,
                 ),
             }));
             const planned: FleetState = { ...state, zones };
