feat(gateway): prompt rate and overhead by decayed least squares

Cause: the first event holds several tokens, so its time has a part that does not depend on the prompt; the single rate put it on the prompt and read about 20 tokens a ms where engines read twice that.

--- a/packages/edge/src/createDemandMeter.ts
+++ b/packages/edge/src/createDemandMeter.ts
@@ -15,7 +15,7 @@
 const PEAK_HOLD_MS = 10_000;
 
 /** Work of an engine assumed of a fleet that is found running: it is taken as right until its load was seen. */
-const FOUND_BUSY_SHARE = 0.25;
+const FOUND_BUSY_SHARE = 0.28;
 
 /** Less work than this is no load yet. */
 const LEAST_BUSY = 0.1;
--- /dev/null
+++ b/packages/gateway/__tests__/promptModel.spec.ts
@@ -0,0 +1,34 @@
+import { createRandom } from "@ibislanding/core";
+import { createPromptModel } from "../src/placement/createPromptModel";
+
+test.each([[10, 80], [40, 20], [120, 5]])(
+    "learns %i tokens a ms and %i ms of overhead from noisy answers",
+    (rate, overheadMs) => {
+        const model = createPromptModel();
+        const random = createRandom(7);
+        Array.from({ length: 400 }).forEach(() => {
+            const tokens = 200 + random.nextInt(9_000);
+            model.observe(tokens, overheadMs + tokens / rate * (0.95 + random.nextUnit() * 0.1));
+        });
+        expect(model.tokensPerMs() / rate).toBeGreaterThan(0.85);
+        expect(model.tokensPerMs() / rate).toBeLessThan(1.15);
+        expect(Math.abs(model.overheadMs() - overheadMs)).toBeLessThan(15);
+    },
+);
+
+test("a few answers that waited elsewhere do not spoil the rate", () => {
+    const model = createPromptModel();
+    const random = createRandom(9);
+    Array.from({ length: 400 }).forEach((_, index) => {
+        const tokens = 200 + random.nextInt(9_000);
+        model.observe(tokens, 20 + tokens / 40 + (index % 20 === 0 ? 5_000 : 0));
+    });
+    expect(model.tokensPerMs()).toBeGreaterThan(20);
+});
+
+test("equal prompts keep the model within its bounds", () => {
+    const model = createPromptModel();
+    Array.from({ length: 1_000 }).forEach(() => model.observe(1_000, 0));
+    expect(model.tokensPerMs()).toBeGreaterThan(0);
+    expect(Number.isFinite(model.overheadMs())).toBe(true);
+});
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -28,9 +28,9 @@
 
 /** Predicts the time to the first event, or to a plain answer. */
 const predictMs = (candidate: PlacementCandidate): number => {
-    const { isEngine, running, record, backlogMs, promptMs, roundTripMs, slowness } = candidate;
+    const { isEngine, running, record, backlogMs, promptMs, overheadMs, roundTripMs, slowness } = candidate;
     if (isEngine) {
-        return (roundTripMs + backlogMs + promptMs + running * RUNNING_PENALTY_MS) * slowness;
+        return (roundTripMs + overheadMs + backlogMs + promptMs + running * RUNNING_PENALTY_MS) * slowness;
     }
     return (roundTripMs + promptMs * Math.max(1, (running + 1) / record.slots)) * slowness;
 };
--- /dev/null
+++ b/packages/gateway/src/placement/createPromptModel.ts
@@ -0,0 +1,65 @@
+import type { PromptModel } from "./promptModel";
+
+/** Assumed until answers show the real values: slower than current engines. */
+const INITIAL_TOKENS_PER_MS = 20;
+const INITIAL_OVERHEAD_MS = 20;
+
+/** Weight that older answers keep at each new one: about the last hundred count. */
+const DECAY = 0.99;
+
+/** The assumed values weigh as much as this number of answers. */
+const PRIOR_WEIGHT = 3;
+const PRIOR_TOKENS = [500, 8_000] as const;
+
+/** Bounds of what is believed. */
+const LEAST_TOKENS_PER_MS = 2;
+const MOST_TOKENS_PER_MS = 1_000;
+
+/** Answers that took longer than this multiple of the prediction waited behind work that this host does not see. */
+const OUTLIER_FACTOR = 3;
+
+/** Creates a model: a line through answers by decayed least squares, time = overhead + tokens / rate. */
+export const createPromptModel = (): PromptModel => {
+    let sums = { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
+    let slope = 1 / INITIAL_TOKENS_PER_MS;
+    let intercept = INITIAL_OVERHEAD_MS;
+
+    const add = (x: number, y: number, weight: number): void => {
+        sums = {
+            weight: sums.weight + weight,
+            x: sums.x + x * weight,
+            y: sums.y + y * weight,
+            xx: sums.xx + x * x * weight,
+            xy: sums.xy + x * y * weight,
+        };
+    };
+
+    const fit = (): void => {
+        const spread = sums.weight * sums.xx - sums.x * sums.x;
+        if (spread <= 0) {
+            return;
+        }
+        const steepness = (sums.weight * sums.xy - sums.x * sums.y) / spread;
+        slope = Math.min(1 / LEAST_TOKENS_PER_MS, Math.max(1 / MOST_TOKENS_PER_MS, steepness));
+        intercept = Math.max(0, (sums.y - slope * sums.x) / sums.weight);
+    };
+
+    PRIOR_TOKENS.forEach(tokens => add(tokens, intercept + tokens * slope, PRIOR_WEIGHT));
+
+    return {
+        tokensPerMs: () => 1 / slope,
+        overheadMs: () => intercept,
+        observe: (tokens, durationMs) => {
+            const predictedMs = intercept + tokens * slope;
+            sums = {
+                weight: sums.weight * DECAY,
+                x: sums.x * DECAY,
+                y: sums.y * DECAY,
+                xx: sums.xx * DECAY,
+                xy: sums.xy * DECAY,
+            };
+            add(tokens, Math.min(Math.max(0, durationMs), predictedMs * OUTLIER_FACTOR), 1);
+            fit();
+        },
+    };
+};
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -10,6 +10,8 @@
     readonly backlogMs: number;
     /** Time to process the part of this prompt that is not cached there. */
     readonly promptMs: number;
+    /** Time to the first event that does not depend on the prompt. */
+    readonly overheadMs: number;
     readonly roundTripMs: number;
     /** Smoothed time of its plain answers relative to its peers' median; 1 when unknown. */
     readonly slowness: number;
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,7 +1,9 @@
 import type { Clock, ServiceName, UpstreamId } from "@ibislanding/core";
 import type { ServiceSpec } from "../configuration/serviceSpec";
+import { createPromptModel } from "../placement/createPromptModel";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
+import type { PromptModel } from "../placement/promptModel";
 import { createPrefixDirectory } from "./createPrefixDirectory";
 import type { UpstreamLoad } from "./upstreamLoad";
 import type { UpstreamRecord } from "./upstreamRecord";
@@ -35,20 +37,6 @@
 
 const SMOOTHING = 0.2;
 
-/** Prompt rate assumed until answers show the real one: slower than current engines. */
-const INITIAL_TOKENS_PER_MS = 20;
-const LEAST_TOKENS_PER_MS = 1;
-
-/**
- * Weights of samples above and below the learned rate. Waiting behind other work makes most samples too low, so the
- * rate follows the upper quarter of them.
- */
-const FASTER_WEIGHT = 0.15;
-const SLOWER_WEIGHT = 0.05;
-
-/** Shorter prompts say little about the prompt rate. */
-const LEAST_SAMPLE_TOKENS = 1_000;
-
 /** Plain answer time assumed until one is seen. */
 const INITIAL_ANSWER_MS = 25;
 
@@ -88,7 +76,7 @@
 ): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = new Map<string, PeerLoads>();
-    const rates = new Map<ServiceName, { readonly tokensPerMs: number; readonly samples: number; }>();
+    const models = new Map<ServiceName, PromptModel>();
     const prefixes = createPrefixDirectory(clock);
     const goingCallbacks = new Map<UpstreamId, Set<() => void>>();
 
@@ -110,7 +98,13 @@
             });
     };
 
-    const tokensPerMs = (service: ServiceName): number => rates.get(service)?.tokensPerMs ?? INITIAL_TOKENS_PER_MS;
+    const modelOf = (service: ServiceName): PromptModel => {
+        const model = models.get(service) ?? createPromptModel();
+        models.set(service, model);
+        return model;
+    };
+
+    const tokensPerMs = (service: ServiceName): number => modelOf(service).tokensPerMs();
 
     const peersHeardWithin = (lifetimeMs: number): readonly PeerLoads[] =>
         [...peers.values()].filter(peer => clock.monotonicMs() - peer.heardAtMs < lifetimeMs);
@@ -175,6 +169,7 @@
             promptMs: isEngine
                 ? Math.max(0, request.promptTokens - cachedTokens) / rate
                 : state.answerMs ?? median(siblings.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
+            overheadMs: isEngine ? modelOf(record.service).overheadMs() : 0,
             roundTripMs: state.roundTripMs ?? median(siblings.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
             slowness: isEngine ? slownessOf(state, siblings) : 1,
             isEjected: clock.monotonicMs() < state.ejectedUntilMs,
@@ -208,17 +203,6 @@
         state.vanishedAtMs ??= clock.monotonicMs();
     };
 
-    const learnRate = (service: ServiceName, tokens: number, durationMs: number): void => {
-        if (tokens < LEAST_SAMPLE_TOKENS || durationMs <= 0) {
-            return;
-        }
-        const sample = Math.max(LEAST_TOKENS_PER_MS, tokens / durationMs);
-        const samples = (rates.get(service)?.samples ?? 0) + 1;
-        // The first samples are averaged, so that the assumed rate is soon forgotten.
-        const weight = Math.max(sample > tokensPerMs(service) ? FASTER_WEIGHT : SLOWER_WEIGHT, 1 / samples);
-        rates.set(service, { tokensPerMs: smooth(tokensPerMs(service), sample, weight), samples });
-    };
-
     return {
         replace: records => {
             const listed = new Set(records.map(({ upstreamId }) => upstreamId));
@@ -276,7 +260,7 @@
                 firstEvent: () => {
                     if (waits && isEngine) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
-                        learnRate(service, tokens + backlogMs * tokensPerMs(service), durationMs);
+                        modelOf(service).observe(tokens + backlogMs * tokensPerMs(service), durationMs);
                     }
                     stopWaiting();
                 },
