feat(gateway): accounts above their rate use spare room within their window

Change: up to the limit in the window its requests run where the first event is predicted within half the objective.

--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -17,8 +17,8 @@
     readonly graceMs: number;
     readonly leaseMs: number;
     readonly retryBudget: { readonly ratio: number; readonly slack: number; readonly windowMs: number; };
-    /** Units by which an account may exceed its limit in a window over all hosts. */
-    readonly accountSlackUnits: number;
+    /** Window over which accounts' limits hold, and units by which an account may exceed its limit in it. */
+    readonly accountLimits: { readonly windowMs: number; readonly slackUnits: number; };
     readonly usage: { readonly windowMs: number; readonly dueMs: number; };
     readonly duties: { readonly usage: boolean; readonly scaling: boolean; };
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -56,7 +56,10 @@
     const resources = createResourceStack();
     const time = createTrueTime(clock);
     const usage = createUsageCounts(settings.usage.windowMs, time.nowMs);
-    const accounts = createAccountMeter(clock, settings.accountSlackUnits * ACCOUNT_SLACK_SHARE);
+    const accounts = createAccountMeter(clock, {
+        windowMs: settings.accountLimits.windowMs,
+        toleratedUnits: settings.accountLimits.slackUnits * ACCOUNT_SLACK_SHARE,
+    });
     const work = createWorkMeter(clock);
     const stopped = new AbortController();
     const peers: { exchange?: ReportExchange<HostReport>; } = {};
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -31,6 +31,7 @@
     promptParts: [{ partId: "system", tokens: 2_500 }, { partId: subject, tokens: 3_800 }],
     objectiveMs: 1_000,
     remainingMs: 6_000,
+    isSpare: false,
     excluded: new Set(),
     ...fields,
 });
@@ -77,6 +78,13 @@
     expect(decision.kind === "refuse" && decision.retryAfterMs).toBeGreaterThan(0);
 });
 
+test("a request of an account above its rate runs only where others keep their time", () => {
+    const { table, place } = createTable([engine("a")]);
+    Array.from({ length: 2 }).forEach((_, index) => table.begin("a" as UpstreamId, prompt(`s${index}`)));
+    expect(place(prompt("within"))).toMatchObject({ kind: "send" });
+    expect(place(prompt("above", { isSpare: true }))).toMatchObject({ kind: "refuse" });
+});
+
 test("a leaving upstream gets no new request, a vanished one only as the last resort", async () => {
     const { clock, table, place } = createTable([engine("a"), engine("b")]);
     table.replace([engine("a", { isLeaving: true }), engine("b")]);
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -78,7 +78,7 @@
         engines,
         configuration: () => configuration,
         upstreams,
-        accounts: createAccountMeter(clock),
+        accounts: createAccountMeter(clock, { windowMs: 8_000, toleratedUnits: 0 }),
         retries: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
         events: {
             onBegan: accountId => void began.push(accountId),
--- a/packages/gateway/src/forwarding/admittedRequest.ts
+++ b/packages/gateway/src/forwarding/admittedRequest.ts
@@ -1,18 +1,7 @@
-import type { ServiceName } from "@ibislanding/core";
-import type { RequestHead } from "../codec/requestHead";
-import type { ClientAccount } from "../configuration/clientAccount";
-import type { CompiledConfiguration } from "../configuration/compiledConfiguration";
-import type { Route } from "../configuration/route";
+import type { AccountAdmission } from "../limits/accountAdmission";
+import type { IdentifiedRequest } from "./identifiedRequest";
 
-/** A request whose route and account are known; it keeps its configuration to the end. */
-export interface AdmittedRequest {
-    readonly head: RequestHead;
-    readonly configuration: CompiledConfiguration;
-    readonly route: Route;
-    readonly account: ClientAccount | undefined;
-    readonly service: ServiceName;
-    /** Units that it takes from the account. */
-    readonly units: number;
-    /** Monotonic time by which the caller gets the final answer. */
-    readonly dueAtMs: number;
+/** A request that its account's limit lets run. */
+export interface AdmittedRequest extends IdentifiedRequest {
+    readonly admission: AccountAdmission & { readonly kind: "entitled" | "spare"; };
 }
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -46,7 +46,7 @@
     progress: RequestProgress,
 ): Promise<Result<number, Refusal>> => {
     const { clock, codec, upstreams, retries, caller, events, request } = options;
-    const { head, route, account, service } = admitted;
+    const { head, route, account, service, admission } = admitted;
     const engine = admitted.configuration.servicesByName.get(service)?.engine;
     const isEngine = engine !== undefined;
     const canMove = engine?.supportsMoves === true && route.kind === "stream" && head.requestId !== undefined;
@@ -74,6 +74,7 @@
         promptTokens: head.tokens?.prompt ?? 0,
         promptParts: head.promptParts,
         objectiveMs: route.objectiveMs,
+        isSpare: admission.kind === "spare",
         remainingMs: admitted.dueAtMs - clock.monotonicMs(),
         excluded,
     });
@@ -268,7 +269,9 @@
     /** The failure to report when no further send is made. */
     const failureAfter = (reason: string, retryAfterMs: number): Refusal => {
         if (runs === 0) {
-            return { status: 503, reason, retryAfterMs };
+            return admission.kind === "spare"
+                ? { status: 429, reason: "over_limit", retryAfterMs: admission.waitMs }
+                : { status: 503, reason, retryAfterMs };
         }
         return ended.aborted ? { status: 504, reason: "deadline_passed" } : { status: 502, reason };
     };
@@ -308,7 +311,7 @@
         }
     }
     if (runs === 0 && account !== undefined) {
-        options.accounts.giveBack(account.accountId, admitted.units);
+        options.accounts.giveBack(account.accountId, admitted.units, admission);
     }
     return Err(failure ?? { status: 502, reason: "failed" });
 };
--- a/packages/gateway/src/forwarding/identifyRequest.ts
+++ b/packages/gateway/src/forwarding/identifyRequest.ts
@@ -5,7 +5,7 @@
 import type { CompiledConfiguration } from "../configuration/compiledConfiguration";
 import { findRoute } from "../configuration/findRoute";
 import type { Route } from "../configuration/route";
-import type { AdmittedRequest } from "./admittedRequest";
+import type { IdentifiedRequest } from "./identifiedRequest";
 import type { Refusal } from "./refusal";
 
 /** Retry hint of a process that knows no configuration yet; peers and the store deliver it within this time. */
@@ -34,7 +34,7 @@
     configuration: CompiledConfiguration | undefined,
     arrivedAtMs: number,
     random: RandomSource,
-): Result<AdmittedRequest, Refusal> => {
+): Result<IdentifiedRequest, Refusal> => {
     if (configuration === undefined) {
         return Err({ status: 503, reason: "no_configuration", retryAfterMs: NO_CONFIGURATION_RETRY_MS });
     }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -1,7 +1,8 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { RequestHead } from "../codec/requestHead";
-import type { AdmittedRequest } from "./admittedRequest";
+import type { AccountAdmission } from "../limits/accountAdmission";
 import { forwardRequest } from "./forwardRequest";
+import type { IdentifiedRequest } from "./identifiedRequest";
 import { identifyRequest } from "./identifyRequest";
 import { readCallerBody } from "./readCallerBody";
 import type { Refusal } from "./refusal";
@@ -14,10 +15,12 @@
 /** Retry hint of a process that stops; another one takes the next connection. */
 const STOPPING_RETRY_MS = 20;
 
+const ENTITLED: AccountAdmission = { kind: "entitled" };
+
 const headerBytes = (rawHeaders: readonly string[]): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
-const checkSize = ({ request }: ServeOptions, { configuration }: AdmittedRequest): Result<void, Refusal> => {
+const checkSize = ({ request }: ServeOptions, { configuration }: IdentifiedRequest): Result<void, Refusal> => {
     const { maximumHeaderBytes, maximumBodyBytes } = configuration.source.limits;
     if (headerBytes(request.rawHeaders) > maximumHeaderBytes) {
         return Err({ status: 431, reason: "headers_too_large" });
@@ -27,11 +30,6 @@
         : Ok(undefined);
 };
 
-const checkRate = ({ accounts }: ServeOptions, { account, units }: AdmittedRequest): Result<void, Refusal> => {
-    const { waitMs } = account === undefined ? { waitMs: 0 } : accounts.admit(account, units);
-    return waitMs === 0 ? Ok(undefined) : Err({ status: 429, reason: "over_limit", retryAfterMs: waitMs });
-};
-
 /** Aborts when the caller leaves or the answer is due. */
 const watchCaller = (options: ServeOptions, dueInMs: number): AbortController => {
     const ended = new AbortController();
@@ -62,7 +60,7 @@
         return refusal;
     };
 
-    const report = (admitted: AdmittedRequest | undefined, outcome: string, reason: string, status: number): void => {
+    const report = (admitted: IdentifiedRequest | undefined, outcome: string, reason: string, status: number): void => {
         const { firstByteAtMs, placement } = progress;
         const chosen = placement?.kind === "send" ? placement : undefined;
         events.onRequestEnded({
@@ -86,7 +84,7 @@
         });
     };
 
-    const refuseEarly = (admitted: AdmittedRequest | undefined, refusal: Refusal): void => {
+    const refuseEarly = (admitted: IdentifiedRequest | undefined, refusal: Refusal): void => {
         // The rest of the body is read and dropped: an answer on a connection with unread bytes may be lost.
         request.resume();
         report(admitted, "refused", refuse(refusal).reason, refusal.status);
@@ -115,12 +113,14 @@
         report(admitted, "refused", refusal.reason, refusal.status);
         return;
     }
-    const rate = checkRate(options, admitted);
-    if (rate.err) {
-        report(admitted, "refused", refuse(rate.val).reason, rate.val.status);
+    const { account, units } = admitted;
+    const admission = account === undefined ? ENTITLED : options.accounts.admit(account, units);
+    if (admission.kind === "over") {
+        const refusal = refuse({ status: 429, reason: "over_limit", retryAfterMs: admission.waitMs });
+        report(admitted, "refused", refusal.reason, refusal.status);
         return;
     }
-    const result = await forwardRequest(options, admitted, body.val, ended.signal, progress);
+    const result = await forwardRequest(options, { ...admitted, admission }, body.val, ended.signal, progress);
     if (result.ok) {
         report(admitted, "answered", "complete", result.val);
         return;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,7 @@
 export type { PlacementRequest } from "./placement/placementRequest";
 
 // Limits
+export type { AccountAdmission } from "./limits/accountAdmission";
 export type { AccountMeter } from "./limits/accountMeter";
 export { createAccountMeter } from "./limits/createAccountMeter";
 export { createRetryBudget } from "./limits/createRetryBudget";
--- a/packages/gateway/src/limits/accountMeter.ts
+++ b/packages/gateway/src/limits/accountMeter.ts
@@ -1,12 +1,13 @@
 import type { AccountId, HostId } from "@ibislanding/core";
 import type { ClientAccount } from "../configuration/clientAccount";
+import type { AccountAdmission } from "./accountAdmission";
 
 /** Rates of client accounts, kept over all hosts from what they report. */
 export interface AccountMeter {
-    /** Takes the units of a request from the account; returns the time until they are available when it may not run. */
-    readonly admit: (account: ClientAccount, units: number) => { readonly waitMs: number; };
+    /** Takes the units of a request from the account if it may run. */
+    readonly admit: (account: ClientAccount, units: number) => AccountAdmission;
     /** Gives the units of a request back that reached no upstream. */
-    readonly giveBack: (accountId: AccountId, units: number) => void;
+    readonly giveBack: (accountId: AccountId, units: number, admission: AccountAdmission) => void;
     /** Units admitted by this host since its start. */
     readonly admittedTotals: () => ReadonlyMap<AccountId, number>;
     /** Takes what a process admitted; `hostName` is the same for the processes that follow each other on a host. */
--- /dev/null
+++ b/packages/gateway/src/limits/accountMeterOptions.ts
@@ -0,0 +1,7 @@
+/** How limits of accounts are kept. */
+export interface AccountMeterOptions {
+    /** Window over which an account may use its rate unevenly. */
+    readonly windowMs: number;
+    /** Units by which an account may exceed its limit in a window. */
+    readonly toleratedUnits: number;
+}
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -1,17 +1,22 @@
 import type { AccountId, Clock, HostId } from "@ibislanding/core";
 import type { ClientAccount } from "../configuration/clientAccount";
 import type { AccountMeter } from "./accountMeter";
+import type { AccountMeterOptions } from "./accountMeterOptions";
+import { createUsageWindow } from "./createUsageWindow";
+import type { UsageWindow } from "./usageWindow";
 
 interface PeerTotal {
-    total: number;
-    heardAtMs: number;
-    ratePerMs: number;
+    readonly total: number;
+    readonly heardAtMs: number;
+    readonly ratePerMs: number;
 }
 
 interface AccountState {
-    /** Units that all hosts together may still take now. */
+    /** Units of the rate and the burst that all hosts together may still take now. */
     level: number;
     refilledAtMs: number;
+    /** Units that all hosts took within the window, as far as they are known. */
+    readonly window: UsageWindow;
     total: number;
     readonly peers: Map<HostId, PeerTotal>;
 }
@@ -25,26 +30,36 @@
 /** Weight of the newest interval in a peer's smoothed rate. */
 const RATE_SMOOTHING = 0.3;
 
+/** Wait of an account that used up its window: a part of it leaves the window by then. */
+const LEAST_WAIT_MS = 250;
+
 const MS_PER_S = 1_000;
 
 /**
- * Creates a meter whose buckets hold what all hosts together may take. The part of the rate that belongs to silent peers
- * is left to them, so that hosts on the two sides of a split don't both take all of it.
+ * Creates a meter that holds what all hosts together may take. The part of a limit that belongs to silent peers is left
+ * to them, so that hosts on the two sides of a split don't both take all of it.
  *
- * Accounts may exceed their limit by the tolerated units for a while: callers whose requests come in clumps are not
- * refused for what reports between hosts tell late. A bucket starts empty, as a host that restarted does not know what was taken before.
+ * Answers the load of one account at many times its usual: up to its rate and burst its requests compete with those of
+ * others; beyond, and up to its limit in the window, they run only where there is spare room. A host that restarted does
+ * not know what was taken before: its buckets start empty, and little is spare for one window.
  */
-export const createAccountMeter = (clock: Clock, toleratedUnits = 0): AccountMeter => {
+export const createAccountMeter = (clock: Clock, options: AccountMeterOptions): AccountMeter => {
+    const { windowMs, toleratedUnits } = options;
     const accounts = new Map<AccountId, AccountState>();
     const peerHeardAtMs = new Map<string, number>();
+    const startedAtMs = clock.monotonicMs();
 
     const stateOf = (accountId: AccountId): AccountState => {
-        const state = accounts.get(accountId)
-            ?? { level: 0, refilledAtMs: startedAtMs, total: 0, peers: new Map<HostId, PeerTotal>() };
+        const state = accounts.get(accountId) ?? {
+            level: 0,
+            refilledAtMs: startedAtMs,
+            window: createUsageWindow(clock, windowMs),
+            total: 0,
+            peers: new Map<HostId, PeerTotal>(),
+        };
         accounts.set(accountId, state);
         return state;
     };
-    const startedAtMs = clock.monotonicMs();
 
     const ownShare = (nowMs: number): number => {
         const ages = [...peerHeardAtMs.values()].map(heardAtMs => nowMs - heardAtMs);
@@ -53,12 +68,9 @@
         return (heard + 1) / (known + 1);
     };
 
-    const refill = (state: AccountState, account: ClientAccount, nowMs: number): void => {
+    const refill = (state: AccountState, account: ClientAccount, share: number, nowMs: number): void => {
         const elapsedMs = nowMs - state.refilledAtMs;
-        state.level = Math.min(
-            account.burst,
-            state.level + account.ratePerS / MS_PER_S * elapsedMs * ownShare(nowMs),
-        );
+        state.level = Math.min(account.burst, state.level + account.ratePerS / MS_PER_S * elapsedMs * share);
         state.refilledAtMs = nowMs;
     };
 
@@ -69,13 +81,25 @@
             0,
         );
 
+    /** Units that are spare in the window; only the tolerated ones until a whole window was seen. */
+    const spareUnits = (state: AccountState, account: ClientAccount, share: number, nowMs: number): number =>
+        nowMs - startedAtMs < windowMs
+            ? state.level + toleratedUnits * share
+            : (account.ratePerS * windowMs / MS_PER_S + account.burst + toleratedUnits) * share - state.window.sum();
+
+    const take = (state: AccountState, units: number): void => {
+        state.level -= units;
+        state.window.add(units);
+        state.total += units;
+    };
+
     const observeTotal = (state: AccountState, hostId: HostId, total: number, nowMs: number): void => {
         const peer = state.peers.get(hostId);
-        // A smaller total is that of a restarted host.
-        const taken = peer === undefined || total < peer.total ? total : total - peer.total;
+        const taken = Math.max(0, total - (peer?.total ?? 0));
         const elapsedMs = Math.max(1, nowMs - (peer?.heardAtMs ?? startedAtMs));
         const ratePerMs = (peer?.ratePerMs ?? 0) * (1 - RATE_SMOOTHING) + taken / elapsedMs * RATE_SMOOTHING;
         state.level -= taken;
+        state.window.add(taken);
         state.peers.set(hostId, { total, heardAtMs: nowMs, ratePerMs });
     };
 
@@ -85,21 +109,32 @@
             const state = stateOf(account.accountId);
             if (account.ratePerS <= 0) {
                 state.total += units;
-                return { waitMs: 0 };
+                return { kind: "entitled" };
             }
-            refill(state, account, nowMs);
-            const missing = Math.min(units, account.burst) - (state.level - unreported(state, nowMs)) - toleratedUnits;
-            if (missing > 0) {
-                return { waitMs: missing / account.ratePerS * MS_PER_S };
+            const share = ownShare(nowMs);
+            refill(state, account, share, nowMs);
+            // What was taken beyond the rate as spare must not be paid back by later requests.
+            state.level = Math.max(state.level, -account.burst);
+            const pending = unreported(state, nowMs);
+            const missing = Math.min(units, account.burst) - (state.level - pending);
+            const waitMs = missing / account.ratePerS * MS_PER_S;
+            const isYoung = nowMs - startedAtMs < windowMs;
+            const hasRoom = units + pending <= spareUnits(state, account, share, nowMs);
+            if (missing <= 0 && (hasRoom || isYoung)) {
+                take(state, units);
+                return { kind: "entitled" };
             }
-            state.level -= units;
-            state.total += units;
-            return { waitMs: 0 };
+            if (hasRoom) {
+                take(state, units);
+                return { kind: "spare", waitMs };
+            }
+            return { kind: "over", waitMs: Math.max(waitMs, LEAST_WAIT_MS) };
         },
-        giveBack: (accountId, units) => {
+        giveBack: (accountId, units, admission) => {
             const state = stateOf(accountId);
-            state.level += units;
-            state.total -= units;
+            if (admission.kind !== "over") {
+                take(state, -units);
+            }
         },
         admittedTotals: () => new Map([...accounts].map(([accountId, { total }]) => [accountId, total])),
         observePeer: (hostName, hostId, totals) => {
--- /dev/null
+++ b/packages/gateway/src/limits/usageWindow.ts
@@ -0,0 +1,5 @@
+/** Units used within a sliding window. */
+export interface UsageWindow {
+    readonly add: (units: number) => void;
+    readonly sum: () => number;
+}
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -8,6 +8,9 @@
 /** A first event this much later than the objective is worth little, and the work delays those still in time. */
 const LATEST_OBJECTIVE_FACTOR = 1.5;
 
+/** A request of an account above its rate runs where it leaves others time to meet their objectives. */
+const SPARE_OBJECTIVE_FACTOR = 0.5;
+
 /** Part of the remaining time that the first event may take; a later one leaves no time for the rest of the answer. */
 const LATEST_FIRST_EVENT_SHARE = 0.6;
 
@@ -71,7 +74,7 @@
     const chosen = cheapest(considered.filter(hasRoom));
     const latestMs = Math.min(
         request.remainingMs * LATEST_FIRST_EVENT_SHARE,
-        request.objectiveMs * LATEST_OBJECTIVE_FACTOR,
+        request.objectiveMs * (request.isSpare ? SPARE_OBJECTIVE_FACTOR : LATEST_OBJECTIVE_FACTOR),
     );
     if (chosen === undefined || predictMs(chosen) > latestMs) {
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestMs / 2;
