--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -20,7 +20,7 @@
 const REFUSAL_MEMORY_MS = 6_000;
 
 /** A target below the running number must hold for this long: upstreams that are given up take seconds to return. */
-const SHRINK_DELAY_MS = 8_000;
+const SHRINK_DELAY_MS = 5_000;
 
 /** An order whose upstreams did not appear is repeated after this time. */
 const REPEAT_MS = 8_000;
--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -8,7 +8,7 @@
 /** Work of the on-demand engines at average load while all reclaimable ones are gone. */
 const SURVIVAL_BUSY_SHARE = 0.9;
 
-/** Work of the engines at the peak up to which on-demand ones are added while reclaimable ones are refused. */
+/** Present work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
 const SHORTAGE_BUSY_SHARE = 0.6;
 
 /** On-demand upstreams whatever the load: the loss of one leaves another. */
@@ -38,12 +38,12 @@
 };
 
 /** On-demand upstreams to add for reclaimable ones that the platform refuses. */
-const shortage = ({ zones, peakBusy }: FleetState, survivors: number): number => {
+const shortage = ({ zones, currentBusy }: FleetState, survivors: number): number => {
     if (!zones.some(({ isReclaimableRefused }) => isReclaimableRefused)) {
         return 0;
     }
     const running = zones.reduce((sum, { reclaimable }) => sum + reclaimable, 0);
-    return Math.max(0, Math.ceil(peakBusy / SHORTAGE_BUSY_SHARE) - survivors - running);
+    return Math.max(0, Math.ceil(currentBusy / SHORTAGE_BUSY_SHARE) - survivors - running);
 };
 
 /**
--- a/packages/edge/src/createDemandMeter.ts
+++ b/packages/edge/src/createDemandMeter.ts
@@ -35,7 +35,7 @@
             const nowMs = clock.monotonicMs();
             const known = services.get(service);
             if (known === undefined && busyUpstreams < LEAST_BUSY) {
-                return found(busyUpstreams, running);
+                return { ...found(busyUpstreams, running), currentBusy: busyUpstreams };
             }
             const demand = known ?? found(busyUpstreams, running);
             const weight = 1 - Math.exp((demand.averagedAtMs - nowMs) / AVERAGE_MS);
@@ -46,7 +46,7 @@
                 demand.peakAtMs = nowMs;
             }
             services.set(service, demand);
-            return { averageBusy: demand.averageBusy, peakBusy: demand.peakBusy };
+            return { averageBusy: demand.averageBusy, currentBusy: busyUpstreams, peakBusy: demand.peakBusy };
         },
     };
 };
--- a/packages/edge/src/demandMeter.ts
+++ b/packages/edge/src/demandMeter.ts
@@ -7,5 +7,5 @@
         service: ServiceName,
         busyUpstreams: number,
         running: number,
-    ) => { readonly averageBusy: number; readonly peakBusy: number; };
+    ) => { readonly averageBusy: number; readonly currentBusy: number; readonly peakBusy: number; };
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -29,7 +29,7 @@
 const PEER_LIVE_MS = 2_000;
 
 /** Part of the permitted excess that is granted on purpose; reports that come late take the rest. */
-const ACCOUNT_SLACK_SHARE = 0.4;
+const ACCOUNT_SLACK_SHARE = 0.5;
 
 /** Part of the grace after which no request is in hand any more, however long it takes. */
 const STOP_SHARE = 0.95;
