--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -3,10 +3,10 @@
 import type { ZoneTarget } from "./zoneTarget";
 
 /** Work of an engine at the peak up to which prompts wait little behind others and running answers keep their pace. */
-const TARGET_BUSY_SHARE = 0.25;
+const TARGET_BUSY_SHARE = 0.22;
 
 /** Work of the on-demand engines at average load while all reclaimable ones are gone. */
-const SURVIVAL_BUSY_SHARE = 1.2;
+const SURVIVAL_BUSY_SHARE = 1.4;
 
 /** Present work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
 const SHORTAGE_BUSY_SHARE = 0.6;
