--- a/packages/admin/src/commands/parseChanges.ts
+++ b/packages/admin/src/commands/parseChanges.ts
@@ -2,7 +2,7 @@
 import type { Failure, Revision } from "@ibislanding/core";
 import { parseManifest, resourceKinds, toValidationIssues, type ValidationIssue } from "@ibislanding/resources";
 import { Err, Ok, type Result } from "ts-results";
-import { z } from "zod";
+import * as z from "zod";
 import { invalidResource } from "./invalidResource";
 
 const MAXIMUM_CHANGES = 1_000;
--- a/packages/admin/src/ports/statusRecordSchema.ts
+++ b/packages/admin/src/ports/statusRecordSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Status of a resource as `ibis-control` stores it under `status/<Kind>/<name>`. */
 export const statusRecordSchema = z.object({
--- a/packages/admin/src/settings/adminSettingsSchema.ts
+++ b/packages/admin/src/settings/adminSettingsSchema.ts
@@ -1,5 +1,5 @@
 import { listenerSettingsSchema, platformSettingsSchema, processSettingsSchema } from "@ibislanding/runtime";
-import { z } from "zod";
+import * as z from "zod";
 import { operatorSettingsSchema } from "./operatorSettingsSchema";
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_000_000;
--- a/packages/admin/src/settings/operatorSettingsSchema.ts
+++ b/packages/admin/src/settings/operatorSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAXIMUM_TEAMS = 100;
 
--- a/packages/bench/src/scenario/scenarioSchema.ts
+++ b/packages/bench/src/scenario/scenarioSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const requestKindSchema = z.strictObject({
     name: z.string().min(1),
--- a/packages/control/src/settings/controlSettingsSchema.ts
+++ b/packages/control/src/settings/controlSettingsSchema.ts
@@ -1,5 +1,5 @@
 import { listenerSettingsSchema, platformSettingsSchema, processSettingsSchema } from "@ibislanding/runtime";
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_LEASE_DURATION_MS = 9_000;
 const MINIMUM_LEASE_DURATION_MS = 1_000;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -81,12 +81,15 @@
         (service, workMs) => work.add(service, workMs),
     );
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
+    const isInformed = (): boolean => knowledge.configuration() !== undefined && upstreams.records().length > 0;
+
     const gateway = resources.use(createGateway({
         clock,
         random,
         codec: options.codec,
         engines: options.engines,
         configuration: knowledge.configuration,
+        isInformed,
         upstreams,
         accounts,
         retries,
@@ -185,8 +188,7 @@
         await registering;
     });
 
-    const isReady = (): boolean =>
-        !isStopping && knowledge.configuration() !== undefined && upstreams.records().length > 0;
+    const isReady = (): boolean => !isStopping && isInformed();
 
     const callers = createServer({
         maxHeaderSize: MAXIMUM_HEADER_BYTES,
--- a/packages/entry/src/chat/chatRequestSchema.ts
+++ b/packages/entry/src/chat/chatRequestSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAXIMUM_MESSAGES = 10_000;
 const MAXIMUM_TOKENS = 1_000_000;
--- a/packages/entry/src/settings/entrySettingsSchema.ts
+++ b/packages/entry/src/settings/entrySettingsSchema.ts
@@ -1,5 +1,5 @@
 import { listenerSettingsSchema, platformSettingsSchema, processSettingsSchema } from "@ibislanding/runtime";
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 4_000_000;
 const MAXIMUM_BODY_BYTES = 64_000_000;
--- a/packages/gateway/__tests__/forwarding.spec.ts
+++ b/packages/gateway/__tests__/forwarding.spec.ts
@@ -184,3 +184,17 @@
     expect(early).toMatchObject({ status: 200, headers: { connection: "close" } });
     expect(late.status).toBe(503);
 });
+
+test("a request that arrives before the configuration waits for it for a moment, then is refused as not run", async () => {
+    await using upstream = await startRawUpstream(request => answer(request, "ok"));
+    await using system = await startTestGateway([upstream.port], {});
+    system.state.isInformed = false;
+    const refused = await sendCallerRequest(system.port, "r1");
+    setTimeout(() => {
+        system.state.isInformed = true;
+    }, 100);
+    const answered = await sendCallerRequest(system.port, "r2");
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
+    expect(answered).toMatchObject({ status: 200, body: "ok" });
+});
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -1,7 +1,6 @@
 import {
     type AvailabilityZone,
     createFakeClock,
-    type HostId,
     type ServiceName,
     type UpstreamId,
 } from "@ibislanding/core";
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -42,6 +42,7 @@
 /** A gateway with one route to the upstreams at the ports. */
 export const startTestGateway = async (ports: readonly number[], route: Partial<Route>, engines?: EnginePort) => {
     const clock = createSystemClock();
+    const state = { isInformed: true };
     const ended: { readonly outcome: string; readonly reason: string; readonly status: number; }[] = [];
     const began: (AccountId | undefined)[] = [];
     const configuration = compileConfiguration({
@@ -76,7 +77,8 @@
         random: createRandom(1),
         codec: testCodec,
         engines,
-        configuration: () => configuration,
+        configuration: () => state.isInformed ? configuration : undefined,
+        isInformed: () => state.isInformed,
         upstreams,
         accounts: createAccountMeter(clock, { windowMs: 8_000, toleratedUnits: 0 }),
         retries: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
@@ -94,6 +96,7 @@
     return {
         port: typeof address === "object" && address !== null ? address.port : 0,
         gateway,
+        state,
         upstreams,
         ended,
         began,
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -14,6 +14,8 @@
     readonly codec: HeaderCodec;
     /** The configuration in force; undefined until one is known. */
     readonly configuration: () => CompiledConfiguration | undefined;
+    /** Whether configuration and upstreams are known; a process that has just started learns them in a moment. */
+    readonly isInformed: () => boolean;
     readonly upstreams: UpstreamTable;
     readonly accounts: AccountMeter;
     readonly retries: RetryBudget;
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -15,6 +15,10 @@
 /** Retry hint of a process that stops; another one takes the next connection. */
 const STOPPING_RETRY_MS = 20;
 
+/** Time for which a request waits for a process that has just started to learn configuration and upstreams. */
+const INFORMED_WAIT_MS = 300;
+const INFORMED_POLL_MS = 10;
+
 const ENTITLED: AccountAdmission = { kind: "entitled" };
 
 const headerBytes = (rawHeaders: readonly string[]): number =>
@@ -43,6 +47,12 @@
     return ended;
 };
 
+const waitUntilInformed = async ({ clock, isInformed }: ServeOptions, startedAtMs: number): Promise<void> => {
+    while (!isInformed() && clock.monotonicMs() - startedAtMs < INFORMED_WAIT_MS) {
+        await clock.sleep(INFORMED_POLL_MS);
+    }
+};
+
 /** Serves one request from its head to the end of its answer. */
 export const serveRequest = async (options: ServeOptions): Promise<void> => {
     const { clock, caller, events, random, request } = options;
@@ -90,6 +100,7 @@
         report(admitted, "refused", refuse(refusal).reason, refusal.status);
     };
 
+    await waitUntilInformed(options, arrivedAtMs);
     const identified = options.refuses
         ? Err<Refusal>({ status: 503, reason: "stopping", retryAfterMs: STOPPING_RETRY_MS })
         : identifyRequest(head, options.configuration(), arrivedAtMs, random);
--- a/packages/resources/src/parseManifest.ts
+++ b/packages/resources/src/parseManifest.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "ts-results";
-import { z } from "zod";
+import * as z from "zod";
 import { resourceKinds } from "./resourceKinds";
 import type { ResourceManifest } from "./resourceManifest";
 import { specSchemas } from "./specSchemas";
--- a/packages/resources/src/specs/adapterSpecSchema.ts
+++ b/packages/resources/src/specs/adapterSpecSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** An adapter that callers address as `model:adapter`. */
 export const adapterSpecSchema = z.strictObject({
--- a/packages/resources/src/specs/clientAccountSpecSchema.ts
+++ b/packages/resources/src/specs/clientAccountSpecSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAXIMUM_RATE = 1_000_000;
 const DEFAULT_FIRST_TOKEN_TARGET_MS = 790;
--- a/packages/resources/src/specs/machineClassSpecSchema.ts
+++ b/packages/resources/src/specs/machineClassSpecSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Capacity and price of a class of upstream hosts. */
 export const machineClassSpecSchema = z.strictObject({
--- a/packages/resources/src/specs/modelVersionSpecSchema.ts
+++ b/packages/resources/src/specs/modelVersionSpecSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_CONTEXT_TOKENS = 32_768;
 const MAXIMUM_CONTEXT_TOKENS = 10_000_000;
--- a/packages/resources/src/specs/serviceSpecSchema.ts
+++ b/packages/resources/src/specs/serviceSpecSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_TIMEOUT_MS = 30_000;
 const MAXIMUM_TIMEOUT_MS = 3_600_000;
--- a/packages/runtime/src/settings/listenerSettingsSchema.ts
+++ b/packages/runtime/src/settings/listenerSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { tlsSettingsSchema } from "./tlsSettingsSchema";
 
 const MAXIMUM_PORT = 65_535;
--- a/packages/runtime/src/settings/platformSettingsSchema.ts
+++ b/packages/runtime/src/settings/platformSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Endpoints of the platform's services. */
 export const platformSettingsSchema = z.strictObject({
--- a/packages/runtime/src/settings/processSettingsSchema.ts
+++ b/packages/runtime/src/settings/processSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { listenerSettingsSchema } from "./listenerSettingsSchema";
 
 const DEFAULT_STOP_DEADLINE_MS = 30_000;
--- a/packages/runtime/src/settings/tlsSettingsSchema.ts
+++ b/packages/runtime/src/settings/tlsSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Certificate of a listener, or `off`; files are read again when they change. */
 export const tlsSettingsSchema = z.union([
