--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -1,9 +1,4 @@
-import {
-    type AvailabilityZone,
-    createFakeClock,
-    type ServiceName,
-    type UpstreamId,
-} from "@ibislanding/core";
+import { type AvailabilityZone, createFakeClock, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import {
     chooseUpstream,
     createUpstreamTable,
@@ -131,6 +126,17 @@
     expect(table.candidates(service, prompt("s"))[0]?.backlogMs).toBe(0);
 });
 
+test("the backlogs of several hosts shrink together at the engine's rate, not each at it", async () => {
+    const { clock, table } = createTable([engine("a")]);
+    const rate = table.tokensPerMs(service);
+    ["p1", "p2", "p3"].forEach(peer =>
+        table.observePeer(peer, new Map([["a" as UpstreamId, { running: 1, backlogTokens: 10_000 }]]), [])
+    );
+    await clock.advance(500);
+    const backlogMs = table.candidates(service, prompt("s"))[0]?.backlogMs ?? 0;
+    expect(backlogMs).toBeCloseTo(30_000 / rate - 500, 0);
+});
+
 test("a peer's placement makes the prefix count as cached there", () => {
     const { table, place } = createTable(["a", "b", "c"].map(id => engine(id)));
     table.observePeer("peer", new Map(), [["c" as UpstreamId, "system"], ["c" as UpstreamId, "s9"]]);
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -111,17 +111,32 @@
 
     const hostCount = (): number => peersHeardWithin(PEER_LIFETIME_MS).length + 1;
 
-    const drained = (tokens: number, sinceMs: number, service: ServiceName): number =>
-        Math.max(0, tokens - (clock.monotonicMs() - sinceMs) * tokensPerMs(service));
-
-    const peerLoad = (upstreamId: UpstreamId, service: ServiceName): UpstreamLoad =>
-        peersHeardWithin(PEER_LOAD_LIFETIME_MS).reduce<UpstreamLoad>((sum, peer) => {
-            const load = peer.loads.get(upstreamId);
-            return load === undefined ? sum : {
-                running: sum.running + load.running,
-                backlogTokens: sum.backlogTokens + drained(load.backlogTokens, peer.heardAtMs, service),
-            };
-        }, { running: 0, backlogTokens: 0 });
+    const peerLoads = (upstreamId: UpstreamId): readonly (UpstreamLoad & { readonly heardAtMs: number; })[] =>
+        peersHeardWithin(PEER_LOAD_LIFETIME_MS).flatMap(({ loads, heardAtMs }) => {
+            const load = loads.get(upstreamId);
+            return load === undefined ? [] : [{ ...load, heardAtMs }];
+        });
+
+    /**
+     * Tokens of a backlog that are still waiting some time after it was known. The engine serves the backlogs of all
+     * hosts at once, so each shrinks by its part of the rate.
+     */
+    const waiting = (tokens: number, totalTokens: number, sinceMs: number, service: ServiceName): number => {
+        const processed = (clock.monotonicMs() - sinceMs) * tokensPerMs(service) * tokens / Math.max(1, totalTokens);
+        return Math.max(0, tokens - processed);
+    };
+
+    /** Backlog of this host and of all hosts at an upstream. */
+    const backlogOf = ({ record, backlogTokens, progressAtMs }: UpstreamState) => {
+        const peerBacklogs = peerLoads(record.upstreamId);
+        const totalTokens = peerBacklogs.reduce((sum, load) => sum + load.backlogTokens, backlogTokens);
+        const ownTokens = waiting(backlogTokens, totalTokens, progressAtMs, record.service);
+        const allTokens = peerBacklogs.reduce(
+            (sum, load) => sum + waiting(load.backlogTokens, totalTokens, load.heardAtMs, record.service),
+            ownTokens,
+        );
+        return { ownTokens, allTokens };
+    };
 
     const decayScore = (state: UpstreamState): void => {
         const factor = 0.5 ** ((clock.monotonicMs() - state.scoredAtMs) / SCORE_HALF_LIFE_MS);
@@ -157,15 +172,13 @@
         const spec = serviceOf(record.service);
         const isEngine = spec?.engine !== undefined;
         const rate = tokensPerMs(record.service);
-        const others = peerLoad(record.upstreamId, record.service);
         const cachedTokens = isEngine ? prefixes.cachedTokens(record, request.promptParts, spec.engine.cacheTokens) : 0;
         const siblings = siblingsOf(state);
-        const ownBacklog = drained(state.backlogTokens, state.progressAtMs, record.service);
         return {
             record,
             isEngine,
-            running: state.running + others.running,
-            backlogMs: (ownBacklog + others.backlogTokens) / rate,
+            running: peerLoads(record.upstreamId).reduce((sum, load) => sum + load.running, state.running),
+            backlogMs: backlogOf(state).allTokens / rate,
             promptMs: isEngine
                 ? Math.max(0, request.promptTokens - cachedTokens) / rate
                 : state.answerMs ?? median(siblings.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
@@ -313,9 +326,9 @@
             new Map(
                 [...upstreams.values()]
                     .filter(({ running }) => running > 0)
-                    .map(({ record, running, backlogTokens, progressAtMs }) => [
-                        record.upstreamId,
-                        { running, backlogTokens: Math.round(drained(backlogTokens, progressAtMs, record.service)) },
+                    .map(state => [
+                        state.record.upstreamId,
+                        { running: state.running, backlogTokens: Math.round(backlogOf(state).ownTokens) },
                     ]),
             ),
         recentPlacements: () => prefixes.recent(),
