feat(gateway): placement learns of work it does not see

Change: first bytes that came later than predicted, or are overdue now, count as work of the upstream, with a half-life of one second. The test fails without it.

--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -137,6 +137,19 @@
     expect(backlogMs).toBeCloseTo(30_000 / rate - 500, 0);
 });
 
+test("an engine that is behind because of hosts out of reach is avoided, and tried again later", async () => {
+    const { clock, table, place } = createTable([engine("a"), engine("b")]);
+    const fresh = prompt("s", { promptParts: [] });
+    const slow = table.begin("a" as UpstreamId, prompt("s"));
+    await clock.advance(2_000);
+    expect(upstreamOf(place(fresh))).toBe("b");
+    slow.firstEvent();
+    slow.end();
+    expect(upstreamOf(place(fresh))).toBe("b");
+    await clock.advance(6_000);
+    expect(table.candidates(service, prompt("s"))[0]?.hiddenMs).toBeLessThan(50);
+});
+
 test("a peer's placement makes the prefix count as cached there", () => {
     const { table, place } = createTable(["a", "b", "c"].map(id => engine(id)));
     table.observePeer("peer", new Map(), [["c" as UpstreamId, "system"], ["c" as UpstreamId, "s9"]]);
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -21,6 +21,9 @@
 
 const ENTITLED: AccountAdmission = { kind: "entitled" };
 
+/** Outcome of requests that were given up without a run, by status. */
+const OUTCOMES: Readonly<Record<number, string>> = { 429: "refused", 503: "refused" };
+
 const headerBytes = (rawHeaders: readonly string[]): number =>
     rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
@@ -139,5 +142,6 @@
     if (!caller.isEnded()) {
         refuse(result.val);
     }
-    report(admitted, ended.signal.reason === "caller-left" ? "left" : "failed", result.val.reason, result.val.status);
+    const { reason, status } = result.val;
+    report(admitted, ended.signal.reason === "caller-left" ? "left" : OUTCOMES[status] ?? "failed", reason, status);
 };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,6 +1,7 @@
 import type { PlacementCandidate } from "./placementCandidate";
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
+import { predictMs } from "./predictMs";
 
 /** Retry hint while a service has no usable upstream: a replacement or a return takes about this long. */
 const NO_UPSTREAM_RETRY_MS = 400;
@@ -17,9 +18,6 @@
 /** An upstream that vanished from the registry without a notice is likely gone. */
 const VANISHED_PENALTY_MS = 2_000;
 
-/** Each running request lengthens an engine's steps by a little. */
-const RUNNING_PENALTY_MS = 1;
-
 /** Requests beyond the slots that wait at an upstream; past this factor it refuses them soon. */
 const SATURATION_FACTOR = 2;
 
@@ -29,15 +27,6 @@
 const hasRoom = ({ running, record, isConnectionLimited }: PlacementCandidate): boolean =>
     !isConnectionLimited && running < record.slots * SATURATION_FACTOR;
 
-/** Predicts the time to the first event, or to a plain answer. */
-const predictMs = (candidate: PlacementCandidate): number => {
-    const { isEngine, running, record, backlogMs, promptMs, overheadMs, roundTripMs, slowness } = candidate;
-    if (isEngine) {
-        return (roundTripMs + overheadMs + backlogMs + promptMs + running * RUNNING_PENALTY_MS) * slowness;
-    }
-    return (roundTripMs + promptMs * Math.max(1, (running + 1) / record.slots)) * slowness;
-};
-
 /**
  * Time to the first event, plus what the choice costs others: prompt work that a cached prefix would have saved, and
  * bytes over long links, for which the round trip stands.
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -10,11 +10,11 @@
     readonly backlogMs: number;
     /** Time to process the part of this prompt that is not cached there. */
     readonly promptMs: number;
+    /** Time by which it is behind what this host knows of its work. */
+    readonly hiddenMs: number;
     /** Time to the first event that does not depend on the prompt. */
     readonly overheadMs: number;
     readonly roundTripMs: number;
-    /** Smoothed time of its plain answers relative to its peers' median; 1 when unknown. */
-    readonly slowness: number;
     readonly isEjected: boolean;
     readonly hasVanished: boolean;
     /** Whether this host may open no further connection to it. */
--- /dev/null
+++ b/packages/gateway/src/placement/predictMs.ts
@@ -0,0 +1,12 @@
+import type { PlacementCandidate } from "./placementCandidate";
+
+/** Each running request lengthens an engine's steps by a little. */
+const RUNNING_PENALTY_MS = 1;
+
+/** Predicts the time to the first event, or to a plain answer. */
+export const predictMs = (candidate: PlacementCandidate): number => {
+    const { isEngine, running, record, backlogMs, promptMs, hiddenMs, overheadMs, roundTripMs } = candidate;
+    return isEngine
+        ? roundTripMs + overheadMs + backlogMs + promptMs + hiddenMs + running * RUNNING_PENALTY_MS
+        : roundTripMs + hiddenMs + promptMs * Math.max(1, (running + 1) / record.slots);
+};
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -3,6 +3,7 @@
 import { createPromptModel } from "../placement/createPromptModel";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
+import { predictMs } from "../placement/predictMs";
 import type { PromptModel } from "../placement/promptModel";
 import { createPrefixDirectory } from "./createPrefixDirectory";
 import type { UpstreamLoad } from "./upstreamLoad";
@@ -46,6 +47,12 @@
 /** Part of an upstream's connections that the hosts divide; the rest absorbs hosts that come and go. */
 const CONNECTION_SHARE = 0.9;
 
+/** Half-life of what is believed of work that this host does not see. */
+const EXCESS_HALF_LIFE_MS = 1_000;
+
+/** Weight of the newest first byte in the smoothed excess. */
+const EXCESS_WEIGHT = 0.4;
+
 const smooth = (previous: number | undefined, value: number, weight = SMOOTHING): number =>
     previous === undefined ? value : previous + (value - previous) * weight;
 
@@ -55,6 +62,9 @@
     running: 0,
     backlogTokens: 0,
     progressAtMs: nowMs,
+    dueAtMs: new Set(),
+    excessMs: 0,
+    excessAtMs: nowMs,
     ejectedUntilMs: -Infinity,
     ejections: 0,
     failures: 0,
@@ -138,6 +148,25 @@
         return { ownTokens, allTokens };
     };
 
+    const decayedExcessMs = ({ excessMs, excessAtMs }: UpstreamState): number =>
+        excessMs * 0.5 ** ((clock.monotonicMs() - excessAtMs) / EXCESS_HALF_LIFE_MS);
+
+    /**
+     * Time by which an upstream is behind what this host knows of it: first bytes that came late a short time ago, or
+     * that are overdue now. Covers work of hosts that are out of reach, and upstreams that are slow or hang.
+     */
+    const hiddenMs = (state: UpstreamState): number =>
+        [...state.dueAtMs].reduce(
+            (most, { atMs }) => Math.max(most, clock.monotonicMs() - atMs),
+            decayedExcessMs(state),
+        );
+
+    const noteExcess = (state: UpstreamState, excessMs: number): void => {
+        const decayedMs = decayedExcessMs(state);
+        state.excessMs = decayedMs + (Math.max(0, excessMs) - decayedMs) * EXCESS_WEIGHT;
+        state.excessAtMs = clock.monotonicMs();
+    };
+
     const decayScore = (state: UpstreamState): void => {
         const factor = 0.5 ** ((clock.monotonicMs() - state.scoredAtMs) / SCORE_HALF_LIFE_MS);
         state.failures *= factor;
@@ -157,11 +186,6 @@
         state.ejections++;
     };
 
-    const slownessOf = (state: UpstreamState, siblings: readonly UpstreamState[]): number => {
-        const typical = median(siblings.flatMap(({ answerMs }) => answerMs ?? []));
-        return typical === undefined || state.answerMs === undefined ? 1 : Math.max(1, state.answerMs / typical);
-    };
-
     const connectionLimit = (spec: ServiceSpec | undefined): number =>
         spec === undefined
             ? LEAST_CONNECTIONS
@@ -182,9 +206,9 @@
             promptMs: isEngine
                 ? Math.max(0, request.promptTokens - cachedTokens) / rate
                 : state.answerMs ?? median(siblings.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
+            hiddenMs: hiddenMs(state),
             overheadMs: isEngine ? modelOf(record.service).overheadMs() : 0,
             roundTripMs: state.roundTripMs ?? median(siblings.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
-            slowness: isEngine ? slownessOf(state, siblings) : 1,
             isEjected: clock.monotonicMs() < state.ejectedUntilMs,
             hasVanished: state.vanishedAtMs !== undefined,
             isConnectionLimited: state.openConnections >= connectionLimit(spec),
@@ -249,10 +273,13 @@
             if (state === undefined) {
                 return { firstEvent: () => undefined, end: () => undefined };
             }
-            const { promptMs, backlogMs, isEngine } = toCandidate(state, request);
+            const candidate = toCandidate(state, request);
+            const { promptMs, backlogMs, isEngine } = candidate;
             const { service } = state.record;
             const tokens = isEngine ? promptMs * tokensPerMs(service) : 0;
             const startedAtMs = clock.monotonicMs();
+            const due = { atMs: startedAtMs + predictMs(candidate) - candidate.hiddenMs };
+            state.dueAtMs.add(due);
             let waits = true;
             let runs = true;
             if (state.backlogTokens === 0) {
@@ -265,12 +292,16 @@
             const stopWaiting = (): void => {
                 if (waits) {
                     waits = false;
+                    state.dueAtMs.delete(due);
                     state.backlogTokens = Math.max(0, state.backlogTokens - tokens);
                     state.progressAtMs = clock.monotonicMs();
                 }
             };
             return {
                 firstEvent: () => {
+                    if (waits) {
+                        noteExcess(state, clock.monotonicMs() - due.atMs);
+                    }
                     if (waits && isEngine) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
                         modelOf(service).observe(tokens + backlogMs * tokensPerMs(service), durationMs);
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -9,6 +9,11 @@
     backlogTokens: number;
     /** Monotonic time of the last sign that the backlog shrinks. */
     progressAtMs: number;
+    /** Requests that wait for their first byte, with the monotonic time by which it was predicted. */
+    readonly dueAtMs: Set<{ readonly atMs: number; }>;
+    /** Smoothed time by which first bytes came later than predicted, and when it was last changed. */
+    excessMs: number;
+    excessAtMs: number;
     /** Monotonic time until which no request is sent. */
     ejectedUntilMs: number;
     ejections: number;
