--- /dev/null
+++ b/packages/gateway/src/forwarding/createForwardContext.ts
@@ -0,0 +1,34 @@
+import type { AdmittedRequest } from "./admittedRequest";
+import { filterHeaders } from "./filterHeaders";
+import type { ForwardContext } from "./forwardContext";
+import type { RequestProgress } from "./requestProgress";
+import type { ServeOptions } from "./serveOptions";
+
+/** Content headers that are set anew, as the body was read whole. */
+const BODY_HEADERS = ["content-length", "expect"];
+
+/** Creates the context of a request that was not sent yet. */
+export const createForwardContext = (
+    options: ServeOptions,
+    admitted: AdmittedRequest,
+    body: Buffer,
+    ended: AbortSignal,
+    progress: RequestProgress,
+): ForwardContext => {
+    const { route, service, configuration } = admitted;
+    const dropped = new Set([...options.codec.reservedRequestHeaders, ...BODY_HEADERS]);
+    return {
+        options,
+        admitted,
+        body,
+        ended,
+        progress,
+        forwardedHeaders: filterHeaders(options.request.rawHeaders, dropped),
+        engine: configuration.servicesByName.get(service)?.engine,
+        mayRepeat: route.kind === "repeatable" || route.isResumable,
+        excluded: new Set(),
+        runs: 0,
+        hasBegun: false,
+        lastEventId: undefined,
+    };
+};
--- /dev/null
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -0,0 +1,181 @@
+import { match } from "ts-pattern";
+import type { Continuation } from "../engines/continuation";
+import type { UpstreamRecord } from "../upstreams/upstreamRecord";
+import type { AttemptOutcome } from "./attemptOutcome";
+import { deliverAnswer } from "./deliverAnswer";
+import { filterHeaders } from "./filterHeaders";
+import type { ForwardContext } from "./forwardContext";
+import { startAttempt } from "./startAttempt";
+import { toPlacementRequest } from "./toPlacementRequest";
+import type { UpstreamAnswer } from "./upstreamAnswer";
+import { watchEvacuation } from "./watchEvacuation";
+
+/** One send with the functions that end its load at the upstream. */
+interface Send {
+    readonly context: ForwardContext;
+    readonly upstream: UpstreamRecord;
+    readonly startedAtMs: number;
+    readonly onFirstEvent: () => void;
+}
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** Answers from this status on count against an upstream's health. */
+const FAILURE_STATUS = 500;
+
+const FIRST_UNSUCCESSFUL_STATUS = 300;
+
+const headersFor = (
+    { options, admitted, body, forwardedHeaders, engine, lastEventId }: ForwardContext,
+    upstream: UpstreamRecord,
+    deadlineMs: number,
+    continuation: Continuation | undefined,
+): readonly (readonly [string, string])[] => [
+    ...forwardedHeaders,
+    ...options.codec.sendHeaders({
+        upstreamId: upstream.upstreamId,
+        deadlineMs,
+        accountId: admitted.account?.accountId,
+        urgency: engine === undefined ? undefined : admitted.account?.priority ?? admitted.route.priority,
+        lastEventId,
+        handle: continuation?.handle,
+    }),
+    ...(body.length > 0 || options.request.method === "POST"
+        ? [["Content-Length", String(body.length)] as const]
+        : []),
+];
+
+const noteBegun = (context: ForwardContext): void => {
+    if (!context.hasBegun) {
+        context.hasBegun = true;
+        context.options.events.onBegan(context.admitted.account?.accountId);
+    }
+};
+
+/** Counts a failure of the upstream unless the send was ended on this side. */
+const reportFailure = ({ context, upstream }: Send, kind: "unreachable" | "failed"): void => {
+    if (!context.ended.aborted) {
+        context.options.upstreams.reportFailure(upstream.upstreamId, kind);
+    }
+};
+
+const deliver = async (send: Send, answer: UpstreamAnswer): Promise<AttemptOutcome> => {
+    const { context, upstream } = send;
+    const { options, admitted, engine, progress, ended } = context;
+    const { route } = admitted;
+    const headAtMs = options.clock.monotonicMs();
+    const isStream = route.kind === "stream" && answer.head.status < FIRST_UNSUCCESSFUL_STATUS;
+    const canMove = isStream && engine?.supportsMoves === true;
+    if (!isStream) {
+        noteBegun(context);
+    }
+    options.caller.setHead(answer.head.status, filterHeaders(answer.body.rawHeaders, NO_HEADERS));
+    const evacuation = canMove ? watchEvacuation(context, upstream) : undefined;
+    const delivery = await deliverAnswer({
+        answer,
+        isStream,
+        splitsEvents: isStream && (route.isResumable || canMove),
+        caller: options.caller,
+        onFirstByte: () => {
+            send.onFirstEvent();
+            noteBegun(context);
+            progress.firstByteAtMs ??= options.clock.monotonicMs();
+        },
+    });
+    const continuation = await evacuation?.end();
+    if (delivery.kind === "complete") {
+        return { kind: "done", status: answer.head.status };
+    }
+    context.lastEventId = delivery.lastEventId ?? context.lastEventId;
+    if (continuation !== undefined && !ended.aborted) {
+        return { kind: "moved", reason: "moved", continuation };
+    }
+    reportFailure(send, "failed");
+    const deliveredMs = Math.round(options.clock.monotonicMs() - headAtMs);
+    return { kind: "repeat", reason: `${delivery.reason} after ${deliveredMs} ms` };
+};
+
+const judgeAnswer = async (send: Send, answer: UpstreamAnswer): Promise<AttemptOutcome> => {
+    const { context, upstream, startedAtMs } = send;
+    const { options, admitted, engine } = context;
+    const { status } = answer.head;
+    if (status < FAILURE_STATUS) {
+        const outcome = await deliver(send, answer);
+        if (outcome.kind === "done") {
+            const answerMs = engine === undefined ? options.clock.monotonicMs() - startedAtMs : undefined;
+            options.upstreams.reportSuccess(upstream.upstreamId, answerMs);
+        }
+        return outcome;
+    }
+    options.upstreams.reportFailure(upstream.upstreamId, "failed");
+    // The last answer is the caller's; an earlier one is replaced by that of another upstream.
+    const { route, service } = admitted;
+    if (route.kind === "repeatable" && context.runs < route.maximumAttempts && options.retries.spend(service)) {
+        answer.body.resume();
+        noteBegun(context);
+        return { kind: "elsewhere", reason: `status ${status}`, isPaid: true };
+    }
+    return deliver(send, answer);
+};
+
+/** Sends a request to one upstream and delivers its answer. */
+export const sendToUpstream = async (
+    context: ForwardContext,
+    upstream: UpstreamRecord,
+    predictedMs: number,
+    continuation: Continuation | undefined,
+): Promise<AttemptOutcome> => {
+    const { options, admitted, body, ended, progress } = context;
+    const { clock, codec, request, events } = options;
+    const startedAtMs = clock.monotonicMs();
+    const deadlineMs = admitted.dueAtMs - startedAtMs;
+    const load = options.upstreams.begin(
+        upstream.upstreamId,
+        toPlacementRequest(context, continuation !== undefined),
+    );
+    const send: Send = { context, upstream, startedAtMs, onFirstEvent: load.firstEvent };
+    const countRun = (): void => {
+        context.runs += continuation === undefined ? 1 : 0;
+    };
+    const result = await startAttempt({
+        connections: options.pool.connectionsOf(upstream),
+        codec,
+        requestId: admitted.head.requestId,
+        kind: admitted.route.kind,
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: headersFor(context, upstream, deadlineMs, continuation),
+        body,
+        signal: ended,
+    });
+    const outcome = await match(result)
+        .returnType<Promise<AttemptOutcome>>()
+        .with({ kind: "unsent" }, async ({ reason }) => {
+            reportFailure(send, "unreachable");
+            return { kind: "elsewhere", reason, isPaid: false };
+        })
+        .with({ kind: "not-run" }, async ({ reason }) => ({ kind: "elsewhere", reason, isPaid: false }))
+        .with({ kind: "unknown" }, async ({ reason }) => {
+            countRun();
+            reportFailure(send, "failed");
+            return { kind: "repeat", reason };
+        })
+        .with({ kind: "answered" }, async ({ answer }) => {
+            countRun();
+            return judgeAnswer(send, answer);
+        })
+        .exhaustive();
+    load.end();
+    events.onAttemptEnded({
+        requestId: admitted.head.requestId,
+        upstreamId: upstream.upstreamId,
+        attempt: progress.attempts,
+        outcome: outcome.kind,
+        reason: outcome.kind === "done" ? "complete" : outcome.reason,
+        status: outcome.kind === "done" ? outcome.status : 0,
+        predictedMs,
+        durationMs: clock.monotonicMs() - startedAtMs,
+        sendsLeftMs: deadlineMs,
+    });
+    return outcome;
+};
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { RequestHead } from "../codec/requestHead";
 import type { AccountAdmission } from "../limits/accountAdmission";
+import { createForwardContext } from "./createForwardContext";
 import { forwardRequest } from "./forwardRequest";
 import type { IdentifiedRequest } from "./identifiedRequest";
 import { identifyRequest } from "./identifyRequest";
@@ -134,7 +135,9 @@
         report(admitted, "refused", refusal.reason, refusal.status);
         return;
     }
-    const result = await forwardRequest(options, { ...admitted, admission }, body.val, ended.signal, progress);
+    const result = await forwardRequest(
+        createForwardContext(options, { ...admitted, admission }, body.val, ended.signal, progress),
+    );
     if (result.ok) {
         report(admitted, "answered", "complete", result.val);
         return;
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -5,39 +5,18 @@
 import type { PlacementRequest } from "../placement/placementRequest";
 import { predictMs } from "../placement/predictMs";
 import type { PromptModel } from "../placement/promptModel";
+import { createPeerLoadTable } from "./createPeerLoadTable";
 import { createPrefixDirectory } from "./createPrefixDirectory";
-import type { UpstreamLoad } from "./upstreamLoad";
+import { createUpstreamScore } from "./createUpstreamScore";
+import { median } from "./median";
+import { smooth } from "./smooth";
 import type { UpstreamRecord } from "./upstreamRecord";
 import type { UpstreamState } from "./upstreamState";
 import type { UpstreamTable } from "./upstreamTable";
 
-interface PeerLoads {
-    readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>;
-    readonly heardAtMs: number;
-}
-
 /** An upstream whose entry lapsed while the registry was away is listed again within two seconds of its return. */
 const VANISHED_LIFETIME_MS = 1_800;
 
-/** Loads of a peer that fell silent are ignored after this time. */
-const PEER_LOAD_LIFETIME_MS = 1_500;
-
-/** A silent peer still counts in the division of shared limits for this time. */
-const PEER_LIFETIME_MS = 10_000;
-
-/** First time without requests after failures; doubles with each further one. */
-const EJECTION_MS = 500;
-const MAXIMUM_EJECTION_MS = 4_000;
-
-/** Half-life of failures and successes in an upstream's score. */
-const SCORE_HALF_LIFE_MS = 2_000;
-
-/** An upstream is ejected when this part of its recent answers failed beyond its peers' part. */
-const EJECTION_EXCESS = 0.25;
-const LEAST_FAILURES = 2;
-
-const SMOOTHING = 0.2;
-
 /** Plain answer time assumed until one is seen. */
 const INITIAL_ANSWER_MS = 25;
 
@@ -47,15 +26,6 @@
 /** Part of an upstream's connections that the hosts divide; the rest absorbs hosts that come and go. */
 const CONNECTION_SHARE = 0.9;
 
-/** Half-life of what is believed of work that this host does not see. */
-const EXCESS_HALF_LIFE_MS = 1_000;
-
-/** Weight of the newest first byte in the smoothed excess. */
-const EXCESS_WEIGHT = 0.4;
-
-const smooth = (previous: number | undefined, value: number, weight = SMOOTHING): number =>
-    previous === undefined ? value : previous + (value - previous) * weight;
-
 const createState = (record: UpstreamRecord, nowMs: number): UpstreamState => ({
     record,
     vanishedAtMs: undefined,
@@ -75,9 +45,6 @@
     openConnections: 0,
 });
 
-const median = (values: readonly number[]): number | undefined =>
-    [...values].sort((left, right) => left - right)[Math.floor((values.length - 1) / 2)];
-
 /** Creates an empty table. */
 export const createUpstreamTable = (
     clock: Clock,
@@ -85,7 +52,8 @@
     onWork: (service: ServiceName, workMs: number) => void = () => undefined,
 ): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
-    const peers = new Map<string, PeerLoads>();
+    const peers = createPeerLoadTable(clock);
+    const score = createUpstreamScore(clock);
     const models = new Map<ServiceName, PromptModel>();
     const prefixes = createPrefixDirectory(clock);
     const goingCallbacks = new Map<UpstreamId, Set<() => void>>();
@@ -116,17 +84,6 @@
 
     const tokensPerMs = (service: ServiceName): number => modelOf(service).tokensPerMs();
 
-    const peersHeardWithin = (lifetimeMs: number): readonly PeerLoads[] =>
-        [...peers.values()].filter(peer => clock.monotonicMs() - peer.heardAtMs < lifetimeMs);
-
-    const hostCount = (): number => peersHeardWithin(PEER_LIFETIME_MS).length + 1;
-
-    const peerLoads = (upstreamId: UpstreamId): readonly (UpstreamLoad & { readonly heardAtMs: number; })[] =>
-        peersHeardWithin(PEER_LOAD_LIFETIME_MS).flatMap(({ loads, heardAtMs }) => {
-            const load = loads.get(upstreamId);
-            return load === undefined ? [] : [{ ...load, heardAtMs }];
-        });
-
     /**
      * Tokens of a backlog that are still waiting some time after it was known. The engine serves the backlogs of all
      * hosts at once, so each shrinks by its part of the rate.
@@ -138,7 +95,7 @@
 
     /** Backlog of this host and of all hosts at an upstream. */
     const backlogOf = ({ record, backlogTokens, progressAtMs }: UpstreamState) => {
-        const peerBacklogs = peerLoads(record.upstreamId);
+        const peerBacklogs = peers.loadsOf(record.upstreamId);
         const totalTokens = peerBacklogs.reduce((sum, load) => sum + load.backlogTokens, backlogTokens);
         const ownTokens = waiting(backlogTokens, totalTokens, progressAtMs, record.service);
         const allTokens = peerBacklogs.reduce(
@@ -148,48 +105,13 @@
         return { ownTokens, allTokens };
     };
 
-    const decayedExcessMs = ({ excessMs, excessAtMs }: UpstreamState): number =>
-        excessMs * 0.5 ** ((clock.monotonicMs() - excessAtMs) / EXCESS_HALF_LIFE_MS);
-
-    /**
-     * Time by which an upstream is behind what this host knows of it: first bytes that came late a short time ago, or
-     * that are overdue now. Covers work of hosts that are out of reach, and upstreams that are slow or hang.
-     */
-    const hiddenMs = (state: UpstreamState): number =>
-        [...state.dueAtMs].reduce(
-            (most, { atMs }) => Math.max(most, clock.monotonicMs() - atMs),
-            decayedExcessMs(state),
-        );
-
-    const noteExcess = (state: UpstreamState, excessMs: number): void => {
-        const decayedMs = decayedExcessMs(state);
-        state.excessMs = decayedMs + (Math.max(0, excessMs) - decayedMs) * EXCESS_WEIGHT;
-        state.excessAtMs = clock.monotonicMs();
-    };
-
-    const decayScore = (state: UpstreamState): void => {
-        const factor = 0.5 ** ((clock.monotonicMs() - state.scoredAtMs) / SCORE_HALF_LIFE_MS);
-        state.failures *= factor;
-        state.successes *= factor;
-        state.scoredAtMs = clock.monotonicMs();
-    };
-
-    const failureShare = (state: UpstreamState): number =>
-        state.failures / Math.max(1, state.failures + state.successes);
-
     const siblingsOf = (state: UpstreamState): readonly UpstreamState[] =>
         [...upstreams.values()].filter(other => other !== state && other.record.service === state.record.service);
 
-    const eject = (state: UpstreamState): void => {
-        const durationMs = Math.min(MAXIMUM_EJECTION_MS, EJECTION_MS * 2 ** state.ejections);
-        state.ejectedUntilMs = clock.monotonicMs() + durationMs;
-        state.ejections++;
-    };
-
     const connectionLimit = (spec: ServiceSpec | undefined): number =>
         spec === undefined
             ? LEAST_CONNECTIONS
-            : Math.max(LEAST_CONNECTIONS, Math.floor(spec.maximumConnections * CONNECTION_SHARE / hostCount()));
+            : Math.max(LEAST_CONNECTIONS, Math.floor(spec.maximumConnections * CONNECTION_SHARE / peers.hostCount()));
 
     const toCandidate = (state: UpstreamState, request: PlacementRequest): PlacementCandidate => {
         const { record } = state;
@@ -201,15 +123,15 @@
         return {
             record,
             isEngine,
-            running: peerLoads(record.upstreamId).reduce((sum, load) => sum + load.running, state.running),
+            running: peers.loadsOf(record.upstreamId).reduce((sum, load) => sum + load.running, state.running),
             backlogMs: backlogOf(state).allTokens / rate,
             promptMs: isEngine
                 ? Math.max(0, request.promptTokens - cachedTokens) / rate
                 : state.answerMs ?? median(siblings.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
-            hiddenMs: hiddenMs(state),
+            hiddenMs: score.hiddenMs(state),
             overheadMs: isEngine ? modelOf(record.service).overheadMs() : 0,
             roundTripMs: state.roundTripMs ?? median(siblings.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
-            isEjected: clock.monotonicMs() < state.ejectedUntilMs,
+            isEjected: score.isEjected(state),
             hasVanished: state.vanishedAtMs !== undefined,
             isConnectionLimited: state.openConnections >= connectionLimit(spec),
         };
@@ -300,7 +222,7 @@
             return {
                 firstEvent: () => {
                     if (waits) {
-                        noteExcess(state, clock.monotonicMs() - due.atMs);
+                        score.recordExcess(state, clock.monotonicMs() - due.atMs);
                     }
                     if (waits && isEngine) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
@@ -318,23 +240,13 @@
         reportSuccess: (upstreamId, answerMs) => {
             const state = upstreams.get(upstreamId);
             if (state !== undefined) {
-                decayScore(state);
-                state.successes++;
-                state.ejections = 0;
-                state.answerMs = answerMs === undefined ? state.answerMs : smooth(state.answerMs, answerMs);
+                score.recordSuccess(state, answerMs);
             }
         },
         reportFailure: (upstreamId, kind) => {
             const state = upstreams.get(upstreamId);
-            if (state === undefined) {
-                return;
-            }
-            decayScore(state);
-            state.failures++;
-            const typicalShare = median(siblingsOf(state).map(failureShare)) ?? 0;
-            const isOutlier = state.failures >= LEAST_FAILURES && failureShare(state) > typicalShare + EJECTION_EXCESS;
-            if (kind === "unreachable" || isOutlier) {
-                eject(state);
+            if (state !== undefined) {
+                score.recordFailure(state, siblingsOf(state), kind);
             }
         },
         reportRoundTrip: (upstreamId, roundTripMs) => {
@@ -350,7 +262,7 @@
             }
         },
         observePeer: (hostName, loads, placements) => {
-            peers.set(hostName, { loads, heardAtMs: clock.monotonicMs() });
+            peers.observe(hostName, loads);
             placements.forEach(([upstreamId, partId]) => prefixes.touch(upstreamId, partId));
         },
         ownLoads: () =>
@@ -364,6 +276,6 @@
             ),
         recentPlacements: () => prefixes.recent(),
         tokensPerMs,
-        hostCount,
+        hostCount: peers.hostCount,
     };
 };
--- /dev/null
+++ b/packages/gateway/src/upstreams/peerLoadTable.ts
@@ -0,0 +1,11 @@
+import type { UpstreamId } from "@ibislanding/core";
+import type { UpstreamLoad } from "./upstreamLoad";
+
+/** Loads that the other hosts reported. */
+export interface PeerLoadTable {
+    readonly observe: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>) => void;
+    /** Loads of an upstream that are not too old, with the monotonic time at which they were heard. */
+    readonly loadsOf: (upstreamId: UpstreamId) => readonly (UpstreamLoad & { readonly heardAtMs: number; })[];
+    /** Hosts among which shared limits are divided, this one included. */
+    readonly hostCount: () => number;
+}
