--- /dev/null
+++ b/packages/edge/__tests__/meters.spec.ts
@@ -0,0 +1,36 @@
+import { createFakeClock, type ServiceName } from "@ibislanding/core";
+import { createDemandMeter } from "../src/createDemandMeter";
+import { createWorkMeter } from "../src/createWorkMeter";
+import { decodeHostReport } from "../src/decodeHostReport";
+
+const service = "engine" as ServiceName;
+
+test("steady work reads as the engines that it keeps busy", async () => {
+    const clock = createFakeClock();
+    const meter = createWorkMeter(clock);
+    for (let round = 0; round < 400; round++) {
+        meter.add(service, 200);
+        await clock.advance(100);
+    }
+    expect(meter.busyUpstreams().get(service)).toBeCloseTo(2, 0);
+});
+
+test("a found fleet stands for its load until work is seen; a peak is held for a while", async () => {
+    const clock = createFakeClock();
+    const meter = createDemandMeter(clock);
+    const idle = meter.observe(service, 0, 6);
+    await clock.advance(60_000);
+    const later = meter.observe(service, 0, 6);
+    expect([later.averageBusy, later.peakBusy]).toEqual([idle.averageBusy, idle.peakBusy]);
+    expect(idle.averageBusy).toBeGreaterThan(1);
+    meter.observe(service, 4, 6);
+    await clock.advance(5_000);
+    expect(meter.observe(service, 1, 6)).toMatchObject({ peakBusy: 4, currentBusy: 1 });
+    await clock.advance(6_000);
+    expect(meter.observe(service, 1, 6).peakBusy).toBe(1);
+});
+
+test.each(["", "{", "[]", "{\"hostId\":\"a\"}", "{\"hostId\":\"a\",\"hostName\":\"a\",\"sequence\":\"1\"}"])(
+    "a report that is none is dropped: %s",
+    text => expect(decodeHostReport(text)).toBeUndefined(),
+);
--- /dev/null
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -0,0 +1,71 @@
+import { createFailure, createSystemClock, ErrorCode } from "@ibislanding/core";
+import {
+    createFakeKeyValueStore,
+    type KeyValueChange,
+    type KeyValueEntry,
+    type KeyValueHistory,
+    type KeyValueStore,
+} from "@ibislanding/platform";
+import { Err, Ok } from "ts-results";
+
+const POLL_MS = 10;
+
+/** A store with a history that can refuse single hosts. */
+export const createTestStore = () => {
+    const clock = createSystemClock();
+    const own = createFakeKeyValueStore(clock);
+    const changes: KeyValueChange[] = [];
+    const entries = new Map<string, KeyValueEntry>();
+    const refused = new Set<string>();
+    let revision = 0;
+
+    const write = (key: string, value: string): void => {
+        const entry = { key, value, version: ++revision };
+        entries.set(key, entry);
+        changes.push({ kind: "written", entry });
+    };
+
+    const historyOf = (hostName: string): KeyValueHistory => ({
+        snapshot: async prefix =>
+            refused.has(hostName)
+                ? Err(createFailure(ErrorCode.KeyValueUnavailable))
+                : Ok({ revision, entries: [...entries.values()].filter(({ key }) => key.startsWith(prefix)) }),
+        changesAfter: async (prefix, after, waitMs, options) => {
+            const giveUpAtMs = clock.monotonicMs() + waitMs;
+            const found = (): readonly KeyValueChange[] =>
+                changes.filter(change =>
+                    change.kind === "written"
+                        ? change.entry.version > after && change.entry.key.startsWith(prefix)
+                        : change.version > after && change.key.startsWith(prefix)
+                );
+            while (found().length === 0 && clock.monotonicMs() < giveUpAtMs && options.signal?.aborted !== true) {
+                if (refused.has(hostName)) {
+                    return Err(createFailure(ErrorCode.KeyValueUnavailable));
+                }
+                await clock.sleep(POLL_MS, options.signal);
+            }
+            return refused.has(hostName)
+                ? Err(createFailure(ErrorCode.KeyValueUnavailable))
+                : Ok({ changes: found(), revision });
+        },
+    });
+
+    /** The hosts' own keys; addresses of hosts appear in the history as well. */
+    const storeOf = (hostName: string): KeyValueStore => ({
+        ...own,
+        get: async (key, options) =>
+            refused.has(hostName) ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : own.get(key, options),
+        compareAndSwap: async (request, options) => {
+            if (refused.has(hostName)) {
+                return Err(createFailure(ErrorCode.KeyValueUnavailable));
+            }
+            const result = await own.compareAndSwap(request, options);
+            if (result.ok && request.value !== undefined) {
+                write(request.key, request.value);
+            }
+            return result;
+        },
+    });
+
+    return { write, refused, historyOf, storeOf };
+};
--- /dev/null
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -0,0 +1,155 @@
+import {
+    type AccountId,
+    type AvailabilityZone,
+    createRandom,
+    createSystemClock,
+    type HostId,
+    type RequestId,
+    type ServiceName,
+    type UpstreamId,
+} from "@ibislanding/core";
+import type { GatewayConfiguration, HeaderCodec, UpstreamRecord } from "@ibislanding/gateway";
+import { createMetricsRegistry } from "@ibislanding/runtime";
+import { createServer } from "node:net";
+import { Ok } from "ts-results";
+import { startEdgeHost } from "../../src";
+import type { createTestStore } from "./createTestStore";
+
+/** One event of a host's log. */
+export interface LoggedEvent {
+    readonly event: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+const textOf = (value: string | string[] | undefined): string | undefined =>
+    Array.isArray(value) ? value.join(",") : value;
+
+const codec: HeaderCodec = {
+    readRequest: ({ headers, url, method }) => ({
+        requestId: textOf(headers["x-request"]) as RequestId | undefined,
+        host: headers.host ?? "",
+        path: url ?? "/",
+        method: method ?? "GET",
+        apiKey: headers.authorization,
+        deadlineMs: undefined,
+        model: undefined,
+        tokens: undefined,
+        promptParts: [],
+        lastEventId: undefined,
+    }),
+    reservedRequestHeaders: new Set(["authorization"]),
+    sendHeaders: ({ upstreamId }) => [["X-Upstream", upstreamId]],
+    readAnswer: ({ headers, statusCode }) => ({
+        status: statusCode ?? 0,
+        requestId: textOf(headers["x-request"]) as RequestId | undefined,
+        isSigned: true,
+        isNotRun: false,
+        isMisdirected: false,
+        hasContentEncoding: false,
+        keepAliveMs: undefined,
+    }),
+};
+
+/** A configuration with one route and one account, as stored by `createTestStore`. */
+export const createTestConfiguration = (version: number, key: string): GatewayConfiguration => ({
+    version,
+    routes: [{
+        name: "orders",
+        host: "shop.example",
+        pathPrefix: "/orders/",
+        kind: "once",
+        isResumable: false,
+        timeoutMs: 5_000,
+        objectiveMs: 200,
+        maximumAttempts: 1,
+        priority: 0,
+        allowsAnonymous: false,
+        destinations: [{ service: "orders" as ServiceName, weight: 1 }],
+    }],
+    services: [{ name: "orders" as ServiceName, maximumConnections: 50, engine: undefined, scaling: undefined }],
+    accounts: [{
+        accountId: "acme" as AccountId,
+        apiKeys: [key],
+        priority: undefined,
+        unit: "requests",
+        plainTokens: 1,
+        ratePerS: 0,
+        burst: 0,
+    }],
+    limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 10_000, idleTimeoutMs: 5_000 },
+});
+
+/** A stored upstream on loopback. */
+export const createStoredUpstream = (upstreamId: string, port: number): UpstreamRecord => ({
+    upstreamId: upstreamId as UpstreamId,
+    startedAtMs: 1,
+    service: "orders" as ServiceName,
+    address: { ip: "127.0.0.1", port },
+    availabilityZone: "zone-a" as AvailabilityZone,
+    slots: 4,
+    isLeaving: false,
+    isReclaimable: false,
+    leavesInMs: undefined,
+});
+
+const freePort = async (): Promise<number> => {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = server.address();
+    await new Promise(resolve => server.close(resolve));
+    return typeof address === "object" && address !== null ? address.port : 0;
+};
+
+/** Starts a host over a test store. */
+export const startTestHost = async (
+    store: ReturnType<typeof createTestStore>,
+    hostName: string,
+    seedAddresses: readonly string[] = [],
+) => {
+    const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
+    const events: LoggedEvent[] = [];
+    const reports: { readonly window: number; readonly requests: number; }[] = [];
+    const host = await startEdgeHost({
+        settings: {
+            hostName,
+            hostId: `${hostName}.1` as HostId,
+            availabilityZone: "zone-a" as AvailabilityZone,
+            availabilityZones: ["zone-a" as AvailabilityZone],
+            listen: {
+                callers: `127.0.0.1:${callers}`,
+                readiness: `127.0.0.1:${readiness}`,
+                peers: `127.0.0.1:${peers}`,
+            },
+            seedAddresses,
+            graceMs: 4_000,
+            leaseMs: 900,
+            retryBudget: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+            accountLimits: { windowMs: 8_000, slackUnits: 0 },
+            usage: { windowMs: 1_000, dueMs: 5_000 },
+            duties: { usage: true, scaling: false },
+        },
+        clock: createSystemClock(),
+        random: createRandom(hostName.length),
+        log: { write: (event, fields) => void events.push({ event, fields }), droppedLines: () => 0 },
+        metrics: createMetricsRegistry(),
+        store: store.storeOf(hostName),
+        history: store.historyOf(hostName),
+        duties: {
+            reportUsage: async (window, counts) => {
+                reports.push({ window, requests: counts.get("acme" as AccountId) ?? 0 });
+                return Ok(undefined);
+            },
+            scale: async () => Ok(undefined),
+        },
+        engines: undefined,
+        codec,
+        documents: {
+            configurationPrefix: "configuration",
+            decodeConfiguration: value => Ok(JSON.parse(value) as GatewayConfiguration),
+            upstreamsPrefix: "upstreams/",
+            decodeUpstream: (_key, value) => Ok(JSON.parse(value) as UpstreamRecord),
+            ownPrefix: "own/",
+        },
+    });
+    return { host, events, reports, callers, readiness, peersAddress: `127.0.0.1:${peers}` };
+};
