--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/node_modules/**", "dist/**", "packages/protocol/src/generated/**", "reports/**"] },
+    { ignores: ["**/node_modules/**", "dist/**", "target/**", "packages/protocol/src/generated/**", "reports/**"] },
     {
         files: ["packages/**/*.ts", "platform/**/*.ts"],
         extends: [...tseslint.configs.recommendedTypeChecked],
--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -6,7 +6,7 @@
 const TARGET_BUSY_SHARE = 0.22;
 
 /** Work of the on-demand engines at average load while all reclaimable ones are gone. */
-const SURVIVAL_BUSY_SHARE = 1.4;
+const SURVIVAL_BUSY_SHARE = 1;
 
 /** Present work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
 const SHORTAGE_BUSY_SHARE = 0.6;
--- a/packages/edge/__tests__/meters.spec.ts
+++ b/packages/edge/__tests__/meters.spec.ts
@@ -2,6 +2,7 @@
 import { createDemandMeter } from "../src/createDemandMeter";
 import { createWorkMeter } from "../src/createWorkMeter";
 import { decodeHostReport } from "../src/decodeHostReport";
+import { watchSuspensions } from "../src/watchSuspensions";
 
 const service = "engine" as ServiceName;
 
@@ -34,3 +35,20 @@
     "a report that is none is dropped: %s",
     text => expect(decodeHostReport(text)).toBeUndefined(),
 );
+
+test("a suspension or a set wall clock is logged once, with its length", async () => {
+    const clock = createFakeClock(1_000_000);
+    const stop = new AbortController();
+    const lines: unknown[] = [];
+    const log = {
+        write: (event: string, fields: object) => void lines.push({ event, ...fields }),
+        droppedLines: () => 0,
+    };
+    const watching = watchSuspensions(clock, log, stop.signal);
+    await clock.advance(2_000);
+    clock.jumpWall(7_700);
+    await clock.advance(2_000);
+    stop.abort();
+    await watching;
+    expect(lines).toEqual([{ event: "clocks_diverged", byMs: 7_700 }]);
+});
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -15,6 +15,7 @@
 import { listen } from "./listen";
 import { registerHost } from "./registerHost";
 import { toWindowCounts } from "./toWindowCounts";
+import { watchSuspensions } from "./watchSuspensions";
 
 /** Interval of reports: placements and limits act on what peers did up to two intervals ago. */
 const REPORT_INTERVAL_MS = 300;
@@ -182,10 +183,10 @@
         },
     }));
 
-    const registering = registerHost(options, stopped.signal);
+    const background = [registerHost(options, stopped.signal), watchSuspensions(clock, log, stopped.signal)];
     resources.defer(async () => {
         stopped.abort();
-        await registering;
+        await Promise.all(background);
     });
 
     const isReady = (): boolean => !isStopping && isInformed();
