fix(gateway): a caller's own position in a stream is replaced on resume

Cause: found by reading: the caller's header and the gateway's were both sent, and an upstream that takes the first would repeat events. The test fails without the change.

--- a/packages/gateway/__tests__/streams.spec.ts
+++ b/packages/gateway/__tests__/streams.spec.ts
@@ -43,6 +43,29 @@
     expect(seen).toMatchObject({ body: [1, 2, 3, 4].map(event).join(""), isWhole: true });
 });
 
+test("a caller's own position is replaced when the stream goes on after a later event", async () => {
+    const serve = (request: RawRequest): void => {
+        const after = Number(/last-event-id: (\d+)/i.exec(request.text)?.[1] ?? 0);
+        if (after === 4) {
+            request.socket.write(head(request) + chunk(event(5)));
+            setTimeout(() => request.socket.destroy(), 50);
+            return;
+        }
+        request.socket.write(`${head(request)}${chunk(event(after + 1))}0\r\n\r\n`);
+    };
+    await using first = await startRawUpstream(serve);
+    await using second = await startRawUpstream(serve);
+    await using system = await startTestGateway([first.port, second.port], {
+        kind: "stream",
+        isResumable: true,
+        maximumAttempts: 2,
+    });
+    const seen = await sendCallerRequest(system.port, "r1", { headers: { "Last-Event-Id": "4" } });
+    expect(seen).toMatchObject({ body: [5, 6].map(event).join(""), isWhole: true });
+    const positions = [...first.requests, ...second.requests].map(({ text }) => text.match(/last-event-id: \d+/gi));
+    expect(positions.map(found => found?.length)).toEqual([1, 1]);
+});
+
 test("a stream that may not be resumed is not sent again", async () => {
     await using first = await startRawUpstream(({ socket }) => socket.destroy());
     await using second = await startRawUpstream(({ socket }) => socket.destroy());
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -30,20 +30,24 @@
     upstream: UpstreamRecord,
     deadlineMs: number,
     continuation: Continuation | undefined,
-): readonly (readonly [string, string])[] => [
-    ...forwardedHeaders,
-    ...options.codec.sendHeaders({
+): readonly (readonly [string, string])[] => {
+    const own = options.codec.sendHeaders({
         upstreamId: upstream.upstreamId,
         deadlineMs,
         accountId: admitted.account?.accountId,
         urgency: engine === undefined ? undefined : admitted.account?.priority ?? admitted.route.priority,
         lastEventId,
         handle: continuation?.handle,
-    }),
-    ...(body.length > 0 || options.request.method === "POST"
-        ? [["Content-Length", String(body.length)] as const]
-        : []),
-];
+    });
+    // The caller's position in a stream is replaced by that of a later event.
+    const replaced = new Set(own.map(([name]) => name.toLowerCase()));
+    const hasBody = body.length > 0 || options.request.method === "POST";
+    return [
+        ...forwardedHeaders.filter(([name]) => !replaced.has(name.toLowerCase())),
+        ...own,
+        ...(hasBody ? [["Content-Length", String(body.length)] as const] : []),
+    ];
+};
 
 const noteBegun = (context: ForwardContext): void => {
     if (!context.hasBegun) {
