--- a/packages/gateway/__tests__/forwarding.spec.ts
+++ b/packages/gateway/__tests__/forwarding.spec.ts
@@ -133,6 +133,13 @@
     expect((await sendCallerRequest(system.port, "r1")).body).toBe("yes");
 });
 
+test("a failure of the only upstream is passed on as it is", async () => {
+    await using upstream = await startRawUpstream(request => answer(request, "no", "HTTP/1.1 500 Error"));
+    await using system = await startTestGateway([upstream.port], { kind: "repeatable", maximumAttempts: 2 });
+    expect(await sendCallerRequest(system.port, "r1")).toMatchObject({ status: 500, body: "no" });
+    expect(upstream.requests).toHaveLength(1);
+});
+
 test("a request is answered at the route's time-out: 504 once it was sent", async () => {
     await using upstream = await startRawUpstream(() => undefined);
     await using system = await startTestGateway([upstream.port], { timeoutMs: 200 });
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -1,5 +1,6 @@
 import { match } from "ts-pattern";
 import type { Continuation } from "../engines/continuation";
+import { chooseUpstream } from "../placement/chooseUpstream";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import type { AttemptOutcome } from "./attemptOutcome";
 import { deliverAnswer } from "./deliverAnswer";
@@ -99,6 +100,14 @@
     return { kind: "repeat", reason: `${delivery.reason} after ${deliveredMs} ms` };
 };
 
+/** Whether another upstream would be sent the request now. */
+const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean => {
+    const request = toPlacementRequest(context, false);
+    const others = { ...request, excluded: new Set([...request.excluded, upstream.upstreamId]) };
+    const candidates = context.options.upstreams.candidates(context.admitted.service, others);
+    return chooseUpstream(candidates, others).kind === "send";
+};
+
 const judgeAnswer = async (send: Send, answer: UpstreamAnswer): Promise<AttemptOutcome> => {
     const { context, upstream, startedAtMs } = send;
     const { options, admitted, engine } = context;
@@ -114,7 +123,8 @@
     options.upstreams.reportFailure(upstream.upstreamId, "failed");
     // The last answer is the caller's; an earlier one is replaced by that of another upstream.
     const { route, service } = admitted;
-    if (route.kind === "repeatable" && context.runs < route.maximumAttempts && options.retries.spend(service)) {
+    const mayRunAgain = route.kind === "repeatable" && context.runs < route.maximumAttempts;
+    if (mayRunAgain && hasAlternative(context, upstream) && options.retries.spend(service)) {
         answer.body.resume();
         noteBegun(context);
         return { kind: "elsewhere", reason: `status ${status}`, isPaid: true };
