--- /dev/null
+++ b/packages/edge/src/applyHostReport.ts
@@ -0,0 +1,21 @@
+import type { AccountId, UpstreamId } from "@ibislanding/core";
+import type { HostParts } from "./hostParts";
+import type { HostReport } from "./hostReport";
+import { toWindowCounts } from "./toWindowCounts";
+
+/** Takes what another host reported into this host's view. */
+export const applyHostReport = ({ upstreams, accounts, usage, time }: HostParts, report: HostReport): void => {
+    const { hostId, hostName } = report;
+    time.observePeer(hostId, report.wallMs);
+    upstreams.observePeer(
+        hostName,
+        new Map(report.loads.map(([id, running, backlogTokens]) => [id as UpstreamId, { running, backlogTokens }])),
+        report.placements as readonly (readonly [UpstreamId, string])[],
+    );
+    accounts.observePeer(
+        hostName,
+        hostId,
+        new Map(report.admitted.map(([id, units]) => [id as AccountId, units])),
+    );
+    usage.observePeer(hostId, toWindowCounts(report.began));
+};
--- a/packages/edge/src/createKnowledge.ts
+++ b/packages/edge/src/createKnowledge.ts
@@ -15,6 +15,7 @@
 ): Knowledge => {
     const { documents, log, history, clock, random } = options;
     let configuration: CompiledConfiguration | undefined;
+    let appliedEntryVersion: number | undefined;
     const decoded = new Map<string, { readonly version: number; readonly record: UpstreamRecord | undefined; }>();
 
     const setConfiguration = (set: DocumentSet, source: string): void => {
@@ -41,7 +42,6 @@
             routes: next.val.routes.length,
         });
     };
-    let appliedEntryVersion: number | undefined;
 
     const decodeUpstream = (entry: KeyValueEntry): UpstreamRecord | undefined => {
         const known = decoded.get(entry.key);
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,20 +1,21 @@
-import type { AccountId, ServiceName, UpstreamId } from "@ibislanding/core";
-import { createResourceStack } from "@ibislanding/core";
+import type { ServiceName } from "@ibislanding/core";
+import { createResourceStack, FailureError } from "@ibislanding/core";
 import { createReportExchange, createTrueTime, type ReportExchange } from "@ibislanding/discovery";
 import { createUsageCounts } from "@ibislanding/duties";
 import { createAccountMeter, createGateway, createRetryBudget, createUpstreamTable } from "@ibislanding/gateway";
-import { createServer } from "node:http";
+import { applyHostReport } from "./applyHostReport";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
 import { createKnowledge } from "./createKnowledge";
+import { createReportSource } from "./createReportSource";
 import { createWorkMeter } from "./createWorkMeter";
 import { decodeHostReport } from "./decodeHostReport";
 import type { EdgeHost } from "./edgeHost";
 import type { EdgeOptions } from "./edgeOptions";
+import type { HostParts } from "./hostParts";
 import type { HostReport } from "./hostReport";
-import { listen } from "./listen";
 import { registerHost } from "./registerHost";
-import { toWindowCounts } from "./toWindowCounts";
+import { startHostListeners } from "./startHostListeners";
 import { watchSuspensions } from "./watchSuspensions";
 
 /** Interval of reports: placements and limits act on what peers did up to two intervals ago. */
@@ -23,9 +24,6 @@
 /** Peers called in a round; each pair of a small group then exchanges reports a few times a second. */
 const REPORT_FANOUT = 2;
 
-/** Ended windows that reports repeat: the newest one is not final when it is first told. */
-const REPORTED_WINDOWS = 1;
-
 /** A peer that reported within this time counts as live. */
 const PEER_LIVE_MS = 2_000;
 
@@ -43,14 +41,6 @@
 
 const STOP_POLL_MS = 50;
 
-/** Largest header block that is read; the configuration's smaller limit is applied afterwards. */
-const MAXIMUM_HEADER_BYTES = 65_536;
-
-const CONNECTION_CHECK_MS = 1_000;
-
-/** Default for callers' idle connections until a configuration is known. */
-const IDLE_TIMEOUT_MS = 15_000;
-
 /** Starts all parts of a host; resolves when its listeners are open. */
 export const startEdgeHost = async (options: EdgeOptions): Promise<EdgeHost> => {
     const { settings, clock, random, log, metrics } = options;
@@ -65,7 +55,6 @@
     const stopped = new AbortController();
     const peers: { exchange?: ReportExchange<HostReport>; } = {};
     const addresses = new Set(settings.seedAddresses);
-    let sequence = 0;
     let isStopping = false;
 
     const updatePeers = (): void =>
@@ -98,40 +87,8 @@
         stopAcceptMs: STOP_ACCEPT_MS,
     }));
 
-    const createReport = (): HostReport => ({
-        hostId: settings.hostId,
-        hostName: settings.hostName,
-        sequence: ++sequence,
-        wallMs: clock.wallMs(),
-        revisions: knowledge.revisions(),
-        loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
-        placements: upstreams.recentPlacements(),
-        admitted: [...accounts.admittedTotals()],
-        began: [...usage.own()]
-            .filter(([window]) => window >= usage.windowOf(time.nowMs()) - REPORTED_WINDOWS)
-            .flatMap(([window, counts]) =>
-                [...counts].map(([accountId, count]) => [window, accountId, count] as const)
-            ),
-        work: [...work.busyUpstreams()],
-    });
-
-    const onReport = (report: HostReport): void => {
-        time.observePeer(report.hostId, report.wallMs);
-        upstreams.observePeer(
-            report.hostName,
-            new Map(report.loads.map(([id, running, backlogTokens]) => [
-                id as UpstreamId,
-                { running, backlogTokens },
-            ])),
-            report.placements as readonly (readonly [UpstreamId, string])[],
-        );
-        accounts.observePeer(
-            report.hostName,
-            report.hostId,
-            new Map(report.admitted.map(([id, units]) => [id as AccountId, units])),
-        );
-        usage.observePeer(report.hostId, toWindowCounts(report.began));
-    };
+    const parts: HostParts = { knowledge, upstreams, accounts, usage, work, time };
+    const createReport = createReportSource(parts, settings, clock);
 
     const liveReports = (): readonly { readonly report: HostReport; readonly heardAtMs: number; }[] =>
         [...peers.exchange?.reports().values() ?? []]
@@ -145,7 +102,7 @@
         fanout: REPORT_FANOUT,
         createReport,
         decodeReport: decodeHostReport,
-        onReport,
+        onReport: report => applyHostReport(parts, report),
         documents: knowledge.documents,
         staleSets: ({ revisions }) => {
             const own = knowledge.revisions();
@@ -158,7 +115,7 @@
             log.write(reachable ? "peer_regained" : "peer_lost", { address, reason }),
     });
     if (exchange.err) {
-        throw new Error(exchange.val.message);
+        throw new FailureError(exchange.val);
     }
     peers.exchange = resources.use(exchange.val);
     updatePeers();
@@ -189,31 +146,14 @@
         await Promise.all(background);
     });
 
-    const isReady = (): boolean => !isStopping && isInformed();
-
-    const callers = createServer({
-        maxHeaderSize: MAXIMUM_HEADER_BYTES,
-        connectionsCheckingInterval: CONNECTION_CHECK_MS,
-        keepAliveTimeout: IDLE_TIMEOUT_MS,
-        headersTimeout: IDLE_TIMEOUT_MS,
-        requestTimeout: 0,
-        noDelay: true,
-    }, (request, response) => {
-        callers.keepAliveTimeout = knowledge.configuration()?.source.limits.idleTimeoutMs ?? IDLE_TIMEOUT_MS;
-        gateway.handle(request, response);
-    });
-    const readiness = createServer((_request, response) => {
-        response.writeHead(isReady() ? 200 : 503);
-        response.end();
-    });
-    await listen(callers, settings.listen.callers);
-    await listen(readiness, settings.listen.readiness);
-    resources.defer(() => {
-        callers.close();
-        readiness.close();
-        callers.closeAllConnections();
-        readiness.closeAllConnections();
-    });
+    const listeners = resources.use(
+        await startHostListeners(
+            settings.listen,
+            gateway.handle,
+            () => !isStopping && isInformed(),
+            () => knowledge.configuration()?.source.limits.idleTimeoutMs,
+        ),
+    );
     log.write("started", { hostId: settings.hostId, callers: settings.listen.callers });
 
     const stop = async (): Promise<void> => {
@@ -223,8 +163,7 @@
         gateway.beginStop();
         log.write("stopping", { requestsInFlight: gateway.requestsInFlight(), graceMs: settings.graceMs });
         await clock.sleep(STOP_LISTEN_MS);
-        callers.close();
-        callers.closeIdleConnections();
+        listeners.closeToCallers();
         while (gateway.requestsInFlight() > 0 && elapsedMs() < settings.graceMs * STOP_SHARE) {
             await clock.sleep(STOP_POLL_MS);
         }
--- /dev/null
+++ b/packages/edge/src/startHostListeners.ts
@@ -0,0 +1,50 @@
+import { createServer, type RequestListener } from "node:http";
+import type { EdgeSettings } from "./edgeSettings";
+import type { HostListeners } from "./hostListeners";
+import { listen } from "./listen";
+
+/** Largest header block that is read; the configuration's smaller limit is applied afterwards. */
+const MAXIMUM_HEADER_BYTES = 65_536;
+
+const CONNECTION_CHECK_MS = 1_000;
+
+/** Default for callers' idle connections until a configuration is known. */
+const IDLE_TIMEOUT_MS = 15_000;
+
+/** Opens the listeners. */
+export const startHostListeners = async (
+    addresses: EdgeSettings["listen"],
+    handle: RequestListener,
+    isReady: () => boolean,
+    idleTimeoutMs: () => number | undefined,
+): Promise<HostListeners> => {
+    const callers = createServer({
+        maxHeaderSize: MAXIMUM_HEADER_BYTES,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        keepAliveTimeout: IDLE_TIMEOUT_MS,
+        headersTimeout: IDLE_TIMEOUT_MS,
+        requestTimeout: 0,
+        noDelay: true,
+    }, (request, response) => {
+        callers.keepAliveTimeout = idleTimeoutMs() ?? IDLE_TIMEOUT_MS;
+        handle(request, response);
+    });
+    const readiness = createServer((_request, response) => {
+        response.writeHead(isReady() ? 200 : 503);
+        response.end();
+    });
+    await listen(callers, addresses.callers);
+    await listen(readiness, addresses.readiness);
+    return {
+        closeToCallers: () => {
+            callers.close();
+            callers.closeIdleConnections();
+        },
+        [Symbol.asyncDispose]: async () => {
+            callers.close();
+            readiness.close();
+            callers.closeAllConnections();
+            readiness.closeAllConnections();
+        },
+    };
+};
