refactor(gateway): no copy of all keys at each cached part; fields that nothing reads are gone

Found by reading the change: noting a cached part copied the keys of all parts known for that upstream, on every request and for every placement a peer told; at most one part can be too many, so the oldest alone is looked at. The model and the position in a request's head and the reclaimable price in the fleet's state were read by nothing. Assertions are unchanged; all checks pass.

--- a/packages/duties/__tests__/scaling.spec.ts
+++ b/packages/duties/__tests__/scaling.spec.ts
@@ -25,7 +25,6 @@
     peakBusy,
     minimum: 1,
     maximum: 6,
-    reclaimablePrice: 0.22,
 });
 
 const totals = (fleet: ReturnType<typeof planFleet>) => ({
--- a/packages/duties/src/scaling/fleetState.ts
+++ b/packages/duties/src/scaling/fleetState.ts
@@ -12,5 +12,4 @@
     /** Bounds in each zone. */
     readonly minimum: number;
     readonly maximum: number;
-    readonly reclaimablePrice: number;
 }
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -79,7 +79,6 @@
                 ...demand.observe(name, options.busyUpstreams(name), records.length),
                 minimum: scaling.minimum,
                 maximum: scaling.maximum,
-                reclaimablePrice: scaling.reclaimablePrice,
             }, fencingNumber);
         }
     };
--- a/packages/gateway/__tests__/support/testCodec.ts
+++ b/packages/gateway/__tests__/support/testCodec.ts
@@ -13,10 +13,8 @@
         method: method ?? "GET",
         apiKey: headers.authorization,
         deadlineMs: headers["x-deadline"] === undefined ? undefined : Number(headers["x-deadline"]),
-        model: undefined,
         tokens: undefined,
         promptParts: [],
-        lastEventId: textOf(headers["last-event-id"]),
     }),
     reservedRequestHeaders: new Set(["authorization", "x-deadline", "x-account", "x-upstream"]),
     sendHeaders: ({ upstreamId, deadlineMs, accountId, lastEventId, handle }) => [
--- a/packages/gateway/src/codec/requestHead.ts
+++ b/packages/gateway/src/codec/requestHead.ts
@@ -10,9 +10,7 @@
     readonly apiKey: string | undefined;
     /** Time for which the caller waits. */
     readonly deadlineMs: number | undefined;
-    readonly model: string | undefined;
     /** Tokens of the prompt and greatest number of output tokens; undefined for plain requests. */
     readonly tokens: { readonly prompt: number; readonly output: number; } | undefined;
     readonly promptParts: readonly PromptPart[];
-    readonly lastEventId: string | undefined;
 }
--- a/packages/gateway/src/upstreams/createPrefixDirectory.ts
+++ b/packages/gateway/src/upstreams/createPrefixDirectory.ts
@@ -46,9 +46,10 @@
         const { usedAtMs } = prefixesOf(upstreamId);
         usedAtMs.delete(partId);
         usedAtMs.set(partId, clock.monotonicMs());
-        [...usedAtMs.keys()].slice(0, Math.max(0, usedAtMs.size - MAXIMUM_PARTS)).forEach(oldest =>
-            usedAtMs.delete(oldest)
-        );
+        const [oldest] = usedAtMs.keys();
+        if (usedAtMs.size > MAXIMUM_PARTS && oldest !== undefined) {
+            usedAtMs.delete(oldest);
+        }
     };
 
     const addFlow = (prefixes: UpstreamPrefixes, tokens: number): void => {
