feat(edge): each placement at an engine is told to the other hosts at once

Ruled out: engines' own reports (as old, and priced as health checks); shorter rounds (cost grows with each). Change: a small notice to up to 12 peers with the sender's load at the engine and the prompt's parts; slow answers weigh a fifth in the prompt model. herd.spec.ts replays ten arrivals at eight hosts: more than five at one engine before, at most three after.

--- a/packages/discovery/__tests__/reportExchange.spec.ts
+++ b/packages/discovery/__tests__/reportExchange.spec.ts
@@ -1,4 +1,6 @@
 import { createRandom, createSystemClock, type HostId } from "@ibislanding/core";
+import type { LoadNotice } from "@ibislanding/protocol";
+import assert from "node:assert/strict";
 import { createReportExchange, type DocumentSet } from "../src";
 
 interface TestReport {
@@ -7,18 +9,20 @@
     readonly revision: number;
 }
 
-const startHost = async (name: string, initial: DocumentSet | undefined) => {
+const startHost = async (name: string, initial: DocumentSet | undefined, intervalMs = 30) => {
     let sequence = 0;
     let documents = initial;
+    const notices: LoadNotice[] = [];
     const exchange = (await createReportExchange<TestReport>({
         address: "127.0.0.1:0",
         clock: createSystemClock(),
         random: createRandom(sequence + name.length),
-        intervalMs: 30,
+        intervalMs,
         fanout: 3,
         createReport: () => ({ hostId: name as HostId, sequence: ++sequence, revision: documents?.revision ?? 0 }),
         decodeReport: text => JSON.parse(text) as TestReport,
         onReport: () => undefined,
+        onNotice: notice => void notices.push(notice),
         documents: () => documents,
         staleSets: ({ revision }) => revision > (documents?.revision ?? 0) ? ["set"] : [],
         onDocuments: (_, received) => {
@@ -26,7 +30,7 @@
         },
         onPeer: () => undefined,
     })).unwrap();
-    return { exchange, documents: () => documents };
+    return { exchange, documents: () => documents, notices };
 };
 
 const until = async (condition: () => boolean): Promise<void> => {
@@ -49,3 +53,16 @@
     await cold.exchange[Symbol.asyncDispose]();
     await knowing.exchange[Symbol.asyncDispose]();
 });
+
+test("a placement is told to all peers at once, without waiting for a round", async () => {
+    const [sender, first, second] = await Promise.all(
+        ["sender", "first", "second"].map(name => startHost(name, undefined, 60_000)),
+    );
+    assert(sender !== undefined && first !== undefined && second !== undefined);
+    sender.exchange.setPeers([first.exchange.address, second.exchange.address]);
+    const notice = { hostName: "sender", upstreamId: "u", running: 1, backlogTokens: 9_000, partIds: ["p", "q"] };
+    sender.exchange.notify(notice);
+    await until(() => first.notices.length + second.notices.length === 2);
+    expect([first.notices, second.notices]).toEqual([[notice], [notice]]);
+    await Promise.all([sender, first, second].map(({ exchange }) => exchange[Symbol.asyncDispose]()));
+});
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -5,6 +5,8 @@
     createUnaryHandler,
     type DocumentsRequest,
     type DocumentsResponse,
+    type LoadNotice,
+    type LoadNoticeResponse,
     type PeerAddress,
     type ReportExchange as ReportMessage,
     ReportServiceService,
@@ -23,6 +25,9 @@
 /** Time that a watch gets to deliver what a peer already knows, before the peer is asked for it. */
 const FETCH_DELAY_MS = 150;
 
+/** Peers told of one placement: all of a small group, and a bounded number of calls a request in a large one. */
+const NOTICE_FANOUT = 12;
+
 /** An unreachable peer is called at this interval until it answers. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
@@ -74,6 +79,11 @@
             ? Err(createFailure(ErrorCode.BadRequest))
             : Ok({ report: ownReport() });
 
+    const receiveNotice = (notice: LoadNotice): Result<LoadNoticeResponse, Failure> => {
+        options.onNotice(notice);
+        return Ok({});
+    };
+
     const serveDocuments = (request: DocumentsRequest): Result<DocumentsResponse, Failure> => {
         const set = options.documents(request.set);
         if (set === undefined || set.revision <= request.knownRevision) {
@@ -88,6 +98,7 @@
             definition: ReportServiceService,
             implementation: {
                 exchange: createUnaryHandler(exchange),
+                notify: createUnaryHandler(receiveNotice),
                 fetchDocuments: createUnaryHandler(serveDocuments),
             },
         }],
@@ -148,17 +159,17 @@
     const isDue = (address: string): boolean =>
         clock.monotonicMs() - (unreachableSinceMs.get(address) ?? -Infinity) >= UNREACHABLE_RETRY_MS;
 
-    const choosePeers = (): readonly string[] =>
+    const choosePeers = (count: number): readonly string[] =>
         peers
             .filter(isDue)
             .map(address => ({ address, order: random.nextUnit() }))
             .sort((left, right) => left.order - right.order)
-            .slice(0, options.fanout)
+            .slice(0, count)
             .map(({ address }) => address);
 
     const run = async (): Promise<void> => {
         while (!stop.signal.aborted) {
-            choosePeers().forEach(address => void callPeer(address));
+            choosePeers(options.fanout).forEach(address => void callPeer(address));
             // Rounds of different hosts must not fall together after they started together.
             await clock.sleep(options.intervalMs * (0.75 + random.nextUnit() / 2), stop.signal);
         }
@@ -170,6 +181,11 @@
         setPeers: addresses => {
             peers = addresses;
         },
+        notify: notice =>
+            choosePeers(NOTICE_FANOUT).forEach(address =>
+                // A failure needs no answer here: the rounds watch which peers can be reached.
+                void clients.call(address as PeerAddress, ReportServiceService.notify, notice, CALL_TIMEOUT_MS)
+            ),
         reports: () => reports,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
--- a/packages/discovery/src/reports/reportExchange.ts
+++ b/packages/discovery/src/reports/reportExchange.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@ibislanding/core";
+import type { LoadNotice } from "@ibislanding/protocol";
 import type { PeerReport } from "./peerReport";
 
 /** Exchanges reports with the other hosts. */
@@ -7,6 +8,8 @@
     readonly address: string;
     /** Replaces the addresses of the other hosts. */
     readonly setPeers: (addresses: readonly string[]) => void;
+    /** Tells peers of a placement at once; a lost notice is made up for by the next report. */
+    readonly notify: (notice: LoadNotice) => void;
     /** Last report of each peer, fresh or not. */
     readonly reports: () => ReadonlyMap<HostId, PeerReport<Report>>;
 }
--- a/packages/discovery/src/reports/reportExchangeOptions.ts
+++ b/packages/discovery/src/reports/reportExchangeOptions.ts
@@ -1,4 +1,5 @@
 import type { Clock, HostId, RandomSource } from "@ibislanding/core";
+import type { LoadNotice } from "@ibislanding/protocol";
 import type { DocumentSet } from "../documents/documentSet";
 
 /** What a host reports and how it listens. */
@@ -15,6 +16,7 @@
     /** Decodes a peer's report; undefined when it is malformed. */
     readonly decodeReport: (text: string) => Report | undefined;
     readonly onReport: (report: Report) => void;
+    readonly onNotice: (notice: LoadNotice) => void;
     /** The named sets that peers may fetch. */
     readonly documents: (set: string) => DocumentSet | undefined;
     /** Sets of which the peer that sent this report knows a newer revision. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,4 +1,4 @@
-import type { ServiceName } from "@ibislanding/core";
+import type { ServiceName, UpstreamId } from "@ibislanding/core";
 import { createResourceStack, FailureError } from "@ibislanding/core";
 import { createReportExchange, createTrueTime, type ReportExchange } from "@ibislanding/discovery";
 import { createUsageCounts } from "@ibislanding/duties";
@@ -68,7 +68,12 @@
     const upstreams = createUpstreamTable(
         clock,
         service => knowledge.configuration()?.servicesByName.get(service),
-        (service, workMs) => work.add(service, workMs),
+        ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
+            work.add(service, workMs);
+            if (isEngine) {
+                peers.exchange?.notify({ hostName: settings.hostName, upstreamId, ...load, partIds: [...partIds] });
+            }
+        },
     );
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
     const isInformed = (): boolean => knowledge.configuration() !== undefined && upstreams.records().length > 0;
@@ -103,6 +108,8 @@
         createReport,
         decodeReport: decodeHostReport,
         onReport: report => applyHostReport(parts, report),
+        onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
+            upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
         documents: knowledge.documents,
         staleSets: ({ revisions }) => {
             const own = knowledge.revisions();
--- /dev/null
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -0,0 +1,91 @@
+import { createFakeClock, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import {
+    chooseUpstream,
+    createUpstreamTable,
+    type PlacementRequest,
+    type ServiceSpec,
+    type UpstreamTable,
+} from "../src";
+import { createRecord } from "./support/startTestGateway";
+
+const service = "engine" as ServiceName;
+
+const spec: ServiceSpec = {
+    name: service,
+    maximumConnections: 300,
+    engine: { slots: 64, cacheTokens: 200_000, supportsMoves: true },
+    scaling: undefined,
+};
+
+const ENGINES = ["a", "b", "c", "d", "e"];
+
+/** Prompts that reached different hosts within a fifth of a second: time, host, tokens. */
+const ARRIVALS = [
+    [0, 0, 12_000],
+    [10, 1, 9_000],
+    [20, 2, 9_000],
+    [110, 3, 9_000],
+    [120, 4, 2_400],
+    [130, 5, 9_000],
+    [150, 6, 9_000],
+    [170, 0, 9_000],
+    [170, 7, 9_000],
+    [190, 1, 9_000],
+] as const;
+
+/** Time that a notice needs to another host. */
+const NOTICE_MS = 20;
+
+/** Places the arrivals at hosts that all have the shared part cached at the engines in use; returns prompts by engine. */
+const replay = async (notifies: boolean): Promise<ReadonlyMap<string, number>> => {
+    const clock = createFakeClock();
+    const placed = new Map(ENGINES.map(engine => [engine, 0]));
+    const tables: UpstreamTable[] = Array.from(
+        { length: 8 },
+        (_, host) =>
+            createUpstreamTable(clock, () => spec, ({ upstreamId, load, partIds }) => {
+                if (notifies) {
+                    const others = tables.filter((_, other) => other !== host);
+                    clock.setTimer(
+                        NOTICE_MS,
+                        () =>
+                            others.forEach(table => table.observePlacement(`host-${host}`, upstreamId, load, partIds)),
+                    );
+                }
+            }),
+    );
+    tables.forEach(table => {
+        table.replace(ENGINES.map(id => createRecord(id, 1, { service, slots: 64 })));
+        table.observePeer("before", new Map(), ["a", "b"].map(id => [id as UpstreamId, "shared"] as const));
+    });
+    let elapsedMs = 0;
+    for (const [atMs, host, promptTokens] of ARRIVALS) {
+        await clock.advance(atMs - elapsedMs);
+        elapsedMs = atMs;
+        const request: PlacementRequest = {
+            promptTokens,
+            promptParts: [{ partId: "shared", tokens: 2_000 }, {
+                partId: `own-${atMs}-${host}`,
+                tokens: promptTokens - 2_000,
+            }],
+            objectiveMs: 1_000,
+            remainingMs: 6_000,
+            isSpare: false,
+            excluded: new Set(),
+        };
+        const decision = chooseUpstream(tables[host]?.candidates(service, request) ?? [], request);
+        if (decision.kind === "send") {
+            const { upstreamId } = decision.upstream;
+            tables[host]?.begin(upstreamId, request);
+            placed.set(upstreamId, (placed.get(upstreamId) ?? 0) + 1);
+        }
+    }
+    return placed;
+};
+
+test("hosts that place prompts between two reports spread them, as each tells the others at once", async () => {
+    const most = (placed: ReadonlyMap<string, number>) => Math.max(...placed.values());
+    expect(most(await replay(false))).toBeGreaterThan(5);
+    // Two of ten a host would be even; one more was placed before the first notice had arrived.
+    expect(most(await replay(true))).toBeLessThanOrEqual(3);
+});
--- a/packages/gateway/__tests__/promptModel.spec.ts
+++ b/packages/gateway/__tests__/promptModel.spec.ts
@@ -32,3 +32,14 @@
     expect(model.tokensPerMs()).toBeGreaterThan(0);
     expect(Number.isFinite(model.overheadMs())).toBe(true);
 });
+
+test("waits behind prompts of other hosts, in half of the answers, do not read as a slow engine", () => {
+    const model = createPromptModel();
+    const random = createRandom(11);
+    Array.from({ length: 400 }).forEach(() => {
+        const tokens = 200 + random.nextInt(9_000);
+        const waitMs = random.nextUnit() < 0.5 ? random.nextInt(240) : 0;
+        model.observe(tokens, 20 + tokens / 40 + waitMs);
+    });
+    expect(model.overheadMs() + 9_000 / model.tokensPerMs()).toBeLessThan((20 + 9_000 / 40) * 1.1);
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,6 +22,7 @@
 export { createUpstreamTable } from "./upstreams/createUpstreamTable";
 export type { UpstreamAddress } from "./upstreams/upstreamAddress";
 export type { UpstreamLoad } from "./upstreams/upstreamLoad";
+export type { UpstreamPlacement } from "./upstreams/upstreamPlacement";
 export type { UpstreamRecord } from "./upstreams/upstreamRecord";
 export type { UpstreamTable } from "./upstreams/upstreamTable";
 
--- a/packages/gateway/src/placement/createPromptModel.ts
+++ b/packages/gateway/src/placement/createPromptModel.ts
@@ -15,10 +15,22 @@
 const LEAST_TOKENS_PER_MS = 2;
 const MOST_TOKENS_PER_MS = 1_000;
 
+/**
+ * Weight of an answer that was slower than the line, against one that was faster: slower ones include waits behind
+ * prompts of other hosts, which are no property of the engine.
+ */
+const SLOW_WEIGHT = 0.2;
+
 /** Answers that took longer than this multiple of the prediction waited behind work that this host does not see. */
 const OUTLIER_FACTOR = 3;
 
-/** Creates a model: a line through answers by decayed least squares, time = overhead + tokens / rate. */
+/**
+ * Creates a model: a line through answers by decayed least squares, time = overhead + tokens / rate. The line runs
+ * below the middle of the answers.
+ *
+ * Answers a load in which several hosts send prompts to one engine within a round of reports: the waits that they cause
+ * each other must not read as a slow engine.
+ */
 export const createPromptModel = (): PromptModel => {
     let sums = { weight: 0, x: 0, y: 0, xx: 0, xy: 0 };
     let slope = 1 / INITIAL_TOKENS_PER_MS;
@@ -58,7 +70,11 @@
                 xx: sums.xx * DECAY,
                 xy: sums.xy * DECAY,
             };
-            add(tokens, Math.min(Math.max(0, durationMs), predictedMs * OUTLIER_FACTOR), 1);
+            add(
+                tokens,
+                Math.min(Math.max(0, durationMs), predictedMs * OUTLIER_FACTOR),
+                durationMs > predictedMs ? SLOW_WEIGHT : 1,
+            );
             fit();
         },
     };
--- a/packages/gateway/src/upstreams/createPeerLoadTable.ts
+++ b/packages/gateway/src/upstreams/createPeerLoadTable.ts
@@ -2,11 +2,15 @@
 import type { PeerLoadTable } from "./peerLoadTable";
 import type { UpstreamLoad } from "./upstreamLoad";
 
-interface PeerLoads {
-    readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>;
+interface HeardLoad extends UpstreamLoad {
     readonly heardAtMs: number;
 }
 
+interface PeerLoads {
+    readonly loads: Map<UpstreamId, HeardLoad>;
+    heardAtMs: number;
+}
+
 /** Loads of a peer that fell silent are ignored after this time. */
 const PEER_LOAD_LIFETIME_MS = 1_500;
 
@@ -21,12 +25,19 @@
         [...peers.values()].filter(peer => clock.monotonicMs() - peer.heardAtMs < lifetimeMs);
 
     return {
-        observe: (hostName, loads) => void peers.set(hostName, { loads, heardAtMs: clock.monotonicMs() }),
-        loadsOf: upstreamId =>
-            heardWithin(PEER_LOAD_LIFETIME_MS).flatMap(({ loads, heardAtMs }) => {
-                const load = loads.get(upstreamId);
-                return load === undefined ? [] : [{ ...load, heardAtMs }];
-            }),
+        observe: (hostName, loads) => {
+            const heardAtMs = clock.monotonicMs();
+            const heard = new Map([...loads].map(([upstreamId, load]) => [upstreamId, { ...load, heardAtMs }]));
+            peers.set(hostName, { loads: heard, heardAtMs });
+        },
+        observeLoad: (hostName, upstreamId, load) => {
+            const heardAtMs = clock.monotonicMs();
+            const peer = peers.get(hostName) ?? { loads: new Map<UpstreamId, HeardLoad>(), heardAtMs };
+            peer.heardAtMs = heardAtMs;
+            peer.loads.set(upstreamId, { ...load, heardAtMs });
+            peers.set(hostName, peer);
+        },
+        loadsOf: upstreamId => heardWithin(PEER_LOAD_LIFETIME_MS).flatMap(({ loads }) => loads.get(upstreamId) ?? []),
         hostCount: () => heardWithin(PEER_LIFETIME_MS).length + 1,
     };
 };
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -10,6 +10,7 @@
 import { createUpstreamScore } from "./createUpstreamScore";
 import { median } from "./median";
 import { smooth } from "./smooth";
+import type { UpstreamPlacement } from "./upstreamPlacement";
 import type { UpstreamRecord } from "./upstreamRecord";
 import type { UpstreamState } from "./upstreamState";
 import type { UpstreamTable } from "./upstreamTable";
@@ -49,7 +50,7 @@
 export const createUpstreamTable = (
     clock: Clock,
     serviceOf: (service: ServiceName) => ServiceSpec | undefined,
-    onWork: (service: ServiceName, workMs: number) => void = () => undefined,
+    onPlaced: (placement: UpstreamPlacement) => void = () => undefined,
 ): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = createPeerLoadTable(clock);
@@ -207,10 +208,17 @@
             if (state.backlogTokens === 0) {
                 state.progressAtMs = startedAtMs;
             }
-            onWork(service, promptMs);
             state.running++;
             state.backlogTokens += tokens;
             prefixes.record(state.record, request);
+            onPlaced({
+                service,
+                upstreamId,
+                isEngine,
+                load: { running: state.running, backlogTokens: Math.round(backlogOf(state).ownTokens) },
+                workMs: promptMs,
+                partIds: request.promptParts.map(({ partId }) => partId),
+            });
             const stopWaiting = (): void => {
                 if (waits) {
                     waits = false;
@@ -265,6 +273,10 @@
             peers.observe(hostName, loads);
             placements.forEach(([upstreamId, partId]) => prefixes.touch(upstreamId, partId));
         },
+        observePlacement: (hostName, upstreamId, load, partIds) => {
+            peers.observeLoad(hostName, upstreamId, load);
+            partIds.forEach(partId => prefixes.touch(upstreamId, partId));
+        },
         ownLoads: () =>
             new Map(
                 [...upstreams.values()]
--- a/packages/gateway/src/upstreams/peerLoadTable.ts
+++ b/packages/gateway/src/upstreams/peerLoadTable.ts
@@ -3,7 +3,10 @@
 
 /** Loads that the other hosts reported. */
 export interface PeerLoadTable {
+    /** Replaces all loads of a host. */
     readonly observe: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>) => void;
+    /** Replaces a host's load at one upstream. */
+    readonly observeLoad: (hostName: string, upstreamId: UpstreamId, load: UpstreamLoad) => void;
     /** Loads of an upstream that are not too old, with the monotonic time at which they were heard. */
     readonly loadsOf: (upstreamId: UpstreamId) => readonly (UpstreamLoad & { readonly heardAtMs: number; })[];
     /** Hosts among which shared limits are divided, this one included. */
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -32,6 +32,13 @@
         loads: ReadonlyMap<UpstreamId, UpstreamLoad>,
         placements: readonly (readonly [UpstreamId, string])[],
     ) => void;
+    /** Takes the load and the prompt parts of a request that a peer has just placed. */
+    readonly observePlacement: (
+        hostName: string,
+        upstreamId: UpstreamId,
+        load: UpstreamLoad,
+        partIds: readonly string[],
+    ) => void;
     readonly ownLoads: () => ReadonlyMap<UpstreamId, UpstreamLoad>;
     /** Prompt parts sent to upstreams within the last seconds, for peers. */
     readonly recentPlacements: () => readonly (readonly [UpstreamId, string])[];
