feat(gateway): engines' speeds are learned; lost upstreams are ordered again at once

After a reclaim the order for a zone's reclaimable upstreams stood as sent for up to 8 s, so that neither their replacement nor its refusal came in time. Prompt parts went round in reports that notices made needless. Ruled out: the hidden delay alone: it halves every second and the next prompt is late again. Change: an engine's time against the typical one, from answers; a count that falls below its order is ordered again; peak load per engine 0.3 (0.22 stood on work that was read too high), on-demand replacement from 0.4 (0.6). Tests for the first two fail without them. Reports no longer carry prompt parts.

--- a/packages/duties/__tests__/scaling.spec.ts
+++ b/packages/duties/__tests__/scaling.spec.ts
@@ -119,3 +119,20 @@
     await step(1, large);
     expect(orders.some(({ availabilityZone, isReclaimable }) => availabilityZone === "a" && !isReclaimable)).toBe(true);
 });
+
+test("reclaimed upstreams are replaced as soon as they begin to leave, by on-demand ones if no others are to be had", async () => {
+    const { clock, orders, refused, step } = createTestScaler();
+    const fleet = (reclaimable: number) =>
+        ["a", "b", "c"].map(name => zone(name, 1, { onDemand: name === "b" ? 0 : 1, reclaimable }));
+    await step(1.5, fleet(0));
+    await clock.advance(4_000);
+    await step(1.5, fleet(1));
+    refused.add(true);
+    orders.length = 0;
+    await clock.advance(1_000);
+    await step(1.5, fleet(0));
+    expect(orders.filter(({ isReclaimable }) => isReclaimable)).toHaveLength(3);
+    await clock.advance(300);
+    await step(1.5, fleet(0));
+    expect(orders.some(({ isReclaimable }) => !isReclaimable)).toBe(true);
+});
--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -33,6 +33,7 @@
     const sent = new Map<string, SentOrder>();
     const refusedAtMs = new Map<string, number>();
     const shrinkSinceMs = new Map<string, number>();
+    const seenRunning = new Map<string, number>();
 
     const isRefused = (key: string, durationMs: number): boolean =>
         clock.monotonicMs() - (refusedAtMs.get(key) ?? -Infinity) < durationMs;
@@ -58,6 +59,15 @@
         return clock.monotonicMs() - sinceMs >= SHRINK_DELAY_MS;
     };
 
+    /** Forgets an order of whose upstreams some are lost, so that it is sent again. */
+    const noteRunning = (key: string, running: number): void => {
+        const isLoss = running < (seenRunning.get(key) ?? 0) && running < (sent.get(key)?.count ?? 0);
+        seenRunning.set(key, running);
+        if (isLoss) {
+            sent.delete(key);
+        }
+    };
+
     const isNeeded = (order: ScaleOrder, running: number, fencingNumber: FencingNumber): boolean => {
         const key = keyOf(order);
         const last = sent.get(key);
@@ -100,7 +110,9 @@
                 if (fence === undefined) {
                     return;
                 }
-                if (isNeeded(order, runningOf(zones, order), fence)) {
+                const running = runningOf(zones, order);
+                noteRunning(keyOf(order), running);
+                if (isNeeded(order, running, fence)) {
                     await send(order, fence, planned);
                 }
             }
--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -3,13 +3,13 @@
 import type { ZoneTarget } from "./zoneTarget";
 
 /** Work of an engine at the peak up to which prompts wait little behind others and running answers keep their pace. */
-const TARGET_BUSY_SHARE = 0.22;
+const TARGET_BUSY_SHARE = 0.3;
 
 /** Work of the on-demand engines at average load while all reclaimable ones are gone. */
 const SURVIVAL_BUSY_SHARE = 1;
 
 /** Present work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
-const SHORTAGE_BUSY_SHARE = 0.6;
+const SHORTAGE_BUSY_SHARE = 0.4;
 
 /** On-demand upstreams whatever the load: the loss of one leaves another. */
 const LEAST_SURVIVORS = 2;
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -10,7 +10,6 @@
     upstreams.observePeer(
         hostName,
         new Map(report.loads.map(([id, running, backlogTokens]) => [id as UpstreamId, { running, backlogTokens }])),
-        report.placements as readonly (readonly [UpstreamId, string])[],
     );
     accounts.observePeer(
         hostName,
--- a/packages/edge/src/createReportSource.ts
+++ b/packages/edge/src/createReportSource.ts
@@ -28,7 +28,6 @@
         wallMs: clock.wallMs(),
         revisions: knowledge.revisions(),
         loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
-        placements: upstreams.recentPlacements(),
         admitted: [...accounts.admittedTotals()],
         began: beganCounts(),
         work: [...work.busyUpstreams()],
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -12,8 +12,6 @@
     readonly revisions: Readonly<Record<string, number>>;
     /** Requests in flight and waiting prompt tokens at each upstream. */
     readonly loads: readonly (readonly [upstreamId: string, running: number, backlogTokens: number])[];
-    /** Prompt parts sent to upstreams within the last second. */
-    readonly placements: readonly (readonly [upstreamId: string, partId: string])[];
     /** Units admitted of each client account since the start of the process. */
     readonly admitted: readonly (readonly [accountId: string, units: number])[];
     /** Requests of each account that began in each of the last windows. */
--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -56,7 +56,9 @@
     );
     tables.forEach(table => {
         table.replace(ENGINES.map(id => createRecord(id, 1, { service, slots: 64 })));
-        table.observePeer("before", new Map(), ["a", "b"].map(id => [id as UpstreamId, "shared"] as const));
+        ["a", "b"].forEach(id =>
+            table.observePlacement("before", id as UpstreamId, { running: 0, backlogTokens: 0 }, ["shared"])
+        );
     });
     let elapsedMs = 0;
     for (const [atMs, host, promptTokens] of ARRIVALS) {
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -119,7 +119,6 @@
     table.observePeer(
         "peer",
         new Map([["a" as UpstreamId, { running: 10, backlogTokens: 100_000 }]]),
-        [],
     );
     expect(upstreamOf(place(prompt("s")))).toBe("b");
     await clock.advance(20_000);
@@ -130,7 +129,7 @@
     const { clock, table } = createTable([engine("a")]);
     const rate = table.tokensPerMs(service);
     ["p1", "p2", "p3"].forEach(peer =>
-        table.observePeer(peer, new Map([["a" as UpstreamId, { running: 1, backlogTokens: 10_000 }]]), [])
+        table.observePeer(peer, new Map([["a" as UpstreamId, { running: 1, backlogTokens: 10_000 }]]))
     );
     await clock.advance(500);
     const backlogMs = table.candidates(service, prompt("s"))[0]?.backlogMs ?? 0;
@@ -152,7 +151,7 @@
 
 test("a peer's placement makes the prefix count as cached there", () => {
     const { table, place } = createTable(["a", "b", "c"].map(id => engine(id)));
-    table.observePeer("peer", new Map(), [["c" as UpstreamId, "system"], ["c" as UpstreamId, "s9"]]);
+    table.observePlacement("peer", "c" as UpstreamId, { running: 0, backlogTokens: 0 }, ["system", "s9"]);
     expect(upstreamOf(place(prompt("s9")))).toBe("c");
 });
 
@@ -175,7 +174,7 @@
     const clock = createFakeClock();
     const table = createUpstreamTable(clock, () => plain);
     table.replace([engine("a")]);
-    table.observePeer("peer", new Map(), []);
+    table.observePeer("peer", new Map());
     Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
     const request = prompt("s");
     expect(chooseUpstream(table.candidates(service, request), request)).toMatchObject({ reason: "saturated" });
@@ -192,3 +191,24 @@
     [1, 2].forEach(index => table.begin("near" as UpstreamId, prompt(`n${index}`)));
     expect(upstreamOf(place(prompt("s")))).toBe("far");
 });
+
+test("an engine that is slower than the others gets fewer prompts, and counts as behind for longer", async () => {
+    const { clock, table, place } = createTable(["a", "b", "slow"].map(id => engine(id)));
+    const fresh = (subject: string) => prompt(subject, { promptParts: [] });
+    for (const index of Array.from({ length: 60 }).keys()) {
+        const id = ["a", "b", "slow"][index % 3] as UpstreamId;
+        const load = table.begin(id, fresh(`s${index}`));
+        await clock.advance(id === "slow" ? 450 : 250);
+        load.firstEvent();
+        load.end();
+        await clock.advance(3_000);
+    }
+    const promptMs = new Map(table.candidates(service, fresh("t")).map(one => [one.record.upstreamId, one.promptMs]));
+    expect((promptMs.get("slow" as UpstreamId) ?? 0) / (promptMs.get("a" as UpstreamId) ?? 1)).toBeGreaterThan(1.4);
+    const chosen = Array.from({ length: 10 }, (_, index) => {
+        const id = upstreamOf(place(fresh(`n${index}`)));
+        table.begin(id as UpstreamId, fresh(`n${index}`));
+        return id;
+    });
+    expect(chosen.filter(id => id === "slow")).toHaveLength(2);
+});
--- a/packages/gateway/src/upstreams/createPrefixDirectory.ts
+++ b/packages/gateway/src/upstreams/createPrefixDirectory.ts
@@ -9,12 +9,6 @@
     flowAtMs: number;
 }
 
-interface Placement {
-    readonly upstreamId: UpstreamId;
-    readonly partId: string;
-    readonly atMs: number;
-}
-
 /** Part of the cache that kept parts can use; running requests take the rest. */
 const CACHE_SHARE = 0.6;
 
@@ -25,15 +19,11 @@
 /** Time over which the flow into a cache is averaged. */
 const FLOW_WINDOW_MS = 5_000;
 
-/** Peers learn of a placement within a few rounds of reports. */
-const RECENT_MS = 1_000;
-
 const MAXIMUM_PARTS = 4_000;
 
 /** Creates an empty directory. */
 export const createPrefixDirectory = (clock: Clock): PrefixDirectory => {
     const upstreams = new Map<UpstreamId, UpstreamPrefixes>();
-    let placements: Placement[] = [];
 
     const prefixesOf = (upstreamId: UpstreamId): UpstreamPrefixes => {
         const prefixes = upstreams.get(upstreamId)
@@ -78,19 +68,10 @@
             );
         },
         record: ({ upstreamId }, request) => {
-            const atMs = clock.monotonicMs();
             // The last part belongs to one request or session; all parts are kept, as sessions come back.
-            request.promptParts.forEach(({ partId }) => {
-                touch(upstreamId, partId);
-                placements.push({ upstreamId, partId, atMs });
-            });
+            request.promptParts.forEach(({ partId }) => touch(upstreamId, partId));
             addFlow(prefixesOf(upstreamId), request.promptTokens);
         },
         touch,
-        recent: () => {
-            const oldestMs = clock.monotonicMs() - RECENT_MS;
-            placements = placements.filter(({ atMs }) => atMs >= oldestMs);
-            return placements.map(({ upstreamId, partId }) => [upstreamId, partId] as const);
-        },
     };
 };
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -41,11 +41,30 @@
     failures: 0,
     successes: 0,
     scoredAtMs: nowMs,
+    slowness: 1,
     roundTripMs: undefined,
     answerMs: undefined,
     openConnections: 0,
 });
 
+/** Predicted times from which an answer shows an engine's speed; shorter ones are mostly overhead. */
+const LEAST_SPEED_SAMPLE_MS = 30;
+
+/** Weights of an answer in an engine's speed: a slower one may have waited for what this host does not see. */
+const FAST_SAMPLE_WEIGHT = 0.1;
+const SLOW_SAMPLE_WEIGHT = 0.03;
+
+/** Bounds of an engine's time against the typical one. */
+const LEAST_SLOWNESS = 0.5;
+const MOST_SLOWNESS = 3;
+
+/** Medians over the upstreams of a service. */
+interface TypicalUpstream {
+    readonly slowness: number;
+    readonly answerMs: number;
+    readonly roundTripMs: number;
+}
+
 /** Creates an empty table. */
 export const createUpstreamTable = (
     clock: Clock,
@@ -85,22 +104,38 @@
 
     const tokensPerMs = (service: ServiceName): number => modelOf(service).tokensPerMs();
 
+    const typicalOf = (service: ServiceName): TypicalUpstream => {
+        const states = [...upstreams.values()].filter(({ record }) => record.service === service);
+        return {
+            slowness: median(states.map(({ slowness }) => slowness)) ?? 1,
+            answerMs: median(states.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
+            roundTripMs: median(states.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
+        };
+    };
+
+    /** Prompt tokens that this engine processes in a millisecond. */
+    const rateOf = ({ record, slowness }: UpstreamState, typical: TypicalUpstream): number =>
+        tokensPerMs(record.service)
+        / Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, slowness / typical.slowness));
+
     /**
      * Tokens of a backlog that are still waiting some time after it was known. The engine serves the backlogs of all
      * hosts at once, so each shrinks by its part of the rate.
      */
-    const waiting = (tokens: number, totalTokens: number, sinceMs: number, service: ServiceName): number => {
-        const processed = (clock.monotonicMs() - sinceMs) * tokensPerMs(service) * tokens / Math.max(1, totalTokens);
+    const waiting = (tokens: number, totalTokens: number, sinceMs: number, rate: number): number => {
+        const processed = (clock.monotonicMs() - sinceMs) * rate * tokens / Math.max(1, totalTokens);
         return Math.max(0, tokens - processed);
     };
 
     /** Backlog of this host and of all hosts at an upstream. */
-    const backlogOf = ({ record, backlogTokens, progressAtMs }: UpstreamState) => {
+    const backlogOf = (state: UpstreamState, typical: TypicalUpstream) => {
+        const { record, backlogTokens, progressAtMs } = state;
+        const rate = rateOf(state, typical);
         const peerBacklogs = peers.loadsOf(record.upstreamId);
         const totalTokens = peerBacklogs.reduce((sum, load) => sum + load.backlogTokens, backlogTokens);
-        const ownTokens = waiting(backlogTokens, totalTokens, progressAtMs, record.service);
+        const ownTokens = waiting(backlogTokens, totalTokens, progressAtMs, rate);
         const allTokens = peerBacklogs.reduce(
-            (sum, load) => sum + waiting(load.backlogTokens, totalTokens, load.heardAtMs, record.service),
+            (sum, load) => sum + waiting(load.backlogTokens, totalTokens, load.heardAtMs, rate),
             ownTokens,
         );
         return { ownTokens, allTokens };
@@ -114,30 +149,50 @@
             ? LEAST_CONNECTIONS
             : Math.max(LEAST_CONNECTIONS, Math.floor(spec.maximumConnections * CONNECTION_SHARE / peers.hostCount()));
 
-    const toCandidate = (state: UpstreamState, request: PlacementRequest): PlacementCandidate => {
+    /** Prompt tokens that the upstream would have to process, as their prefix is not cached there. */
+    const uncachedTokens = ({ record }: UpstreamState, request: PlacementRequest): number => {
+        const cacheTokens = serviceOf(record.service)?.engine?.cacheTokens;
+        return cacheTokens === undefined
+            ? 0
+            : Math.max(0, request.promptTokens - prefixes.cachedTokens(record, request.promptParts, cacheTokens));
+    };
+
+    const toCandidate = (
+        state: UpstreamState,
+        request: PlacementRequest,
+        typical: TypicalUpstream,
+    ): PlacementCandidate => {
         const { record } = state;
         const spec = serviceOf(record.service);
         const isEngine = spec?.engine !== undefined;
-        const rate = tokensPerMs(record.service);
-        const cachedTokens = isEngine ? prefixes.cachedTokens(record, request.promptParts, spec.engine.cacheTokens) : 0;
-        const siblings = siblingsOf(state);
+        const rate = rateOf(state, typical);
         return {
             record,
             isEngine,
             running: peers.loadsOf(record.upstreamId).reduce((sum, load) => sum + load.running, state.running),
-            backlogMs: backlogOf(state).allTokens / rate,
-            promptMs: isEngine
-                ? Math.max(0, request.promptTokens - cachedTokens) / rate
-                : state.answerMs ?? median(siblings.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
+            backlogMs: backlogOf(state, typical).allTokens / rate,
+            promptMs: isEngine ? uncachedTokens(state, request) / rate : state.answerMs ?? typical.answerMs,
             hiddenMs: score.hiddenMs(state),
             overheadMs: isEngine ? modelOf(record.service).overheadMs() : 0,
-            roundTripMs: state.roundTripMs ?? median(siblings.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
+            roundTripMs: state.roundTripMs ?? typical.roundTripMs,
             isEjected: score.isEjected(state),
             hasVanished: state.vanishedAtMs !== undefined,
             isConnectionLimited: state.openConnections >= connectionLimit(spec),
         };
     };
 
+    /** Learns from the time that an engine took for a prompt and those before it. */
+    const observePromptTime = (state: UpstreamState, tokens: number, durationMs: number): void => {
+        const model = modelOf(state.record.service);
+        const typicalMs = model.overheadMs() + tokens / model.tokensPerMs();
+        if (typicalMs >= LEAST_SPEED_SAMPLE_MS) {
+            const sample = Math.min(MOST_SLOWNESS, durationMs / typicalMs);
+            const weight = sample < state.slowness ? FAST_SAMPLE_WEIGHT : SLOW_SAMPLE_WEIGHT;
+            state.slowness += (sample - state.slowness) * weight;
+        }
+        model.observe(tokens, durationMs);
+    };
+
     const dropVanished = (): void => {
         const oldestMs = clock.monotonicMs() - VANISHED_LIFETIME_MS;
         [...upstreams.values()]
@@ -187,19 +242,22 @@
         isRegistered: ({ upstreamId, startedAtMs }) => upstreams.get(upstreamId)?.record.startedAtMs === startedAtMs,
         candidates: (service, request) => {
             dropVanished();
+            const typical = typicalOf(service);
             return [...upstreams.values()]
                 .filter(({ record }) => record.service === service)
-                .map(state => toCandidate(state, request));
+                .map(state => toCandidate(state, request, typical));
         },
         begin: (upstreamId, request) => {
             const state = upstreams.get(upstreamId);
             if (state === undefined) {
                 return { firstEvent: () => undefined, end: () => undefined };
             }
-            const candidate = toCandidate(state, request);
-            const { promptMs, backlogMs, isEngine } = candidate;
             const { service } = state.record;
-            const tokens = isEngine ? promptMs * tokensPerMs(service) : 0;
+            const typical = typicalOf(service);
+            const candidate = toCandidate(state, request, typical);
+            const { promptMs, isEngine } = candidate;
+            const tokens = uncachedTokens(state, request);
+            const backlogTokens = backlogOf(state, typical).allTokens;
             const startedAtMs = clock.monotonicMs();
             const due = { atMs: startedAtMs + predictMs(candidate) - candidate.hiddenMs };
             state.dueAtMs.add(due);
@@ -215,7 +273,7 @@
                 service,
                 upstreamId,
                 isEngine,
-                load: { running: state.running, backlogTokens: Math.round(backlogOf(state).ownTokens) },
+                load: { running: state.running, backlogTokens: Math.round(backlogOf(state, typical).ownTokens) },
                 workMs: promptMs,
                 partIds: request.promptParts.map(({ partId }) => partId),
             });
@@ -234,7 +292,7 @@
                     }
                     if (waits && isEngine) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
-                        modelOf(service).observe(tokens + backlogMs * tokensPerMs(service), durationMs);
+                        observePromptTime(state, tokens + backlogTokens, durationMs);
                     }
                     stopWaiting();
                 },
@@ -269,10 +327,7 @@
                 state.openConnections = Math.max(0, state.openConnections + change);
             }
         },
-        observePeer: (hostName, loads, placements) => {
-            peers.observe(hostName, loads);
-            placements.forEach(([upstreamId, partId]) => prefixes.touch(upstreamId, partId));
-        },
+        observePeer: peers.observe,
         observePlacement: (hostName, upstreamId, load, partIds) => {
             peers.observeLoad(hostName, upstreamId, load);
             partIds.forEach(partId => prefixes.touch(upstreamId, partId));
@@ -283,10 +338,12 @@
                     .filter(({ running }) => running > 0)
                     .map(state => [
                         state.record.upstreamId,
-                        { running: state.running, backlogTokens: Math.round(backlogOf(state).ownTokens) },
+                        {
+                            running: state.running,
+                            backlogTokens: Math.round(backlogOf(state, typicalOf(state.record.service)).ownTokens),
+                        },
                     ]),
             ),
-        recentPlacements: () => prefixes.recent(),
         tokensPerMs,
         hostCount: peers.hostCount,
     };
--- a/packages/gateway/src/upstreams/prefixDirectory.ts
+++ b/packages/gateway/src/upstreams/prefixDirectory.ts
@@ -10,6 +10,4 @@
     readonly record: (upstream: UpstreamRecord, request: PlacementRequest) => void;
     /** Notes that a peer sent a part to an upstream. */
     readonly touch: (upstreamId: UpstreamId, partId: string) => void;
-    /** Parts that this host sent within the last seconds. */
-    readonly recent: () => readonly (readonly [UpstreamId, string])[];
 }
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -21,6 +21,8 @@
     failures: number;
     successes: number;
     scoredAtMs: number;
+    /** Smoothed time of first events against what the service's prompt model gives. */
+    slowness: number;
     /** Smoothed time of a connection's set-up, a measure of distance. */
     roundTripMs: number | undefined;
     /** Smoothed time of plain answers. */
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -27,11 +27,7 @@
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
     readonly changeConnections: (upstreamId: UpstreamId, change: number) => void;
     /** Takes the load that a peer reported. */
-    readonly observePeer: (
-        hostName: string,
-        loads: ReadonlyMap<UpstreamId, UpstreamLoad>,
-        placements: readonly (readonly [UpstreamId, string])[],
-    ) => void;
+    readonly observePeer: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>) => void;
     /** Takes the load and the prompt parts of a request that a peer has just placed. */
     readonly observePlacement: (
         hostName: string,
@@ -40,8 +36,6 @@
         partIds: readonly string[],
     ) => void;
     readonly ownLoads: () => ReadonlyMap<UpstreamId, UpstreamLoad>;
-    /** Prompt parts sent to upstreams within the last seconds, for peers. */
-    readonly recentPlacements: () => readonly (readonly [UpstreamId, string])[];
     /** Prompt tokens that an engine of the service processes in a millisecond, learned from answers. */
     readonly tokensPerMs: (service: ServiceName) => number;
     readonly hostCount: () => number;
