feat(duties): orders go out in parallel, four hosts contend, watches wait by the number of hosts

Change: needed orders are sent at once; an unanswered one is repeated after 0.5 s; only the first four hosts in contact contend; a watch waits 250 ms for each host, 2 to 20 s.

--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -61,6 +61,7 @@
         prefix: "p/",
         clock,
         random: createRandom(1),
+        watchWaitMs: () => 2_000,
         onChange: ({ revision }, source) => void seen.push({ revision, source }),
         onContact: inContact => void contact.push(inContact),
     });
--- a/packages/discovery/src/documents/createDocumentFollower.ts
+++ b/packages/discovery/src/documents/createDocumentFollower.ts
@@ -7,9 +7,6 @@
 import type { DocumentSet } from "./documentSet";
 import { replaceDocuments } from "./replaceDocuments";
 
-/** Longest wait of one watch call; bounds the time for which a connection that fell silent goes unnoticed. */
-const WATCH_WAIT_MS = 2_000;
-
 /** Time by which the answer of a watch may follow the end of its wait: several answer times of a slow store. */
 const WATCH_MARGIN_MS = 800;
 
@@ -55,9 +52,10 @@
     };
 
     const watch = async (known: DocumentSet): Promise<Result<void, Failure>> => {
-        const result = await history.changesAfter(prefix, known.revision, WATCH_WAIT_MS, {
+        const waitMs = options.watchWaitMs();
+        const result = await history.changesAfter(prefix, known.revision, waitMs, {
             cause: "discovery",
-            timeoutMs: WATCH_WAIT_MS + WATCH_MARGIN_MS,
+            timeoutMs: waitMs + WATCH_MARGIN_MS,
             signal: stop.signal,
         });
         return result.map(changes => {
--- a/packages/discovery/src/documents/documentFollowerOptions.ts
+++ b/packages/discovery/src/documents/documentFollowerOptions.ts
@@ -8,6 +8,8 @@
     readonly prefix: string;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Longest wait of one watch call; bounds the time for which a connection that fell silent goes unnoticed. */
+    readonly watchWaitMs: () => number;
     /** Called with each newer set; `source` says who delivered it. */
     readonly onChange: (set: DocumentSet, source: "store" | "peer") => void;
     /** Called when the store stops or starts answering. */
--- a/packages/duties/__tests__/dutyHolder.spec.ts
+++ b/packages/duties/__tests__/dutyHolder.spec.ts
@@ -17,6 +17,7 @@
     key: "duties",
     hostId: name as HostId,
     leaseMs,
+    mayContend: () => true,
     duties: [async fencingNumber => void acts.push(`${name}:${fencingNumber()}`), ...others],
     onChange: () => undefined,
     onError: error => {
--- a/packages/duties/__tests__/scaling.spec.ts
+++ b/packages/duties/__tests__/scaling.spec.ts
@@ -136,3 +136,28 @@
     await step(1.5, fleet(0));
     expect(orders.some(({ isReclaimable }) => !isReclaimable)).toBe(true);
 });
+
+test("an order that hangs holds back no other, and is sent again soon", async () => {
+    const clock = createFakeClock();
+    const orders: ScaleOrder[] = [];
+    const api: DutyApi = {
+        reportUsage: async () => Ok(undefined),
+        scale: async order => {
+            orders.push(order);
+            await clock.sleep(1_000);
+            return Err(createFailure(ErrorCode.PlatformUnavailable));
+        },
+    };
+    const scaler = createScaler({ api, clock, onOrdered: () => undefined, onFailure: () => undefined });
+    const step = () => scaler.step("engine" as ServiceName, state(3), () => 1 as FencingNumber);
+    const first = step();
+    await clock.advance(1_000);
+    await first;
+    const sentAtOnce = orders.length;
+    expect(sentAtOnce).toBeGreaterThan(2);
+    await clock.advance(600);
+    const second = step();
+    await clock.advance(1_000);
+    await second;
+    expect(orders).toHaveLength(sentAtOnce * 2);
+});
--- a/packages/duties/src/holder/createDutyHolder.ts
+++ b/packages/duties/src/holder/createDutyHolder.ts
@@ -31,7 +31,7 @@
         holder: options.hostId,
         durationMs: leaseMs,
         longestPauseMs: 0,
-        rank: () => clock.monotonicMs() - lostAtMs < leaseMs * REST_DURATIONS ? undefined : 0,
+        rank: () => options.mayContend() && clock.monotonicMs() - lostAtMs >= leaseMs * REST_DURATIONS ? 0 : undefined,
         onChange: held => {
             lostAtMs = held ? lostAtMs : clock.monotonicMs();
             options.onChange(held, lease.grant()?.fencingNumber);
--- a/packages/duties/src/holder/dutyHolderOptions.ts
+++ b/packages/duties/src/holder/dutyHolderOptions.ts
@@ -8,6 +8,8 @@
     readonly random: RandomSource;
     readonly key: string;
     readonly hostId: HostId;
+    /** Whether this host contends while it is no holder. */
+    readonly mayContend: () => boolean;
     /** Duration of the lease; a former holder does not contend again within it. */
     readonly leaseMs: number;
     /**
--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -16,6 +16,9 @@
 /** Time for which a refused kind is not ordered again; reclaimable capacity is away for longer than this. */
 const REFUSED_MS = 2_500;
 
+/** An order without an answer may have been carried out, and is sent again after this time. */
+const UNANSWERED_MS = 500;
+
 /** A refusal is taken to hold for this time, past the next try, so that the plan does not change between tries. */
 const REFUSAL_MEMORY_MS = 6_000;
 
@@ -32,6 +35,7 @@
 export const createScaler = ({ api, clock, onOrdered, onFailure }: ScalerOptions): Scaler => {
     const sent = new Map<string, SentOrder>();
     const refusedAtMs = new Map<string, number>();
+    const unansweredAtMs = new Map<string, number>();
     const shrinkSinceMs = new Map<string, number>();
     const seenRunning = new Map<string, number>();
 
@@ -77,10 +81,19 @@
         const isRepeated = last !== undefined && last.count === order.count && last.fencingNumber === fencingNumber
             && (running === order.count || clock.monotonicMs() - last.sentAtMs < REPEAT_MS);
         return !isRepeated && !isRefused(key, REFUSED_MS)
+            && clock.monotonicMs() - (unansweredAtMs.get(key) ?? -Infinity) >= UNANSWERED_MS
             && mayShrink(key, order.count < Math.max(running, last?.count ?? 0));
     };
 
-    const send = async (order: ScaleOrder, fencingNumber: FencingNumber, state: FleetState): Promise<void> => {
+    const send = async (
+        order: ScaleOrder,
+        getFencingNumber: () => FencingNumber | undefined,
+        state: FleetState,
+    ): Promise<void> => {
+        const fencingNumber = getFencingNumber();
+        if (fencingNumber === undefined) {
+            return;
+        }
         const key = keyOf(order);
         const result = await api.scale(order, fencingNumber);
         if (result.ok) {
@@ -90,9 +103,12 @@
             return;
         }
         onFailure(order, result.val);
-        if (result.val.code !== ErrorCode.StaleFencingNumber) {
+        if (result.val.code === ErrorCode.PlatformRefused) {
             refusedAtMs.set(key, clock.monotonicMs());
         }
+        else {
+            unansweredAtMs.set(key, clock.monotonicMs());
+        }
     };
 
     return {
@@ -105,17 +121,14 @@
                 ),
             }));
             const planned: FleetState = { ...state, zones };
-            for (const order of planFleet(planned).flatMap(target => toOrders(service, target))) {
-                const fence = fencingNumber();
-                if (fence === undefined) {
-                    return;
-                }
-                const running = runningOf(zones, order);
-                noteRunning(keyOf(order), running);
-                if (isNeeded(order, running, fence)) {
-                    await send(order, fence, planned);
-                }
-            }
+            const orders = planFleet(planned).flatMap(target => toOrders(service, target));
+            orders.forEach(order => noteRunning(keyOf(order), runningOf(zones, order)));
+            const fence = fencingNumber();
+            const needed = fence === undefined
+                ? []
+                : orders.filter(order => isNeeded(order, runningOf(zones, order), fence));
+            // Orders for different zones and classes are independent: one that hangs must not hold back the others.
+            await Promise.all(needed.map(order => send(order, fencingNumber, planned)));
         },
     };
 };
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -85,6 +85,7 @@
         key: `${documents.ownPrefix}duties`,
         hostId: settings.hostId,
         leaseMs: settings.leaseMs,
+        mayContend: options.mayContend,
         duties: [
             ...(settings.duties.usage ? [reporter.step] : []),
             ...(settings.duties.scaling ? [scale] : []),
--- a/packages/edge/src/createKnowledge.ts
+++ b/packages/edge/src/createKnowledge.ts
@@ -7,6 +7,16 @@
 import type { EdgeOptions } from "./edgeOptions";
 import type { Knowledge } from "./knowledge";
 
+/**
+ * Watches of all hosts together end this often: one of them notices soon that connections fell silent, and what it learns
+ * reaches the others with reports.
+ */
+const WATCH_END_INTERVAL_MS = 250;
+
+/** Bounds of the wait of one watch: calls are counted, and the store ends longer ones. */
+const LEAST_WATCH_MS = 2_000;
+const MOST_WATCH_MS = 20_000;
+
 /** Follows the documents of the store and keeps the newest valid state of each. */
 export const createKnowledge = (
     options: EdgeOptions,
@@ -72,6 +82,8 @@
         onUpstreams([...set.entries.values()].flatMap(entry => decodeUpstream(entry) ?? []));
     };
 
+    const hostCount = (): number => followers[documentSets.hosts]?.current()?.entries.size ?? 0;
+
     const setHosts = (set: DocumentSet): void => onHosts([...set.entries.values()].map(({ value }) => value));
 
     const follow = (name: string, prefix: string, onChange: (set: DocumentSet, source: string) => void) =>
@@ -80,6 +92,7 @@
             prefix,
             clock,
             random,
+            watchWaitMs: () => Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, hostCount() * WATCH_END_INTERVAL_MS)),
             onChange,
             onContact: (inContact, reason) =>
                 log.write(inContact ? "store_regained" : "store_lost", { set: name, reason }),
@@ -98,6 +111,7 @@
     return {
         configuration: () => configuration,
         documents: name => followers[name]?.current(),
+        isInContact: () => Object.values(followers).every(follower => follower.inContact()),
         revisions: () =>
             Object.fromEntries(
                 Object.entries(followers).map(([name, follower]) => [name, follower.current()?.revision ?? 0]),
--- a/packages/edge/src/createReportSource.ts
+++ b/packages/edge/src/createReportSource.ts
@@ -27,6 +27,7 @@
         sequence: ++sequence,
         wallMs: clock.wallMs(),
         revisions: knowledge.revisions(),
+        isInContact: knowledge.isInContact(),
         loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
         accounts: [...accounts.uses()].map(([id, { entitled, spare, level }]) =>
             [id, entitled, spare, level === undefined ? undefined : Math.round(level)] as const
--- a/packages/edge/src/edgeDutiesOptions.ts
+++ b/packages/edge/src/edgeDutiesOptions.ts
@@ -8,6 +8,8 @@
     readonly usage: UsageCounts;
     readonly upstreams: UpstreamTable;
     readonly configuration: () => CompiledConfiguration | undefined;
+    /** Whether this host contends for the duties. */
+    readonly mayContend: () => boolean;
     /** Monotonic time at which this host first knew an upstream of a service. */
     readonly foundAtMs: (service: ServiceName) => number | undefined;
     /** Engines of a service kept busy by all hosts. */
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -10,6 +10,8 @@
     readonly wallMs: number;
     /** Revisions of the store up to which this host knows the sets of documents. */
     readonly revisions: Readonly<Record<string, number>>;
+    /** Whether the store answers this host. */
+    readonly isInContact: boolean;
     /** Requests in flight and waiting prompt tokens at each upstream. */
     readonly loads: readonly (readonly [upstreamId: string, running: number, backlogTokens: number])[];
     /** Units admitted of each client account since the start of the process, and what all may still take. */
--- a/packages/edge/src/knowledge.ts
+++ b/packages/edge/src/knowledge.ts
@@ -5,6 +5,8 @@
 export interface Knowledge extends AsyncDisposable {
     readonly configuration: () => CompiledConfiguration | undefined;
     readonly documents: (set: string) => DocumentSet | undefined;
+    /** Whether the store answers. */
+    readonly isInContact: () => boolean;
     /** Revision of the store up to which each set is known. */
     readonly revisions: () => Readonly<Record<string, number>>;
     readonly offer: (set: string, documents: DocumentSet) => void;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -33,6 +33,9 @@
 /** A peer that reported within this time counts as live. */
 const PEER_LIVE_MS = 2_000;
 
+/** Hosts that contend for the duties. */
+const CONTENDERS = 4;
+
 /** Part of the permitted excess that is granted on purpose; reports that come late take the rest. */
 const ACCOUNT_SLACK_SHARE = 0.5;
 
@@ -151,6 +154,10 @@
         usage,
         upstreams,
         configuration: knowledge.configuration,
+        // The first few hosts by name that reach the store are enough: each contender reads the lease all the time.
+        mayContend: () =>
+            liveReports().filter(({ report }) => report.isInContact && report.hostName < settings.hostName).length
+                < CONTENDERS,
         foundAtMs: service => foundAtMs.get(service),
         busyUpstreams,
         zonesInUse: new Set(settings.availabilityZones),
