fix(gateway): an upstream's error in the middle of a resumed stream is not delivered as its end

Change: once an answer has been begun, only a success goes on with it; anything else counts as a failed send, and the connection is broken off when no further one is allowed. Case in streams.spec.ts fails without it.

--- a/packages/edge/src/createKnowledge.ts
+++ b/packages/edge/src/createKnowledge.ts
@@ -11,7 +11,7 @@
  * Watches of all hosts together end this often: one of them notices soon that connections fell silent, and what it learns
  * reaches the others with reports.
  */
-const WATCH_END_INTERVAL_MS = 250;
+const WATCH_END_INTERVAL_MS = 500;
 
 /** Bounds of the wait of one watch: calls are counted, and the store ends longer ones. */
 const LEAST_WATCH_MS = 2_000;
@@ -86,17 +86,23 @@
 
     const setHosts = (set: DocumentSet): void => onHosts([...set.entries.values()].map(({ value }) => value));
 
-    const follow = (name: string, prefix: string, onChange: (set: DocumentSet, source: string) => void) =>
-        createDocumentFollower({
-            history,
-            prefix,
-            clock,
-            random,
-            watchWaitMs: () => Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, hostCount() * WATCH_END_INTERVAL_MS)),
-            onChange,
-            onContact: (inContact, reason) =>
-                log.write(inContact ? "store_regained" : "store_lost", { set: name, reason }),
-        });
+    const sharedWatchMs = (): number =>
+        Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, hostCount() * WATCH_END_INTERVAL_MS));
+
+    const follow = (
+        name: string,
+        prefix: string,
+        onChange: (set: DocumentSet, source: string) => void,
+        watchWaitMs = sharedWatchMs,
+    ) => createDocumentFollower({
+        history,
+        prefix,
+        clock,
+        random,
+        watchWaitMs,
+        onChange,
+        onContact: (inContact, reason) => log.write(inContact ? "store_regained" : "store_lost", { set: name, reason }),
+    });
 
     const followers: Readonly<Record<string, DocumentFollower>> = {
         [documentSets.configuration]: follow(
@@ -105,7 +111,13 @@
             setConfiguration,
         ),
         [documentSets.upstreams]: follow(documentSets.upstreams, documents.upstreamsPrefix, setUpstreams),
-        [documentSets.hosts]: follow(documentSets.hosts, `${documents.ownPrefix}hosts/`, setHosts),
+        // An address that is learned late costs little: the new host calls the others.
+        [documentSets.hosts]: follow(
+            documentSets.hosts,
+            `${documents.ownPrefix}hosts/`,
+            setHosts,
+            () => MOST_WATCH_MS,
+        ),
     };
 
     return {
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,5 +1,5 @@
 import type { ServiceName, UpstreamId } from "@ibislanding/core";
-import { createResourceStack, FailureError } from "@ibislanding/core";
+import { createHasher, createResourceStack, FailureError } from "@ibislanding/core";
 import { createReportExchange, createTrueTime, type ReportExchange } from "@ibislanding/discovery";
 import { createUsageCounts } from "@ibislanding/duties";
 import {
@@ -54,6 +54,7 @@
 export const startEdgeHost = async (options: EdgeOptions): Promise<EdgeHost> => {
     const { settings, clock, random, log, metrics } = options;
     const resources = createResourceStack();
+    const hasher = await createHasher();
     const time = createTrueTime(clock);
     const usage = createUsageCounts(settings.usage.windowMs, time.nowMs);
     const accounts = createAccountMeter(clock, {
@@ -81,16 +82,17 @@
         updatePeers();
     });
     resources.use(knowledge);
-    const upstreams = createUpstreamTable(
+    const upstreams = createUpstreamTable({
         clock,
-        service => knowledge.configuration()?.servicesByName.get(service),
-        ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
+        hasher,
+        serviceOf: service => knowledge.configuration()?.servicesByName.get(service),
+        onPlaced: ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
             work.add(service, workMs);
             if (isEngine) {
                 peers.exchange?.notify({ hostName: settings.hostName, upstreamId, ...load, partIds: [...partIds] });
             }
         },
-    );
+    });
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
     const isInformed = (): boolean => knowledge.configuration() !== undefined && upstreams.records().length > 0;
 
--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -1,4 +1,4 @@
-import { createFakeClock, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import { createFakeClock, createHasher, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import {
     chooseUpstream,
     createUpstreamTable,
@@ -39,19 +39,27 @@
 /** Places the arrivals at hosts that all have the shared part cached at the engines in use; returns prompts by engine. */
 const replay = async (notifies: boolean): Promise<ReadonlyMap<string, number>> => {
     const clock = createFakeClock();
+    const hasher = await createHasher();
     const placed = new Map(ENGINES.map(engine => [engine, 0]));
     const tables: UpstreamTable[] = Array.from(
         { length: 8 },
         (_, host) =>
-            createUpstreamTable(clock, () => spec, ({ upstreamId, load, partIds }) => {
-                if (notifies) {
-                    const others = tables.filter((_, other) => other !== host);
-                    clock.setTimer(
-                        NOTICE_MS,
-                        () =>
-                            others.forEach(table => table.observePlacement(`host-${host}`, upstreamId, load, partIds)),
-                    );
-                }
+            createUpstreamTable({
+                clock,
+                hasher,
+                serviceOf: () => spec,
+                onPlaced: ({ upstreamId, load, partIds }) => {
+                    if (notifies) {
+                        const others = tables.filter((_, other) => other !== host);
+                        clock.setTimer(
+                            NOTICE_MS,
+                            () =>
+                                others.forEach(table =>
+                                    table.observePlacement(`host-${host}`, upstreamId, load, partIds)
+                                ),
+                        );
+                    }
+                },
             }),
     );
     tables.forEach(table => {
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -1,4 +1,11 @@
-import { type AvailabilityZone, createFakeClock, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import {
+    type AvailabilityZone,
+    createFakeClock,
+    createHasher,
+    type Hasher,
+    type ServiceName,
+    type UpstreamId,
+} from "@ibislanding/core";
 import {
     chooseUpstream,
     createUpstreamTable,
@@ -10,6 +17,12 @@
 
 const service = "engine" as ServiceName;
 
+let hasher: Hasher;
+
+beforeAll(async () => {
+    hasher = await createHasher();
+});
+
 const spec: ServiceSpec = {
     name: service,
     maximumConnections: 300,
@@ -32,7 +45,7 @@
 
 const createTable = (records: readonly UpstreamRecord[]) => {
     const clock = createFakeClock();
-    const table = createUpstreamTable(clock, () => spec);
+    const table = createUpstreamTable({ clock, hasher, serviceOf: () => spec, onPlaced: () => undefined });
     table.replace(records);
     const place = (request: PlacementRequest) => chooseUpstream(table.candidates(service, request), request);
     return { clock, table, place };
@@ -172,7 +185,7 @@
 test("connections of this host to an upstream stay within its part of the upstream's limit", () => {
     const plain: ServiceSpec = { ...spec, maximumConnections: 20, engine: undefined };
     const clock = createFakeClock();
-    const table = createUpstreamTable(clock, () => plain);
+    const table = createUpstreamTable({ clock, hasher, serviceOf: () => plain, onPlaced: () => undefined });
     table.replace([engine("a")]);
     table.observePeer("peer", new Map());
     Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
@@ -212,3 +225,12 @@
     });
     expect(chosen.filter(id => id === "slow")).toHaveLength(2);
 });
+
+test("hosts that know of no load spread prompts over all engines, and agree on the engine of a prefix", () => {
+    const ids = Array.from({ length: 12 }, (_, index) => `e${index}`);
+    const hosts = Array.from({ length: 40 }, () => createTable(ids.map(id => engine(id))));
+    const chosen = hosts.map(({ place }, index) => upstreamOf(place(prompt(`subject-${index}`))));
+    expect(Math.max(...ids.map(id => chosen.filter(one => one === id).length))).toBeLessThan(40 / 12 * 3);
+    const agreed = new Set(hosts.map(({ place }) => upstreamOf(place(prompt("subject-0")))));
+    expect(agreed.size).toBe(1);
+});
--- a/packages/gateway/__tests__/streams.spec.ts
+++ b/packages/gateway/__tests__/streams.spec.ts
@@ -66,6 +66,27 @@
     expect(positions.map(found => found?.length)).toEqual([1, 1]);
 });
 
+test("the error of an upstream that was to go on with a stream is no part of the stream", async () => {
+    const serve = (request: RawRequest): void => {
+        if (/last-event-id/i.test(request.text)) {
+            const own = `X-Request: ${request.requestId}\r\nX-Signature: s\r\n`;
+            request.socket.write(`HTTP/1.1 500 Error\r\n${own}Content-Length: 6\r\n\r\nfailed`);
+            return;
+        }
+        request.socket.write(head(request) + chunk(event(1)) + chunk(event(2)));
+        setTimeout(() => request.socket.destroy(), 50);
+    };
+    await using first = await startRawUpstream(serve);
+    await using second = await startRawUpstream(serve);
+    await using system = await startTestGateway([first.port, second.port], {
+        kind: "stream",
+        isResumable: true,
+        maximumAttempts: 2,
+    });
+    const seen = await sendCallerRequest(system.port, "r1");
+    expect(seen).toMatchObject({ status: 200, body: [1, 2].map(event).join(""), isWhole: false });
+});
+
 test("a stream that may not be resumed is not sent again", async () => {
     await using first = await startRawUpstream(({ socket }) => socket.destroy());
     await using second = await startRawUpstream(({ socket }) => socket.destroy());
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -1,6 +1,7 @@
 import {
     type AccountId,
     type AvailabilityZone,
+    createHasher,
     createRandom,
     createSystemClock,
     type ServiceName,
@@ -70,7 +71,12 @@
         accounts: [],
         limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000, idleTimeoutMs: 5_000 },
     });
-    const upstreams = createUpstreamTable(clock, name => configuration.servicesByName.get(name));
+    const upstreams = createUpstreamTable({
+        clock,
+        hasher: await createHasher(),
+        serviceOf: name => configuration.servicesByName.get(name),
+        onPlaced: () => undefined,
+    });
     upstreams.replace(ports.map((port, index) => createRecord(`u-${index}`, port)));
     const gateway = createGateway({
         clock,
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -112,6 +112,12 @@
     const { context, upstream, startedAtMs } = send;
     const { options, admitted, engine } = context;
     const { status } = answer.head;
+    if (options.caller.isStarted() && status >= FIRST_UNSUCCESSFUL_STATUS) {
+        // Part of the stream was delivered under another head: an error must not pass for its end.
+        reportFailure(send, "failed");
+        answer.body.resume();
+        return { kind: "repeat", reason: `status ${status} in the middle of a stream` };
+    }
     if (status < FAILURE_STATUS) {
         const outcome = await deliver(send, answer);
         if (outcome.kind === "done") {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,7 @@
 export type { UpstreamPlacement } from "./upstreams/upstreamPlacement";
 export type { UpstreamRecord } from "./upstreams/upstreamRecord";
 export type { UpstreamTable } from "./upstreams/upstreamTable";
+export type { UpstreamTableOptions } from "./upstreams/upstreamTableOptions";
 
 // Engines
 export type { Continuation } from "./engines/continuation";
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -34,6 +34,7 @@
 const costMs = (candidate: PlacementCandidate): number =>
     predictMs(candidate)
     + candidate.roundTripMs
+    + candidate.preferenceMs
     + (candidate.isEngine ? candidate.promptMs : 0)
     + (candidate.hasVanished ? VANISHED_PENALTY_MS : 0);
 
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -10,6 +10,8 @@
     readonly backlogMs: number;
     /** Time to process the part of this prompt that is not cached there. */
     readonly promptMs: number;
+    /** Small cost that makes hosts agree on an engine for a prefix. */
+    readonly preferenceMs: number;
     /** Time by which it is behind what this host knows of its work. */
     readonly hiddenMs: number;
     /** Time to the first event that does not depend on the prompt. */
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,4 @@
-import type { Clock, ServiceName, UpstreamId } from "@ibislanding/core";
+import type { ServiceName, UpstreamId } from "@ibislanding/core";
 import type { ServiceSpec } from "../configuration/serviceSpec";
 import { createPromptModel } from "../placement/createPromptModel";
 import type { PlacementCandidate } from "../placement/placementCandidate";
@@ -10,10 +10,10 @@
 import { createUpstreamScore } from "./createUpstreamScore";
 import { median } from "./median";
 import { smooth } from "./smooth";
-import type { UpstreamPlacement } from "./upstreamPlacement";
 import type { UpstreamRecord } from "./upstreamRecord";
 import type { UpstreamState } from "./upstreamState";
 import type { UpstreamTable } from "./upstreamTable";
+import type { UpstreamTableOptions } from "./upstreamTableOptions";
 
 /** An upstream whose entry lapsed while the registry was away is listed again within two seconds of its return. */
 const VANISHED_LIFETIME_MS = 1_800;
@@ -58,6 +58,17 @@
 const LEAST_SLOWNESS = 0.5;
 const MOST_SLOWNESS = 3;
 
+/** Parts at the start of a prompt that other prompts probably share. */
+const SHARED_PARTS = 2;
+
+/**
+ * Most time that the preference of a prompt's prefix for some engines adds to the others: a small part of a prompt's
+ * time, but more than the differences between idle engines.
+ */
+const PREFERENCE_MS = 30;
+
+const HASH_RANGE = 2 ** 32;
+
 /** Medians over the upstreams of a service. */
 interface TypicalUpstream {
     readonly slowness: number;
@@ -66,11 +77,7 @@
 }
 
 /** Creates an empty table. */
-export const createUpstreamTable = (
-    clock: Clock,
-    serviceOf: (service: ServiceName) => ServiceSpec | undefined,
-    onPlaced: (placement: UpstreamPlacement) => void = () => undefined,
-): UpstreamTable => {
+export const createUpstreamTable = ({ clock, hasher, serviceOf, onPlaced }: UpstreamTableOptions): UpstreamTable => {
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = createPeerLoadTable(clock);
     const score = createUpstreamScore(clock);
@@ -157,6 +164,15 @@
             : Math.max(0, request.promptTokens - prefixes.cachedTokens(record, request.promptParts, cacheTokens));
     };
 
+    /**
+     * Cost of an engine that is not the one that the prefix prefers. All hosts compute the same without talking, so that
+     * prompts spread over idle engines, and those with the same prefix meet at one of them.
+     */
+    const preferenceMs = ({ upstreamId }: UpstreamRecord, { promptParts }: PlacementRequest): number => {
+        const prefix = promptParts.slice(0, SHARED_PARTS).map(({ partId }) => partId).join(" ");
+        return hasher.hash32(`${upstreamId} ${prefix}`) / HASH_RANGE * PREFERENCE_MS;
+    };
+
     const toCandidate = (
         state: UpstreamState,
         request: PlacementRequest,
@@ -172,6 +188,7 @@
             running: peers.loadsOf(record.upstreamId).reduce((sum, load) => sum + load.running, state.running),
             backlogMs: backlogOf(state, typical).allTokens / rate,
             promptMs: isEngine ? uncachedTokens(state, request) / rate : state.answerMs ?? typical.answerMs,
+            preferenceMs: isEngine ? preferenceMs(record, request) : 0,
             hiddenMs: score.hiddenMs(state),
             overheadMs: isEngine ? modelOf(record.service).overheadMs() : 0,
             roundTripMs: state.roundTripMs ?? typical.roundTripMs,
--- /dev/null
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -0,0 +1,12 @@
+import type { Clock, Hasher, ServiceName } from "@ibislanding/core";
+import type { ServiceSpec } from "../configuration/serviceSpec";
+import type { UpstreamPlacement } from "./upstreamPlacement";
+
+/** What a table of upstreams reads and tells. */
+export interface UpstreamTableOptions {
+    readonly clock: Clock;
+    readonly hasher: Hasher;
+    readonly serviceOf: (service: ServiceName) => ServiceSpec | undefined;
+    /** Called with each request that is placed. */
+    readonly onPlaced: (placement: UpstreamPlacement) => void;
+}
