perf(edge): a restarted host listens sooner

Ruled out: a listener that holds connections in a launcher: connections that are not read are given up too. Change: the program is run through V8's code cache, which the build writes; callers' listener opens before the peers'.

--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -110,6 +110,16 @@
         stopAcceptMs: STOP_ACCEPT_MS,
     }));
 
+    // Callers that find no listener give up sooner than those that wait until this host is informed.
+    const listeners = resources.use(
+        await startHostListeners(
+            settings.listen,
+            gateway.handle,
+            () => !isStopping && isInformed(),
+            () => knowledge.configuration()?.source.limits.idleTimeoutMs,
+        ),
+    );
+
     const parts: HostParts = { knowledge, upstreams, accounts, usage, work, time };
     const createReport = createReportSource(parts, settings, clock);
 
@@ -176,14 +186,6 @@
         await Promise.all(background);
     });
 
-    const listeners = resources.use(
-        await startHostListeners(
-            settings.listen,
-            gateway.handle,
-            () => !isStopping && isInformed(),
-            () => knowledge.configuration()?.source.limits.idleTimeoutMs,
-        ),
-    );
     log.write("started", { hostId: settings.hostId, callers: settings.listen.callers });
 
     const stop = async (): Promise<void> => {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,8 @@
 // Bundles each program into one file: `build.mjs [directory] [program...]`, all programs under dist/ by default.
 import { build } from "esbuild";
+import { spawnSync } from "node:child_process";
 import { existsSync } from "node:fs";
+import { join } from "node:path";
 
 const PROGRAMS = {
     "ibis-entry": "packages/entry/src/program.ts",
@@ -12,13 +14,23 @@
     "ibis-bench": "packages/bench/src/program.ts",
     "ibis-capacity": "packages/capacity/src/program.ts",
     "ibis-proofs": "packages/proofs/src/program.ts",
-    "ibis-edge": "platform/src/program.ts",
+    "ibis-edge": "platform/src/launch.ts",
+    "ibis-edge.main": "platform/src/program.ts",
 };
 
+/** Flags with which launched programs run (`deploy/system.toml`); V8 rejects a cache that was made with others. */
+const NODE_FLAGS = ["--max-old-space-size=160"];
+
+/** Programs that are started through a launcher with a code cache; the cache is written by the launcher. */
+const LAUNCHERS = { "ibis-edge": "ibis-edge.main" };
+
 const [outdir = "dist", ...names] = process.argv.slice(2);
 
 const entryPoints = Object.fromEntries(
-    Object.entries(PROGRAMS).filter(([name, path]) => existsSync(path) && (names.length === 0 || names.includes(name))),
+    Object.entries(PROGRAMS).filter(([name, path]) =>
+        existsSync(path)
+        && (names.length === 0 || names.includes(name) || names.some(launcher => LAUNCHERS[launcher] === name))
+    ),
 );
 
 await build({
@@ -33,3 +45,11 @@
     sourcemap: true,
     logLevel: "warning",
 });
+
+Object.keys(entryPoints).filter(name => name in LAUNCHERS).forEach(name => {
+    const { status } = spawnSync(process.execPath, [...NODE_FLAGS, join(outdir, `${name}.js`), "--write-code-cache"]);
+    if (status !== 0) {
+        console.error(`The code cache of ${name} was not written.`);
+        process.exitCode = 1;
+    }
+});
