--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -62,6 +62,7 @@
         clock,
         random: createRandom(1),
         watchWaitMs: () => 2_000,
+        gatherMs: () => 0,
         onChange: ({ revision }, source) => void seen.push({ revision, source }),
         onContact: inContact => void contact.push(inContact),
     });
--- a/packages/discovery/__tests__/reportExchange.spec.ts
+++ b/packages/discovery/__tests__/reportExchange.spec.ts
@@ -2,6 +2,7 @@
 import type { LoadNotice } from "@ibislanding/protocol";
 import assert from "node:assert/strict";
 import { createReportExchange, type DocumentSet } from "../src";
+import { decodeReports } from "../src/reports/decodeReports";
 
 interface TestReport {
     readonly hostId: HostId;
@@ -14,6 +15,7 @@
     let documents = initial;
     const notices: LoadNotice[] = [];
     const exchange = (await createReportExchange<TestReport>({
+        hostId: name as HostId,
         address: "127.0.0.1:0",
         clock: createSystemClock(),
         random: createRandom(sequence + name.length),
@@ -66,3 +68,16 @@
     expect([first.notices, second.notices]).toEqual([[notice], [notice]]);
     await Promise.all([sender, first, second].map(({ exchange }) => exchange[Symbol.asyncDispose]()));
 });
+
+test("in a large group each host hears of all others within a few rounds", async () => {
+    const hosts = await Promise.all(Array.from({ length: 20 }, (_, index) => startHost(`host-${index}`, undefined)));
+    const addresses = hosts.map(({ exchange }) => exchange.address);
+    hosts.forEach(({ exchange }, index) => exchange.setPeers(addresses.filter((_, other) => other !== index)));
+    await until(() => hosts.every(({ exchange }) => exchange.reports().size === hosts.length - 1));
+    expect(hosts.map(({ exchange }) => exchange.reports().size)).toEqual(hosts.map(() => hosts.length - 1));
+    await Promise.all(hosts.map(({ exchange }) => exchange[Symbol.asyncDispose]()));
+});
+
+test.each([Buffer.from("nothing"), Buffer.alloc(0)])("a message that holds no reports is refused", bytes => {
+    expect(decodeReports(bytes)).toBeUndefined();
+});
--- a/packages/discovery/src/documents/createDocumentFollower.ts
+++ b/packages/discovery/src/documents/createDocumentFollower.ts
@@ -39,7 +39,7 @@
         }
     };
 
-    const load = async (): Promise<Result<void, Failure>> => {
+    const load = async (): Promise<Result<boolean, Failure>> => {
         const result = await history.snapshot(prefix, {
             cause: "discovery",
             timeoutMs: SNAPSHOT_TIMEOUT_MS,
@@ -48,10 +48,12 @@
         return result.map(snapshot => {
             needsSnapshot = false;
             update(replaceDocuments(current, snapshot), "store");
+            return false;
         });
     };
 
-    const watch = async (known: DocumentSet): Promise<Result<void, Failure>> => {
+    /** Returns whether anything changed. */
+    const watch = async (known: DocumentSet): Promise<Result<boolean, Failure>> => {
         const waitMs = options.watchWaitMs();
         const result = await history.changesAfter(prefix, known.revision, waitMs, {
             cause: "discovery",
@@ -63,6 +65,7 @@
             if (changes.changes.length > 0 || changes.revision > latest.revision) {
                 update(applyChanges(latest, changes), "store");
             }
+            return changes.changes.length > 0;
         });
     };
 
@@ -71,6 +74,9 @@
         if (result.ok) {
             failures = 0;
             setContact(true, "answered");
+            if (result.val) {
+                await clock.sleep(options.gatherMs(), stop.signal);
+            }
             return;
         }
         needsSnapshot = needsSnapshot || result.val.code === ErrorCode.HistoryLost;
--- a/packages/discovery/src/documents/documentFollowerOptions.ts
+++ b/packages/discovery/src/documents/documentFollowerOptions.ts
@@ -10,6 +10,8 @@
     readonly random: RandomSource;
     /** Longest wait of one watch call; bounds the time for which a connection that fell silent goes unnoticed. */
     readonly watchWaitMs: () => number;
+    /** Time after a change in which further ones are gathered before the next call. */
+    readonly gatherMs: () => number;
     /** Called with each newer set; `source` says who delivered it. */
     readonly onChange: (set: DocumentSet, source: "store" | "peer") => void;
     /** Called when the store stops or starts answering. */
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -13,6 +13,9 @@
 } from "@ibislanding/protocol";
 import { Err, Ok, type Result } from "ts-results";
 import type { DocumentSet } from "../documents/documentSet";
+import type { CarriedReport } from "./carriedReport";
+import { decodeReports } from "./decodeReports";
+import { encodeReports } from "./encodeReports";
 import type { PeerReport } from "./peerReport";
 import type { ReportExchange } from "./reportExchange";
 import type { ReportExchangeOptions } from "./reportExchangeOptions";
@@ -31,6 +34,25 @@
 /** An unreachable peer is called at this interval until it answers. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
+/** Number of peers up to which each hears each other often enough without reports being passed on. */
+const DIRECT_PEERS = 12;
+
+/** Rounds of a large group are longer, as their messages carry several reports. */
+const LARGE_GROUP_FACTOR = 2;
+
+/** Reports of others in a message, how often each is passed on, and the age up to which that is of use. */
+const RELAYED_REPORTS = 8;
+const MOST_RELAYS = 4;
+const RELAYED_AGE_MS = 4_000;
+
+/** A process that was not heard of for this long has ended. */
+const FORGET_MS = 60_000;
+
+interface HeardReport<Report> extends PeerReport<Report> {
+    readonly text: string;
+    relays: number;
+}
+
 const toDocumentSet = ({ revision, documents }: DocumentsResponse): DocumentSet => ({
     revision,
     entries: new Map(documents.map(document => [document.key, document])),
@@ -42,24 +64,58 @@
 ): Promise<Result<ReportExchange<Report>, Failure>> => {
     const { clock, random } = options;
     const stop = new AbortController();
-    const reports = new Map<HostId, PeerReport<Report>>();
+    const reports = new Map<HostId, HeardReport<Report>>();
     const unreachableSinceMs = new Map<string, number>();
     const fetching = new Set<string>();
     let peers: readonly string[] = [];
 
-    const receive = (text: string): Report | undefined => {
+    const isLargeGroup = (): boolean => peers.length > DIRECT_PEERS;
+
+    const roundMs = (): number => options.intervalMs * (isLargeGroup() ? LARGE_GROUP_FACTOR : 1);
+
+    const receiveOne = ({ text, ageMs }: CarriedReport): Report | undefined => {
         const report = options.decodeReport(text);
-        if (report === undefined) {
+        if (report === undefined || report.hostId === options.hostId) {
             return undefined;
         }
         const known = reports.get(report.hostId);
         if (known === undefined || report.sequence > known.report.sequence) {
-            reports.set(report.hostId, { hostId: report.hostId, report, heardAtMs: clock.monotonicMs() });
-            options.onReport(report);
+            const heardAtMs = clock.monotonicMs() - ageMs;
+            reports.set(report.hostId, { hostId: report.hostId, report, heardAtMs, text, relays: 0 });
+            options.onReport(report, ageMs);
         }
         return report;
     };
 
+    /** Takes the reports of a message; returns that of its sender, which is the first. */
+    const receive = (bytes: Uint8Array): Report | undefined => {
+        const carried = decodeReports(bytes);
+        return carried?.map(receiveOne)[0];
+    };
+
+    /** Reports of others that few hosts have got from this one, newest first. */
+    const takeRelayed = (): readonly CarriedReport[] => {
+        if (!isLargeGroup()) {
+            return [];
+        }
+        const nowMs = clock.monotonicMs();
+        const chosen = [...reports.values()]
+            .filter(({ heardAtMs, relays }) => relays < MOST_RELAYS && nowMs - heardAtMs < RELAYED_AGE_MS)
+            .sort((left, right) => left.relays - right.relays || right.heardAtMs - left.heardAtMs)
+            .slice(0, RELAYED_REPORTS);
+        return chosen.map(report => {
+            report.relays++;
+            return { text: report.text, ageMs: Math.round(nowMs - report.heardAtMs) };
+        });
+    };
+
+    const forgetOld = (): void => {
+        const oldestMs = clock.monotonicMs() - FORGET_MS;
+        [...reports.values()].filter(({ heardAtMs }) => heardAtMs < oldestMs).forEach(({ hostId }) =>
+            reports.delete(hostId)
+        );
+    };
+
     const setReachable = (address: string, reachable: boolean, reason: string): void => {
         if (reachable === unreachableSinceMs.has(address)) {
             options.onPeer(address, reachable, reason);
@@ -72,12 +128,12 @@
         }
     };
 
-    const ownReport = (): string => JSON.stringify(options.createReport());
+    const createMessage = (): ReportMessage => ({
+        reports: encodeReports([{ text: JSON.stringify(options.createReport()), ageMs: 0 }, ...takeRelayed()]),
+    });
 
     const exchange = (request: ReportMessage): Result<ReportMessage, Failure> =>
-        receive(request.report) === undefined
-            ? Err(createFailure(ErrorCode.BadRequest))
-            : Ok({ report: ownReport() });
+        receive(request.reports) === undefined ? Err(createFailure(ErrorCode.BadRequest)) : Ok(createMessage());
 
     const receiveNotice = (notice: LoadNotice): Result<LoadNoticeResponse, Failure> => {
         options.onNotice(notice);
@@ -143,14 +199,14 @@
         const result = await clients.call(
             peer,
             ReportServiceService.exchange,
-            { report: ownReport() },
+            createMessage(),
             CALL_TIMEOUT_MS,
         );
         if (stop.signal.aborted) {
             return;
         }
         setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
-        const report = result.ok ? receive(result.val.report) : undefined;
+        const report = result.ok ? receive(result.val.reports) : undefined;
         if (report !== undefined) {
             fetchStale(peer, report);
         }
@@ -171,7 +227,8 @@
         while (!stop.signal.aborted) {
             choosePeers(options.fanout).forEach(address => void callPeer(address));
             // Rounds of different hosts must not fall together after they started together.
-            await clock.sleep(options.intervalMs * (0.75 + random.nextUnit() / 2), stop.signal);
+            forgetOld();
+            await clock.sleep(roundMs() * (0.75 + random.nextUnit() / 2), stop.signal);
         }
     };
     const running = run();
@@ -186,6 +243,10 @@
                 // A failure needs no answer here: the rounds watch which peers can be reached.
                 void clients.call(address as PeerAddress, ReportServiceService.notify, notice, CALL_TIMEOUT_MS)
             ),
+        typicalAgeMs: () =>
+            isLargeGroup()
+                ? roundMs() * Math.log2(peers.length)
+                : roundMs() * peers.length / Math.max(1, 2 * options.fanout),
         reports: () => reports,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
--- /dev/null
+++ b/packages/discovery/src/reports/decodeReports.ts
@@ -0,0 +1,21 @@
+import { inflateRawSync } from "node:zlib";
+import type { CarriedReport } from "./carriedReport";
+
+/** Larger than the reports of any message. */
+const MAXIMUM_BYTES = 4_194_304;
+
+const isReport = (value: unknown): value is CarriedReport => {
+    const report = value as Partial<CarriedReport> | null;
+    return typeof report?.text === "string" && typeof report.ageMs === "number" && report.ageMs >= 0;
+};
+
+/** Decodes the reports of a message; undefined when it is malformed. */
+export const decodeReports = (bytes: Uint8Array): readonly CarriedReport[] | undefined => {
+    try {
+        const reports: unknown = JSON.parse(inflateRawSync(bytes, { maxOutputLength: MAXIMUM_BYTES }).toString());
+        return Array.isArray(reports) && reports.every(isReport) ? reports : undefined;
+    }
+    catch {
+        return undefined;
+    }
+};
--- a/packages/discovery/src/reports/peerReport.ts
+++ b/packages/discovery/src/reports/peerReport.ts
@@ -4,6 +4,6 @@
 export interface PeerReport<Report> {
     readonly hostId: HostId;
     readonly report: Report;
-    /** Monotonic time at which it arrived. */
+    /** Monotonic time at which its host made it. */
     readonly heardAtMs: number;
 }
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -4,9 +4,13 @@
 import { toWindowCounts } from "./toWindowCounts";
 
 /** Takes what another host reported into this host's view. */
-export const applyHostReport = ({ upstreams, accounts, usage, time }: HostParts, report: HostReport): void => {
+export const applyHostReport = (
+    { upstreams, accounts, usage, time }: HostParts,
+    report: HostReport,
+    ageMs: number,
+): void => {
     const { hostId, hostName } = report;
-    time.observePeer(hostId, report.wallMs);
+    time.observePeer(hostId, report.wallMs + ageMs);
     upstreams.observePeer(
         hostName,
         new Map(report.loads.map(([id, running, backlogTokens]) => [id as UpstreamId, { running, backlogTokens }])),
--- a/packages/edge/src/createKnowledge.ts
+++ b/packages/edge/src/createKnowledge.ts
@@ -17,6 +17,15 @@
 const LEAST_WATCH_MS = 2_000;
 const MOST_WATCH_MS = 20_000;
 
+/** Each change is read by all hosts: the more there are, the longer changes are gathered. */
+const GATHER_MS_PER_HOST = 10;
+
+/** A fifth of the shortest time in which a change of the configuration must be in force. */
+const MOST_GATHER_MS = 500;
+
+/** New hosts call the others themselves. */
+const HOSTS_GATHER_MS = 2_000;
+
 /** Follows the documents of the store and keeps the newest valid state of each. */
 export const createKnowledge = (
     options: EdgeOptions,
@@ -89,17 +98,21 @@
     const sharedWatchMs = (): number =>
         Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, hostCount() * WATCH_END_INTERVAL_MS));
 
+    const sharedGatherMs = (): number => Math.min(MOST_GATHER_MS, hostCount() * GATHER_MS_PER_HOST);
+
     const follow = (
         name: string,
         prefix: string,
         onChange: (set: DocumentSet, source: string) => void,
         watchWaitMs = sharedWatchMs,
+        gatherMs = sharedGatherMs,
     ) => createDocumentFollower({
         history,
         prefix,
         clock,
         random,
         watchWaitMs,
+        gatherMs,
         onChange,
         onContact: (inContact, reason) => log.write(inContact ? "store_regained" : "store_lost", { set: name, reason }),
     });
@@ -117,6 +130,7 @@
             `${documents.ownPrefix}hosts/`,
             setHosts,
             () => MOST_WATCH_MS,
+            () => HOSTS_GATHER_MS,
         ),
     };
 
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -30,8 +30,12 @@
 /** Peers called in a round; each pair of a small group then exchanges reports a few times a second. */
 const REPORT_FANOUT = 2;
 
-/** A peer that reported within this time counts as live. */
-const PEER_LIVE_MS = 2_000;
+/** A peer counts as silent when nothing was heard of it for this many times the time that news takes, at least. */
+const SILENCE_FACTOR = 3;
+const LEAST_SILENCE_MS = 1_500;
+
+/** A peer that reported within this time counts as live, unless news takes longer. */
+const LEAST_LIVE_MS = 2_000;
 
 /** Hosts that contend for the duties. */
 const CONTENDERS = 4;
@@ -57,13 +61,15 @@
     const hasher = await createHasher();
     const time = createTrueTime(clock);
     const usage = createUsageCounts(settings.usage.windowMs, time.nowMs);
+    const peers: { exchange?: ReportExchange<HostReport>; } = {};
+    const silenceMs = (): number => Math.max(LEAST_SILENCE_MS, SILENCE_FACTOR * (peers.exchange?.typicalAgeMs() ?? 0));
     const accounts = createAccountMeter(clock, {
+        peerSilenceMs: silenceMs,
         windowMs: settings.accountLimits.windowMs,
         toleratedUnits: settings.accountLimits.slackUnits * ACCOUNT_SLACK_SHARE,
     });
     const work = createWorkMeter(clock);
     const stopped = new AbortController();
-    const peers: { exchange?: ReportExchange<HostReport>; } = {};
     const addresses = new Set(settings.seedAddresses);
     let isStopping = false;
 
@@ -85,6 +91,7 @@
     const upstreams = createUpstreamTable({
         clock,
         hasher,
+        peerSilenceMs: silenceMs,
         serviceOf: service => knowledge.configuration()?.servicesByName.get(service),
         onPlaced: ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
             work.add(service, workMs);
@@ -125,9 +132,10 @@
 
     const liveReports = (): readonly { readonly report: HostReport; readonly heardAtMs: number; }[] =>
         [...peers.exchange?.reports().values() ?? []]
-            .filter(({ heardAtMs }) => clock.monotonicMs() - heardAtMs < PEER_LIVE_MS);
+            .filter(({ heardAtMs }) => clock.monotonicMs() - heardAtMs < Math.max(LEAST_LIVE_MS, silenceMs()));
 
     const exchange = await createReportExchange<HostReport>({
+        hostId: settings.hostId,
         address: settings.listen.peers,
         clock,
         random,
@@ -135,7 +143,7 @@
         fanout: REPORT_FANOUT,
         createReport,
         decodeReport: decodeHostReport,
-        onReport: report => applyHostReport(parts, report),
+        onReport: (report, ageMs) => applyHostReport(parts, report, ageMs),
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
         documents: knowledge.documents,
--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -47,6 +47,7 @@
             createUpstreamTable({
                 clock,
                 hasher,
+                peerSilenceMs: () => 1_500,
                 serviceOf: () => spec,
                 onPlaced: ({ upstreamId, load, partIds }) => {
                     if (notifies) {
--- a/packages/gateway/__tests__/limits.spec.ts
+++ b/packages/gateway/__tests__/limits.spec.ts
@@ -50,7 +50,15 @@
 ): readonly (readonly [HostId, AccountMeter])[] =>
     Array.from(
         { length: count },
-        (_, index) => [`host-${index}` as HostId, createAccountMeter(clock, { windowMs, toleratedUnits })] as const,
+        (_, index) =>
+            [
+                `host-${index}` as HostId,
+                createAccountMeter(clock, {
+                    windowMs,
+                    toleratedUnits,
+                    peerSilenceMs: () => 1_500,
+                }),
+            ] as const,
     );
 
 test("hosts that exchange reports admit together what the account may take, and little more", async () => {
@@ -121,13 +129,13 @@
 
 test("a host starts with an empty bucket and nothing spare, as others may have used it up", () => {
     const clock = createFakeClock();
-    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0 });
+    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerSilenceMs: () => 1_500 });
     expect(meter.admit(account, 500)).toMatchObject({ kind: "over" });
 });
 
 test("units that reached no upstream are given back", async () => {
     const clock = createFakeClock();
-    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0 });
+    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerSilenceMs: () => 1_500 });
     await clock.advance(1_000);
     const admission = meter.admit(account, 10_000);
     expect(admission.kind).toBe("entitled");
@@ -154,7 +162,7 @@
     await clock.advance(2_000);
     exchange(meters);
     await offer(clock, meters, 2_000, windowMs * 2, true);
-    const restarted = createAccountMeter(clock, { windowMs, toleratedUnits: 0 });
+    const restarted = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerSilenceMs: () => 1_500 });
     const all = [["restarted" as HostId, restarted], ...meters.slice(1)] as const;
     exchange(all);
     await clock.advance(300);
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -45,7 +45,13 @@
 
 const createTable = (records: readonly UpstreamRecord[]) => {
     const clock = createFakeClock();
-    const table = createUpstreamTable({ clock, hasher, serviceOf: () => spec, onPlaced: () => undefined });
+    const table = createUpstreamTable({
+        clock,
+        hasher,
+        peerSilenceMs: () => 1_500,
+        serviceOf: () => spec,
+        onPlaced: () => undefined,
+    });
     table.replace(records);
     const place = (request: PlacementRequest) => chooseUpstream(table.candidates(service, request), request);
     return { clock, table, place };
@@ -185,7 +191,13 @@
 test("connections of this host to an upstream stay within its part of the upstream's limit", () => {
     const plain: ServiceSpec = { ...spec, maximumConnections: 20, engine: undefined };
     const clock = createFakeClock();
-    const table = createUpstreamTable({ clock, hasher, serviceOf: () => plain, onPlaced: () => undefined });
+    const table = createUpstreamTable({
+        clock,
+        hasher,
+        peerSilenceMs: () => 1_500,
+        serviceOf: () => plain,
+        onPlaced: () => undefined,
+    });
     table.replace([engine("a")]);
     table.observePeer("peer", new Map());
     Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -74,6 +74,7 @@
     const upstreams = createUpstreamTable({
         clock,
         hasher: await createHasher(),
+        peerSilenceMs: () => 1_500,
         serviceOf: name => configuration.servicesByName.get(name),
         onPlaced: () => undefined,
     });
@@ -86,7 +87,7 @@
         configuration: () => state.isInformed ? configuration : undefined,
         isInformed: () => state.isInformed,
         upstreams,
-        accounts: createAccountMeter(clock, { windowMs: 8_000, toleratedUnits: 0 }),
+        accounts: createAccountMeter(clock, { windowMs: 8_000, toleratedUnits: 0, peerSilenceMs: () => 1_500 }),
         retries: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
         events: {
             onBegan: accountId => void began.push(accountId),
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -28,9 +28,6 @@
     isInformed: boolean;
 }
 
-/** A peer that has not reported for this long may be on the other side of a split. */
-const PEER_SILENCE_MS = 1_500;
-
 /** A silent peer counts as gone after this time. */
 const PEER_FORGOTTEN_MS = 20_000;
 
@@ -52,7 +49,7 @@
  * the level of a peer that does, and starts with the tolerated units where all hosts restarted at once.
  */
 export const createAccountMeter = (clock: Clock, options: AccountMeterOptions): AccountMeter => {
-    const { windowMs, toleratedUnits } = options;
+    const { windowMs, toleratedUnits, peerSilenceMs } = options;
     const accounts = new Map<AccountId, AccountState>();
     const peerHeardAtMs = new Map<string, number>();
     const startedAtMs = clock.monotonicMs();
@@ -76,7 +73,7 @@
     const ownShare = (nowMs: number): number => {
         const ages = [...peerHeardAtMs.values()].map(heardAtMs => nowMs - heardAtMs);
         const known = ages.filter(ageMs => ageMs < PEER_FORGOTTEN_MS).length;
-        const heard = ages.filter(ageMs => ageMs < PEER_SILENCE_MS).length;
+        const heard = ages.filter(ageMs => ageMs < peerSilenceMs()).length;
         return (heard + 1) / (known + 1);
     };
 
@@ -89,7 +86,7 @@
     /** Units that peers have probably taken since their last reports. */
     const unreported = (state: AccountState, nowMs: number): number =>
         [...state.peers.values()].reduce(
-            (sum, peer) => sum + peer.ratePerMs * Math.min(PEER_SILENCE_MS, nowMs - peer.heardAtMs),
+            (sum, peer) => sum + peer.ratePerMs * Math.min(peerSilenceMs(), nowMs - peer.heardAtMs),
             0,
         );
 
--- a/packages/gateway/src/upstreams/createPeerLoadTable.ts
+++ b/packages/gateway/src/upstreams/createPeerLoadTable.ts
@@ -11,14 +11,11 @@
     heardAtMs: number;
 }
 
-/** Loads of a peer that fell silent are ignored after this time. */
-const PEER_LOAD_LIFETIME_MS = 1_500;
-
 /** A silent peer still counts in the division of shared limits for this time. */
 const PEER_LIFETIME_MS = 10_000;
 
-/** Creates an empty table. */
-export const createPeerLoadTable = (clock: Clock): PeerLoadTable => {
+/** Creates an empty table; loads of a peer that has been silent for longer than the given time are ignored. */
+export const createPeerLoadTable = (clock: Clock, peerSilenceMs: () => number): PeerLoadTable => {
     const peers = new Map<string, PeerLoads>();
 
     const heardWithin = (lifetimeMs: number): readonly PeerLoads[] =>
@@ -37,7 +34,7 @@
             peer.loads.set(upstreamId, { ...load, heardAtMs });
             peers.set(hostName, peer);
         },
-        loadsOf: upstreamId => heardWithin(PEER_LOAD_LIFETIME_MS).flatMap(({ loads }) => loads.get(upstreamId) ?? []),
+        loadsOf: upstreamId => heardWithin(peerSilenceMs()).flatMap(({ loads }) => loads.get(upstreamId) ?? []),
         hostCount: () => heardWithin(PEER_LIFETIME_MS).length + 1,
     };
 };
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -77,9 +77,10 @@
 }
 
 /** Creates an empty table. */
-export const createUpstreamTable = ({ clock, hasher, serviceOf, onPlaced }: UpstreamTableOptions): UpstreamTable => {
+export const createUpstreamTable = (options: UpstreamTableOptions): UpstreamTable => {
+    const { clock, hasher, serviceOf, onPlaced, peerSilenceMs } = options;
     const upstreams = new Map<UpstreamId, UpstreamState>();
-    const peers = createPeerLoadTable(clock);
+    const peers = createPeerLoadTable(clock, peerSilenceMs);
     const score = createUpstreamScore(clock);
     const models = new Map<ServiceName, PromptModel>();
     const prefixes = createPrefixDirectory(clock);
--- a/packages/gateway/src/upstreams/upstreamTableOptions.ts
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -7,6 +7,8 @@
     readonly clock: Clock;
     readonly hasher: Hasher;
     readonly serviceOf: (service: ServiceName) => ServiceSpec | undefined;
+    /** Time without a report after which a peer's loads are ignored. */
+    readonly peerSilenceMs: () => number;
     /** Called with each request that is placed. */
     readonly onPlaced: (placement: UpstreamPlacement) => void;
 }
