feat(gateway): a prompt goes to the cheapest engine that is safely in time

Change: the least cost counts among engines predicted within 0.7 of the objective; where there is none, the soonest is chosen. Case in placement.spec.ts fails without it.

--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -246,3 +246,15 @@
     const agreed = new Set(hosts.map(({ place }) => upstreamOf(place(prompt("subject-0")))));
     expect(agreed.size).toBe(1);
 });
+
+test("a prompt leaves the engine that has its prefix when it would only just be in time there", () => {
+    const { table, place } = createTable([engine("a"), engine("b")]);
+    table.observePlacement("peer", "a" as UpstreamId, { running: 3, backlogTokens: 0 }, ["system", "s"]);
+    const tokensPerMs = table.tokensPerMs(service);
+    const backlogTokens = Math.round(tokensPerMs * 580);
+    const request = prompt("s", { promptTokens: Math.round(tokensPerMs * 500) });
+    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens }]]));
+    expect(upstreamOf(place(request))).toBe("b");
+    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens: backlogTokens / 3 }]]));
+    expect(upstreamOf(place(request))).toBe("a");
+});
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -9,6 +9,9 @@
 /** A first event this much later than the objective is worth little, and the work delays those still in time. */
 const LATEST_OBJECTIVE_FACTOR = 1.5;
 
+/** Part of the objective up to which a prediction is safe: answers come later than predicted by up to a third. */
+const SAFE_OBJECTIVE_SHARE = 0.7;
+
 /** A request of an account above its rate runs where it leaves others time to meet their objectives. */
 const SPARE_OBJECTIVE_FACTOR = 0.5;
 
@@ -27,6 +30,8 @@
 const hasRoom = ({ running, record, isConnectionLimited }: PlacementCandidate): boolean =>
     !isConnectionLimited && running < record.slots * SATURATION_FACTOR;
 
+const vanishedMs = ({ hasVanished }: PlacementCandidate): number => hasVanished ? VANISHED_PENALTY_MS : 0;
+
 /**
  * Time to the first event, plus what the choice costs others: prompt work that a cached prefix would have saved, and
  * bytes over long links, for which the round trip stands.
@@ -36,19 +41,28 @@
     + candidate.roundTripMs
     + candidate.preferenceMs
     + (candidate.isEngine ? candidate.promptMs : 0)
-    + (candidate.hasVanished ? VANISHED_PENALTY_MS : 0);
+    + vanishedMs(candidate);
 
-const cheapest = (candidates: readonly PlacementCandidate[]): PlacementCandidate | undefined =>
+const leastBy = (
+    candidates: readonly PlacementCandidate[],
+    measureMs: (candidate: PlacementCandidate) => number,
+): PlacementCandidate | undefined =>
     candidates.reduce<PlacementCandidate | undefined>(
-        (best, candidate) => best === undefined || costMs(candidate) < costMs(best) ? candidate : best,
+        (best, candidate) => best === undefined || measureMs(candidate) < measureMs(best) ? candidate : best,
         undefined,
     );
 
+/** The cheapest upstream among those that are safely in time; the soonest where none is. */
+const choose = (candidates: readonly PlacementCandidate[], objectiveMs: number): PlacementCandidate | undefined => {
+    const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_SHARE);
+    return leastBy(safe, costMs) ?? leastBy(candidates, candidate => predictMs(candidate) + vanishedMs(candidate));
+};
+
 /**
  * Chooses the upstream of a request, or refuses it when no upstream is predicted to answer in time.
  *
  * Answers a load in which prompts arrive faster than the engines process them: a prompt goes where its prefix is
- * cached until the backlog there costs more than processing the prefix again, and a request whose first event would
+ * cached until the backlog there costs more than processing the prefix again or endangers its objective, and a request whose first event would
  * come too late for the rest of its answer is refused at its arrival instead of waiting.
  */
 export const chooseUpstream = (
@@ -61,7 +75,7 @@
     if (considered.length === 0) {
         return { kind: "refuse", reason: "no-upstream", retryAfterMs: NO_UPSTREAM_RETRY_MS };
     }
-    const chosen = cheapest(considered.filter(hasRoom));
+    const chosen = choose(considered.filter(hasRoom), request.objectiveMs);
     const latestMs = Math.min(
         request.remainingMs * LATEST_FIRST_EVENT_SHARE,
         request.objectiveMs * (request.isSpare ? SPARE_OBJECTIVE_FACTOR : LATEST_OBJECTIVE_FACTOR),
