fix(edge): a fleet found after a restart keeps its on-demand upstreams

Change: the average is taken as what the on-demand upstreams that are found carry. Case in meters.spec.ts fails without it.

--- a/packages/edge/__tests__/meters.spec.ts
+++ b/packages/edge/__tests__/meters.spec.ts
@@ -19,16 +19,23 @@
 test("a found fleet stands for its load until work is seen; a peak is held for a while", async () => {
     const clock = createFakeClock();
     const meter = createDemandMeter(clock);
-    const idle = meter.observe(service, 0, 6);
+    const idle = meter.observe(service, 0, { onDemand: 6, reclaimable: 0 });
     await clock.advance(60_000);
-    const later = meter.observe(service, 0, 6);
+    const later = meter.observe(service, 0, { onDemand: 6, reclaimable: 0 });
     expect([later.averageBusy, later.peakBusy]).toEqual([idle.averageBusy, idle.peakBusy]);
     expect(idle.averageBusy).toBeGreaterThan(1);
-    meter.observe(service, 4, 6);
+    meter.observe(service, 4, { onDemand: 6, reclaimable: 0 });
     await clock.advance(5_000);
-    expect(meter.observe(service, 1, 6)).toMatchObject({ peakBusy: 4, currentBusy: 1 });
+    expect(meter.observe(service, 1, { onDemand: 6, reclaimable: 0 })).toMatchObject({ peakBusy: 4, currentBusy: 1 });
     await clock.advance(6_000);
-    expect(meter.observe(service, 1, 6).peakBusy).toBe(1);
+    expect(meter.observe(service, 1, { onDemand: 6, reclaimable: 0 }).peakBusy).toBe(1);
+});
+
+test("a mixed fleet that is found after a restart is not taken for one whose average needs more on-demand upstreams", () => {
+    const meter = createDemandMeter(createFakeClock());
+    const { averageBusy, peakBusy } = meter.observe(service, 0.5, { onDemand: 2, reclaimable: 9 });
+    expect(averageBusy).toBeLessThanOrEqual(2);
+    expect(peakBusy).toBeGreaterThan(2);
 });
 
 test.each(["", "{", "[]", "{\"hostId\":\"a\"}", "{\"hostId\":\"a\",\"hostName\":\"a\",\"sequence\":\"1\"}"])(
--- a/packages/edge/src/createDemandMeter.ts
+++ b/packages/edge/src/createDemandMeter.ts
@@ -1,5 +1,6 @@
 import type { Clock, ServiceName } from "@ibislanding/core";
 import type { DemandMeter } from "./demandMeter";
+import type { RunningUpstreams } from "./runningUpstreams";
 
 interface Demand {
     averageBusy: number;
@@ -14,7 +15,7 @@
 /** A peak may come back sooner than engines boot again after they were given up. */
 const PEAK_HOLD_MS = 10_000;
 
-/** Work of an engine assumed of a fleet that is found running: it is taken as right until its load was seen. */
+/** Work of an engine assumed at the peak of a fleet that is found running: it is taken as right until its load was seen. */
 const FOUND_BUSY_SHARE = 0.28;
 
 /** Less work than this is no load yet. */
@@ -24,10 +25,12 @@
 export const createDemandMeter = (clock: Clock): DemandMeter => {
     const services = new Map<ServiceName, Demand>();
 
-    const found = (busyUpstreams: number, running: number): Demand => {
-        const busy = Math.max(busyUpstreams, running * FOUND_BUSY_SHARE);
+    /** The on-demand upstreams that are found are enough for the average. */
+    const found = (busyUpstreams: number, { onDemand, reclaimable }: RunningUpstreams): Demand => {
+        const peakBusy = Math.max(busyUpstreams, (onDemand + reclaimable) * FOUND_BUSY_SHARE);
+        const averageBusy = Math.max(busyUpstreams, Math.min(onDemand, peakBusy));
         const nowMs = clock.monotonicMs();
-        return { averageBusy: busy, averagedAtMs: nowMs, peakBusy: busy, peakAtMs: nowMs };
+        return { averageBusy, averagedAtMs: nowMs, peakBusy, peakAtMs: nowMs };
     };
 
     return {
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -71,7 +71,10 @@
                 });
             await scaler.step(name, {
                 zones,
-                ...demand.observe(name, options.busyUpstreams(name), records.length),
+                ...demand.observe(name, options.busyUpstreams(name), {
+                    onDemand: zones.reduce((sum, { onDemand }) => sum + onDemand, 0),
+                    reclaimable: zones.reduce((sum, { reclaimable }) => sum + reclaimable, 0),
+                }),
                 minimum: scaling.minimum,
                 maximum: scaling.maximum,
             }, fencingNumber);
--- a/packages/edge/src/demandMeter.ts
+++ b/packages/edge/src/demandMeter.ts
@@ -1,4 +1,5 @@
 import type { ServiceName } from "@ibislanding/core";
+import type { RunningUpstreams } from "./runningUpstreams";
 
 /** Engines that the work of a service keeps busy, on average and at the recent peak. */
 export interface DemandMeter {
@@ -6,6 +7,6 @@
     readonly observe: (
         service: ServiceName,
         busyUpstreams: number,
-        running: number,
+        running: RunningUpstreams,
     ) => { readonly averageBusy: number; readonly currentBusy: number; readonly peakBusy: number; };
 }
