fix(limits): a peer that ended is not taken to go on using an account

Cause: found by reading. Change: only peers that were heard of lately count; a silent one has its part of the rate. Case in limits.spec.ts fails without it.

--- a/packages/gateway/__tests__/limits.spec.ts
+++ b/packages/gateway/__tests__/limits.spec.ts
@@ -180,3 +180,18 @@
     exchange(meters);
     meters.slice(1).forEach(([, meter]) => expect(meter.admit(account, 4_000).kind).toBe("over"));
 });
+
+test("a peer that ended is not taken to go on using the account", async () => {
+    const clock = createFakeClock();
+    const meters = createMeters(clock, 2);
+    await clock.advance(windowMs + 2_000);
+    exchange(meters);
+    const [first, second] = meters;
+    for (const _ of Array.from({ length: 10 })) {
+        second?.[1].admit(account, 900);
+        await clock.advance(100);
+        exchange(meters);
+    }
+    await clock.advance(10_000);
+    expect(first?.[1].admit(account, 9_500).kind).toBe("entitled");
+});
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -83,12 +83,11 @@
         state.refilledAtMs = nowMs;
     };
 
-    /** Units that peers have probably taken since their last reports. */
+    /** Units that peers have probably taken since their last reports; a silent one has its part of the rate, or has ended. */
     const unreported = (state: AccountState, nowMs: number): number =>
-        [...state.peers.values()].reduce(
-            (sum, peer) => sum + peer.ratePerMs * Math.min(peerSilenceMs(), nowMs - peer.heardAtMs),
-            0,
-        );
+        [...state.peers.values()]
+            .filter(({ heardAtMs }) => nowMs - heardAtMs < peerSilenceMs())
+            .reduce((sum, { ratePerMs, heardAtMs }) => sum + ratePerMs * (nowMs - heardAtMs), 0);
 
     /** Units that are left in the window; those of the level until a whole window was seen. */
     const unitsLeft = (state: AccountState, account: ClientAccount, share: number, nowMs: number): number =>
