feat(ctl): ibisctl explain tells from the hosts' logs what became of a request

Cause: the way from a request's id to its cause was described for on-call engineers and done by hand over the logs of all hosts. Change: explain reads logs of hosts (files or standard input, with or without a collector's prefix), names the cause, counts the requests beside it, and prints its lines with those of its host, its upstreams and the fleet around it, as text or JSON. Conclusion: a time span alone is not followed yet, only a request's id.

--- /dev/null
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -0,0 +1,57 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { ExitCode } from "../src";
+import type { RequestStory } from "../src/explain/requestStory";
+import { runIbisctl } from "./runIbisctl";
+
+/** Lines of several hosts from a played day, as they were written. */
+const LOG = join(__dirname, "data", "day.log");
+
+const explain = async (requestId: string): Promise<RequestStory> => {
+    const { exitCode, stdout } = await runIbisctl(["explain", requestId, "-f", LOG, "--output", "json"]);
+    expect(exitCode).toBe(ExitCode.Ok);
+    return JSON.parse(stdout) as RequestStory;
+};
+
+test("a refused request: nothing was sent, and why", async () => {
+    const { cause } = await explain("d59998a54e27468f");
+    expect(cause).toBe("The account had used its rate; nothing was sent.");
+});
+
+test("a late request: the prediction was wrong, and what its host did not hear", async () => {
+    const { cause, lines, requestsBeside } = await explain("80339c44c59d0e4a");
+    expect(cause).toMatch(/work that the host did not know of/);
+    expect(requestsBeside).toBeGreaterThan(0);
+    expect(lines.some(({ event, host }) => event === "peer_lost" && host === "front-marmara-a-3")).toBe(true);
+});
+
+test("a request that was broken off: the upstream, and that it lapsed afterwards", async () => {
+    const { cause, lines } = await explain("bbfe31d228372415");
+    expect(cause).toBe("The upstream broke the answer off, and the route allows no further send.");
+    const events = lines.map(({ event }) => event);
+    expect(events).toContain("attempt_failed");
+    expect(events.lastIndexOf("upstream_removed")).toBeGreaterThan(events.indexOf("request_ended"));
+    expect(lines.map(({ atMs }) => atMs)).toEqual(lines.map(({ atMs }) => atMs).sort((left, right) => left - right));
+});
+
+test("the text names the cause first and marks the request's own lines", async () => {
+    const { stdout } = await runIbisctl(["explain", "bbfe31d228372415", "-f", LOG]);
+    expect(stdout.startsWith("bbfe31d228372415: The upstream broke the answer off")).toBe(true);
+    expect(stdout).toMatch(/\*\s+front-ege-a-1\s+request_ended/);
+});
+
+test("lines that are no log lines are passed over; a prefix of a collector is not", async () => {
+    const path = join(mkdtempSync(join(tmpdir(), "ibisctl-")), "hosts.log");
+    const line =
+        "{\"host\":\"a\",\"message\":\"request_ended\",\"timestamp\":\"2026-01-01T00:00:00Z\",\"requestId\":\"r\"}";
+    writeFileSync(path, `starting\n{"x":\nnode-7 stdout: ${line}\n{}\nnull {\n`);
+    const { stdout, exitCode } = await runIbisctl(["explain", "r", "-f", path, "--output", "json"]);
+    expect(exitCode).toBe(ExitCode.Ok);
+    expect((JSON.parse(stdout) as RequestStory).lines).toHaveLength(1);
+});
+
+test("an unknown request and an unreadable file are failures with their own exit codes", async () => {
+    expect((await runIbisctl(["explain", "none", "-f", LOG])).exitCode).toBe(ExitCode.NotFound);
+    expect((await runIbisctl(["explain", "none", "-f", join(LOG, "missing")])).exitCode).toBe(ExitCode.Invalid);
+});
--- a/packages/ctl/src/cli/commandClasses.ts
+++ b/packages/ctl/src/cli/commandClasses.ts
@@ -6,6 +6,7 @@
 import { DescribeCommand } from "../queries/describeCommand";
 import { DiffCommand } from "../queries/diffCommand";
 import { DumpCommand } from "../queries/dumpCommand";
+import { ExplainCommand } from "../queries/explainCommand";
 import { GetCommand } from "../queries/getCommand";
 import { StatusCommand } from "../queries/statusCommand";
 import { ValidateCommand } from "../queries/validateCommand";
@@ -23,5 +24,6 @@
     ValidateCommand,
     DumpCommand,
     AuditCommand,
+    ExplainCommand,
     CompletionCommand,
 ];
