refactor: one piece of code where the change had written it again

Left apart: the headers that entry and gateway drop and their readers of bodies differ in what they do; the flow into a cache is read at its last change and not at present, so it is no rate meter.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,7 @@
 
 // Time
 export type { Clock } from "./time/clock";
+export { createClockDrift } from "./time/createClockDrift";
 export { createFakeClock } from "./time/createFakeClock";
 export { createSystemClock } from "./time/createSystemClock";
 export type { FakeClock } from "./time/fakeClock";
@@ -38,6 +39,14 @@
 export { createSystemRandom } from "./random/createSystemRandom";
 export type { RandomSource } from "./random/randomSource";
 
+// Numbers
+export { createRateMeter } from "./numbers/createRateMeter";
+export { median } from "./numbers/median";
+export type { RateMeter } from "./numbers/rateMeter";
+
+// JSON
+export { parseJson } from "./json/parseJson";
+
 // Hashing
 export { createHasher } from "./hashing/createHasher";
 export type { Hasher } from "./hashing/hasher";
--- a/packages/ctl/src/client/parseReply.ts
+++ b/packages/ctl/src/client/parseReply.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import type { HttpReply } from "./httpReply";
 
@@ -6,15 +6,6 @@
 
 const knownCodes = new Set<unknown>(Object.values(ErrorCode));
 
-const parseJson = (text: string): unknown => {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-};
-
 const toFailure = (status: number, problem: Readonly<Record<string, unknown>>, body: string): Failure => {
     if (!knownCodes.has(problem.code)) {
         const message = `The server answered with status ${status}: ${body.slice(0, MAXIMUM_EXCERPT_LENGTH)}`;
--- a/packages/ctl/src/manifests/readManifests.ts
+++ b/packages/ctl/src/manifests/readManifests.ts
@@ -1,7 +1,8 @@
 import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
 import { parseManifestText, type ResourceManifest, type ValidationIssue } from "@ibislanding/resources";
-import { readFileSync } from "node:fs";
 import { Err, Ok, type Result } from "ts-results";
+import { readInput } from "../input/readInput";
+import { STANDARD_INPUT } from "../input/standardInput";
 import { listManifestFiles } from "./listManifestFiles";
 
 interface ManifestFile {
@@ -9,20 +10,12 @@
     readonly text: string;
 }
 
-const STANDARD_INPUT = "-";
-const STANDARD_INPUT_DESCRIPTOR = 0;
-
-const readFile = (path: string): ManifestFile => ({
-    path,
-    text: readFileSync(path === STANDARD_INPUT ? STANDARD_INPUT_DESCRIPTOR : path, "utf8"),
-});
-
 const readFiles = (paths: readonly string[]): Result<readonly ManifestFile[], Failure> => {
     try {
         const files = paths.flatMap(path => path === STANDARD_INPUT ? [path] : listManifestFiles(path));
         return files.length === 0
             ? Err(createFailure(ErrorCode.InvalidResource, { message: "The folder has no .toml files." }))
-            : Ok(files.map(readFile));
+            : Ok(files.map(path => ({ path, text: readInput(path) })));
     }
     catch (error) {
         const message = error instanceof Error ? error.message : "A file cannot be read.";
--- a/packages/ctl/src/queries/explainCommand.ts
+++ b/packages/ctl/src/queries/explainCommand.ts
@@ -6,8 +6,7 @@
 import { explainRequest } from "../explain/explainRequest";
 import { readLogLines } from "../explain/readLogLines";
 import { storyText } from "../explain/storyText";
-
-const STANDARD_INPUT = "-";
+import { STANDARD_INPUT } from "../input/standardInput";
 
 /** `ibisctl explain`: tells from the hosts' logs what became of a request, and why. */
 export class ExplainCommand extends IbisctlCommand {
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -226,8 +226,8 @@
     const run = async (): Promise<void> => {
         while (!stop.signal.aborted) {
             choosePeers(options.fanout).forEach(address => void callPeer(address));
-            // Rounds of different hosts must not fall together after they started together.
             forgetOld();
+            // Rounds of different hosts must not fall together after they started together.
             await clock.sleep(roundMs() * (0.75 + random.nextUnit() / 2), stop.signal);
         }
     };
--- a/packages/discovery/src/time/createTrueTime.ts
+++ b/packages/discovery/src/time/createTrueTime.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId } from "@ibislanding/core";
+import { type Clock, type HostId, median } from "@ibislanding/core";
 import type { TrueTime } from "./trueTime";
 
 interface Observation {
@@ -10,11 +10,6 @@
 /** Observations older than this are ignored; several rounds of reports. */
 const OBSERVATION_LIFETIME_MS = 3_000;
 
-const median = (values: readonly number[]): number => {
-    const sorted = [...values].sort((left, right) => left - right);
-    return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
-};
-
 /** Creates an estimate from the median of the own and the peers' wall clocks, carried on by the monotonic clock. */
 export const createTrueTime = (clock: Clock): TrueTime => {
     const observations = new Map<HostId, Observation>();
@@ -33,7 +28,7 @@
             const peers = currentOffsets();
             // A lone host keeps to the monotonic clock: a jump of its wall clock can't be told from a correction.
             const own = peers.length === 0 ? startOffsetMs : clock.wallMs() - nowMs;
-            return nowMs + median([own, ...peers]);
+            return nowMs + (median([own, ...peers]) ?? own);
         },
         observePeer: (hostId, wallMs) => {
             const observedAtMs = clock.monotonicMs();
--- a/packages/duties/src/holder/createDutyHolder.ts
+++ b/packages/duties/src/holder/createDutyHolder.ts
@@ -1,4 +1,4 @@
-import type { FencingNumber } from "@ibislanding/core";
+import { createClockDrift, type FencingNumber } from "@ibislanding/core";
 import { createLeaseHolder } from "@ibislanding/placement";
 import type { DutyHolder } from "./dutyHolder";
 import type { DutyHolderOptions } from "./dutyHolderOptions";
@@ -7,7 +7,7 @@
 
 const STEP_INTERVAL_MS = 300;
 
-/** Difference between the clocks over one step beyond which the process was suspended or its wall clock jumped. */
+/** Drift of the clocks between two looks beyond which the process was suspended or its wall clock jumped. */
 const SUSPENSION_MS = 400;
 
 /** A former holder contends again after this many lease durations, so that holders don't act in turns. */
@@ -21,7 +21,7 @@
     let lostAtMs = -Infinity;
     let refused = -Infinity;
     let distrustedVersion: number | undefined;
-    let clockDifferenceMs = clock.wallMs() - clock.monotonicMs();
+    const drift = createClockDrift(clock);
 
     const lease = createLeaseHolder({
         store: options.store,
@@ -40,11 +40,9 @@
 
     /** After a suspension the lease is trusted again only once it was renewed. */
     const checkClocks = (): void => {
-        const differenceMs = clock.wallMs() - clock.monotonicMs();
-        if (Math.abs(differenceMs - clockDifferenceMs) > SUSPENSION_MS) {
+        if (Math.abs(drift()) > SUSPENSION_MS) {
             distrustedVersion = lease.grant()?.version;
         }
-        clockDifferenceMs = differenceMs;
     };
 
     const fencingNumber = (): FencingNumber | undefined => {
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -1,4 +1,11 @@
-import { type AccountId, createFailure, ErrorCode, type Failure, type FencingNumber } from "@ibislanding/core";
+import {
+    type AccountId,
+    createFailure,
+    ErrorCode,
+    type Failure,
+    type FencingNumber,
+    parseJson,
+} from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import type { UsageReporter } from "./usageReporter";
 import type { UsageReporterOptions } from "./usageReporterOptions";
@@ -20,15 +27,6 @@
 /** Windows that a new holder looks back. */
 const LOOK_BACK_WINDOWS = 4;
 
-const parseReport = (text: string): StoredReport | undefined => {
-    try {
-        return JSON.parse(text) as StoredReport;
-    }
-    catch {
-        return undefined;
-    }
-};
-
 /** Creates the reporter. */
 export const createUsageReporter = (options: UsageReporterOptions): UsageReporter => {
     const { store, api, counts, windowMs } = options;
@@ -54,7 +52,7 @@
         if (known.err) {
             return known;
         }
-        const stored = known.val === undefined ? undefined : parseReport(known.val.value);
+        const stored = known.val === undefined ? undefined : parseJson(known.val.value) as StoredReport | undefined;
         if (stored !== undefined && stored.window >= window) {
             return stored.window === window ? Ok(stored) : Err(createFailure(ErrorCode.KeyValueConflict));
         }
--- a/packages/edge/src/createWorkMeter.ts
+++ b/packages/edge/src/createWorkMeter.ts
@@ -1,4 +1,4 @@
-import type { Clock, ServiceName } from "@ibislanding/core";
+import { type Clock, createRateMeter, type RateMeter, type ServiceName } from "@ibislanding/core";
 import type { WorkMeter } from "./workMeter";
 
 /** Time over which work is averaged: long against single prompts, short against the boot time of an engine. */
@@ -6,16 +6,15 @@
 
 /** Creates an idle meter. */
 export const createWorkMeter = (clock: Clock): WorkMeter => {
-    const averages = new Map<ServiceName, { busy: number; atMs: number; }>();
-
-    const decayed = ({ busy, atMs }: { readonly busy: number; readonly atMs: number; }): number =>
-        busy * Math.exp((atMs - clock.monotonicMs()) / AVERAGE_MS);
-
+    const meters = new Map<ServiceName, RateMeter>();
     return {
         add: (service, workMs) => {
-            const average = averages.get(service) ?? { busy: 0, atMs: clock.monotonicMs() };
-            averages.set(service, { busy: decayed(average) + workMs / AVERAGE_MS, atMs: clock.monotonicMs() });
+            const meter = meters.get(service) ?? createRateMeter(AVERAGE_MS);
+            meter.add(workMs, clock.monotonicMs());
+            meters.set(service, meter);
         },
-        busyUpstreams: () => new Map([...averages].map(([service, average]) => [service, decayed(average)])),
+        // Milliseconds of work a millisecond are the engines kept busy.
+        busyUpstreams: () =>
+            new Map([...meters].map(([service, meter]) => [service, meter.perMs(clock.monotonicMs())])),
     };
 };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -1,18 +1,14 @@
+import { parseJson } from "@ibislanding/core";
 import type { HostReport } from "./hostReport";
 
 const isArray = (value: unknown): value is readonly unknown[] => Array.isArray(value);
 
 /** Decodes a peer's report; undefined when it is not one. */
 export const decodeHostReport = (text: string): HostReport | undefined => {
-    try {
-        const report = JSON.parse(text) as Partial<HostReport>;
-        const isValid = typeof report.hostId === "string" && typeof report.hostName === "string"
-            && typeof report.sequence === "number"
-            && typeof report.wallMs === "number" && typeof report.revisions === "object"
-            && [report.loads, report.accounts, report.began, report.work].every(isArray);
-        return isValid ? report as HostReport : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    const report = parseJson(text) as Partial<HostReport> | null | undefined;
+    const isValid = typeof report?.hostId === "string" && typeof report.hostName === "string"
+        && typeof report.sequence === "number"
+        && typeof report.wallMs === "number" && typeof report.revisions === "object"
+        && [report.loads, report.accounts, report.began, report.work].every(isArray);
+    return isValid ? report as HostReport : undefined;
 };
--- a/packages/edge/src/startHostListeners.ts
+++ b/packages/edge/src/startHostListeners.ts
@@ -1,7 +1,7 @@
+import { listen } from "@ibislanding/runtime";
 import { createServer, type RequestListener } from "node:http";
 import type { EdgeSettings } from "./edgeSettings";
 import type { HostListeners } from "./hostListeners";
-import { listen } from "./listen";
 
 /** Largest header block that is read; the configuration's smaller limit is applied afterwards. */
 const MAXIMUM_HEADER_BYTES = 65_536;
--- a/packages/entry/src/chat/parseChatRequest.ts
+++ b/packages/entry/src/chat/parseChatRequest.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson } from "@ibislanding/core";
 import { toValidationIssues } from "@ibislanding/resources";
 import type { ChatMessage } from "@ibislanding/upstreams";
 import { createHash } from "node:crypto";
@@ -6,20 +6,11 @@
 import type { ChatRequest } from "./chatRequest";
 import { chatRequestSchema } from "./chatRequestSchema";
 
-const parseJson = (body: Buffer): unknown => {
-    try {
-        return JSON.parse(body.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-};
-
 const toRole = (role: string): ChatMessage["role"] => (role === "developer" ? "system" : role) as ChatMessage["role"];
 
 /** Parses and checks the body of a chat request; the failure names every faulty field. */
 export const parseChatRequest = (body: Buffer): Result<ChatRequest, Failure> => {
-    const input = parseJson(body);
+    const input = parseJson(body.toString("utf8"));
     if (input === undefined) {
         return Err(createFailure(ErrorCode.BadRequest, { message: "The body is not valid JSON." }));
     }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -102,10 +102,9 @@
 
 /** Whether another upstream would be sent the request now. */
 const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean => {
-    const request = toPlacementRequest(context, false);
-    const others = { ...request, excluded: new Set([...request.excluded, upstream.upstreamId]) };
-    const candidates = context.options.upstreams.candidates(context.admitted.service, others);
-    return chooseUpstream(candidates, others).kind === "send";
+    const request = toPlacementRequest(context, false, upstream);
+    const candidates = context.options.upstreams.candidates(context.admitted.service, request);
+    return chooseUpstream(candidates, request).kind === "send";
 };
 
 const judgeAnswer = async (send: Send, answer: UpstreamAnswer): Promise<AttemptOutcome> => {
--- a/packages/gateway/src/forwarding/watchEvacuation.ts
+++ b/packages/gateway/src/forwarding/watchEvacuation.ts
@@ -9,7 +9,7 @@
     context: ForwardContext,
     upstream: UpstreamRecord,
 ): { readonly end: () => Promise<Continuation | undefined>; } => {
-    const { options, admitted, ended, excluded } = context;
+    const { options, admitted, ended } = context;
     const { engines, upstreams, events, clock } = options;
     const { requestId } = admitted.head;
     if (engines === undefined || requestId === undefined) {
@@ -24,10 +24,7 @@
             upstreams,
             upstream,
             requestId,
-            placementRequest: () => ({
-                ...toPlacementRequest(context, true),
-                excluded: new Set([...excluded, upstream.upstreamId]),
-            }),
+            placementRequest: () => toPlacementRequest(context, true, upstream),
             signal: AbortSignal.any([delivered.signal, ended]),
             onMove: (target, outcome) =>
                 events.onRunMoved({ requestId, upstreamId: upstream.upstreamId, target: target.upstreamId, outcome }),
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -8,6 +8,8 @@
 
 type UsedUnits = Pick<AccountUse, "entitled" | "spare">;
 
+const unitsOf = (kind: keyof UsedUnits, units: number): UsedUnits => ({ entitled: 0, spare: 0, [kind]: units });
+
 interface PeerTotal {
     readonly total: UsedUnits;
     readonly heardAtMs: number;
@@ -149,19 +151,18 @@
             const waitMs = missing / account.ratePerS * MS_PER_S;
             const hasRoom = units + pending <= unitsLeft(state, account, share, nowMs);
             if (missing <= 0 && (hasRoom || isYoung(nowMs))) {
-                take(state, { entitled: units, spare: 0 });
+                take(state, unitsOf("entitled", units));
                 return { kind: "entitled" };
             }
             if (hasRoom && state.spareWindow.sum() + units <= toleratedUnits * share) {
-                take(state, { entitled: 0, spare: units });
+                take(state, unitsOf("spare", units));
                 return { kind: "spare", waitMs };
             }
             return { kind: "over", waitMs: Math.max(waitMs, LEAST_WAIT_MS) };
         },
         giveBack: (accountId, units, admission) => {
-            const isEntitled = admission.kind === "entitled";
             if (admission.kind !== "over") {
-                take(stateOf(accountId), { entitled: isEntitled ? -units : 0, spare: isEntitled ? 0 : -units });
+                take(stateOf(accountId), unitsOf(admission.kind, -units));
             }
         },
         uses: () => {
--- a/packages/gateway/src/upstreams/createUpstreamScore.ts
+++ b/packages/gateway/src/upstreams/createUpstreamScore.ts
@@ -1,5 +1,4 @@
-import type { Clock } from "@ibislanding/core";
-import { median } from "./median";
+import { type Clock, median } from "@ibislanding/core";
 import { smooth } from "./smooth";
 import type { UpstreamScore } from "./upstreamScore";
 import type { UpstreamState } from "./upstreamState";
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,4 @@
-import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import { median, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import type { ServiceSpec } from "../configuration/serviceSpec";
 import { createPromptModel } from "../placement/createPromptModel";
 import type { PlacementCandidate } from "../placement/placementCandidate";
@@ -8,7 +8,6 @@
 import { createPeerLoadTable } from "./createPeerLoadTable";
 import { createPrefixDirectory } from "./createPrefixDirectory";
 import { createUpstreamScore } from "./createUpstreamScore";
-import { median } from "./median";
 import { smooth } from "./smooth";
 import type { UpstreamRecord } from "./upstreamRecord";
 import type { UpstreamState } from "./upstreamState";
--- a/packages/limits/src/commands/admitRequest.ts
+++ b/packages/limits/src/commands/admitRequest.ts
@@ -29,7 +29,7 @@
     random: RandomSource,
 ): Result<void, Failure> => {
     const account = touchAccount(state, accountId, limits, nowMs);
-    account.demand.add(nowMs);
+    account.demand.add(1, nowMs);
     if (account.tokens < 1) {
         const ratePerSecond = limits.requestsPerSecond * account.share;
         return refuse(state, ErrorCode.OverLimit, (1 - account.tokens) / ratePerSecond * MS_PER_SECOND, random);
@@ -41,7 +41,7 @@
         return refuse(state, ErrorCode.Overloaded, state.options.minimumRetryAfterMs, random);
     }
     account.tokens--;
-    account.admitted.add(nowMs);
+    account.admitted.add(1, nowMs);
     account.running++;
     state.inFlight++;
     return Ok(undefined);
--- a/packages/limits/src/commands/createUsageReport.ts
+++ b/packages/limits/src/commands/createUsageReport.ts
@@ -1,4 +1,5 @@
 import type { UsageReport } from "../model/usageReport";
+import { requestsPerSecond } from "../queries/requestsPerSecond";
 import type { LimitsState } from "../state/limitsState";
 
 /** Creates this host's next report for the other entry hosts. */
@@ -7,8 +8,8 @@
     sequence: ++state.reportSequence,
     accounts: [...state.accounts].map(([accountId, account]) => ({
         accountId,
-        demandPerSecond: account.demand.perSecond(nowMs),
-        admittedPerSecond: account.admitted.perSecond(nowMs),
+        demandPerSecond: requestsPerSecond(account.demand, nowMs),
+        admittedPerSecond: requestsPerSecond(account.admitted, nowMs),
         running: account.running,
     })),
 });
--- a/packages/limits/src/commands/refreshShare.ts
+++ b/packages/limits/src/commands/refreshShare.ts
@@ -1,5 +1,6 @@
 import type { AccountId, HostId } from "@ibislanding/core";
 import { accountShares } from "../queries/accountShares";
+import { requestsPerSecond } from "../queries/requestsPerSecond";
 import type { AccountState } from "../state/accountState";
 import type { LimitsState } from "../state/limitsState";
 
@@ -47,7 +48,7 @@
     account.share = boundedShare(state, accountId, account, nowMs);
     account.admittedByAll = [...state.peers.values()].reduce(
         (sum, peer) => sum + (peer?.accounts.get(accountId)?.admittedPerSecond ?? 0),
-        account.admitted.perSecond(nowMs),
+        requestsPerSecond(account.admitted, nowMs),
     );
     account.sharedAtMs = nowMs;
 };
--- a/packages/limits/src/commands/touchAccount.ts
+++ b/packages/limits/src/commands/touchAccount.ts
@@ -1,7 +1,6 @@
-import type { AccountId } from "@ibislanding/core";
+import { type AccountId, createRateMeter } from "@ibislanding/core";
 import type { AccountLimits } from "../model/accountLimits";
 import type { AccountState } from "../state/accountState";
-import { createRateMeter } from "../state/createRateMeter";
 import type { LimitsState } from "../state/limitsState";
 import { refreshShare } from "./refreshShare";
 
--- a/packages/limits/src/queries/accountShares.ts
+++ b/packages/limits/src/queries/accountShares.ts
@@ -1,5 +1,6 @@
 import type { AccountId, HostId } from "@ibislanding/core";
 import type { LimitsState } from "../state/limitsState";
+import { requestsPerSecond } from "./requestsPerSecond";
 
 /**
  * Returns each entry host's part of an account's limit. Parts follow demand, so that what one host leaves unspent moves to
@@ -10,7 +11,8 @@
     accountId: AccountId,
     nowMs: number,
 ): ReadonlyMap<HostId, number> => {
-    const ownDemand = state.accounts.get(accountId)?.demand.perSecond(nowMs) ?? 0;
+    const own = state.accounts.get(accountId);
+    const ownDemand = own === undefined ? 0 : requestsPerSecond(own.demand, nowMs);
     const demands: (readonly [HostId, number])[] = [
         [state.hostId, ownDemand],
         ...[...state.peers].map(([hostId, peer]) =>
--- a/packages/limits/src/queries/describeLimits.ts
+++ b/packages/limits/src/queries/describeLimits.ts
@@ -1,5 +1,6 @@
 import type { AccountId, HostId } from "@ibislanding/core";
 import type { LimitsState } from "../state/limitsState";
+import { requestsPerSecond } from "./requestsPerSecond";
 
 /** Returns the local shares and retry budgets, for the dump of a process's state. */
 export const describeLimits = (
@@ -26,7 +27,7 @@
         share: account.share,
         tokens: account.tokens,
         running: account.running,
-        demandPerSecond: account.demand.perSecond(nowMs),
+        demandPerSecond: requestsPerSecond(account.demand, nowMs),
     })),
     retryBalances: Object.fromEntries(state.retryBalances),
 });
--- a/packages/limits/src/state/accountState.ts
+++ b/packages/limits/src/state/accountState.ts
@@ -1,5 +1,4 @@
-import type { HostId } from "@ibislanding/core";
-import type { RateMeter } from "./rateMeter";
+import type { HostId, RateMeter } from "@ibislanding/core";
 
 /** Local share of one client account. */
 export interface AccountState {
--- a/packages/routing/src/state/createUpstreamState.ts
+++ b/packages/routing/src/state/createUpstreamState.ts
@@ -1,7 +1,7 @@
+import { createRateMeter } from "@ibislanding/core";
 import type { RoutingOptions } from "../model/routingOptions";
 import type { UpstreamDescription } from "../model/upstreamDescription";
 import { createPrefixIndex } from "../prefix/createPrefixIndex";
-import { createRateMeter } from "./createRateMeter";
 import type { UpstreamState } from "./upstreamState";
 
 /** Creates the state of an upstream that was just listed. */
--- a/packages/routing/src/state/upstreamState.ts
+++ b/packages/routing/src/state/upstreamState.ts
@@ -1,8 +1,8 @@
+import type { RateMeter } from "@ibislanding/core";
 import type { LoadReport } from "../model/loadReport";
 import type { UpstreamDescription } from "../model/upstreamDescription";
 import type { PrefixIndex } from "../prefix/prefixIndex";
 import type { InFlightRequest } from "./inFlightRequest";
-import type { RateMeter } from "./rateMeter";
 
 /** What a router knows of one upstream; owned and changed by its routing state. */
 export interface UpstreamState {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -32,6 +32,7 @@
 export { createHttpListener } from "./http/createHttpListener";
 export type { HttpHandler } from "./http/httpHandler";
 export type { HttpListener } from "./http/httpListener";
+export { listen } from "./http/listen";
 export { readBody } from "./http/readBody";
 export { readCertificate } from "./http/readCertificate";
 export { readJsonBody } from "./http/readJsonBody";
--- a/packages/upstreams/src/engine/createHttpEngineClient.ts
+++ b/packages/upstreams/src/engine/createHttpEngineClient.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure, type RequestId } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson, type RequestId } from "@ibislanding/core";
 import { Agent, type IncomingMessage } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import { destroyIdleSockets } from "../http/destroyIdleSockets";
@@ -25,17 +25,11 @@
     [ErrorCode.StaleFencingNumber]: ErrorCode.StaleFencingNumber,
 };
 
-const parseJson = (body: Buffer | undefined): unknown => {
-    try {
-        return JSON.parse(body?.toString("utf8") || "{}");
-    }
-    catch {
-        return undefined;
-    }
-};
+/** An empty answer counts as an empty document. */
+const parseBody = (body: Buffer | undefined): unknown => parseJson(body?.toString("utf8") || "{}");
 
 const toRefusal = async (response: IncomingMessage): Promise<Failure> => {
-    const body = parseJson(await readText(response, MAXIMUM_ANSWER_BYTES)) as { code?: string; } | undefined;
+    const body = parseBody(await readText(response, MAXIMUM_ANSWER_BYTES)) as { code?: string; } | undefined;
     return createFailure(refusals[body?.code ?? ""] ?? ErrorCode.UpstreamRefused);
 };
 
@@ -65,7 +59,7 @@
         if (response.val.statusCode !== 200) {
             return Err(await toRefusal(response.val));
         }
-        const parsed = parseJson(await readText(response.val, MAXIMUM_ANSWER_BYTES));
+        const parsed = parseBody(await readText(response.val, MAXIMUM_ANSWER_BYTES));
         return parsed === undefined ? Err(createFailure(ErrorCode.UpstreamInvalidAnswer)) : Ok(parsed as T);
     };
 
