test(gateway): one reader of stream positions; the hosts' tests use the gateway's codec

Cause: three streams of the tests read the position from the head alike, and the tests of hosts repeated the gateway's test codec. What the tests expect is untouched.

--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -4,7 +4,6 @@
     createRandom,
     createSystemClock,
     type HostId,
-    type RequestId,
     type ServiceName,
     type UpstreamId,
 } from "@ibislanding/core";
@@ -12,6 +11,7 @@
 import { createMetricsRegistry } from "@ibislanding/runtime";
 import { createServer } from "node:net";
 import { Ok } from "ts-results";
+import { testCodec } from "../../../gateway/__tests__/support/testCodec";
 import { startEdgeHost } from "../../src";
 import type { createTestStore } from "./createTestStore";
 
@@ -21,31 +21,10 @@
     readonly fields: Readonly<Record<string, unknown>>;
 }
 
-const textOf = (value: string | string[] | undefined): string | undefined =>
-    Array.isArray(value) ? value.join(",") : value;
-
+/** The gateway's test codec; upstreams of these tests do not sign their answers. */
 const codec: HeaderCodec = {
-    readRequest: ({ headers, url, method }) => ({
-        requestId: textOf(headers["x-request"]) as RequestId | undefined,
-        host: headers.host ?? "",
-        path: url ?? "/",
-        method: method ?? "GET",
-        apiKey: headers.authorization,
-        deadlineMs: undefined,
-        tokens: undefined,
-        promptParts: [],
-    }),
-    reservedRequestHeaders: new Set(["authorization"]),
-    sendHeaders: ({ upstreamId }) => [["X-Upstream", upstreamId]],
-    readAnswer: ({ headers, statusCode }) => ({
-        status: statusCode ?? 0,
-        requestId: textOf(headers["x-request"]) as RequestId | undefined,
-        isSigned: true,
-        isNotRun: false,
-        isMisdirected: false,
-        hasContentEncoding: false,
-        keepAliveMs: undefined,
-    }),
+    ...testCodec,
+    readAnswer: incoming => ({ ...testCodec.readAnswer(incoming), isSigned: true }),
 };
 
 /** A configuration with one route and one account, as stored by `createTestStore`. */
--- a/packages/gateway/__tests__/streams.spec.ts
+++ b/packages/gateway/__tests__/streams.spec.ts
@@ -10,6 +10,9 @@
 
 const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
+/** Event after which a request goes on; 0 at the start of a stream. */
+const positionOf = ({ text }: RawRequest): number => Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
+
 const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
 test("a stream that breaks off breaks the caller's connection", async () => {
@@ -24,7 +27,7 @@
 
 test("a resumable stream goes on at another upstream after the last whole event", async () => {
     const serve = (request: RawRequest): void => {
-        const after = Number(/last-event-id: (\d+)/i.exec(request.text)?.[1] ?? 0);
+        const after = positionOf(request);
         if (after === 0) {
             request.socket.write(head(request) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"));
             setTimeout(() => request.socket.destroy(), 50);
@@ -45,7 +48,7 @@
 
 test("a caller's own position is replaced when the stream goes on after a later event", async () => {
     const serve = (request: RawRequest): void => {
-        const after = Number(/last-event-id: (\d+)/i.exec(request.text)?.[1] ?? 0);
+        const after = positionOf(request);
         if (after === 4) {
             request.socket.write(head(request) + chunk(event(5)));
             setTimeout(() => request.socket.destroy(), 50);
@@ -100,7 +103,7 @@
     async isCopied => {
         const sources: RawRequest[] = [];
         const serve = (request: RawRequest): void => {
-            const after = Number(/last-event-id: (\d+)/i.exec(request.text)?.[1] ?? 0);
+            const after = positionOf(request);
             if (after === 0) {
                 sources.push(request);
                 request.socket.write(head(request) + chunk(event(1)) + chunk(event(2)));
