--- a/packages/gateway/src/forwarding/attemptResult.ts
+++ b/packages/gateway/src/forwarding/attemptResult.ts
@@ -1,4 +1,3 @@
-import type { AnswerHead } from "../codec/answerHead";
 import type { UpstreamAnswer } from "./upstreamAnswer";
 
 /** How a send to one upstream went, up to the head of its answer. */
@@ -6,7 +5,7 @@
     /** No byte of the request reached the upstream. */
     | { readonly kind: "unsent"; readonly reason: string; }
     /** The upstream stated that it did not run the request. */
-    | { readonly kind: "not-run"; readonly reason: string; readonly head: AnswerHead; }
+    | { readonly kind: "not-run"; readonly reason: string; }
     /** The request may have run. */
     | { readonly kind: "unknown"; readonly reason: string; }
     | { readonly kind: "answered"; readonly answer: UpstreamAnswer; };
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -102,7 +102,7 @@
             });
             if (head.isNotRun || head.isMisdirected) {
                 incoming.resume();
-                resolve({ kind: "not-run", reason: head.isMisdirected ? "misdirected" : "refused", head });
+                resolve({ kind: "not-run", reason: head.isMisdirected ? "misdirected" : "refused" });
                 return;
             }
             const fault = findFault(head, options);
