--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -6,7 +6,7 @@
 import { runIbisctl } from "./runIbisctl";
 
 /** Lines of several hosts from a played day, as they were written. */
-const LOG = join(__dirname, "data", "day.log");
+const LOG = join(__dirname, "data", "day.jsonl");
 
 const explain = async (requestId: string): Promise<RequestStory> => {
     const { exitCode, stdout } = await runIbisctl(["explain", requestId, "-f", LOG, "--output", "json"]);
@@ -15,7 +15,7 @@
 };
 
 test("a refused request: nothing was sent, and why", async () => {
-    const { cause } = await explain("d59998a54e27468f");
+    const { cause } = await explain("bbfe31d228372415");
     expect(cause).toBe("The account had used its rate; nothing was sent.");
 });
 
@@ -27,7 +27,7 @@
 });
 
 test("a request that was broken off: the upstream, and that it lapsed afterwards", async () => {
-    const { cause, lines } = await explain("bbfe31d228372415");
+    const { cause, lines } = await explain("168b7df9541d4291");
     expect(cause).toBe("The upstream broke the answer off, and the route allows no further send.");
     const events = lines.map(({ event }) => event);
     expect(events).toContain("attempt_failed");
@@ -36,8 +36,8 @@
 });
 
 test("the text names the cause first and marks the request's own lines", async () => {
-    const { stdout } = await runIbisctl(["explain", "bbfe31d228372415", "-f", LOG]);
-    expect(stdout.startsWith("bbfe31d228372415: The upstream broke the answer off")).toBe(true);
+    const { stdout } = await runIbisctl(["explain", "168b7df9541d4291", "-f", LOG]);
+    expect(stdout.startsWith("168b7df9541d4291: The upstream broke the answer off")).toBe(true);
     expect(stdout).toMatch(/\*\s+front-ege-a-1\s+request_ended/);
 });
 
