fix(gateway): streams of plain services count by their first event; a resumable stream's failed run is repeated

And an upstream's 500 to a resumable stream was passed on, although such a stream may run again. Ruled out: full upstreams (3 of 64 slots were taken) and slow answers (first bytes after 40 ms). Change: a stream's answer time is the time to its first byte; what may run again follows from the request and not from the route's kind alone.

--- a/packages/gateway/__tests__/streams.spec.ts
+++ b/packages/gateway/__tests__/streams.spec.ts
@@ -178,3 +178,36 @@
     expect(parts.filter(part => part !== "")).toEqual([1, 2, 3].map(event));
     expect(splitter.lastEventId()).toBe("3");
 });
+
+test("a stream of a service without an engine counts by its first event and not by its length", async () => {
+    await using upstream = await startRawUpstream(request => {
+        request.socket.write(head(request) + chunk(event(1)));
+        setTimeout(() => request.socket.write(`${chunk(event(2))}0\r\n\r\n`), 500);
+    });
+    // The stream takes 500 ms; later than 1.5 objectives is refused.
+    await using system = await startTestGateway([upstream.port], { kind: "stream", objectiveMs: 200 });
+    const statuses = [];
+    for (const requestId of ["r1", "r2", "r3"]) {
+        statuses.push((await sendCallerRequest(system.port, requestId)).status);
+    }
+    expect(statuses).toEqual([200, 200, 200]);
+});
+
+test("a resumable stream goes to another upstream when the first one fails before its first event", async () => {
+    await using failing = await startRawUpstream(request =>
+        request.socket.write(
+            `HTTP/1.1 500 Failed\r\nX-Request: ${request.requestId}\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nfail`,
+        )
+    );
+    await using working = await startRawUpstream(request =>
+        request.socket.write(`${head(request)}${chunk(event(1))}0\r\n\r\n`)
+    );
+    await using system = await startTestGateway([failing.port, working.port], {
+        kind: "stream",
+        isResumable: true,
+        maximumAttempts: 2,
+    });
+    const seen = await Promise.all(["r1", "r2"].map(requestId => sendCallerRequest(system.port, requestId)));
+    expect(seen.map(({ status }) => status)).toEqual([200, 200]);
+    expect(failing.requests.length).toBeGreaterThan(0);
+});
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -17,6 +17,8 @@
     readonly upstream: UpstreamRecord;
     readonly startedAtMs: number;
     readonly onFirstEvent: () => void;
+    /** Undefined until the first byte of the body. */
+    firstByteAtMs: number | undefined;
 }
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
@@ -83,6 +85,7 @@
         caller: options.caller,
         onFirstByte: () => {
             send.onFirstEvent();
+            send.firstByteAtMs = options.clock.monotonicMs();
             noteBegun(context);
             progress.firstByteAtMs ??= options.clock.monotonicMs();
         },
@@ -107,9 +110,19 @@
     return chooseUpstream(candidates, request).kind === "send";
 };
 
+/** Time that placement compares with the objective: to the first event of a stream, to the end of a plain answer. */
+const answerMsOf = ({ context, startedAtMs, firstByteAtMs }: Send): number | undefined => {
+    const { engine, admitted, options } = context;
+    if (engine !== undefined) {
+        return undefined;
+    }
+    const endedAtMs = options.clock.monotonicMs();
+    return (admitted.route.kind === "stream" ? firstByteAtMs ?? endedAtMs : endedAtMs) - startedAtMs;
+};
+
 const judgeAnswer = async (send: Send, answer: UpstreamAnswer): Promise<AttemptOutcome> => {
-    const { context, upstream, startedAtMs } = send;
-    const { options, admitted, engine } = context;
+    const { context, upstream } = send;
+    const { options, admitted } = context;
     const { status } = answer.head;
     if (options.caller.isStarted() && status >= FIRST_UNSUCCESSFUL_STATUS) {
         // Part of the stream was delivered under another head: an error must not pass for its end.
@@ -120,15 +133,14 @@
     if (status < FAILURE_STATUS) {
         const outcome = await deliver(send, answer);
         if (outcome.kind === "done") {
-            const answerMs = engine === undefined ? options.clock.monotonicMs() - startedAtMs : undefined;
-            options.upstreams.reportSuccess(upstream.upstreamId, answerMs);
+            options.upstreams.reportSuccess(upstream.upstreamId, answerMsOf(send));
         }
         return outcome;
     }
     options.upstreams.reportFailure(upstream.upstreamId, "failed");
     // The last answer is the caller's; an earlier one is replaced by that of another upstream.
     const { route, service } = admitted;
-    const mayRunAgain = route.kind === "repeatable" && context.runs < route.maximumAttempts;
+    const mayRunAgain = context.mayRepeat && context.runs < route.maximumAttempts;
     if (mayRunAgain && hasAlternative(context, upstream) && options.retries.spend(service)) {
         answer.body.resume();
         noteBegun(context);
@@ -152,7 +164,7 @@
         upstream.upstreamId,
         toPlacementRequest(context, continuation !== undefined),
     );
-    const send: Send = { context, upstream, startedAtMs, onFirstEvent: load.firstEvent };
+    const send: Send = { context, upstream, startedAtMs, onFirstEvent: load.firstEvent, firstByteAtMs: undefined };
     const countRun = (): void => {
         context.runs += continuation === undefined ? 1 : 0;
     };
