feat(soak): randomized faults on real hosts, with checks of what callers and upstreams saw

Change: packages/soak has loopback links (delayed, reset, half-open, silent), hosts as processes (stopped, paused, killed, restarted, reloaded), a seeded plan of overlapping faults and checks over records of callers, upstreams, configuration and usage; platform/soak has stand-ins of the platform's store, duties and replicas. npm run soak; one short seeded run is a test without the checks that depend on time. Ruled out: extending packages/proofs, whose drivers speak the product's own interface and its ledger. Figures: each check has a case with records that break it (19 tests).

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -137,6 +137,18 @@
                 pathNot: "^packages/(core|duties|edge|gateway|platform|runtime)/src/index\\.ts$",
             },
         },
+        {
+            name: "users-platform-soak-imports",
+            severity: "error",
+            from: { path: "^platform/soak" },
+            to: { path: "^packages/", pathNot: "^packages/(core|soak)/src/index\\.ts$" },
+        },
+        {
+            name: "soak-imports",
+            severity: "error",
+            from: { path: "^packages/soak/src" },
+            to: { path: "^packages/", pathNot: "^packages/(soak|core)/" },
+        },
         {
             name: "entry-imports",
             severity: "error",
--- /dev/null
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -0,0 +1,131 @@
+import { type CallerAttempt, checkRecords, type SoakRecords, type UpstreamRun } from "../src";
+
+const bounds = { inForceMs: 2_500, leavingMs: 2_500, contactMs: 4_000 };
+
+const expectedBody = (requestId: string): string => `answer of ${requestId}`;
+
+const attempt = (fields: Partial<CallerAttempt> = {}): CallerAttempt => ({
+    requestId: "r1",
+    hostName: "host-1",
+    hostStart: 1,
+    routeName: "order",
+    kind: "once",
+    accountId: "acme",
+    sentAtMs: 20_000,
+    endedAtMs: 20_100,
+    status: 200,
+    signature: "u1",
+    answeredId: fields.requestId ?? "r1",
+    body: expectedBody(fields.requestId ?? "r1"),
+    isComplete: true,
+    hasLeft: false,
+    ...fields,
+});
+
+const run = (fields: Partial<UpstreamRun> = {}): UpstreamRun => ({
+    requestId: "r1",
+    upstreamId: "u1",
+    service: "moving-0",
+    atMs: 20_050,
+    accountId: "acme",
+    firstEvent: 1,
+    isFaithful: true,
+    ...fields,
+});
+
+const records = (fields: Partial<SoakRecords> = {}): SoakRecords => ({
+    attempts: [attempt()],
+    runs: [run()],
+    changes: [{ version: 4, acceptedAtMs: 0, movingService: "moving-0" }],
+    leaving: [],
+    usage: [],
+    disturbances: [],
+    calmSinceMs: 1_000,
+    ...fields,
+});
+
+/** Enough requests in order that a single one does not count as a lack of service. */
+const others = Array.from({ length: 20 }, (_, index) => `other-${index}`);
+
+const broken = ({ attempts = [attempt()], runs = [run()], ...fields }: Partial<SoakRecords>): readonly string[] =>
+    checkRecords(
+        records({
+            ...fields,
+            attempts: [
+                ...attempts,
+                ...others.map(requestId => attempt({ requestId, signature: "u9", sentAtMs: 15_000 })),
+            ],
+            runs: [...runs, ...others.map(requestId => run({ requestId, upstreamId: "u9", atMs: 15_050 }))],
+        }),
+        expectedBody,
+        bounds,
+    ).map(({ check }) => check);
+
+test("a request that was run once and answered whole breaks nothing", () => {
+    expect(broken({})).toEqual([]);
+});
+
+test.each<[string, Partial<SoakRecords>]>([
+    ["whole-answer", { attempts: [attempt({ body: "answer of another" })] }],
+    ["part-of-answer", {
+        attempts: [attempt(), attempt({ requestId: "r2", body: "other", isComplete: false })],
+        runs: [
+            run(),
+            run({ requestId: "r2" }),
+        ],
+    }],
+    ["own-answer", { attempts: [attempt({ answeredId: "r2" })] }],
+    ["signed-answer", { attempts: [attempt({ signature: "u2" })] }],
+    ["not-run", {
+        attempts: [attempt(), attempt({ requestId: "r2", status: 503 })],
+        runs: [
+            run(),
+            run({ requestId: "r2" }),
+        ],
+    }],
+    ["at-most-once", { runs: [run(), run({ upstreamId: "u2" })] }],
+    ["own-account", { runs: [run({ accountId: "beta" })] }],
+    ["faithful", { runs: [run({ isFaithful: false })] }],
+    ["accepted", { attempts: [attempt(), attempt({ requestId: "r2", status: 401, signature: undefined })] }],
+    ["asked", { runs: [run(), run({ requestId: "r9" })] }],
+    ["leaving", { leaving: [{ upstreamId: "u1", acceptedAtMs: 10_000 }] }],
+    ["in-force", {
+        changes: [
+            { version: 4, acceptedAtMs: 0, movingService: "moving-0" },
+            { version: 5, acceptedAtMs: 16_000, movingService: "moving-1" },
+        ],
+    }],
+    ["one-count", {
+        usage: [1, 2].map(count => ({ window: 7, holder: "host-1", fencingNumber: 1, counts: `${count}` })),
+    }],
+    ["one-holder", {
+        usage: [1, 2].map(index => ({ window: index, holder: `host-${index}`, fencingNumber: 1, counts: "1" })),
+    }],
+])("%s is found", (check, fields) => {
+    expect(broken(fields)).toEqual([check]);
+});
+
+test("requests that are refused long after the last fault are found", () => {
+    const refused = attempt({ status: 503, signature: undefined, body: "" });
+    const found = checkRecords(records({ attempts: [refused], runs: [] }), expectedBody, bounds);
+    expect(found.map(({ check }) => check)).toEqual(["recovery"]);
+});
+
+test("a version that goes back is found in one life of a host, and allowed across a restart", () => {
+    const changes = [
+        { version: 4, acceptedAtMs: 0, movingService: "moving-0" },
+        { version: 5, acceptedAtMs: 19_000, movingService: "moving-1" },
+    ];
+    const attempts = (hostStart: number): CallerAttempt[] => [
+        attempt({ sentAtMs: 20_000 }),
+        attempt({ requestId: "r2", hostStart, sentAtMs: 20_600, endedAtMs: 20_700 }),
+    ];
+    const runs = [run({ service: "moving-1" }), run({ requestId: "r2", atMs: 20_650 })];
+    expect(broken({ attempts: attempts(1), runs, changes })).toEqual(["no-regression"]);
+    expect(broken({ attempts: attempts(2), runs, changes })).toEqual([]);
+});
+
+test("a host that was disturbed shortly before is not held to times", () => {
+    const disturbances = [{ hostName: "host-1", kind: "pause-host", fromMs: 15_000, untilMs: 17_000 }];
+    expect(broken({ leaving: [{ upstreamId: "u1", acceptedAtMs: 16_500 }], disturbances })).toEqual([]);
+});
--- /dev/null
+++ b/packages/soak/__tests__/linkProxy.spec.ts
@@ -0,0 +1,20 @@
+import { type AddressInfo, connect, createServer } from "node:net";
+import { createLinkProxy } from "../src";
+
+test("bytes that were delayed come before those sent after the delay was lifted", async () => {
+    const server = createServer(socket => {
+        socket.write("first ");
+        setTimeout(() => socket.end("second"), 40);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await using link = await createLinkProxy((server.address() as AddressInfo).port);
+    link.setMode("delay");
+    const caller = connect(link.port, "127.0.0.1");
+    setTimeout(() => link.setMode("pass"), 20);
+    const chunks: Buffer[] = [];
+    for await (const chunk of caller) {
+        chunks.push(chunk as Buffer);
+    }
+    server.close();
+    expect(Buffer.concat(chunks).toString()).toBe("first second");
+});
--- /dev/null
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -0,0 +1,21 @@
+import type { SoakRecords } from "../records/soakRecords";
+import { checkAnswers } from "./checkAnswers";
+import { checkConfiguration } from "./checkConfiguration";
+import { checkLeaving } from "./checkLeaving";
+import { checkRecovery } from "./checkRecovery";
+import { checkUsage } from "./checkUsage";
+import type { TimeBounds } from "./timeBounds";
+import type { Violation } from "./violation";
+
+/** Checks all promises; those that depend on time only when bounds are given. */
+export const checkRecords = (
+    records: SoakRecords,
+    expectedBody: (requestId: string) => string,
+    bounds: TimeBounds | undefined,
+): readonly Violation[] => [
+    ...checkAnswers(records, expectedBody),
+    ...checkConfiguration(records, bounds),
+    ...checkLeaving(records, bounds),
+    ...checkUsage(records),
+    ...checkRecovery(records),
+];
--- /dev/null
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -0,0 +1,119 @@
+import type { LinkMode } from "../links/linkMode";
+import type { FaultContext } from "./faultContext";
+import type { FaultKind } from "./faultKind";
+import type { SoakUpstream } from "./soakUpstream";
+import type { SoakWorld } from "./soakWorld";
+import type { StoreFault } from "./storeFault";
+import type { UpstreamFault } from "./upstreamFault";
+
+type Handler = (context: FaultContext) => Promise<void>;
+
+type Host = SoakWorld["hosts"][number];
+
+/** Time from the request to stop until a host is killed. */
+const GRACE_MS = 8_000;
+
+const pick = <T>(items: readonly T[], target: number): T | undefined => items[Math.floor(target * items.length)];
+
+const onHost = (act: (host: Host, context: FaultContext) => Promise<void>): Handler => async context => {
+    const host = pick(context.world.hosts, context.step.target);
+    if (host === undefined) {
+        return;
+    }
+    const calm = context.disturb(host.process.hostName);
+    await act(host, context);
+    calm();
+};
+
+const onUpstream =
+    (act: (upstream: SoakUpstream, context: FaultContext) => Promise<void>): Handler => async context => {
+        const upstream = pick(context.world.upstreams, context.step.target);
+        if (upstream !== undefined) {
+            await act(upstream, context);
+        }
+    };
+
+const restart = async ({ process }: Host, signal: NodeJS.Signals, { sleep, step }: FaultContext): Promise<void> => {
+    // A host that another fault has already ended is started again by that one.
+    if (!process.isRunning()) {
+        return;
+    }
+    const deadline = setTimeout(() => process.signal("SIGKILL"), GRACE_MS);
+    process.signal("SIGCONT");
+    process.signal(signal);
+    await process.ended();
+    clearTimeout(deadline);
+    await sleep(step.forMs);
+    if (!process.isRunning()) {
+        process.start();
+    }
+};
+
+const setLink = (mode: LinkMode, linkOf: (host: Host) => Host["store"]): Handler =>
+    onHost(async (host, { sleep, step }) => {
+        linkOf(host).setMode(mode);
+        await sleep(step.forMs);
+        linkOf(host).setMode("pass");
+    });
+
+const setStore = (fault: StoreFault): Handler => async ({ world, sleep, step, disturb }) => {
+    const calm = disturb(undefined);
+    world.store.setFault(fault);
+    await sleep(step.forMs);
+    world.store.setFault("none");
+    calm();
+};
+
+const setUpstream = (fault: UpstreamFault): Handler =>
+    onUpstream(async (upstream, { sleep, step }) => {
+        upstream.setFault(fault);
+        await sleep(step.forMs);
+        upstream.setFault("none");
+    });
+
+/** Connections of all hosts are touched, so none of them counts as in touch. */
+const onAllHosts = (act: (context: FaultContext) => Promise<void>): Handler => async context => {
+    const calm = context.disturb(undefined);
+    await act(context);
+    calm();
+};
+
+/** Injects each kind of fault and lifts it again. */
+export const faultHandlers: Readonly<Record<FaultKind, Handler>> = {
+    "stop-host": onHost((host, context) => restart(host, "SIGTERM", context)),
+    "kill-host": onHost((host, context) => restart(host, "SIGKILL", context)),
+    "kill-all-hosts": onAllHosts(async context => {
+        await Promise.all(context.world.hosts.map(host => restart(host, "SIGKILL", context)));
+    }),
+    "pause-host": onHost(async ({ process }, { sleep, step }) => {
+        process.signal("SIGSTOP");
+        await sleep(step.forMs);
+        process.signal("SIGCONT");
+    }),
+    "reload-host": onHost(async ({ process }) => process.signal("SIGHUP")),
+    "reset-callers": onHost(async ({ callers }) => callers.reset()),
+    "delay-callers": setLink("delay", ({ callers }) => callers),
+    "cut-store": setLink("silent", ({ store }) => store),
+    "half-open-store": setLink("half-open", ({ store }) => store),
+    "silence-store": onHost(async ({ store }) => store.silence()),
+    "store-refuses": setStore("refuses"),
+    "store-hangs": setStore("hangs"),
+    "store-slow": setStore("slow"),
+    "store-loses-answers": setStore("loses-answers"),
+    "store-late-writes": setStore("late-writes"),
+    "store-forgets": onAllHosts(async ({ world }) => world.store.forget()),
+    "reset-upstreams": onAllHosts(onUpstream(async ({ link }) => link.reset())),
+    "silence-upstreams": onAllHosts(onUpstream(async ({ link }) => link.silence())),
+    "delay-upstreams": onAllHosts(onUpstream(async ({ link }, { sleep, step }) => {
+        link.setMode("delay");
+        await sleep(step.forMs);
+        link.setMode("pass");
+    })),
+    "upstream-leaves": onUpstream(upstream => upstream.leave()),
+    "upstream-crashes": onUpstream((upstream, { step }) => upstream.crash(step.forMs)),
+    "upstream-errors": setUpstream("errors"),
+    "upstream-loses-answers": setUpstream("loses-answers"),
+    "upstream-cuts-answers": setUpstream("cuts-answers"),
+    "upstream-extra-answers": setUpstream("extra-answers"),
+    "configuration-changes": ({ world }) => world.changeConfiguration(),
+};
--- /dev/null
+++ b/packages/soak/src/faults/soakWorld.ts
@@ -0,0 +1,34 @@
+import type { LinkProxy } from "../links/linkProxy";
+import type { HostProcess } from "../processes/hostProcess";
+import type { CallerAttempt } from "../records/callerAttempt";
+
+import type { SoakRecords } from "../records/soakRecords";
+import type { SoakRoute } from "./soakRoute";
+import type { SoakUpstream } from "./soakUpstream";
+import type { StoreFault } from "./storeFault";
+
+/** What is around the hosts, in the terms of the soak; an adapter provides it. */
+export interface SoakWorld extends AsyncDisposable {
+    readonly hosts: readonly {
+        readonly process: HostProcess;
+        readonly callers: LinkProxy;
+        readonly store: LinkProxy;
+        readonly isReady: () => Promise<boolean>;
+    }[];
+    readonly upstreams: readonly SoakUpstream[];
+    readonly routes: readonly SoakRoute[];
+    readonly store: { readonly setFault: (fault: StoreFault) => void; readonly forget: () => void; };
+    /** Writes the next version of the configuration; resolves when it is accepted. */
+    readonly changeConfiguration: () => Promise<void>;
+    /** Sends a request over a caller's kept connections; never rejects. */
+    readonly send: (
+        caller: string,
+        hostIndex: number,
+        route: SoakRoute,
+        requestId: string,
+        leavesAfterMs: number | undefined,
+    ) => Promise<CallerAttempt>;
+    /** The whole body that upstreams answer to a request. */
+    readonly expectedBody: (requestId: string) => string;
+    readonly records: SoakRecords;
+}
--- /dev/null
+++ b/packages/soak/src/processes/createHostProcess.ts
@@ -0,0 +1,36 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { openSync } from "node:fs";
+import type { HostCommand } from "./hostCommand";
+import type { HostProcess } from "./hostProcess";
+
+/** Creates a host that was not started yet; only its own child is ever signalled. */
+export const createHostProcess = (hostName: string, command: HostCommand): HostProcess => {
+    const log = openSync(command.logFile, "a");
+    let starts = 0;
+    let child: ChildProcess | undefined;
+    let ended: Promise<number | undefined> = Promise.resolve(0);
+    // A host must not outlive the soak.
+    process.once("exit", () => child?.kill("SIGKILL"));
+
+    return {
+        hostName,
+        starts: () => starts,
+        isRunning: () => child !== undefined,
+        start: () => {
+            starts++;
+            const started = spawn(process.execPath, command.args, {
+                stdio: ["ignore", log, log],
+                env: { PATH: process.env["PATH"], ...command.env },
+            });
+            child = started;
+            ended = new Promise(resolve =>
+                started.once("exit", code => {
+                    child = undefined;
+                    resolve(code ?? undefined);
+                })
+            );
+        },
+        signal: signal => void child?.kill(signal),
+        ended: () => ended,
+    };
+};
--- /dev/null
+++ b/packages/soak/src/processes/hostCommand.ts
@@ -0,0 +1,7 @@
+/** How a host's process is started. */
+export interface HostCommand {
+    readonly args: readonly string[];
+    readonly env: Readonly<Record<string, string>>;
+    /** File to which its log is appended. */
+    readonly logFile: string;
+}
--- /dev/null
+++ b/packages/soak/src/run/runCaller.ts
@@ -0,0 +1,41 @@
+import type { RandomSource } from "@ibislanding/core";
+import type { SoakWorld } from "../faults/soakWorld";
+
+const PAUSE_SPREAD_MS = 60;
+
+/** Pause after a connection failed, before the next host is tried. */
+const FAILED_PAUSE_MS = 50;
+
+/** Part of the requests whose callers leave early, and the time after which they do. */
+const LEAVING_SHARE = 0.05;
+const LEAVES_AFTER_MS = 80;
+
+/** Requests that go to the same host in a row, over the same connections. */
+const REQUESTS_A_HOST = 20;
+
+const REQUEST_ID_LENGTH = 16;
+
+/** Sends one request after the other until the signal aborts; stays with a host and its open connections for a while. */
+export const runCaller = async (
+    world: SoakWorld,
+    name: string,
+    random: RandomSource,
+    signal: AbortSignal,
+): Promise<void> => {
+    let hostIndex = random.nextInt(world.hosts.length);
+    for (let sent = 0; !signal.aborted; sent++) {
+        const route = world.routes[random.nextInt(world.routes.length)];
+        if (route === undefined) {
+            return;
+        }
+        const leavesAfterMs = random.nextUnit() < LEAVING_SHARE ? random.nextInt(LEAVES_AFTER_MS) : undefined;
+        const attempt = await world.send(name, hostIndex, route, random.nextHex(REQUEST_ID_LENGTH), leavesAfterMs);
+        world.records.attempts.push(attempt);
+        const hasFailed = attempt.status === undefined && !attempt.hasLeft;
+        if (hasFailed || sent % REQUESTS_A_HOST === 0) {
+            hostIndex = random.nextInt(world.hosts.length);
+        }
+        const pauseMs = hasFailed ? FAILED_PAUSE_MS : random.nextInt(PAUSE_SPREAD_MS);
+        await new Promise(resolve => setTimeout(resolve, pauseMs));
+    }
+};
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,6 +14,7 @@
     "ibis-bench": "packages/bench/src/program.ts",
     "ibis-capacity": "packages/capacity/src/program.ts",
     "ibis-proofs": "packages/proofs/src/program.ts",
+    "ibis-soak": "platform/soak/program.ts",
     "ibis-edge": "platform/src/launch.ts",
     "ibis-edge.main": "platform/src/program.ts",
 };
--- a/scripts/checkExports.mjs
+++ b/scripts/checkExports.mjs
@@ -4,7 +4,14 @@
 
 const GENERATED = "packages/protocol/src/generated/";
 
-const listed = spawnSync("git", ["ls-files", "-co", "--exclude-standard", "packages/*/src/*.ts", "platform/src/*.ts"], {
+const listed = spawnSync("git", [
+    "ls-files",
+    "-co",
+    "--exclude-standard",
+    "packages/*/src/*.ts",
+    "platform/src/*.ts",
+    "platform/soak/*.ts",
+], {
     encoding: "utf8",
 });
 const files = listed.stdout.split("\n").filter(path => path !== "" && existsSync(path) && !path.startsWith(GENERATED));
