fix(limits): hosts of a large group do not take each other's bursts of reports for a high rate

A peer's rate was the units between two of its reports over the time between their arrivals; relayed reports arrive milliseconds apart, and one request of 9,000 tokens read as thousands of tokens a millisecond that the peer had 'probably taken since'. What was taken in the meantime was also held against the level though the level's refill of that time balances it. Change: one averaged rate of all peers; of what they probably took, the window counts all and the level what is above the refill.

--- a/packages/gateway/__tests__/limits.spec.ts
+++ b/packages/gateway/__tests__/limits.spec.ts
@@ -195,3 +195,30 @@
     await clock.advance(10_000);
     expect(first?.[1].admit(account, 9_500).kind).toBe("entitled");
 });
+
+test("reports that arrive close together do not read as a high rate: an account at half its limit is not refused", async () => {
+    const clock = createFakeClock();
+    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerSilenceMs: () => 12_000 });
+    const hosts = Array.from({ length: 80 }, (_, index) => `host-${index}` as HostId);
+    const totals = new Map(hosts.map(hostId => [hostId, 0]));
+    const UNITS = 500;
+    const ROUND_MS = 100;
+    const report = (hostId: HostId, units: number): void => {
+        const entitled = (totals.get(hostId) ?? 0) + units;
+        totals.set(hostId, entitled);
+        meter.observePeer(hostId, hostId, new Map([[account.accountId, { entitled, spare: 0, level: 5_000 }]]));
+    };
+    const refused: number[] = [];
+    for (let round = 0; round < 300; round++) {
+        // One host has taken a request; two reports of it arrive together over different ways.
+        const hostId = hosts[round * 7 % hosts.length] as HostId;
+        report(hostId, 0);
+        await clock.advance(1);
+        report(hostId, UNITS);
+        await clock.advance(ROUND_MS - 1);
+        if (round % 20 === 0 && meter.admit(account, UNITS).kind === "over") {
+            refused.push(round);
+        }
+    }
+    expect(refused).toEqual([]);
+});
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -1,4 +1,4 @@
-import type { AccountId, Clock, HostId } from "@ibislanding/core";
+import { type AccountId, type Clock, createRateMeter, type HostId, type RateMeter } from "@ibislanding/core";
 import type { ClientAccount } from "../configuration/clientAccount";
 import type { AccountMeter } from "./accountMeter";
 import type { AccountMeterOptions } from "./accountMeterOptions";
@@ -13,7 +13,6 @@
 interface PeerTotal {
     readonly total: UsedUnits;
     readonly heardAtMs: number;
-    readonly ratePerMs: number;
 }
 
 interface AccountState {
@@ -26,6 +25,8 @@
     readonly spareWindow: UsageWindow;
     total: UsedUnits;
     readonly peers: Map<HostId, PeerTotal>;
+    /** What all peers together took, by their reports. */
+    readonly peerRate: RateMeter;
     /** Whether the level was taken over from a peer. */
     isInformed: boolean;
 }
@@ -33,8 +34,11 @@
 /** A silent peer counts as gone after this time. */
 const PEER_FORGOTTEN_MS = 20_000;
 
-/** Weight of the newest interval in a peer's smoothed rate. */
-const RATE_SMOOTHING = 0.3;
+/**
+ * Time over which the rate of all peers is averaged. That of a single peer would say little: in a large group each takes
+ * few requests of an account, and reports may arrive close together.
+ */
+const RATE_AVERAGE_MS = 3_000;
 
 /** Wait of an account that used up its window: a part of it leaves the window by then. */
 const LEAST_WAIT_MS = 250;
@@ -64,6 +68,7 @@
             spareWindow: createUsageWindow(clock, windowMs),
             total: { entitled: 0, spare: 0 },
             peers: new Map<HostId, PeerTotal>(),
+            peerRate: createRateMeter(RATE_AVERAGE_MS),
             isInformed: false,
         };
         accounts.set(accountId, state);
@@ -85,11 +90,21 @@
         state.refilledAtMs = nowMs;
     };
 
-    /** Units that peers have probably taken since their last reports; a silent one has its part of the rate, or has ended. */
-    const unreported = (state: AccountState, nowMs: number): number =>
-        [...state.peers.values()]
-            .filter(({ heardAtMs }) => nowMs - heardAtMs < peerSilenceMs())
-            .reduce((sum, { ratePerMs, heardAtMs }) => sum + ratePerMs * (nowMs - heardAtMs), 0);
+    /**
+     * What peers have probably taken since their last reports. Silent ones have their part of the rate, or have ended.
+     * Only what is above the refill of that time is missing from the level.
+     */
+    const unreported = (
+        { peers, peerRate }: AccountState,
+        { ratePerS }: ClientAccount,
+        nowMs: number,
+    ): { readonly units: number; readonly aboveRefill: number; } => {
+        const silenceMs = peerSilenceMs();
+        const ages = [...peers.values()].map(({ heardAtMs }) => nowMs - heardAtMs).filter(ageMs => ageMs < silenceMs);
+        const meanAgeMs = ages.reduce((sum, ageMs) => sum + ageMs, 0) / Math.max(1, ages.length);
+        const perMs = peerRate.perMs(nowMs);
+        return { units: meanAgeMs * perMs, aboveRefill: meanAgeMs * Math.max(0, perMs - ratePerS / MS_PER_S) };
+    };
 
     /** Units that are left in the window; those of the level until a whole window was seen. */
     const unitsLeft = (state: AccountState, account: ClientAccount, share: number, nowMs: number): number =>
@@ -115,7 +130,7 @@
             state.refilledAtMs = nowMs;
             state.isInformed = true;
         }
-        state.peers.set(hostId, { total, heardAtMs: nowMs, ratePerMs: 0 });
+        state.peers.set(hostId, { total, heardAtMs: nowMs });
     };
 
     const observeUse = (state: AccountState, hostId: HostId, use: AccountUse, nowMs: number): void => {
@@ -127,11 +142,9 @@
         }
         const entitled = Math.max(0, total.entitled - (peer?.total.entitled ?? 0));
         const spare = Math.max(0, total.spare - (peer?.total.spare ?? 0));
-        const taken = entitled + spare;
-        const elapsedMs = Math.max(1, nowMs - (peer?.heardAtMs ?? startedAtMs));
-        const ratePerMs = (peer?.ratePerMs ?? 0) * (1 - RATE_SMOOTHING) + taken / elapsedMs * RATE_SMOOTHING;
+        state.peerRate.add(entitled + spare, nowMs);
         note(state, { entitled, spare });
-        state.peers.set(hostId, { total, heardAtMs: nowMs, ratePerMs });
+        state.peers.set(hostId, { total, heardAtMs: nowMs });
     };
 
     return {
@@ -146,10 +159,10 @@
             refill(state, account, share, nowMs);
             // Hosts that took too much between two reports must not keep the account out for long.
             state.level = Math.max(state.level, -account.burst);
-            const pending = unreported(state, nowMs);
-            const missing = Math.min(units, account.burst) - (state.level - pending);
+            const pending = unreported(state, account, nowMs);
+            const missing = Math.min(units, account.burst) - (state.level - pending.aboveRefill);
             const waitMs = missing / account.ratePerS * MS_PER_S;
-            const hasRoom = units + pending <= unitsLeft(state, account, share, nowMs);
+            const hasRoom = units + pending.units <= unitsLeft(state, account, share, nowMs);
             if (missing <= 0 && (hasRoom || isYoung(nowMs))) {
                 take(state, unitsOf("entitled", units));
                 return { kind: "entitled" };
