--- a/packages/soak/src/processes/createHostProcess.ts
+++ b/packages/soak/src/processes/createHostProcess.ts
@@ -9,8 +9,6 @@
     let starts = 0;
     let child: ChildProcess | undefined;
     let ended: Promise<number | undefined> = Promise.resolve(0);
-    // A host must not outlive the soak.
-    process.once("exit", () => child?.kill("SIGKILL"));
 
     return {
         hostName,
@@ -23,9 +21,13 @@
                 env: { PATH: process.env["PATH"], ...command.env },
             });
             child = started;
+            // A host must not outlive the soak.
+            const kill = (): void => void started.kill("SIGKILL");
+            process.once("exit", kill);
             ended = new Promise(resolve =>
                 started.once("exit", code => {
                     child = undefined;
+                    process.off("exit", kill);
                     resolve(code ?? undefined);
                 })
             );
