feat(duties): staffing by the square root of the load; on-demand engines for what a wave leaves

The plan held 3.3 engines for each busy one at any size, on-demand ones for the whole average load, and took its own first orders for work: 63 engines found, 97 ordered before traffic. Change: engines beyond the busy ones go with the square root of their number (the same fleet as before at the sizes of the small deployments); on-demand ones carry the average load together with the third of the reclaimable ones that a wave of reclaims leaves, and while reclaimable ones are refused they are ordered for the next reclaim too; a found fleet is counted once.

--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -15,6 +15,7 @@
 export type { FleetZone } from "./scaling/fleetZone";
 export { planFleet } from "./scaling/planFleet";
 export type { Scaler } from "./scaling/scaler";
+export { staffing } from "./scaling/staffing";
 export type { ZoneTarget } from "./scaling/zoneTarget";
 
 // Holder
--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -1,15 +1,13 @@
 import type { FleetState } from "./fleetState";
 import type { FleetZone } from "./fleetZone";
+import { staffing } from "./staffing";
 import type { ZoneTarget } from "./zoneTarget";
 
-/** Work of an engine at the peak up to which prompts wait little behind others and running answers keep their pace. */
-const TARGET_BUSY_SHARE = 0.3;
-
-/** Work of the on-demand engines at average load while all reclaimable ones are gone. */
-const SURVIVAL_BUSY_SHARE = 1;
-
-/** Present work of the engines up to which on-demand ones are added while reclaimable ones are refused. */
-const SHORTAGE_BUSY_SHARE = 0.4;
+/**
+ * Part of the reclaimable upstreams that is left when a wave of reclaims has taken a zone and its neighbour, of three:
+ * upstreams ordered after the first loss are there before a third one.
+ */
+const SURVIVING_SHARE = 1 / 3;
 
 /** On-demand upstreams whatever the load: the loss of one leaves another. */
 const LEAST_SURVIVORS = 2;
@@ -37,28 +35,41 @@
     return counts;
 };
 
-/** On-demand upstreams to add for reclaimable ones that the platform refuses. */
+/**
+ * On-demand upstreams to add for reclaimable ones that the platform refuses: for the present load, and so that it is
+ * carried after the next reclaim as well.
+ */
 const shortage = ({ zones, currentBusy }: FleetState, survivors: number): number => {
     if (!zones.some(({ isReclaimableRefused }) => isReclaimableRefused)) {
         return 0;
     }
     const running = zones.reduce((sum, { reclaimable }) => sum + reclaimable, 0);
-    return Math.max(0, Math.ceil(currentBusy / SHORTAGE_BUSY_SHARE) - survivors - running);
+    const afterNextReclaim = running - Math.max(...zones.map(({ reclaimable }) => reclaimable));
+    return Math.max(
+        0,
+        staffing.enginesInShortage(currentBusy) - survivors - running,
+        Math.ceil(currentBusy) - survivors - afterNextReclaim,
+    );
 };
 
+/** On-demand upstreams that carry the average load together with the reclaimable ones that a wave leaves. */
+const survivorsOf = (wanted: number, averageBusy: number): number =>
+    Math.max(LEAST_SURVIVORS, Math.ceil((averageBusy - wanted * SURVIVING_SHARE) / (1 - SURVIVING_SHARE)));
+
 /**
  * Plans a service's upstreams by availability zone and price class.
  *
- * Answers a load that jumps while the platform reclaims all reclaimable upstreams of a zone and offers no new ones: a
- * few on-demand upstreams in the cheapest zones carry the average load; reclaimable ones on top keep prompts from
- * waiting at peaks and are spread over all zones, so that one reclaim takes only a part of them. While reclaimable ones
- * are refused, on-demand ones take their place.
+ * Answers a load that jumps while the platform reclaims all reclaimable upstreams of one zone after the other and offers
+ * no new ones: reclaimable upstreams, spread over all zones, keep prompts from waiting at peaks; as many on-demand ones
+ * in the cheapest zones as carry the average load with what a wave leaves. While reclaimable ones are refused, on-demand
+ * ones take their place.
  */
 export const planFleet = (state: FleetState): readonly ZoneTarget[] => {
     const { zones, averageBusy, peakBusy, minimum, maximum } = state;
-    const survivors = Math.max(LEAST_SURVIVORS, Math.ceil(averageBusy / SURVIVAL_BUSY_SHARE));
+    const needed = Math.max(LEAST_SURVIVORS + zones.length, staffing.enginesAtPeak(peakBusy));
+    const survivors = survivorsOf(needed, averageBusy);
     const onDemand = distribute(zones, survivors + shortage(state, survivors), () => maximum);
-    const wanted = Math.max(survivors + zones.length, Math.ceil(peakBusy / TARGET_BUSY_SHARE));
+    const wanted = Math.max(needed, survivors + zones.length);
     const reclaimable = distribute(zones, wanted - survivors, zone => maximum - (onDemand.get(zone) ?? 0));
     return zones.map(zone => {
         const here = { onDemand: onDemand.get(zone) ?? 0, reclaimable: reclaimable.get(zone) ?? 0 };
--- a/packages/edge/src/createDemandMeter.ts
+++ b/packages/edge/src/createDemandMeter.ts
@@ -1,4 +1,5 @@
 import type { Clock, ServiceName } from "@ibislanding/core";
+import { staffing } from "@ibislanding/duties";
 import type { DemandMeter } from "./demandMeter";
 import type { RunningUpstreams } from "./runningUpstreams";
 
@@ -15,8 +16,8 @@
 /** A peak may come back sooner than engines boot again after they were given up. */
 const PEAK_HOLD_MS = 10_000;
 
-/** Work of an engine assumed at the peak of a fleet that is found running: it is taken as right until its load was seen. */
-const FOUND_BUSY_SHARE = 0.28;
+/** Average work of a fleet that is found running, against its peak: of a load that swings by a third around it. */
+const FOUND_AVERAGE_SHARE = 2 / 3;
 
 /** Less work than this is no load yet. */
 const LEAST_BUSY = 0.1;
@@ -24,11 +25,14 @@
 /** Creates a meter that has seen nothing. */
 export const createDemandMeter = (clock: Clock): DemandMeter => {
     const services = new Map<ServiceName, Demand>();
-
-    /** The on-demand upstreams that are found are enough for the average. */
-    const found = (busyUpstreams: number, { onDemand, reclaimable }: RunningUpstreams): Demand => {
-        const peakBusy = Math.max(busyUpstreams, (onDemand + reclaimable) * FOUND_BUSY_SHARE);
-        const averageBusy = Math.max(busyUpstreams, Math.min(onDemand, peakBusy));
+    const foundRunning = new Map<ServiceName, RunningUpstreams>();
+
+    /** A fleet that is found is taken as right for its load until that is seen; orders of our own do not change that. */
+    const found = (service: ServiceName, busyUpstreams: number, running: RunningUpstreams): Demand => {
+        const { onDemand, reclaimable } = foundRunning.get(service) ?? running;
+        foundRunning.set(service, { onDemand, reclaimable });
+        const peakBusy = Math.max(busyUpstreams, staffing.busyAtPeak(onDemand + reclaimable));
+        const averageBusy = Math.max(busyUpstreams, Math.min(onDemand, peakBusy * FOUND_AVERAGE_SHARE));
         const nowMs = clock.monotonicMs();
         return { averageBusy, averagedAtMs: nowMs, peakBusy, peakAtMs: nowMs };
     };
@@ -38,9 +42,9 @@
             const nowMs = clock.monotonicMs();
             const known = services.get(service);
             if (known === undefined && busyUpstreams < LEAST_BUSY) {
-                return { ...found(busyUpstreams, running), currentBusy: busyUpstreams };
+                return { ...found(service, busyUpstreams, running), currentBusy: busyUpstreams };
             }
-            const demand = known ?? found(busyUpstreams, running);
+            const demand = known ?? found(service, busyUpstreams, running);
             const weight = 1 - Math.exp((demand.averagedAtMs - nowMs) / AVERAGE_MS);
             demand.averageBusy += (busyUpstreams - demand.averageBusy) * weight;
             demand.averagedAtMs = nowMs;
