feat(gateway): hosts of a large group find the engine that holds a prefix; fewer notices and calls

Cause: at 84 hosts a placement is told to 12 of 83 peers, so six of seven hosts did not know where a prefix is cached, and plans were read nearly in full (235 ms of predicted prompt work each, 237 for a whole one). Ruled out: telling all (172 placements a second to 83 peers over paid links). Change: a prompt's shared parts are presumed to be cached at the engine that rendezvous hashing prefers, half at the next, by the part of the placements that a host does not hear of (none in a small group); such answers teach no speed and no lateness. Round trips to engines that were not called yet are those of their zone. Notices go to 4 peers of a large group. Changes are gathered longer, up to 0.3 of the time in which they must be in force, which the platform's settings give.

--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -28,8 +28,9 @@
 /** Time that a watch gets to deliver what a peer already knows, before the peer is asked for it. */
 const FETCH_DELAY_MS = 150;
 
-/** Peers told of one placement: all of a small group, and a bounded number of calls a request in a large one. */
+/** Peers told of one placement: all of a small group, a few of a large one, where most of the work is calls of this kind. */
 const NOTICE_FANOUT = 12;
+const LARGE_GROUP_NOTICE_FANOUT = 4;
 
 /** An unreachable peer is called at this interval until it answers. */
 const UNREACHABLE_RETRY_MS = 1_000;
@@ -71,6 +72,8 @@
 
     const isLargeGroup = (): boolean => peers.length > DIRECT_PEERS;
 
+    const noticeFanout = (): number => isLargeGroup() ? LARGE_GROUP_NOTICE_FANOUT : NOTICE_FANOUT;
+
     const roundMs = (): number => options.intervalMs * (isLargeGroup() ? LARGE_GROUP_FACTOR : 1);
 
     const receiveOne = ({ text, ageMs }: CarriedReport): Report | undefined => {
@@ -239,10 +242,11 @@
             peers = addresses;
         },
         notify: notice =>
-            choosePeers(NOTICE_FANOUT).forEach(address =>
+            choosePeers(noticeFanout()).forEach(address =>
                 // A failure needs no answer here: the rounds watch which peers can be reached.
                 void clients.call(address as PeerAddress, ReportServiceService.notify, notice, CALL_TIMEOUT_MS)
             ),
+        unheardShare: () => Math.max(0, 1 - noticeFanout() / Math.max(1, peers.length)),
         typicalAgeMs: () =>
             isLargeGroup()
                 ? roundMs() * Math.log2(peers.length)
--- a/packages/discovery/src/reports/reportExchange.ts
+++ b/packages/discovery/src/reports/reportExchange.ts
@@ -10,6 +10,8 @@
     readonly setPeers: (addresses: readonly string[]) => void;
     /** Tells peers of a placement at once; a lost notice is made up for by the next report. */
     readonly notify: (notice: LoadNotice) => void;
+    /** Part of the peers that a notice does not reach. */
+    readonly unheardShare: () => number;
     /** Time in which news of a host reaches another, as the number of hosts gives it. */
     readonly typicalAgeMs: () => number;
     /** Last report of each peer that was heard within the last minute. */
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -100,6 +100,7 @@
             seedAddresses,
             graceMs: 4_000,
             leaseMs: 900,
+            inForceMs: 2_500,
             retryBudget: { ratio: 0.2, slack: 10, windowMs: 10_000 },
             accountLimits: { windowMs: 8_000, slackUnits: 0 },
             usage: { windowMs: 1_000, dueMs: 5_000 },
--- a/packages/edge/src/createKnowledge.ts
+++ b/packages/edge/src/createKnowledge.ts
@@ -18,10 +18,10 @@
 const MOST_WATCH_MS = 20_000;
 
 /** Each change is read by all hosts: the more there are, the longer changes are gathered. */
-const GATHER_MS_PER_HOST = 10;
+const GATHER_MS_PER_HOST = 15;
 
-/** A fifth of the shortest time in which a change of the configuration must be in force. */
-const MOST_GATHER_MS = 500;
+/** Part of the time in which a change must be in force that gathering may take; hosts out of the store's reach learn later. */
+const MOST_GATHER_SHARE = 0.3;
 
 /** New hosts call the others themselves. */
 const HOSTS_GATHER_MS = 2_000;
@@ -32,7 +32,7 @@
     onUpstreams: (records: readonly UpstreamRecord[]) => void,
     onHosts: (addresses: readonly string[]) => void,
 ): Knowledge => {
-    const { documents, log, history, clock, random } = options;
+    const { documents, log, history, clock, random, settings } = options;
     let configuration: CompiledConfiguration | undefined;
     let appliedEntryVersion: number | undefined;
     const decoded = new Map<string, { readonly version: number; readonly record: UpstreamRecord | undefined; }>();
@@ -98,7 +98,8 @@
     const sharedWatchMs = (): number =>
         Math.min(MOST_WATCH_MS, Math.max(LEAST_WATCH_MS, hostCount() * WATCH_END_INTERVAL_MS));
 
-    const sharedGatherMs = (): number => Math.min(MOST_GATHER_MS, hostCount() * GATHER_MS_PER_HOST);
+    const sharedGatherMs = (): number =>
+        Math.min(settings.inForceMs * MOST_GATHER_SHARE, hostCount() * GATHER_MS_PER_HOST);
 
     const follow = (
         name: string,
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -16,6 +16,8 @@
     /** Time from the request to stop until the process is killed. */
     readonly graceMs: number;
     readonly leaseMs: number;
+    /** Time in which a change that was accepted must be in force at every host. */
+    readonly inForceMs: number;
     readonly retryBudget: { readonly ratio: number; readonly slack: number; readonly windowMs: number; };
     /** Window over which accounts' limits hold, and units by which an account may exceed its limit in it. */
     readonly accountLimits: { readonly windowMs: number; readonly slackUnits: number; };
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -92,6 +92,7 @@
         clock,
         hasher,
         peerSilenceMs: silenceMs,
+        unheardShare: () => peers.exchange?.unheardShare() ?? 0,
         serviceOf: service => knowledge.configuration()?.servicesByName.get(service),
         onPlaced: ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
             work.add(service, workMs);
--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -1,4 +1,4 @@
-import { createFakeClock, createHasher, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import { createFakeClock, createHasher, createRandom, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import {
     chooseUpstream,
     createUpstreamTable,
@@ -48,6 +48,7 @@
                 clock,
                 hasher,
                 peerSilenceMs: () => 1_500,
+                unheardShare: () => 0,
                 serviceOf: () => spec,
                 onPlaced: ({ upstreamId, load, partIds }) => {
                     if (notifies) {
@@ -100,3 +101,71 @@
     // Two of ten a host would be even; one more was placed before the first notice had arrived.
     expect(most(await replay(true))).toBeLessThanOrEqual(3);
 });
+
+/** Shared tokens that engines process more than once; chains come back every few seconds at hosts that hear little. */
+const tokensReadAgain = async (unheardShare: number): Promise<number> => {
+    const HOSTS = 40;
+    const HEARING = 5;
+    const CHAINS = 60;
+    const SHARED_TOKENS = 6_000;
+    const OWN_TOKENS = 2_000;
+    const PROMPTS = 600;
+    const INTERVAL_MS = 25;
+    const ANSWER_MS = 150;
+    const engines = Array.from({ length: 12 }, (_, index) => `engine-${index}`);
+    const clock = createFakeClock();
+    const hasher = await createHasher();
+    const random = createRandom(7);
+    const tables: UpstreamTable[] = Array.from({ length: HOSTS }, (_, host) =>
+        createUpstreamTable({
+            clock,
+            hasher,
+            peerSilenceMs: () => 1_500,
+            unheardShare: () => unheardShare,
+            serviceOf: () => spec,
+            onPlaced: ({ upstreamId, load, partIds }) =>
+                Array.from({ length: HEARING }).forEach(() =>
+                    tables[random.nextInt(HOSTS)]?.observePlacement(`host-${host}`, upstreamId, load, partIds)
+                ),
+        }));
+    tables.forEach(table => table.replace(engines.map(id => createRecord(id, 1, { service, slots: 64 }))));
+    const cached = new Map(engines.map(id => [id, new Set<number>()]));
+    const processed = new Set<number>();
+    let tokens = 0;
+    for (let index = 0; index < PROMPTS; index++) {
+        const chain = random.nextInt(CHAINS);
+        const table = tables[random.nextInt(HOSTS)];
+        const request: PlacementRequest = {
+            promptTokens: SHARED_TOKENS + OWN_TOKENS,
+            promptParts: [
+                { partId: `system-${chain % 4}`, tokens: SHARED_TOKENS / 2 },
+                { partId: `subject-${chain}`, tokens: SHARED_TOKENS / 2 },
+                { partId: `own-${index}`, tokens: OWN_TOKENS },
+            ],
+            objectiveMs: 1_000,
+            remainingMs: 6_000,
+            isSpare: false,
+            excluded: new Set(),
+        };
+        const decision = chooseUpstream(table?.candidates(service, request) ?? [], request);
+        if (decision.kind === "send") {
+            const held = cached.get(decision.upstream.upstreamId);
+            tokens += held?.has(chain) !== true && processed.has(chain) ? SHARED_TOKENS : 0;
+            held?.add(chain);
+            processed.add(chain);
+            const load = table?.begin(decision.upstream.upstreamId, request);
+            clock.setTimer(ANSWER_MS, () => {
+                load?.firstEvent();
+                load?.end();
+            });
+        }
+        await clock.advance(INTERVAL_MS);
+    }
+    return tokens;
+};
+
+test("hosts that hear of few placements find the engine that holds a prefix", async () => {
+    const alone = await tokensReadAgain(0);
+    expect(alone).toBeGreaterThan(0);
+    expect(await tokensReadAgain(0.87)).toBeLessThanOrEqual(alone / 10);
+});
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -49,6 +49,7 @@
         clock,
         hasher,
         peerSilenceMs: () => 1_500,
+        unheardShare: () => 0,
         serviceOf: () => spec,
         onPlaced: () => undefined,
     });
@@ -195,6 +196,7 @@
         clock,
         hasher,
         peerSilenceMs: () => 1_500,
+        unheardShare: () => 0,
         serviceOf: () => plain,
         onPlaced: () => undefined,
     });
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -75,6 +75,7 @@
         clock,
         hasher: await createHasher(),
         peerSilenceMs: () => 1_500,
+        unheardShare: () => 0,
         serviceOf: name => configuration.servicesByName.get(name),
         onPlaced: () => undefined,
     });
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,9 +1,10 @@
-import { median, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import type { EngineSpec } from "../configuration/engineSpec";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
 import { predictMs } from "../placement/predictMs";
 import { preferenceMs } from "../placement/preferenceMs";
+import { presumedShares } from "../placement/presumedShares";
 import { createDepartures } from "./createDepartures";
 import { createEngineSpeeds } from "./createEngineSpeeds";
 import { createPeerLoadTable } from "./createPeerLoadTable";
@@ -37,6 +38,9 @@
     readonly slowness: number;
     readonly answerMs: number;
     readonly roundTripMs: number;
+    readonly roundTripMsByZone: ReadonlyMap<AvailabilityZone, number>;
+    /** Part of the shared prefix of the present prompt that counts as cached without a notice. */
+    readonly presumedShares: ReadonlyMap<UpstreamId, number>;
     /** Connections that this host may hold to each. */
     readonly connectionLimit: number;
 }
@@ -46,13 +50,15 @@
     readonly candidate: PlacementCandidate;
     /** Prompt tokens that it would have to process, as their prefix is not cached there. */
     readonly tokens: number;
+    /** The same without what is only presumed to be cached. */
+    readonly mostTokens: number;
     /** Tokens that wait there before them, of all hosts. */
     readonly backlogTokens: number;
 }
 
 /** Creates an empty table. */
 export const createUpstreamTable = (options: UpstreamTableOptions): UpstreamTable => {
-    const { clock, hasher, serviceOf, onPlaced, peerSilenceMs } = options;
+    const { clock, hasher, serviceOf, onPlaced, peerSilenceMs, unheardShare } = options;
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = createPeerLoadTable(clock, peerSilenceMs);
     const score = createUpstreamScore(clock);
@@ -74,7 +80,25 @@
     const statesOf = (service: ServiceName): readonly UpstreamState[] =>
         [...upstreams.values()].filter(({ record }) => record.service === service);
 
-    const viewOf = (service: ServiceName): ServiceView => {
+    const medianRoundTripMs = (states: readonly UpstreamState[]): number | undefined =>
+        median(states.flatMap(({ roundTripMs }) => roundTripMs ?? []));
+
+    const roundTripsByZone = (states: readonly UpstreamState[]): ServiceView["roundTripMsByZone"] =>
+        new Map([...new Set(states.map(({ record }) => record.availabilityZone))].flatMap(zone => {
+            const typicalMs = medianRoundTripMs(states.filter(({ record }) => record.availabilityZone === zone));
+            return typicalMs === undefined ? [] : [[zone, typicalMs] as const];
+        }));
+
+    const presumed = (states: readonly UpstreamState[], { promptParts }: PlacementRequest) => {
+        const share = unheardShare();
+        if (share === 0) {
+            return new Map<UpstreamId, number>();
+        }
+        const ids = states.filter(({ record }) => !record.isLeaving).map(({ record }) => record.upstreamId);
+        return new Map([...presumedShares(hasher, ids, promptParts)].map(([id, part]) => [id, part * share]));
+    };
+
+    const viewOf = (service: ServiceName, request?: PlacementRequest): ServiceView => {
         const states = statesOf(service);
         const spec = serviceOf(service);
         const share = spec === undefined
@@ -84,7 +108,9 @@
             engine: spec?.engine,
             slowness: median(states.map(({ slowness }) => slowness)) ?? 1,
             answerMs: median(states.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
-            roundTripMs: median(states.flatMap(({ roundTripMs }) => roundTripMs ?? [])) ?? 0,
+            roundTripMs: medianRoundTripMs(states) ?? 0,
+            roundTripMsByZone: roundTripsByZone(states),
+            presumedShares: request === undefined || spec?.engine === undefined ? new Map() : presumed(states, request),
             connectionLimit: Math.max(LEAST_CONNECTIONS, share),
         };
     };
@@ -125,12 +151,13 @@
         const rate = speeds.rateOf(state, view.slowness);
         const peerLoads = peers.loadsOf(record.upstreamId);
         const backlogTokens = backlogOf(state, peerLoads, rate).allTokens;
-        const tokens = engine === undefined
+        const cachedTokens = engine === undefined
             ? 0
-            : Math.max(
-                0,
-                request.promptTokens - prefixes.cachedTokens(record, request.promptParts, engine.cacheTokens),
-            );
+            : prefixes.cachedTokens(record, request.promptParts, engine.cacheTokens);
+        const presumedTokens = (view.presumedShares.get(record.upstreamId) ?? 0)
+            * request.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+        const mostTokens = engine === undefined ? 0 : Math.max(0, request.promptTokens - cachedTokens);
+        const tokens = Math.min(mostTokens, Math.max(0, request.promptTokens - presumedTokens));
         const candidate = {
             record,
             isEngine: engine !== undefined,
@@ -140,12 +167,12 @@
             preferenceMs: engine === undefined ? 0 : preferenceMs(hasher, record.upstreamId, request.promptParts),
             hiddenMs: score.hiddenMs(state),
             overheadMs: engine === undefined ? 0 : speeds.overheadMs(record.service),
-            roundTripMs: state.roundTripMs ?? view.roundTripMs,
+            roundTripMs: state.roundTripMs ?? view.roundTripMsByZone.get(record.availabilityZone) ?? view.roundTripMs,
             isEjected: score.isEjected(state),
             hasVanished: state.vanishedAtMs !== undefined,
             isConnectionLimited: state.openConnections >= view.connectionLimit,
         };
-        return { candidate, tokens, backlogTokens };
+        return { candidate, tokens, mostTokens, backlogTokens };
     };
 
     const siblingsOf = (state: UpstreamState): readonly UpstreamState[] =>
@@ -197,7 +224,7 @@
         isRegistered: ({ upstreamId, startedAtMs }) => upstreams.get(upstreamId)?.record.startedAtMs === startedAtMs,
         candidates: (service, request) => {
             dropVanished();
-            const view = viewOf(service);
+            const view = viewOf(service, request);
             return statesOf(service).map(state => assess(state, request, view).candidate);
         },
         begin: (upstreamId, request) => {
@@ -206,11 +233,13 @@
                 return { firstEvent: () => undefined, end: () => undefined };
             }
             const { service } = state.record;
-            const view = viewOf(service);
-            const { candidate, tokens, backlogTokens } = assess(state, request, view);
+            const view = viewOf(service, request);
+            const { candidate, tokens, mostTokens, backlogTokens } = assess(state, request, view);
             const { promptMs, isEngine } = candidate;
             const startedAtMs = clock.monotonicMs();
-            const due = { atMs: startedAtMs + predictMs(candidate) - candidate.hiddenMs };
+            // A prefix that turns out not to be cached makes the answer late, but the engine is not behind.
+            const unsureMs = (mostTokens - tokens) / speeds.rateOf(state, view.slowness);
+            const due = { atMs: startedAtMs + predictMs(candidate) - candidate.hiddenMs + unsureMs };
             state.dueAtMs.add(due);
             let waits = true;
             let runs = true;
@@ -241,7 +270,7 @@
                     if (waits) {
                         score.recordExcess(state, clock.monotonicMs() - due.atMs);
                     }
-                    if (waits && isEngine) {
+                    if (waits && isEngine && mostTokens === tokens) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
                         speeds.observe(state, tokens + backlogTokens, durationMs);
                     }
--- a/packages/gateway/src/upstreams/upstreamTableOptions.ts
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -9,6 +9,8 @@
     readonly serviceOf: (service: ServiceName) => ServiceSpec | undefined;
     /** Time without a report after which a peer's loads are ignored. */
     readonly peerSilenceMs: () => number;
+    /** Part of the other hosts' placements that this host does not hear of. */
+    readonly unheardShare: () => number;
     /** Called with each request that is placed. */
     readonly onPlaced: (placement: UpstreamPlacement) => void;
 }
