perf(gateway): a placement looks at the loads of each upstream alone, and ranks engines without hashing texts

Cause: a placement at a host with 83 peers and 70 engines took 2.5 ms: for each engine the loads of all peers were gone through. Change: loads are kept by upstream; engines are ranked for a prefix by mixing two hashes. Ruled out: the same for the preference of a prefix, where the mapping to engines would change for small groups as well.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,6 +50,7 @@
 // Hashing
 export { createHasher } from "./hashing/createHasher";
 export type { Hasher } from "./hashing/hasher";
+export { mixHashes } from "./hashing/mixHashes";
 
 // Tasks
 export { createDeferred } from "./tasks/createDeferred";
--- a/packages/gateway/src/upstreams/createPeerLoadTable.ts
+++ b/packages/gateway/src/upstreams/createPeerLoadTable.ts
@@ -2,8 +2,9 @@
 import type { HeardLoad } from "./heardLoad";
 import type { PeerLoadTable } from "./peerLoadTable";
 
-interface PeerLoads {
-    readonly loads: Map<UpstreamId, HeardLoad>;
+interface Peer {
+    /** Upstreams of which the peer told its load. */
+    readonly upstreamIds: Set<UpstreamId>;
     heardAtMs: number;
 }
 
@@ -12,25 +13,51 @@
 
 /** Creates an empty table; loads of a peer that has been silent for longer than the given time are ignored. */
 export const createPeerLoadTable = (clock: Clock, peerSilenceMs: () => number): PeerLoadTable => {
-    const peers = new Map<string, PeerLoads>();
+    const peers = new Map<string, Peer>();
+    // Each request looks at all upstreams, and few peers load any one of them.
+    const loadsByUpstream = new Map<UpstreamId, Map<string, HeardLoad>>();
 
-    const heardWithin = (lifetimeMs: number): readonly PeerLoads[] =>
-        [...peers.values()].filter(peer => clock.monotonicMs() - peer.heardAtMs < lifetimeMs);
+    const isHeardWithin = (hostName: string, lifetimeMs: number): boolean =>
+        clock.monotonicMs() - (peers.get(hostName)?.heardAtMs ?? -Infinity) < lifetimeMs;
+
+    const hear = (hostName: string): Peer => {
+        const heardAtMs = clock.monotonicMs();
+        const peer = peers.get(hostName) ?? { upstreamIds: new Set<UpstreamId>(), heardAtMs };
+        peer.heardAtMs = heardAtMs;
+        peers.set(hostName, peer);
+        return peer;
+    };
+
+    const forget = (hostName: string, peer: Peer, upstreamId: UpstreamId): void => {
+        const loads = loadsByUpstream.get(upstreamId);
+        loads?.delete(hostName);
+        if (loads?.size === 0) {
+            loadsByUpstream.delete(upstreamId);
+        }
+        peer.upstreamIds.delete(upstreamId);
+    };
+
+    const observeLoad: PeerLoadTable["observeLoad"] = (hostName, upstreamId, load) => {
+        const peer = hear(hostName);
+        const loads = loadsByUpstream.get(upstreamId) ?? new Map<string, HeardLoad>();
+        loads.set(hostName, { ...load, heardAtMs: peer.heardAtMs });
+        loadsByUpstream.set(upstreamId, loads);
+        peer.upstreamIds.add(upstreamId);
+    };
 
     return {
         observe: (hostName, loads) => {
-            const heardAtMs = clock.monotonicMs();
-            const heard = new Map([...loads].map(([upstreamId, load]) => [upstreamId, { ...load, heardAtMs }]));
-            peers.set(hostName, { loads: heard, heardAtMs });
-        },
-        observeLoad: (hostName, upstreamId, load) => {
-            const heardAtMs = clock.monotonicMs();
-            const peer = peers.get(hostName) ?? { loads: new Map<UpstreamId, HeardLoad>(), heardAtMs };
-            peer.heardAtMs = heardAtMs;
-            peer.loads.set(upstreamId, { ...load, heardAtMs });
-            peers.set(hostName, peer);
+            const peer = hear(hostName);
+            [...peer.upstreamIds].filter(upstreamId => !loads.has(upstreamId)).forEach(upstreamId =>
+                forget(hostName, peer, upstreamId)
+            );
+            loads.forEach((load, upstreamId) => observeLoad(hostName, upstreamId, load));
         },
-        loadsOf: upstreamId => heardWithin(peerSilenceMs()).flatMap(({ loads }) => loads.get(upstreamId) ?? []),
-        hostCount: () => heardWithin(PEER_LIFETIME_MS).length + 1,
+        observeLoad,
+        loadsOf: upstreamId =>
+            [...loadsByUpstream.get(upstreamId) ?? []]
+                .filter(([hostName]) => isHeardWithin(hostName, peerSilenceMs()))
+                .map(([, load]) => load),
+        hostCount: () => [...peers.keys()].filter(hostName => isHeardWithin(hostName, PEER_LIFETIME_MS)).length + 1,
     };
 };
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -2,8 +2,9 @@
 import type { UpstreamState } from "./upstreamState";
 
 /** Creates the state of an upstream of which nothing is known beyond its record. */
-export const createUpstreamState = (record: UpstreamRecord, nowMs: number): UpstreamState => ({
+export const createUpstreamState = (record: UpstreamRecord, idHash: number, nowMs: number): UpstreamState => ({
     record,
+    idHash,
     vanishedAtMs: undefined,
     running: 0,
     backlogTokens: 0,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,5 @@
 import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import type { PromptPart } from "../codec/promptPart";
 import type { EngineSpec } from "../configuration/engineSpec";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -89,13 +90,24 @@
             return typicalMs === undefined ? [] : [[zone, typicalMs] as const];
         }));
 
-    const presumed = (states: readonly UpstreamState[], { promptParts }: PlacementRequest) => {
+    const hashOf = (parts: readonly PromptPart[]): number => hasher.hash32(parts.map(({ partId }) => partId).join(" "));
+
+    /** The last part of a prompt is its own. */
+    const sharedParts = ({ promptParts }: PlacementRequest): readonly PromptPart[] => promptParts.slice(0, -1);
+
+    const presumed = (
+        states: readonly UpstreamState[],
+        request: PlacementRequest,
+    ): ReadonlyMap<UpstreamId, number> => {
         const share = unheardShare();
-        if (share === 0) {
-            return new Map<UpstreamId, number>();
+        const parts = sharedParts(request);
+        if (share === 0 || parts.length === 0) {
+            return new Map();
         }
-        const ids = states.filter(({ record }) => !record.isLeaving).map(({ record }) => record.upstreamId);
-        return new Map([...presumedShares(hasher, ids, promptParts)].map(([id, part]) => [id, part * share]));
+        const hashes = new Map(
+            states.filter(({ record }) => !record.isLeaving).map(({ record, idHash }) => [record.upstreamId, idHash]),
+        );
+        return new Map([...presumedShares(hashes, hashOf(parts))].map(([id, part]) => [id, part * share]));
     };
 
     const viewOf = (service: ServiceName, request?: PlacementRequest): ServiceView => {
@@ -155,7 +167,7 @@
             ? 0
             : prefixes.cachedTokens(record, request.promptParts, engine.cacheTokens);
         const presumedTokens = (view.presumedShares.get(record.upstreamId) ?? 0)
-            * request.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+            * sharedParts(request).reduce((sum, part) => sum + part.tokens, 0);
         const mostTokens = engine === undefined ? 0 : Math.max(0, request.promptTokens - cachedTokens);
         const tokens = Math.min(mostTokens, Math.max(0, request.promptTokens - presumedTokens));
         const candidate = {
@@ -195,7 +207,10 @@
     const register = (record: UpstreamRecord): void => {
         const known = upstreams.get(record.upstreamId);
         if (known === undefined || known.record.startedAtMs !== record.startedAtMs) {
-            upstreams.set(record.upstreamId, createUpstreamState(record, clock.monotonicMs()));
+            upstreams.set(
+                record.upstreamId,
+                createUpstreamState(record, hasher.hash32(record.upstreamId), clock.monotonicMs()),
+            );
             return;
         }
         known.record = record;
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -3,6 +3,8 @@
 /** What a host knows of one upstream beyond its record. */
 export interface UpstreamState {
     record: UpstreamRecord;
+    /** Hash of the upstream's id. */
+    readonly idHash: number;
     /** Monotonic time at which the record vanished without a notice; the upstream is a last resort from then on. */
     vanishedAtMs: number | undefined;
     running: number;
