--- a/packages/edge/__tests__/meters.spec.ts
+++ b/packages/edge/__tests__/meters.spec.ts
@@ -38,6 +38,19 @@
     expect(peakBusy).toBeGreaterThan(2);
 });
 
+test("the average that was assumed for a found fleet does not outlive the peak that was", async () => {
+    const clock = createFakeClock();
+    const meter = createDemandMeter(clock);
+    const running = { onDemand: 63, reclaimable: 0 };
+    meter.observe(service, 0, running);
+    const { averageBusy: assumed } = meter.observe(service, 10, running);
+    await clock.advance(11_000);
+    const { averageBusy, peakBusy } = meter.observe(service, 12, running);
+    expect(peakBusy).toBe(12);
+    expect(assumed).toBeGreaterThan(12);
+    expect(averageBusy).toBeLessThanOrEqual(12);
+});
+
 test.each(["", "{", "[]", "{\"hostId\":\"a\"}", "{\"hostId\":\"a\",\"hostName\":\"a\",\"sequence\":\"1\"}"])(
     "a report that is none is dropped: %s",
     text => expect(decodeHostReport(text)).toBeUndefined(),
--- a/packages/edge/src/createDemandMeter.ts
+++ b/packages/edge/src/createDemandMeter.ts
@@ -52,6 +52,8 @@
                 demand.peakBusy = busyUpstreams;
                 demand.peakAtMs = nowMs;
             }
+            // The average is slower than the peak to forget what was assumed for a found fleet.
+            demand.averageBusy = Math.min(demand.averageBusy, demand.peakBusy);
             services.set(service, demand);
             return { averageBusy: demand.averageBusy, currentBusy: busyUpstreams, peakBusy: demand.peakBusy };
         },
