--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { ExitCode } from "../src";
 import type { RequestStory } from "../src/explain/requestStory";
+import type { SpanStory } from "../src/explain/spanStory";
 import { runIbisctl } from "./runIbisctl";
 
 /** Lines of several hosts from a played day, as they were written. */
@@ -55,3 +56,24 @@
     expect((await runIbisctl(["explain", "none", "-f", LOG])).exitCode).toBe(ExitCode.NotFound);
     expect((await runIbisctl(["explain", "none", "-f", join(LOG, "missing")])).exitCode).toBe(ExitCode.Invalid);
 });
+
+test("a time span: requests by cause, and what else was logged", async () => {
+    const span = ["--from", "2026-06-04T05:57:05.000Z", "--until", "2026-06-04T05:57:09Z"];
+    const { exitCode, stdout } = await runIbisctl(["explain", ...span, "-f", LOG, "--output", "json"]);
+    expect(exitCode).toBe(ExitCode.Ok);
+    const { requests, causes, lines } = JSON.parse(stdout) as SpanStory;
+    expect(requests).toBe(10);
+    expect(causes).toEqual([expect.objectContaining({ count: 8, exampleId: "faf83c4b0bb99852" })]);
+    expect(causes[0]?.hosts["front-ege-a-1"]).toBe(3);
+    expect(lines.map(({ event }) => event)).toContain("upstream_removed");
+    expect(lines.every(({ event }) => event !== "request_ended")).toBe(true);
+    const { stdout: text } = await runIbisctl(["explain", ...span, "-f", LOG]);
+    expect(text).toMatch(/^8 +The upstream broke the answer off/m);
+});
+
+test("neither a request nor a whole span is a failure", async () => {
+    expect((await runIbisctl(["explain", "-f", LOG])).exitCode).toBe(ExitCode.Invalid);
+    expect((await runIbisctl(["explain", "--from", "2026-06-04T05:57:00Z", "-f", LOG])).exitCode).toBe(
+        ExitCode.Invalid,
+    );
+});
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -1,3 +1,4 @@
+import { ANSWERED_IN_TIME } from "./answeredInTime";
 import type { LogLine } from "./logLine";
 import { textOf } from "./textOf";
 
@@ -46,7 +47,7 @@
         const status = numberOf(end.fields["status"]) ?? 0;
         return status >= 500
             ? `The upstream itself answered ${status}.`
-            : causeOfLateness(end) ?? "Answered in time.";
+            : causeOfLateness(end) ?? ANSWERED_IN_TIME;
     }
     return LOST.test(reason)
         ? "The upstream broke the answer off, and the route allows no further send."
--- /dev/null
+++ b/packages/ctl/src/explain/explainSpan.ts
@@ -0,0 +1,36 @@
+import { ANSWERED_IN_TIME } from "./answeredInTime";
+import type { CauseCount } from "./causeCount";
+import { causeOf } from "./causeOf";
+import type { LogLine } from "./logLine";
+import type { SpanStory } from "./spanStory";
+import { textOf } from "./textOf";
+
+/** Events of single requests. */
+const REQUEST_EVENTS: ReadonlySet<string> = new Set(["request_ended", "attempt_failed", "run_moved"]);
+
+const countBy = (texts: readonly string[]): Readonly<Record<string, number>> =>
+    texts.reduce<Record<string, number>>((counts, text) => ({ ...counts, [text]: (counts[text] ?? 0) + 1 }), {});
+
+const toCauseCount = (cause: string, ends: readonly LogLine[]): CauseCount => ({
+    cause,
+    count: ends.length,
+    hosts: countBy(ends.map(({ host }) => host)),
+    exampleId: textOf(ends[0]?.fields["requestId"]),
+});
+
+/** Explains a time span: what became of its requests by cause, and what else all hosts logged. */
+export const explainSpan = (lines: readonly LogLine[], fromMs: number, untilMs: number): SpanStory => {
+    const within = lines.filter(({ atMs }) => atMs >= fromMs && atMs <= untilMs);
+    const ends = within.filter(({ event }) => event === "request_ended").map(end => ({ end, cause: causeOf(end) }));
+    const causes = [...new Set(ends.map(({ cause }) => cause))]
+        .filter(cause => cause !== ANSWERED_IN_TIME)
+        .map(cause => toCauseCount(cause, ends.filter(one => one.cause === cause).map(({ end }) => end)))
+        .sort((left, right) => right.count - left.count);
+    return {
+        fromMs,
+        untilMs,
+        requests: ends.length,
+        causes,
+        lines: within.filter(({ event }) => !REQUEST_EVENTS.has(event)),
+    };
+};
--- a/packages/ctl/src/queries/explainCommand.ts
+++ b/packages/ctl/src/queries/explainCommand.ts
@@ -4,30 +4,61 @@
 import { IbisctlCommand } from "../cli/ibisctlCommand";
 import { ExitCode } from "../exit/exitCode";
 import { explainRequest } from "../explain/explainRequest";
+import { explainSpan } from "../explain/explainSpan";
+import type { LogLine } from "../explain/logLine";
 import { readLogLines } from "../explain/readLogLines";
+import { spanText } from "../explain/spanText";
 import { storyText } from "../explain/storyText";
 import { STANDARD_INPUT } from "../input/standardInput";
 
-/** `ibisctl explain`: tells from the hosts' logs what became of a request, and why. */
+/** `ibisctl explain`: tells from the hosts' logs what became of a request or of a time span's requests, and why. */
 export class ExplainCommand extends IbisctlCommand {
     static override paths = [["explain"]];
     static override usage = Command.Usage({
-        description: "Explain a request from the logs of all hosts, without a server.",
-        examples: [["A request that a user complains of", "ibisctl explain fbecbe7b78083410 -f hosts.log"]],
+        description: "Explain a request, or a time span, from the logs of all hosts, without a server.",
+        examples: [
+            ["A request that a user complains of", "ibisctl explain fbecbe7b78083410 -f hosts.log"],
+            [
+                "Half a minute in which requests failed",
+                "ibisctl explain --from 2026-06-04T05:57:00Z --until 2026-06-04T05:57:30Z -f hosts.log",
+            ],
+        ],
     });
 
-    requestId = Option.String({ required: true, name: "request-id" });
+    requestId = Option.String({ required: false, name: "request-id" });
+    from = Option.String("--from", { description: "Start of a time span, ISO 8601." });
+    until = Option.String("--until", { description: "End of the time span, ISO 8601." });
     files = Option.Array("-f,--file", { description: "Log file, or - for standard input (default); may be repeated." });
 
     async run(): Promise<Result<ExitCode, Failure>> {
-        return readLogLines(this.files ?? [STANDARD_INPUT]).andThen(lines => {
-            const story = explainRequest(lines, this.requestId);
-            if (story === undefined) {
-                const message = `None of ${lines.length} lines names the request ${this.requestId}`;
-                return Err(createFailure(ErrorCode.UnknownResource, { message }));
-            }
-            this.write(story, () => storyText(story));
-            return Ok(ExitCode.Ok);
-        });
+        const { requestId } = this;
+        const span = { fromMs: Date.parse(this.from ?? ""), untilMs: Date.parse(this.until ?? "") };
+        const isSpan = requestId === undefined;
+        if (isSpan && !(span.fromMs <= span.untilMs)) {
+            const message = "Name a request, or give the start and the end of a time span";
+            return Err(createFailure(ErrorCode.InvalidResource, { message }));
+        }
+        return readLogLines(this.files ?? [STANDARD_INPUT]).andThen(lines =>
+            isSpan ? this.explainSpan(lines, span) : this.explainRequest(lines, requestId)
+        );
+    }
+
+    private explainSpan(
+        lines: readonly LogLine[],
+        { fromMs, untilMs }: { readonly fromMs: number; readonly untilMs: number; },
+    ): Result<ExitCode, Failure> {
+        const story = explainSpan(lines, fromMs, untilMs);
+        this.write(story, () => spanText(story));
+        return Ok(ExitCode.Ok);
+    }
+
+    private explainRequest(lines: readonly LogLine[], requestId: string): Result<ExitCode, Failure> {
+        const story = explainRequest(lines, requestId);
+        if (story === undefined) {
+            const message = `None of ${lines.length} lines names the request ${requestId}`;
+            return Err(createFailure(ErrorCode.UnknownResource, { message }));
+        }
+        this.write(story, () => storyText(story));
+        return Ok(ExitCode.Ok);
     }
 }
