--- a/packages/soak/src/checks/checkUsage.ts
+++ b/packages/soak/src/checks/checkUsage.ts
@@ -1,26 +1,22 @@
 import type { SoakRecords } from "../records/soakRecords";
+import type { UsageReport } from "../records/usageReport";
 import { groupBy } from "./groupBy";
 import type { Violation } from "./violation";
 
+/** Returns a violation for each group of reports in which a value that must be one differs. */
+const findConflicts = (
+    check: string,
+    usage: readonly UsageReport[],
+    groupOf: (report: UsageReport) => string,
+    valueOf: (report: UsageReport) => string,
+): readonly Violation[] =>
+    [...groupBy(usage, groupOf)].flatMap(([subject, reports]) => {
+        const values = new Set(reports.map(valueOf));
+        return values.size > 1 ? [{ check, subject, detail: [...values].join(" ") }] : [];
+    });
+
 /** Checks that a window has one count, and a fencing number one holder. */
-export const checkUsage = ({ usage }: SoakRecords): readonly Violation[] => {
-    const windows = [...groupBy(usage, ({ window }) => window)].flatMap(([window, reports]) =>
-        new Set(reports.map(({ counts }) => counts)).size > 1
-            ? [{
-                check: "one-count",
-                subject: `window ${window}`,
-                detail: reports.map(({ counts }) => counts).join(" "),
-            }]
-            : []
-    );
-    const holders = [...groupBy(usage, ({ fencingNumber }) => fencingNumber)].flatMap(([number, reports]) =>
-        new Set(reports.map(({ holder }) => holder)).size > 1
-            ? [{
-                check: "one-holder",
-                subject: `number ${number}`,
-                detail: reports.map(({ holder }) => holder).join(" "),
-            }]
-            : []
-    );
-    return [...windows, ...holders];
-};
+export const checkUsage = ({ usage }: SoakRecords): readonly Violation[] => [
+    ...findConflicts("one-count", usage, ({ window }) => `window ${window}`, ({ counts }) => counts),
+    ...findConflicts("one-holder", usage, ({ fencingNumber }) => `number ${fencingNumber}`, ({ holder }) => holder),
+];
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -1,21 +1,19 @@
 import type { LinkMode } from "../links/linkMode";
 import type { FaultContext } from "./faultContext";
 import type { FaultKind } from "./faultKind";
+import type { SoakHost } from "./soakHost";
 import type { SoakUpstream } from "./soakUpstream";
-import type { SoakWorld } from "./soakWorld";
 import type { StoreFault } from "./storeFault";
 import type { UpstreamFault } from "./upstreamFault";
 
 type Handler = (context: FaultContext) => Promise<void>;
 
-type Host = SoakWorld["hosts"][number];
-
 /** Time from the request to stop until a host is killed. */
 const GRACE_MS = 8_000;
 
 const pick = <T>(items: readonly T[], target: number): T | undefined => items[Math.floor(target * items.length)];
 
-const onHost = (act: (host: Host, context: FaultContext) => Promise<void>): Handler => async context => {
+const onHost = (act: (host: SoakHost, context: FaultContext) => Promise<void>): Handler => async context => {
     const host = pick(context.world.hosts, context.step.target);
     if (host === undefined) {
         return;
@@ -33,7 +31,7 @@
         }
     };
 
-const restart = async ({ process }: Host, signal: NodeJS.Signals, { sleep, step }: FaultContext): Promise<void> => {
+const restart = async ({ process }: SoakHost, signal: NodeJS.Signals, { sleep, step }: FaultContext): Promise<void> => {
     // A host that another fault has already ended is started again by that one.
     if (!process.isRunning()) {
         return;
@@ -49,7 +47,7 @@
     }
 };
 
-const setLink = (mode: LinkMode, linkOf: (host: Host) => Host["store"]): Handler =>
+const setLink = (mode: LinkMode, linkOf: (host: SoakHost) => SoakHost["store"]): Handler =>
     onHost(async (host, { sleep, step }) => {
         linkOf(host).setMode(mode);
         await sleep(step.forMs);
--- a/packages/soak/src/faults/soakWorld.ts
+++ b/packages/soak/src/faults/soakWorld.ts
@@ -1,20 +1,14 @@
-import type { LinkProxy } from "../links/linkProxy";
-import type { HostProcess } from "../processes/hostProcess";
 import type { CallerAttempt } from "../records/callerAttempt";
 
 import type { SoakRecords } from "../records/soakRecords";
+import type { SoakHost } from "./soakHost";
 import type { SoakRoute } from "./soakRoute";
 import type { SoakUpstream } from "./soakUpstream";
 import type { StoreFault } from "./storeFault";
 
 /** What is around the hosts, in the terms of the soak; an adapter provides it. */
 export interface SoakWorld extends AsyncDisposable {
-    readonly hosts: readonly {
-        readonly process: HostProcess;
-        readonly callers: LinkProxy;
-        readonly store: LinkProxy;
-        readonly isReady: () => Promise<boolean>;
-    }[];
+    readonly hosts: readonly SoakHost[];
     readonly upstreams: readonly SoakUpstream[];
     readonly routes: readonly SoakRoute[];
     readonly store: { readonly setFault: (fault: StoreFault) => void; readonly forget: () => void; };
