--- a/packages/discovery/__tests__/reportExchange.spec.ts
+++ b/packages/discovery/__tests__/reportExchange.spec.ts
@@ -83,6 +83,24 @@
     expect(hosts.map(({ exchange }) => exchange.reports().size)).toEqual(hosts.map(() => hosts.length - 1));
 });
 
+test("a notice reaches a bounded number of a large group, and the part that it misses is known", async () => {
+    const hosts = await Promise.all(
+        Array.from({ length: 17 }, (_, index) => startHost(`host-${index}`, undefined, 60_000)),
+    );
+    await using resources = createResourceStack();
+    hosts.forEach(({ exchange }) => resources.use(exchange));
+    const [sender, ...others] = hosts;
+    assert(sender !== undefined);
+    sender.exchange.setPeers(others.slice(0, 12).map(({ exchange }) => exchange.address));
+    expect(sender.exchange.unheardShare()).toBe(0);
+    sender.exchange.setPeers(others.map(({ exchange }) => exchange.address));
+    expect(sender.exchange.unheardShare()).toBeCloseTo(12 / 16);
+    sender.exchange.notify({ hostName: "sender", upstreamId: "u", running: 1, backlogTokens: 9_000, partIds: ["p"] });
+    const heard = () => others.filter(({ notices }) => notices.length > 0).length;
+    await until(() => heard() === 4);
+    expect(heard()).toBe(4);
+});
+
 test.each([Buffer.from("nothing"), Buffer.alloc(0)])("a message that holds no reports is refused", bytes => {
     expect(decodeReports(bytes)).toBeUndefined();
 });
