refactor(gateway): what a prompt is presumed to have cached is computed once a request

Cause: read once more, the shared parts were cut out and summed for each of 70 engines of a decision, though they are the same for all. The view of a service now holds tokens and not shares. Behaviour is the same: the same products in the same order, and nothing at all in groups that hear every notice; the 82 tests of gateway and edge pass unchanged. In edge a comment stands where it belongs.

--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -15,11 +15,10 @@
         hostName,
         new Map(report.loads.map(([id, running, backlogTokens]) => [id as UpstreamId, { running, backlogTokens }])),
     );
-    accounts.observePeer(
-        hostName,
-        hostId,
-        new Map(report.accounts.map(([id, entitled, spare, level]) => // JSON has no undefined: an unknown level comes as null.
-        [id as AccountId, { entitled, spare, level: level ?? undefined }])),
+    // JSON has no undefined: an unknown level comes as null.
+    const uses = report.accounts.map(([id, entitled, spare, level]) =>
+        [id as AccountId, { entitled, spare, level: level ?? undefined }] as const
     );
+    accounts.observePeer(hostName, hostId, new Map(uses));
     usage.observePeer(hostId, toWindowCounts(report.began));
 };
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,5 +1,4 @@
 import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
-import type { PromptPart } from "../codec/promptPart";
 import type { EngineSpec } from "../configuration/engineSpec";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -40,8 +39,8 @@
     readonly answerMs: number;
     readonly roundTripMs: number;
     readonly roundTripMsByZone: ReadonlyMap<AvailabilityZone, number>;
-    /** Part of the shared prefix of the present prompt that counts as cached without a notice. */
-    readonly presumedShares: ReadonlyMap<UpstreamId, number>;
+    /** Tokens of the present prompt that count as cached without a notice. */
+    readonly presumedTokens: ReadonlyMap<UpstreamId, number>;
     /** Connections that this host may hold to each. */
     readonly connectionLimit: number;
 }
@@ -90,24 +89,24 @@
             return typicalMs === undefined ? [] : [[zone, typicalMs] as const];
         }));
 
-    const hashOf = (parts: readonly PromptPart[]): number => hasher.hash32(parts.map(({ partId }) => partId).join(" "));
-
-    /** The last part of a prompt is its own. */
-    const sharedParts = ({ promptParts }: PlacementRequest): readonly PromptPart[] => promptParts.slice(0, -1);
-
-    const presumed = (
+    const presumedTokens = (
         states: readonly UpstreamState[],
-        request: PlacementRequest,
+        { promptParts }: PlacementRequest,
     ): ReadonlyMap<UpstreamId, number> => {
         const share = unheardShare();
-        const parts = sharedParts(request);
-        if (share === 0 || parts.length === 0) {
+        // The last part of a prompt is its own.
+        const sharedParts = promptParts.slice(0, -1);
+        if (share === 0 || sharedParts.length === 0) {
             return new Map();
         }
         const hashes = new Map(
             states.filter(({ record }) => !record.isLeaving).map(({ record, idHash }) => [record.upstreamId, idHash]),
         );
-        return new Map([...presumedShares(hashes, hashOf(parts))].map(([id, part]) => [id, part * share]));
+        const prefixHash = hasher.hash32(sharedParts.map(({ partId }) => partId).join(" "));
+        const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+        return new Map(
+            [...presumedShares(hashes, prefixHash)].map(([id, part]) => [id, part * share * sharedTokens]),
+        );
     };
 
     const viewOf = (service: ServiceName, request?: PlacementRequest): ServiceView => {
@@ -122,7 +121,9 @@
             answerMs: median(states.flatMap(({ answerMs }) => answerMs ?? [])) ?? INITIAL_ANSWER_MS,
             roundTripMs: medianRoundTripMs(states) ?? 0,
             roundTripMsByZone: roundTripsByZone(states),
-            presumedShares: request === undefined || spec?.engine === undefined ? new Map() : presumed(states, request),
+            presumedTokens: request === undefined || spec?.engine === undefined
+                ? new Map()
+                : presumedTokens(states, request),
             connectionLimit: Math.max(LEAST_CONNECTIONS, share),
         };
     };
@@ -166,10 +167,11 @@
         const cachedTokens = engine === undefined
             ? 0
             : prefixes.cachedTokens(record, request.promptParts, engine.cacheTokens);
-        const presumedTokens = (view.presumedShares.get(record.upstreamId) ?? 0)
-            * sharedParts(request).reduce((sum, part) => sum + part.tokens, 0);
         const mostTokens = engine === undefined ? 0 : Math.max(0, request.promptTokens - cachedTokens);
-        const tokens = Math.min(mostTokens, Math.max(0, request.promptTokens - presumedTokens));
+        const tokens = Math.min(
+            mostTokens,
+            Math.max(0, request.promptTokens - (view.presumedTokens.get(record.upstreamId) ?? 0)),
+        );
         const candidate = {
             record,
             isEngine: engine !== undefined,
