--- a/packages/capacity/src/measureSize.ts
+++ b/packages/capacity/src/measureSize.ts
@@ -1,5 +1,6 @@
 import { createHttpExchange } from "@ibislanding/platform";
 import { applyResources, deployments, startSystem } from "@ibislanding/runner";
+import { setTimeout as pause } from "node:timers/promises";
 import { measureInForce } from "./measureInForce";
 import type { Measurement } from "./measurement";
 import { takeSample } from "./takeSample";
@@ -14,8 +15,6 @@
     readonly calls: Readonly<Record<string, number>>;
 }
 
-const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
-
 const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
 
 /** Starts a system with the given number of entry hosts and measures it without callers. */
--- a/packages/proofs/src/drivers/pause.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Waits for a time. */
-export const pause = (durationMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, durationMs));
--- a/packages/proofs/src/drivers/runActionCaller.ts
+++ b/packages/proofs/src/drivers/runActionCaller.ts
@@ -1,6 +1,6 @@
 import { createHttpExchange, type JsonResponse } from "@ibislanding/platform";
+import { setTimeout as pause } from "node:timers/promises";
 import type { DriverContext } from "./driverContext";
-import { pause } from "./pause";
 import { pickEntry } from "./pickEntry";
 
 const ACTION_TIMEOUT_MS = 12_000;
--- a/packages/proofs/src/drivers/runChatCaller.ts
+++ b/packages/proofs/src/drivers/runChatCaller.ts
@@ -1,9 +1,9 @@
 import type { Hasher } from "@ibislanding/core";
 import { answerTokens } from "@ibislanding/standins";
 import type { ChatMessage } from "@ibislanding/upstreams";
+import { setTimeout as pause } from "node:timers/promises";
 import type { ChatPart } from "./chatPart";
 import type { DriverContext } from "./driverContext";
-import { pause } from "./pause";
 import { pickEntry } from "./pickEntry";
 import { readChatPart } from "./readChatPart";
 
--- a/packages/proofs/src/drivers/runOperator.ts
+++ b/packages/proofs/src/drivers/runOperator.ts
@@ -1,6 +1,6 @@
 import { createHttpExchange, type JsonResponse } from "@ibislanding/platform";
+import { setTimeout as pause } from "node:timers/promises";
 import type { DriverContext } from "./driverContext";
-import { pause } from "./pause";
 
 const APPLY_TIMEOUT_MS = 5_000;
 const PERIOD_MS = 300;
--- a/packages/proofs/src/drivers/runRevisionObserver.ts
+++ b/packages/proofs/src/drivers/runRevisionObserver.ts
@@ -1,6 +1,6 @@
 import { createHttpExchange } from "@ibislanding/platform";
+import { setTimeout as pause } from "node:timers/promises";
 import type { DriverContext } from "./driverContext";
-import { pause } from "./pause";
 
 const PERIOD_MS = 250;
 const TIMEOUT_MS = 1_000;
--- a/packages/proofs/src/faults/reclaimEngines.ts
+++ b/packages/proofs/src/faults/reclaimEngines.ts
@@ -1,5 +1,5 @@
 import type { ManagedProcess } from "@ibislanding/runner";
-import { pause } from "../drivers/pause";
+import { setTimeout as pause } from "node:timers/promises";
 import type { FaultContext } from "./faultContext";
 
 interface Statistics {
--- a/packages/soak/src/run/runCaller.ts
+++ b/packages/soak/src/run/runCaller.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from "@ibislanding/core";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { SoakWorld } from "../faults/soakWorld";
 
 const PAUSE_SPREAD_MS = 60;
@@ -36,6 +37,6 @@
             hostIndex = random.nextInt(world.hosts.length);
         }
         const pauseMs = hasFailed ? FAILED_PAUSE_MS : random.nextInt(PAUSE_SPREAD_MS);
-        await new Promise(resolve => setTimeout(resolve, pauseMs));
+        await sleep(pauseMs);
     }
 };
--- a/packages/soak/src/run/runSoak.ts
+++ b/packages/soak/src/run/runSoak.ts
@@ -1,4 +1,5 @@
 import { createRandom } from "@ibislanding/core";
+import { setTimeout as sleep } from "node:timers/promises";
 import { checkRecords } from "../checks/checkRecords";
 import { groupBy } from "../checks/groupBy";
 import { faultHandlers } from "../faults/faultHandlers";
@@ -16,9 +17,6 @@
 const START_TIMEOUT_MS = 20_000;
 const READY_POLL_MS = 100;
 
-const sleep = (durationMs: number): Promise<void> =>
-    new Promise(resolve => setTimeout(resolve, Math.max(0, durationMs)));
-
 const waitUntilReady = async ({ hosts }: SoakWorld): Promise<void> => {
     const startedAtMs = performance.now();
     while (!(await Promise.all(hosts.map(({ isReady }) => isReady()))).every(Boolean)) {
@@ -48,7 +46,7 @@
     const startedAtMs = performance.now();
 
     const inject = async (step: FaultStep): Promise<void> => {
-        await sleep(startedAtMs + step.atMs - performance.now());
+        await sleep(Math.max(0, startedAtMs + step.atMs - performance.now()));
         await faultHandlers[step.kind]({
             world,
             step,
--- a/packages/standins/src/server/createStandInServer.ts
+++ b/packages/standins/src/server/createStandInServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { FaultSettings } from "./faultSettings";
 import type { Route } from "./route";
 import type { StandInServer } from "./standInServer";
@@ -14,8 +15,6 @@
     return Buffer.concat(chunks).toString("utf8");
 };
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Makes a socket swallow all it should send, as a middlebox does that has forgotten the connection. */
 const silence = (socket: Socket): void => {
     socket.pause();
