--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -1,11 +1,17 @@
 import { createFailure, createFakeClock, createRandom, ErrorCode, type Failure } from "@ibislanding/core";
-import type { KeyValueChanges, KeyValueHistory, KeyValueSnapshot } from "@ibislanding/platform";
+import {
+    createStoreEpoch,
+    type KeyValueChanges,
+    type KeyValueHistory,
+    type KeyValueSnapshot,
+} from "@ibislanding/platform";
 import { Err, Ok, type Result } from "ts-results";
 import { applyChanges, createDocumentWatcher, type DocumentSet, replaceDocuments } from "../src";
 
 const entry = (key: string, version: number, value = `${key}@${version}`) => ({ key, value, version });
 
 const set = (revision: number, ...entries: readonly ReturnType<typeof entry>[]): DocumentSet => ({
+    epoch: 1,
     revision,
     entries: new Map(entries.map(one => [one.key, one])),
 });
@@ -13,6 +19,7 @@
 test("changes older than the snapshot do not overwrite its entries", () => {
     const current = set(10, entry("a", 9), entry("b", 4));
     const next = applyChanges(current, {
+        epoch: 1,
         revision: 12,
         changes: [
             { kind: "written", entry: entry("a", 7) },
@@ -28,7 +35,7 @@
 
 test("an older snapshot does not replace a newer set", () => {
     const current = set(10, entry("a", 9));
-    expect(replaceDocuments(current, { revision: 8, entries: [] })).toBe(current);
+    expect(replaceDocuments(current, { epoch: 1, revision: 8, entries: [] })).toBe(current);
 });
 
 interface StoreResponses {
@@ -41,6 +48,9 @@
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
     const calls: string[] = [];
+    const state = { isRelayed: false };
+    const epoch = createStoreEpoch();
+    epoch.observe(1);
     const history: KeyValueHistory = {
         snapshot: async () => {
             calls.push("snapshot");
@@ -51,13 +61,15 @@
             const next = changes.shift();
             if (next === undefined) {
                 await clock.sleep(waitMs, options.signal);
-                return Ok({ changes: [], revision });
+                return Ok({ changes: [], epoch: epoch.current(), revision });
             }
             return next;
         },
     };
     const watcher = createDocumentWatcher({
         history,
+        storeEpoch: epoch,
+        isRelayed: () => state.isRelayed,
         prefix: "p/",
         clock,
         random: createRandom(1),
@@ -66,12 +78,15 @@
         onChange: ({ revision }, source) => void seen.push({ revision, source }),
         onReachabilityChange: isReachable => void reachability.push(isReachable),
     });
-    return { clock, watcher, seen, reachability, calls };
+    return { clock, watcher, seen, reachability, calls, epoch, state };
 };
 
 test("after lost history the watcher loads a snapshot immediately, without a backoff", async () => {
     const { clock, watcher, seen, calls, reachability } = startWatcher({
-        snapshots: [Ok({ revision: 5, entries: [entry("a", 5)] }), Ok({ revision: 30, entries: [entry("b", 29)] })],
+        snapshots: [
+            Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] }),
+            Ok({ epoch: 1, revision: 30, entries: [entry("b", 29)] }),
+        ],
         changes: [Err(createFailure(ErrorCode.HistoryLost))],
     });
     await clock.advance(10);
@@ -86,17 +101,17 @@
 
 test("an outage is reported once; the last set is kept until a peer offers a newer one", async () => {
     const { clock, watcher, seen, reachability } = startWatcher({
-        snapshots: [Ok({ revision: 5, entries: [entry("a", 5)] })],
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
         changes: [
             Err(createFailure(ErrorCode.KeyValueUnavailable)),
             Err(createFailure(ErrorCode.KeyValueUnavailable)),
-            Ok({ revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] }),
+            Ok({ epoch: 1, revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] }),
         ],
     });
     await clock.advance(1);
     expect(watcher.isStoreReachable()).toBe(false);
-    watcher.offer({ revision: 4, entries: [] });
-    watcher.offer({ revision: 7, entries: [entry("a", 7)] });
+    watcher.offer({ epoch: 1, revision: 4, entries: [] });
+    watcher.offer({ epoch: 1, revision: 7, entries: [entry("a", 7)] });
     await clock.advance(3_000);
     expect(reachability).toEqual([false, true]);
     expect(seen).toEqual([
--- a/packages/discovery/src/documents/applyChanges.ts
+++ b/packages/discovery/src/documents/applyChanges.ts
@@ -16,9 +16,15 @@
         })
         .exhaustive();
 
-/** Returns a copy of the set with the changes applied; changes older than an entry's version have no effect on it. */
-export const applyChanges = (current: DocumentSet, { changes, revision }: KeyValueChanges): DocumentSet => {
+/**
+ * Returns a copy of the set with the changes applied; changes older than an entry's version have no effect on it.
+ * Returns the set itself if the changes belong to another epoch.
+ */
+export const applyChanges = (current: DocumentSet, { changes, epoch, revision }: KeyValueChanges): DocumentSet => {
+    if (epoch !== current.epoch) {
+        return current;
+    }
     const entries = new Map(current.entries);
     changes.forEach(change => applyChange(entries, change));
-    return { revision: Math.max(current.revision, revision), entries };
+    return { epoch, revision: Math.max(current.revision, revision), entries };
 };
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -5,6 +5,7 @@
 import type { DocumentSet } from "./documentSet";
 import type { DocumentWatcher } from "./documentWatcher";
 import type { DocumentWatcherOptions } from "./documentWatcherOptions";
+import { isNewerPosition } from "./isNewerPosition";
 import { replaceDocuments } from "./replaceDocuments";
 
 /** Time allowed for a watch response after its wait has ended: several response times of a slow store. */
@@ -15,17 +16,22 @@
 /** Backoff after failed calls; the first retry is well within the time in which changes must take effect. */
 const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 600 };
 
+/** Interval at which a paused watcher checks whether it has to watch the store again. */
+const RELAY_CHECK_MS = 250;
+
 /** Creates a watcher for one prefix and starts it. */
 export const createDocumentWatcher = (options: DocumentWatcherOptions): DocumentWatcher => {
-    const { history, prefix, clock, random } = options;
+    const { history, storeEpoch, prefix, clock, random } = options;
     const stop = new AbortController();
     let current: DocumentSet | undefined;
     let needsSnapshot = true;
+    let watchCall = new AbortController();
     let isStoreReachable = true;
     let consecutiveFailures = 0;
 
     const update = (next: DocumentSet, source: "store" | "peer"): void => {
-        const changed = next.revision !== current?.revision || next.entries.size !== current.entries.size;
+        const changed = next.epoch !== current?.epoch || next.revision !== current.revision
+            || next.entries.size !== current.entries.size;
         current = next;
         if (changed) {
             options.onChange(next, source);
@@ -46,7 +52,8 @@
             signal: stop.signal,
         });
         return result.map(snapshot => {
-            needsSnapshot = false;
+            // The epoch may have risen again while the pages were read.
+            needsSnapshot = snapshot.epoch < storeEpoch.current();
             update(replaceDocuments(current, snapshot), "store");
             return false;
         });
@@ -55,13 +62,19 @@
     /** Waits for changes after the known revision; returns whether there were any. */
     const watch = async (known: DocumentSet): Promise<Result<boolean, Failure>> => {
         const waitMs = options.watchWaitMs();
+        watchCall = new AbortController();
         const result = await history.changesAfter(prefix, known.revision, waitMs, {
             cause: "discovery",
             timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS,
-            signal: stop.signal,
+            signal: AbortSignal.any([stop.signal, watchCall.signal]),
         });
         return result.map(changes => {
             const latest = current ?? known;
+            if (changes.epoch !== latest.epoch) {
+                // The changes continue another history than that of the known set.
+                needsSnapshot = needsSnapshot || changes.epoch > latest.epoch;
+                return false;
+            }
             if (changes.changes.length > 0 || changes.revision > latest.revision) {
                 update(applyChanges(latest, changes), "store");
             }
@@ -70,6 +83,10 @@
     };
 
     const step = async (): Promise<void> => {
+        if (!needsSnapshot && current !== undefined && options.isRelayed()) {
+            await clock.sleep(RELAY_CHECK_MS, stop.signal);
+            return;
+        }
         const result = await (needsSnapshot || current === undefined ? loadSnapshot() : watch(current));
         if (result.ok) {
             consecutiveFailures = 0;
@@ -79,6 +96,9 @@
             }
             return;
         }
+        if (watchCall.signal.aborted) {
+            return;
+        }
         needsSnapshot = needsSnapshot || result.val.code === ErrorCode.HistoryLost;
         if (result.val.code !== ErrorCode.HistoryLost) {
             setReachable(false, result.val.code);
@@ -86,6 +106,12 @@
         }
     };
 
+    const restart = (): void => {
+        needsSnapshot = true;
+        watchCall.abort();
+    };
+    const stopObservingEpoch = storeEpoch.onRise(restart);
+
     const run = async (): Promise<void> => {
         while (!stop.signal.aborted) {
             await step();
@@ -96,12 +122,13 @@
     return {
         current: () => current,
         offer: (snapshot: KeyValueSnapshot) => {
-            if (current === undefined || snapshot.revision > current.revision) {
+            if (isNewerPosition(snapshot, current)) {
                 update(replaceDocuments(current, snapshot), "peer");
             }
         },
         isStoreReachable: () => isStoreReachable,
         [Symbol.asyncDispose]: async () => {
+            stopObservingEpoch();
             stop.abort();
             await running;
         },
--- a/packages/discovery/src/documents/documentWatcher.ts
+++ b/packages/discovery/src/documents/documentWatcher.ts
@@ -5,7 +5,7 @@
 export interface DocumentWatcher extends AsyncDisposable {
     /** The latest known set; undefined before the first snapshot. */
     readonly current: () => DocumentSet | undefined;
-    /** Replaces the set with a peer's complete snapshot if that has a newer revision. */
+    /** Replaces the set with a peer's complete snapshot if that has a newer position. */
     readonly offer: (snapshot: KeyValueSnapshot) => void;
     /** Whether the last call to the store succeeded; lost history doesn't count as a failure. */
     readonly isStoreReachable: () => boolean;
--- a/packages/discovery/src/documents/documentWatcherOptions.ts
+++ b/packages/discovery/src/documents/documentWatcherOptions.ts
@@ -1,15 +1,19 @@
 import type { Clock, RandomSource } from "@ibislanding/core";
-import type { KeyValueHistory } from "@ibislanding/platform";
+import type { KeyValueHistory, StoreEpoch } from "@ibislanding/platform";
 import type { DocumentSet } from "./documentSet";
 
 /** Source, timing and callbacks of a document watcher. */
 export interface DocumentWatcherOptions {
     readonly history: KeyValueHistory;
+    /** A rise of the epoch ends the watch in progress, and the set is read again. */
+    readonly storeEpoch: StoreEpoch;
     readonly prefix: string;
     readonly clock: Clock;
     readonly random: RandomSource;
     /** Maximum wait of one watch call; bounds the time until a dead connection is detected. */
     readonly watchWaitMs: () => number;
+    /** Whether a peer currently tells this host of newer sets; watches of the store pause meanwhile. */
+    readonly isRelayed: () => boolean;
     /** Delay after a change before the next call, so that further changes arrive in one batch. */
     readonly batchDelayMs: () => number;
     /** Called with each newer set; `source` is the store or a peer, whichever delivered it. */
--- a/packages/discovery/src/documents/replaceDocuments.ts
+++ b/packages/discovery/src/documents/replaceDocuments.ts
@@ -1,10 +1,12 @@
 import type { KeyValueSnapshot } from "@ibislanding/platform";
 import type { DocumentSet } from "./documentSet";
+import { isNewerPosition } from "./isNewerPosition";
 
-/** Converts a complete snapshot to a set; returns the current set if the snapshot has an older revision. */
+/** Converts a complete snapshot to a set; returns the current set if the snapshot has an older position. */
 export const replaceDocuments = (current: DocumentSet | undefined, snapshot: KeyValueSnapshot): DocumentSet => {
-    if (current !== undefined && snapshot.revision < current.revision) {
+    if (current !== undefined && isNewerPosition(current, snapshot)) {
         return current;
     }
-    return { revision: snapshot.revision, entries: new Map(snapshot.entries.map(entry => [entry.key, entry])) };
+    const { epoch, revision } = snapshot;
+    return { epoch, revision, entries: new Map(snapshot.entries.map(entry => [entry.key, entry])) };
 };
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -12,9 +12,13 @@
     ReportServiceService,
 } from "@ibislanding/protocol";
 import { Err, Ok, type Result } from "ts-results";
-import type { DocumentSet } from "../documents/documentSet";
+import { isNewerPosition } from "../documents/isNewerPosition";
+import { mergeChangedDocuments } from "../documents/mergeChangedDocuments";
+import { selectChangedDocuments } from "../documents/selectChangedDocuments";
+import { createCollectorSelection } from "./createCollectorSelection";
 import { decodeReports } from "./decodeReports";
 import { encodeReports } from "./encodeReports";
+import type { Peer } from "./peer";
 import type { PeerReport } from "./peerReport";
 import type { ReportEnvelope } from "./reportEnvelope";
 import type { ReportExchange } from "./reportExchange";
@@ -25,93 +29,92 @@
 
 const FETCH_TIMEOUT_MS = 1_000;
 
-/** Time for the watch on the store to deliver a newer revision before it is fetched from a peer. */
-const FETCH_DELAY_MS = 150;
-
-/** Peers notified of a placement: all in a small group, a few in a large one, where notices are most of the work. */
-const NOTICE_FANOUT = 12;
-const LARGE_GROUP_NOTICE_FANOUT = 4;
-
-/** Interval at which an unreachable peer is called until it responds. */
+/** Interval at which an unreachable peer of a small group is called until it responds. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
-/** Up to this number of peers, hosts call each other often enough that reports need not be relayed. */
+/**
+ * Up to this number of peers, all hosts call each other. In a larger group the messages would grow with the square of
+ * the number of hosts, and hosts report to collectors instead.
+ */
 const MAXIMUM_DIRECT_PEERS = 12;
 
-/** Factor by which rounds of a large group are longer, because its messages contain several reports. */
-const LARGE_GROUP_INTERVAL_FACTOR = 2;
+/** Interval at which a host of a large group reports to its collector, and at which collectors call each other. */
+const COLLECT_INTERVAL_MS = 500;
 
-/** Maximum number of relayed reports in a message, of relays of each report, and age of a relayed report. */
-const RELAYED_REPORTS_PER_MESSAGE = 8;
-const MAXIMUM_RELAYS = 4;
-const MAXIMUM_RELAYED_AGE_MS = 4_000;
+/** Candidates that a host tries in one round before it collects by itself. */
+const MAXIMUM_COLLECTOR_ATTEMPTS = 3;
 
-/** A process without a report for this long is considered stopped. */
-const REPORT_RETENTION_MS = 60_000;
+/** A host that has received no contributions for this long is no longer a collector. */
+const COLLECTOR_TIMEOUT_MS = 2_000;
+
+/** Age up to which members receive a collector's summary. */
+const MAXIMUM_SUMMARY_AGE_MS = 2_000;
 
-interface ReceivedReport<Report> extends PeerReport<Report> {
-    readonly text: string;
-    relayCount: number;
-}
+/** Time for which members receive the same summary; it saves a collector from creating one for each of them. */
+const SUMMARY_REUSE_MS = 100;
 
-const toDocumentSet = ({ revision, documents }: DocumentsResponse): DocumentSet => ({
-    revision,
-    entries: new Map(documents.map(document => [document.key, document])),
-});
+/** A collector that answered within this time is relied on to tell when documents change. */
+const RELAY_TIMEOUT_MS = 1_500;
+
+/** A process without a report for this long is considered stopped. */
+const REPORT_RETENTION_MS = 60_000;
 
 /** Starts the listener and the rounds of a host; fails if the listener can't be opened. */
-export const createReportExchange = async <Report extends { readonly hostId: HostId; readonly sequence: number; }>(
+export const createReportExchange = async <
+    Report extends {
+        readonly hostId: HostId;
+        readonly sequence: number;
+        readonly address: string;
+        readonly isInContact: boolean;
+    },
+>(
     options: ReportExchangeOptions<Report>,
 ): Promise<Result<ReportExchange<Report>, Failure>> => {
-    const { clock, random } = options;
+    const { clock, random, aggregation, group } = options;
     const stop = new AbortController();
-    const reports = new Map<HostId, ReceivedReport<Report>>();
+    const reports = new Map<HostId, PeerReport<Report> & { readonly text: string; }>();
     const lastFailureAtMs = new Map<string, number>();
     const fetching = new Set<string>();
+    const selection = createCollectorSelection(clock);
     let peers: readonly string[] = [];
+    let lastCollectedAtMs = -Infinity;
+    let lastRelayedAtMs = -Infinity;
+    let hasContactedPeers = false;
+    let summary: { readonly text: string; readonly createdAtMs: number; readonly bytes: Buffer; } | undefined;
 
     const isLargeGroup = (): boolean => peers.length > MAXIMUM_DIRECT_PEERS;
 
-    const noticeFanout = (): number => isLargeGroup() ? LARGE_GROUP_NOTICE_FANOUT : NOTICE_FANOUT;
+    const isCollector = (): boolean => clock.monotonicMs() - lastCollectedAtMs < COLLECTOR_TIMEOUT_MS;
 
-    const roundIntervalMs = (): number => options.intervalMs * (isLargeGroup() ? LARGE_GROUP_INTERVAL_FACTOR : 1);
+    const storeReport = (report: Report, text: string, ageMs: number): void => {
+        const { hostId } = report;
+        const adjusted = aggregation.withoutOwn(report);
+        reports.set(hostId, { hostId, report: adjusted, reportedAtMs: clock.monotonicMs() - ageMs, text });
+        options.onReport(adjusted, ageMs);
+    };
 
-    const receiveReport = ({ text, ageMs }: ReportEnvelope): Report | undefined => {
-        const report = options.decodeReport(text);
-        if (report === undefined || report.hostId === options.hostId) {
-            return undefined;
-        }
+    const receiveReport = (report: Report, { text, ageMs }: ReportEnvelope): void => {
         const known = reports.get(report.hostId);
-        if (known === undefined || report.sequence > known.report.sequence) {
-            const reportedAtMs = clock.monotonicMs() - ageMs;
-            reports.set(report.hostId, { hostId: report.hostId, report, reportedAtMs, text, relayCount: 0 });
-            options.onReport(report, ageMs);
+        if (report.hostId !== options.hostId && (known === undefined || report.sequence > known.report.sequence)) {
+            storeReport(report, text, ageMs);
         }
-        return report;
-    };
-
-    /** Processes the reports of a message; returns that of its sender, which is the first. */
-    const receiveMessage = (bytes: Uint8Array): Report | undefined => {
-        const envelopes = decodeReports(bytes);
-        return envelopes?.map(receiveReport)[0];
     };
 
-    /** Selects other hosts' reports, the least relayed first and the newest among equals, and counts the relay. */
-    const takeReportsToRelay = (): readonly ReportEnvelope[] => {
-        if (!isLargeGroup()) {
-            return [];
-        }
-        const nowMs = clock.monotonicMs();
-        const chosen = [...reports.values()]
-            .filter(({ reportedAtMs, relayCount }) =>
-                relayCount < MAXIMUM_RELAYS && nowMs - reportedAtMs < MAXIMUM_RELAYED_AGE_MS
-            )
-            .sort((left, right) => left.relayCount - right.relayCount || right.reportedAtMs - left.reportedAtMs)
-            .slice(0, RELAYED_REPORTS_PER_MESSAGE);
-        return chosen.map(report => {
-            report.relayCount++;
-            return { text: report.text, ageMs: Math.round(nowMs - report.reportedAtMs) };
+    /** Decodes the reports of a message and passes that of its sender, the first one, to the callback before all others. */
+    const receiveMessage = (
+        bytes: Uint8Array,
+        onSender: (report: Report) => void = () => undefined,
+    ): Report | undefined => {
+        const decoded = (decodeReports(bytes) ?? []).flatMap(envelope => {
+            const report = options.decodeReport(envelope.text);
+            return report === undefined ? [] : [{ report, envelope }];
         });
+        const sender = decoded[0]?.report;
+        if (sender !== undefined) {
+            onSender(sender);
+        }
+        decoded.forEach(({ report, envelope }) => receiveReport(report, envelope));
+        return sender;
     };
 
     const evictExpiredReports = (): void => {
@@ -127,18 +130,106 @@
         }
         if (isReachable) {
             lastFailureAtMs.delete(address);
+            selection.recordSuccess(address);
         }
         else {
             lastFailureAtMs.set(address, clock.monotonicMs());
+            selection.recordFailure(address);
         }
     };
 
-    const createMessage = (): ReportMessage => ({
-        reports: encodeReports([{ text: JSON.stringify(options.createReport()), ageMs: 0 }, ...takeReportsToRelay()]),
-    });
+    /** Recently received summaries of the other collectors. */
+    const otherSummaries = (): readonly ReportEnvelope[] => {
+        const nowMs = clock.monotonicMs();
+        return [...reports.values()]
+            .filter(({ hostId, reportedAtMs }) =>
+                hostId !== options.hostId && nowMs - reportedAtMs < MAXIMUM_SUMMARY_AGE_MS
+            )
+            .map(({ text, reportedAtMs }) => ({ text, ageMs: Math.round(nowMs - reportedAtMs) }));
+    };
+
+    const ownSummary = (): NonNullable<typeof summary> => {
+        const nowMs = clock.monotonicMs();
+        if (summary === undefined || nowMs - summary.createdAtMs >= SUMMARY_REUSE_MS) {
+            const text = JSON.stringify(aggregation.summarize());
+            summary = {
+                text,
+                createdAtMs: nowMs,
+                bytes: encodeReports([{ text, ageMs: 0 }, ...otherSummaries()]),
+            };
+        }
+        return summary;
+    };
+
+    /** What this host answers to a peer or another collector. */
+    const createMessage = (): ReportMessage => {
+        if (!isLargeGroup()) {
+            return { reports: encodeReports([{ text: JSON.stringify(options.createReport()), ageMs: 0 }]) };
+        }
+        if (isCollector()) {
+            const { text, createdAtMs } = ownSummary();
+            return { reports: encodeReports([{ text, ageMs: Math.round(clock.monotonicMs() - createdAtMs) }]) };
+        }
+        return { reports: encodeReports(otherSummaries()) };
+    };
+
+    const fetchSet = async (address: PeerAddress, set: string, isComplete = false): Promise<void> => {
+        const known = isComplete ? undefined : options.documents(set);
+        const result = await clients.call(
+            address,
+            ReportServiceService.fetchDocuments,
+            { set, knownEpoch: known?.epoch ?? 0, knownRevision: known?.revision ?? 0 },
+            FETCH_TIMEOUT_MS,
+        );
+        if (result.err || result.val.revision === 0) {
+            return;
+        }
+        const { documents, unchangedKeys } = result.val;
+        const merged = mergeChangedDocuments(result.val, documents, unchangedKeys, known);
+        if (merged !== undefined) {
+            options.onDocuments(set, merged);
+        }
+        else if (!isComplete) {
+            await fetchSet(address, set, true);
+        }
+    };
+
+    const fetchOnce = async (address: PeerAddress, set: string): Promise<void> => {
+        if (!fetching.has(set)) {
+            fetching.add(set);
+            await fetchSet(address, set);
+            fetching.delete(set);
+        }
+    };
+
+    const fetchStaleSets = (report: Report): void =>
+        options.staleSets(report).forEach(staleSet =>
+            void clock.setTimer(options.documents(staleSet) === undefined ? 0 : options.fetchDelayMs(staleSet), () => {
+                if (options.staleSets(report).includes(staleSet)) {
+                    void fetchOnce(report.address as PeerAddress, staleSet);
+                }
+            })
+        );
 
-    const handleExchange = (request: ReportMessage): Result<ReportMessage, Failure> =>
-        receiveMessage(request.reports) === undefined ? Err(createFailure(ErrorCode.BadRequest)) : Ok(createMessage());
+    const handleExchange = (request: ReportMessage): Result<ReportMessage, Failure> => {
+        const sender = receiveMessage(request.reports);
+        if (sender === undefined) {
+            return Err(createFailure(ErrorCode.BadRequest));
+        }
+        return Ok(createMessage());
+    };
+
+    const handleCollect = (request: ReportMessage): Result<ReportMessage, Failure> => {
+        const [envelope] = decodeReports(request.reports) ?? [];
+        const contribution = envelope === undefined ? undefined : options.decodeReport(envelope.text);
+        if (contribution === undefined) {
+            return Err(createFailure(ErrorCode.BadRequest));
+        }
+        lastCollectedAtMs = clock.monotonicMs();
+        aggregation.collect(contribution);
+        fetchStaleSets(contribution);
+        return Ok({ reports: ownSummary().bytes });
+    };
 
     const handleNotice = (notice: LoadNotice): Result<LoadNoticeResponse, Failure> => {
         options.onNotice(notice);
@@ -147,10 +238,17 @@
 
     const handleFetchDocuments = (request: DocumentsRequest): Result<DocumentsResponse, Failure> => {
         const set = options.documents(request.set);
-        if (set === undefined || set.revision <= request.knownRevision) {
-            return Ok({ revision: 0, documents: [] });
+        const known = { epoch: request.knownEpoch, revision: request.knownRevision };
+        if (set === undefined || !isNewerPosition(set, known)) {
+            return Ok({ epoch: 0, revision: 0, documents: [], unchangedKeys: [] });
         }
-        return Ok({ revision: set.revision, documents: [...set.entries.values()] });
+        const { changed, unchangedKeys } = selectChangedDocuments(set, known);
+        return Ok({
+            epoch: set.epoch,
+            revision: set.revision,
+            documents: [...changed],
+            unchangedKeys: [...unchangedKeys],
+        });
     };
 
     const server = await createPeerServer({
@@ -159,6 +257,7 @@
             definition: ReportServiceService,
             implementation: {
                 exchange: createUnaryHandler(handleExchange),
+                collect: createUnaryHandler(handleCollect),
                 notify: createUnaryHandler(handleNotice),
                 fetchDocuments: createUnaryHandler(handleFetchDocuments),
             },
@@ -168,55 +267,79 @@
     if (server.err) {
         return server;
     }
+    const ownAddress: string = server.val.address;
     const clients = createPeerClients();
 
-    const fetchSet = async (address: PeerAddress, set: string): Promise<void> => {
-        const key = `${address} ${set}`;
-        if (fetching.has(key)) {
-            return;
-        }
-        fetching.add(key);
-        const knownRevision = options.documents(set)?.revision ?? 0;
+    const callPeer = async (address: string): Promise<void> => {
+        const message = createMessage();
         const result = await clients.call(
-            address,
-            ReportServiceService.fetchDocuments,
-            { set, knownRevision },
-            FETCH_TIMEOUT_MS,
+            address as PeerAddress,
+            ReportServiceService.exchange,
+            message,
+            CALL_TIMEOUT_MS,
         );
-        fetching.delete(key);
-        if (result.ok && result.val.revision > 0) {
-            options.onDocuments(set, toDocumentSet(result.val));
+        if (stop.signal.aborted) {
+            return;
+        }
+        setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
+        const report = result.ok ? receiveMessage(result.val.reports) : undefined;
+        if (report !== undefined) {
+            fetchStaleSets(report);
         }
     };
 
-    const fetchStaleSets = (address: PeerAddress, report: Report): void => {
-        if (options.staleSets(report).length === 0) {
-            return;
-        }
-        const isAnySetMissing = options.staleSets(report).some(set => options.documents(set) === undefined);
-        clock.setTimer(isAnySetMissing ? 0 : FETCH_DELAY_MS, () => {
-            options.staleSets(report).forEach(set => void fetchSet(address, set));
-        });
+    const collectOwnContribution = (): void => {
+        lastCollectedAtMs = clock.monotonicMs();
+        const contribution = aggregation.nextContribution();
+        aggregation.collect(contribution);
+        aggregation.acknowledge(contribution, options.hostId);
+        const report = aggregation.summarize();
+        storeReport(report, JSON.stringify(report), 0);
     };
 
-    const callPeer = async (address: string): Promise<void> => {
-        const peer = address as PeerAddress;
+    /** Sends this host's contribution to a collector; returns whether it answered. */
+    const contributeTo = async (address: string): Promise<boolean> => {
+        const contribution = aggregation.nextContribution();
         const result = await clients.call(
-            peer,
-            ReportServiceService.exchange,
-            createMessage(),
+            address as PeerAddress,
+            ReportServiceService.collect,
+            { reports: encodeReports([{ text: JSON.stringify(contribution), ageMs: 0 }]) },
             CALL_TIMEOUT_MS,
         );
         if (stop.signal.aborted) {
-            return;
+            return true;
         }
         setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
-        const report = result.ok ? receiveMessage(result.val.reports) : undefined;
-        if (report !== undefined) {
-            fetchStaleSets(peer, report);
+        const collector = result.ok
+            ? receiveMessage(result.val.reports, ({ hostId }) => aggregation.acknowledge(contribution, hostId))
+            : undefined;
+        if (collector !== undefined) {
+            lastRelayedAtMs = collector.isInContact ? clock.monotonicMs() : lastRelayedAtMs;
+            fetchStaleSets(collector);
         }
+        return result.ok;
     };
 
+    const reportToCollector = async (): Promise<void> => {
+        for (const address of selection.candidates(group).slice(0, MAXIMUM_COLLECTOR_ATTEMPTS)) {
+            if (address === ownAddress) {
+                break;
+            }
+            if (await contributeTo(address)) {
+                return;
+            }
+        }
+        collectOwnContribution();
+    };
+
+    const callOtherCollectors = (): void =>
+        selection.groups().filter(other => other !== group).forEach(other => {
+            const [address] = selection.candidates(other);
+            if (address !== undefined) {
+                void callPeer(address);
+            }
+        });
+
     const isCallDue = (address: string): boolean =>
         clock.monotonicMs() - (lastFailureAtMs.get(address) ?? -Infinity) >= UNREACHABLE_RETRY_MS;
 
@@ -228,32 +351,58 @@
             .slice(0, count)
             .map(({ address }) => address);
 
+    const runRound = async (): Promise<void> => {
+        if (!isLargeGroup()) {
+            const calls = Promise.all(samplePeers(options.fanout).map(callPeer));
+            void calls.then(() => {
+                hasContactedPeers = true;
+            });
+            return;
+        }
+        await reportToCollector();
+        hasContactedPeers = true;
+        if (isCollector()) {
+            callOtherCollectors();
+        }
+    };
+
     const run = async (): Promise<void> => {
         while (!stop.signal.aborted) {
-            samplePeers(options.fanout).forEach(address => void callPeer(address));
+            await runRound();
             evictExpiredReports();
             // Jitter keeps the rounds of hosts that started at the same time from coinciding.
-            await clock.sleep(roundIntervalMs() * (0.75 + random.nextFloat() / 2), stop.signal);
+            const intervalMs = isLargeGroup() ? COLLECT_INTERVAL_MS : options.intervalMs;
+            await clock.sleep(intervalMs * (0.75 + random.nextFloat() / 2), stop.signal);
         }
     };
     const running = run();
 
     return Ok({
-        address: server.val.address,
-        setPeers: addresses => {
-            peers = addresses;
+        address: ownAddress,
+        setHosts: (hosts: readonly Peer[]) => {
+            peers = hosts.map(({ address }) => address).filter(address => address !== ownAddress);
+            selection.setHosts(hosts);
+            [...lastFailureAtMs.keys()].filter(address => !peers.includes(address)).forEach(address =>
+                lastFailureAtMs.delete(address)
+            );
+        },
+        notify: notice => {
+            if (!isLargeGroup()) {
+                samplePeers(MAXIMUM_DIRECT_PEERS).forEach(address =>
+                    // Failures are ignored: the rounds track which peers are reachable.
+                    void clients.call(address as PeerAddress, ReportServiceService.notify, notice, CALL_TIMEOUT_MS)
+                );
+            }
         },
-        notify: notice =>
-            samplePeers(noticeFanout()).forEach(address =>
-                // Failures are ignored: the rounds track which peers are reachable.
-                void clients.call(address as PeerAddress, ReportServiceService.notify, notice, CALL_TIMEOUT_MS)
-            ),
-        unnotifiedShare: () => Math.max(0, 1 - noticeFanout() / Math.max(1, peers.length)),
+        unnotifiedShare: () => isLargeGroup() ? 1 : 0,
         propagationDelayMs: () =>
             isLargeGroup()
-                ? roundIntervalMs() * Math.log2(peers.length)
-                : roundIntervalMs() * peers.length / Math.max(1, 2 * options.fanout),
+                ? COLLECT_INTERVAL_MS * 1.5
+                : options.intervalMs * peers.length / Math.max(1, 2 * options.fanout),
         reports: () => reports,
+        hasContactedPeers: () => hasContactedPeers,
+        isRepresentative: () => !isLargeGroup() || isCollector(),
+        isRelayed: () => isLargeGroup() && !isCollector() && clock.monotonicMs() - lastRelayedAtMs < RELAY_TIMEOUT_MS,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
             await running;
--- a/packages/discovery/src/reports/reportExchange.ts
+++ b/packages/discovery/src/reports/reportExchange.ts
@@ -1,22 +1,29 @@
 import type { HostId } from "@ibislanding/core";
 import type { LoadNotice } from "@ibislanding/protocol";
+import type { Peer } from "./peer";
 import type { PeerReport } from "./peerReport";
 
 /** Exchanges reports, load notices and documents with the other hosts. */
 export interface ReportExchange<Report> extends AsyncDisposable {
     /** `ip:port` of the listener. */
     readonly address: string;
-    /** Replaces the addresses of the other hosts. */
-    readonly setPeers: (addresses: readonly string[]) => void;
+    /** Replaces the hosts of the deployment; those of a group are listed in order of preference as its collector. */
+    readonly setHosts: (hosts: readonly Peer[]) => void;
     /**
-     * Notifies peers of a placement immediately: all in a small group, a sample in a large one. Unreachable peers may
-     * be left out. If a notice is lost, the next report contains the same load.
+     * Notifies the peers of a small group of a placement immediately. Unreachable peers may be left out. If a notice is
+     * lost, the next report contains the same load.
      */
     readonly notify: (notice: LoadNotice) => void;
     /** Fraction of the peers that a notice is not sent to. */
     readonly unnotifiedShare: () => number;
-    /** Expected time until a host's report has reached another host, computed from the number of hosts. */
+    /** Expected time until a host's report has reached another host. */
     readonly propagationDelayMs: () => number;
-    /** Latest report of each peer, if not older than a minute. */
+    /** Latest reports of the peers of a small group, or latest summaries of the collectors, if not older than a minute. */
     readonly reports: () => ReadonlyMap<HostId, PeerReport<Report>>;
+    /** Whether the first peers that were called have answered or failed to. */
+    readonly hasContactedPeers: () => boolean;
+    /** Whether this host may act for the group: in a large one, whether it currently is a collector. */
+    readonly isRepresentative: () => boolean;
+    /** Whether a collector that is in contact with the store tells this host when documents change. */
+    readonly isRelayed: () => boolean;
 }
--- a/packages/duties/__tests__/dutyRunner.spec.ts
+++ b/packages/duties/__tests__/dutyRunner.spec.ts
@@ -1,5 +1,5 @@
 import { createFakeClock, createRandom, type FakeClock, type FencingNumber, type HostId } from "@ibislanding/core";
-import { createFakeKeyValueStore } from "@ibislanding/platform";
+import { createFakeKeyValueStore, createStoreEpoch } from "@ibislanding/platform";
 import { createDutyRunner } from "../src";
 
 const leaseMs = 3_000;
@@ -10,8 +10,10 @@
     name: string,
     calls: string[],
     otherDuties: readonly (() => Promise<void>)[] = [],
+    storeEpoch = createStoreEpoch(),
 ) => createDutyRunner({
     store,
+    storeEpoch,
     clock,
     random: createRandom(name.length),
     key: "duties",
--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -6,9 +6,9 @@
     type FencingNumber,
     type HostId,
 } from "@ibislanding/core";
-import { createFakeKeyValueStore } from "@ibislanding/platform";
+import { createFakeKeyValueStore, createStoreEpoch } from "@ibislanding/platform";
 import { Err, Ok } from "ts-results";
-import { createUsageCounts, createUsageReporter, type DutyApi } from "../src";
+import { createUsageCounts, createUsageRecords, createUsageReporter, type DutyApi } from "../src";
 
 const windowMs = 5_000;
 const acme = "acme" as AccountId;
@@ -17,6 +17,8 @@
 const createReporter = (
     clock: ReturnType<typeof createFakeClock>,
     store: ReturnType<typeof createFakeKeyValueStore>,
+    storeEpoch = createStoreEpoch(),
+    records = createUsageRecords(),
 ) => {
     const sent: { readonly window: number; readonly count: number | undefined; readonly fence: number; }[] = [];
     const state = { isDown: false, allPeersReported: true };
@@ -31,8 +33,11 @@
         scale: async () => Ok(undefined),
     };
     const counts = createUsageCounts(windowMs, clock.wallMs);
+    const omitted: number[] = [];
     const reporter = createUsageReporter({
         store,
+        storeEpoch,
+        records,
         keyPrefix: "usage/",
         api,
         counts,
@@ -41,9 +46,10 @@
         nowMs: clock.wallMs,
         haveAllPeersReportedSince: () => state.allPeersReported,
         onReported: () => undefined,
+        onOmitted: window => void omitted.push(window),
         onFailure: () => undefined,
     });
-    return { sent, state, counts, reporter };
+    return { sent, state, counts, reporter, omitted };
 };
 
 test("a window is reported once, with the counts of all hosts", async () => {
--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -4,8 +4,10 @@
 
 // Usage
 export { createUsageCounts } from "./usage/createUsageCounts";
+export { createUsageRecords } from "./usage/createUsageRecords";
 export { createUsageReporter } from "./usage/createUsageReporter";
 export type { UsageCounts } from "./usage/usageCounts";
+export type { UsageRecords } from "./usage/usageRecords";
 export type { UsageReporter } from "./usage/usageReporter";
 export type { WindowCounts } from "./usage/windowCounts";
 
--- a/packages/duties/src/runner/createDutyRunner.ts
+++ b/packages/duties/src/runner/createDutyRunner.ts
@@ -25,6 +25,7 @@
 
     const lease = createLeaseHolder({
         store: options.store,
+        storeEpoch: options.storeEpoch,
         clock,
         random: options.random,
         key: options.key,
--- a/packages/duties/src/runner/dutyRunnerOptions.ts
+++ b/packages/duties/src/runner/dutyRunnerOptions.ts
@@ -1,9 +1,10 @@
 import type { Clock, FencingNumber, HostId, RandomSource } from "@ibislanding/core";
-import type { KeyValueStore } from "@ibislanding/platform";
+import type { KeyValueStore, StoreEpoch } from "@ibislanding/platform";
 
 /** Lease settings, duties and callbacks of a duty runner. */
 export interface DutyRunnerOptions {
     readonly store: KeyValueStore;
+    readonly storeEpoch: StoreEpoch;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly key: string;
--- a/packages/duties/src/usage/createUsageCounts.ts
+++ b/packages/duties/src/usage/createUsageCounts.ts
@@ -32,8 +32,8 @@
         observePeer: (hostId, counts: WindowCounts) => {
             const peerCounts = peers.get(hostId) ?? new Map<number, ReadonlyMap<AccountId, number>>();
             counts.forEach((windowCounts, window) => peerCounts.set(window, windowCounts));
-            evictOldWindows(peerCounts);
             peers.set(hostId, peerCounts);
+            peers.forEach(evictOldWindows);
             [...peers].filter(([, windows]) => windows.size === 0).forEach(([endedHostId]) =>
                 peers.delete(endedHostId)
             );
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -27,10 +27,23 @@
 /** Past windows that a new lease holder checks for missing reports. */
 const LOOK_BACK_WINDOWS = 4;
 
+const toCounts = ({ counts }: StoredReport): ReadonlyMap<AccountId, number> =>
+    new Map(Object.entries(counts).map(([id, count]) => [id as AccountId, count]));
+
 /** Creates a reporter that has reported no window yet. */
 export const createUsageReporter = (options: UsageReporterOptions): UsageReporter => {
-    const { store, api, counts, windowMs } = options;
-    const reported = new Set<number>();
+    const { store, api, counts, records, windowMs } = options;
+    const completed = new Set<number>();
+    /** Cluster time since which records of windows can't have been lost without this host noticing. */
+    let recordsKnownSinceMs = options.nowMs();
+    options.storeEpoch.onRise(() => {
+        recordsKnownSinceMs = options.nowMs();
+    });
+
+    const complete = (window: number): void => {
+        completed.add(window);
+        [...completed].filter(old => old <= window - RING_SIZE).forEach(old => completed.delete(old));
+    };
 
     const isDue = (window: number): boolean => {
         const endMs = (window + 1) * windowMs;
@@ -43,11 +56,17 @@
     const dueWindows = (): readonly number[] => {
         const latest = counts.windowOf(options.nowMs()) - 1;
         return Array.from({ length: LOOK_BACK_WINDOWS }, (_, index) => latest - LOOK_BACK_WINDOWS + 1 + index)
-            .filter(window => !reported.has(window) && isDue(window));
+            .filter(window => !completed.has(window) && isDue(window));
     };
 
-    /** Stores the counts of a window, or returns those already stored; fails if counts of a later window are stored. */
-    const storeCounts = async (window: number): Promise<Result<StoredReport, Failure>> => {
+    /** Whether counts of a window that nobody knows of any more may have been sent before the store was restored. */
+    const mayBeLost = (window: number): boolean => (window + 1) * windowMs < recordsKnownSinceMs;
+
+    /**
+     * Stores the counts of a window, or returns those already stored; undefined if other counts may have been sent.
+     * Fails if counts of a later window are stored.
+     */
+    const storeCounts = async (window: number): Promise<Result<StoredReport | undefined, Failure>> => {
         const key = `${options.keyPrefix}${window % RING_SIZE}`;
         const existing = await store.get(key, { cause: "duty" });
         if (existing.err) {
@@ -59,7 +78,12 @@
         if (stored !== undefined && stored.window >= window) {
             return stored.window === window ? Ok(stored) : Err(createFailure(ErrorCode.KeyValueConflict));
         }
-        const report: StoredReport = { window, counts: Object.fromEntries(counts.total(window)) };
+        const known = records.countsOf(window);
+        if (known === undefined && mayBeLost(window)) {
+            return Ok(undefined);
+        }
+        const report: StoredReport = { window, counts: Object.fromEntries(known ?? counts.total(window)) };
+        records.remember(window, toCounts(report), true);
         const written = await store.compareAndSwap(
             { key, expectedVersion: existing.val?.version ?? 0, value: JSON.stringify(report) },
             { cause: "duty" },
@@ -73,19 +97,23 @@
             options.onFailure(window, "store", storedReport.val);
             return;
         }
+        if (storedReport.val === undefined) {
+            complete(window);
+            options.onOmitted(window);
+            return;
+        }
+        const reportCounts = toCounts(storedReport.val);
+        records.remember(window, reportCounts, true);
         const currentFencingNumber = fencingNumber();
         if (currentFencingNumber === undefined) {
             return;
         }
-        const reportCounts = new Map(
-            Object.entries(storedReport.val.counts).map(([id, count]) => [id as AccountId, count]),
-        );
         const sent = await api.reportUsage(window, reportCounts, currentFencingNumber);
         if (sent.err) {
             options.onFailure(window, "send", sent.val);
             return;
         }
-        reported.add(window);
+        complete(window);
         const requests = [...reportCounts.values()].reduce((sum, count) => sum + count, 0);
         options.onReported(window, requests, options.nowMs() - (window + 1) * windowMs);
     };
--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -1,6 +1,7 @@
 import { createFailure, createSystemClock, ErrorCode } from "@ibislanding/core";
 import {
     createFakeKeyValueStore,
+    createStoreEpoch,
     type KeyValueChange,
     type KeyValueEntry,
     type KeyValueHistory,
@@ -17,6 +18,8 @@
     const changes: KeyValueChange[] = [];
     const entries = new Map<string, KeyValueEntry>();
     const refused = new Set<string>();
+    const epoch = createStoreEpoch();
+    epoch.observe(1);
     let revision = 0;
 
     const write = (key: string, value: string): void => {
@@ -29,7 +32,11 @@
         snapshot: async prefix =>
             refused.has(hostName)
                 ? Err(createFailure(ErrorCode.KeyValueUnavailable))
-                : Ok({ revision, entries: [...entries.values()].filter(({ key }) => key.startsWith(prefix)) }),
+                : Ok({
+                    epoch: epoch.current(),
+                    revision,
+                    entries: [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
+                }),
         changesAfter: async (prefix, after, waitMs, options) => {
             const giveUpAtMs = clock.monotonicMs() + waitMs;
             const findChanges = (): readonly KeyValueChange[] =>
@@ -46,7 +53,7 @@
             }
             return refused.has(hostName)
                 ? Err(createFailure(ErrorCode.KeyValueUnavailable))
-                : Ok({ changes: findChanges(), revision });
+                : Ok({ changes: findChanges(), epoch: epoch.current(), revision });
         },
     });
 
@@ -67,5 +74,5 @@
         },
     });
 
-    return { write, refused, historyOf, storeOf };
+    return { write, refused, epoch, historyOf, storeOf };
 };
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -104,6 +104,7 @@
             hostName,
             hostId: `${hostName}.1` as HostId,
             availabilityZone: "zone-a" as AvailabilityZone,
+            processorCores: 1,
             availabilityZones: ["zone-a" as AvailabilityZone],
             listen: {
                 callers: `127.0.0.1:${callers}`,
@@ -125,6 +126,7 @@
         metrics: createMetricsRegistry(),
         store: store.storeOf(hostName),
         history: store.historyOf(hostName),
+        storeEpoch: store.epoch,
         duties: {
             reportUsage: async (window, counts) => {
                 reports.push({ window, requests: counts.get("acme" as AccountId) ?? 0 });
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -1,24 +1,39 @@
 import type { AccountId, UpstreamId } from "@ibislanding/core";
+import type { StoreEpoch } from "@ibislanding/platform";
 import type { HostComponents } from "./hostComponents";
 import type { HostReport } from "./hostReport";
 import { toWindowCounts } from "./toWindowCounts";
 
-/** Applies another host's report to the components of this host; `ageMs` is the time since the report was created. */
+/**
+ * Applies another host's report, or the summary of a collector, to the components of this host; `ageMs` is the time
+ * since it was created. `onLeaving` is called for each upstream of which this host did not know that it is leaving.
+ */
 export const applyHostReport = (
-    { upstreams, accounts, usage, clusterClock }: HostComponents,
+    { upstreams, accounts, usage, usageRecords, clusterClock }: HostComponents,
+    storeEpoch: StoreEpoch,
     report: HostReport,
     ageMs: number,
+    onLeaving: (upstreamId: UpstreamId, startedAtMs: number) => void,
 ): void => {
-    const { hostId, hostName } = report;
+    const { hostId, hostName, hostCount } = report;
     clusterClock.observePeer(hostId, report.wallMs + ageMs);
     upstreams.observePeer(
         hostName,
         new Map(report.loads.map(([id, running, backlogTokens]) => [id as UpstreamId, { running, backlogTokens }])),
+        hostCount,
     );
-    // JSON has no undefined: an unknown level is decoded as null.
-    const uses = report.accounts.map(([id, entitled, spare, level]) =>
-        [id as AccountId, { entitled, spare, level: level ?? undefined }] as const
+    const levels = new Map(report.levels);
+    const uses = report.accounts.map(([id, entitled, spare]) =>
+        [id as AccountId, { entitled, spare, level: levels.get(id) }] as const
     );
-    accounts.observePeer(hostName, hostId, new Map(uses));
+    accounts.observePeer(hostName, hostId, new Map(uses), hostCount);
     usage.observePeer(hostId, toWindowCounts(report.began));
+    toWindowCounts(report.usageRecords).forEach((counts, window) => usageRecords.remember(window, counts, false));
+    report.leaving.forEach(([id, startedAtMs]) => {
+        const upstreamId = id as UpstreamId;
+        if (upstreams.observeLeaving({ upstreamId, startedAtMs })) {
+            onLeaving(upstreamId, startedAtMs);
+        }
+    });
+    Object.values(report.positions).forEach(([epoch]) => storeEpoch.observe(epoch));
 };
--- /dev/null
+++ b/packages/edge/src/countRows.ts
@@ -0,0 +1,49 @@
+/** A row of a table: some key fields, followed by numbers. */
+type Row = readonly (string | number)[];
+
+const keyOf = (row: Row, keyLength: number): string => row.slice(0, keyLength).join("\u0000");
+
+const combine = (
+    left: Row,
+    right: Row | undefined,
+    keyLength: number,
+    combineNumbers: (one: number, other: number) => number,
+): Row => [
+    ...left.slice(0, keyLength),
+    ...left.slice(keyLength).map((value, index) =>
+        combineNumbers(Number(value), Number(right?.[keyLength + index] ?? 0))
+    ),
+];
+
+const indexRows = (rows: readonly Row[], keyLength: number): ReadonlyMap<string, Row> =>
+    new Map(rows.map(row => [keyOf(row, keyLength), row]));
+
+/** Sums and differences of tables whose rows have the same number of key fields. */
+export const countRows = {
+    /** Returns one row for each key, with the sums of the numbers in all tables. */
+    add: <T extends Row>(keyLength: number, tables: readonly (readonly T[])[]): readonly T[] => {
+        const sums = new Map<string, Row>();
+        tables.forEach(rows =>
+            rows.forEach(row => {
+                const key = keyOf(row, keyLength);
+                const known = sums.get(key);
+                sums.set(key, known === undefined ? row : combine(known, row, keyLength, (one, other) => one + other));
+            })
+        );
+        return [...sums.values()] as T[];
+    },
+    /** Returns the rows of a table less those of another, at least 0; rows without a positive number are left out. */
+    subtract: <T extends Row>(keyLength: number, from: readonly T[], rows: readonly T[]): readonly T[] => {
+        const subtracted = indexRows(rows, keyLength);
+        return from
+            .map(row =>
+                combine(row, subtracted.get(keyOf(row, keyLength)), keyLength, (one, other) => Math.max(0, one - other))
+            )
+            .filter(row => row.slice(keyLength).some(value => Number(value) > 0)) as unknown as T[];
+    },
+    /** Returns the first row for each key. */
+    distinct: <T extends Row>(
+        keyLength: number,
+        tables: readonly (readonly T[])[],
+    ): readonly T[] => [...new Map(tables.flat().reverse().map(row => [keyOf(row, keyLength), row])).values()],
+};
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -1,11 +1,20 @@
 import type { Failure } from "@ibislanding/core";
-import { createDocumentWatcher, type DocumentSet, type DocumentWatcher } from "@ibislanding/discovery";
+import {
+    createDocumentWatcher,
+    type DocumentPosition,
+    type DocumentSet,
+    type DocumentWatcher,
+    isNewerPosition,
+} from "@ibislanding/discovery";
 import { compileConfiguration, type CompiledConfiguration, type UpstreamRecord } from "@ibislanding/gateway";
 import type { KeyValueEntry } from "@ibislanding/platform";
 import type { Result } from "ts-results";
+import { createRestoredEntryFilter } from "./createRestoredEntryFilter";
 import type { DocumentCache } from "./documentCache";
+import type { DocumentCacheOptions } from "./documentCacheOptions";
 import { documentSetNames } from "./documentSetNames";
 import type { EdgeOptions } from "./edgeOptions";
+import { parseHostEntry } from "./parseHostEntry";
 
 /**
  * Mean interval between successive ends of watches of all hosts. A host detects a dead connection when its watch ends;
@@ -20,6 +29,9 @@
 /** Every host reads every change, so the batch delay grows with the number of hosts. */
 const BATCH_DELAY_MS_PER_HOST = 15;
 
+/** Maximum batch delay of upstreams: in a large group only collectors watch them. */
+const COLLECTOR_BATCH_DELAY_MS = 300;
+
 /**
  * Maximum batch delay, as a fraction of the time within which a change must be in force; hosts that can't reach the
  * store receive the change later.
@@ -29,36 +41,49 @@
 /** Batch delay for host addresses; a longer one is sufficient because new hosts call the others themselves. */
 const HOSTS_BATCH_DELAY_MS = 2_000;
 
+/** Time for the watch on the store to deliver a newer version before it is fetched from a peer. */
+const FETCH_DELAY_MS = 150;
+
+/** The same while the store answers: the transfer of a large set would delay other traffic of the peer. */
+const REACHABLE_FETCH_DELAY_MS = 1_000;
+
+const UNKNOWN_POSITION: DocumentPosition = { epoch: 0, revision: 0 };
+
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
     options: EdgeOptions,
-    onUpstreams: (records: readonly UpstreamRecord[]) => void,
-    onHosts: (addresses: readonly string[]) => void,
+    { onUpstreams, onHosts, isRelayed }: DocumentCacheOptions,
 ): DocumentCache => {
-    const { documents, log, history, clock, random, settings } = options;
+    const { documents, log, history, storeEpoch, clock, random, settings } = options;
+    const withoutRestoredEntries = createRestoredEntryFilter(clock);
     let configuration: CompiledConfiguration | undefined;
-    let appliedEntryVersion: number | undefined;
+    /** Configuration in force as a set; its position is the configuration's own version, which outlasts the store's. */
+    let configurationSet: DocumentSet | undefined;
+    let lastConfigurationValue: string | undefined;
     const decodedUpstreams = new Map<
         string,
-        { readonly version: number; readonly record: UpstreamRecord | undefined; }
+        { readonly value: string; readonly record: UpstreamRecord | undefined; }
     >();
 
     const setConfiguration = (set: DocumentSet, source: string): void => {
         const [entry] = set.entries.values();
-        if (entry === undefined || entry.version === appliedEntryVersion) {
+        if (entry === undefined || entry.value === lastConfigurationValue) {
             return;
         }
+        lastConfigurationValue = entry.value;
         const next = documents.decodeConfiguration(entry.value);
         if (next.err) {
             log.write("configuration_rejected", { revision: entry.version, source, reason: next.val.message });
             return;
         }
         const previous = configuration?.source.version;
-        if (previous !== undefined && next.val.version <= previous) {
+        const { version } = next.val;
+        if (previous !== undefined && version <= previous) {
+            log.write("configuration_ignored", { version, inForce: previous, revision: entry.version, source });
             return;
         }
-        appliedEntryVersion = entry.version;
         configuration = compileConfiguration(next.val);
+        configurationSet = { epoch: 0, revision: version, entries: new Map([[entry.key, entry]]) };
         log.write("configuration_applied", {
             version: next.val.version,
             previous,
@@ -70,12 +95,12 @@
 
     const decodeUpstream = (entry: KeyValueEntry): UpstreamRecord | undefined => {
         const cached = decodedUpstreams.get(entry.key);
-        if (cached?.version === entry.version) {
+        if (cached?.value === entry.value) {
             return cached.record;
         }
         const result: Result<UpstreamRecord, Failure> = documents.decodeUpstream(entry.key, entry.value);
         const record = result.ok ? result.val : undefined;
-        decodedUpstreams.set(entry.key, { version: entry.version, record });
+        decodedUpstreams.set(entry.key, { value: entry.value, record });
         log.write("upstream_changed", {
             key: entry.key,
             revision: entry.version,
@@ -94,12 +119,13 @@
             decodedUpstreams.delete(key);
             log.write("upstream_removed", { key, revision: set.revision });
         });
-        onUpstreams([...set.entries.values()].flatMap(entry => decodeUpstream(entry) ?? []));
+        onUpstreams(withoutRestoredEntries(set).flatMap(entry => decodeUpstream(entry) ?? []));
     };
 
     const hostCount = (): number => watchers[documentSetNames.hosts]?.current()?.entries.size ?? 0;
 
-    const setHosts = (set: DocumentSet): void => onHosts([...set.entries.values()].map(({ value }) => value));
+    const setHosts = (set: DocumentSet): void =>
+        onHosts([...set.entries.values()].flatMap(({ value }) => parseHostEntry(value) ?? []));
 
     const defaultWatchWaitMs = (): number =>
         Math.min(MAXIMUM_WATCH_WAIT_MS, Math.max(MINIMUM_WATCH_WAIT_MS, hostCount() * WATCH_END_INTERVAL_MS));
@@ -111,14 +137,17 @@
         name: string,
         prefix: string,
         onChange: (set: DocumentSet, source: string) => void,
+        isWatchRelayed: () => boolean,
         watchWaitMs = defaultWatchWaitMs,
         batchDelayMs = defaultBatchDelayMs,
     ) => createDocumentWatcher({
         history,
+        storeEpoch,
         prefix,
         clock,
         random,
         watchWaitMs,
+        isRelayed: isWatchRelayed,
         batchDelayMs,
         onChange,
         onReachabilityChange: (isReachable, reason) =>
@@ -130,27 +159,64 @@
             documentSetNames.configuration,
             documents.configurationPrefix,
             setConfiguration,
+            // A collector's network link could not deliver a large configuration to all of its members in time.
+            () => false,
+        ),
+        [documentSetNames.upstreams]: watch(
+            documentSetNames.upstreams,
+            documents.upstreamsPrefix,
+            setUpstreams,
+            isRelayed,
+            defaultWatchWaitMs,
+            () => Math.min(COLLECTOR_BATCH_DELAY_MS, defaultBatchDelayMs()),
         ),
-        [documentSetNames.upstreams]: watch(documentSetNames.upstreams, documents.upstreamsPrefix, setUpstreams),
         // A delay of an address has little effect: the new host calls the others.
         [documentSetNames.hosts]: watch(
             documentSetNames.hosts,
             `${documents.ownPrefix}hosts/`,
             setHosts,
+            isRelayed,
             () => MAXIMUM_WATCH_WAIT_MS,
             () => HOSTS_BATCH_DELAY_MS,
         ),
     };
 
+    const documentsOf = (name: string): DocumentSet | undefined =>
+        name === documentSetNames.configuration ? configurationSet : watchers[name]?.current();
+
+    const offerHandlers: Readonly<Record<string, (set: DocumentSet) => void>> = {
+        [documentSetNames.configuration]: set => setConfiguration(set, "peer"),
+    };
+
     return {
         configuration: () => configuration,
-        documents: name => watchers[name]?.current(),
+        documents: documentsOf,
         isStoreReachable: () => Object.values(watchers).every(watcher => watcher.isStoreReachable()),
-        revisions: () =>
+        positions: () =>
             Object.fromEntries(
-                Object.entries(watchers).map(([name, watcher]) => [name, watcher.current()?.revision ?? 0]),
+                Object.keys(watchers).map(name => {
+                    const { epoch, revision } = documentsOf(name) ?? UNKNOWN_POSITION;
+                    return [name, [epoch, revision]];
+                }),
             ),
-        offer: (name, set) => watchers[name]?.offer({ entries: [...set.entries.values()], revision: set.revision }),
+        staleSets: positions =>
+            Object.keys(watchers).filter(name => {
+                const [epoch, revision] = positions[name] ?? [0, 0];
+                return revision > 0 && isNewerPosition({ epoch, revision }, documentsOf(name));
+            }),
+        fetchDelayMs: name => {
+            if (name !== documentSetNames.configuration && isRelayed()) {
+                return 0;
+            }
+            return watchers[name]?.isStoreReachable() === true ? REACHABLE_FETCH_DELAY_MS : FETCH_DELAY_MS;
+        },
+        offer: (name, set) => {
+            storeEpoch.observe(set.epoch);
+            const offer = offerHandlers[name]
+                ?? (({ entries, ...position }) =>
+                    watchers[name]?.offer({ ...position, entries: [...entries.values()] }));
+            offer(set);
+        },
         [Symbol.asyncDispose]: async () => {
             await Promise.all(Object.values(watchers).map(watcher => watcher[Symbol.asyncDispose]()));
         },
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -8,7 +8,7 @@
 
 /** Creates the usage and scaling duties and starts contending for their lease. */
 export const createEdgeDuties = (options: EdgeDutiesOptions): DutyRunner => {
-    const { clock, random, log, store, duties, settings, documents, usage, nowMs } = options;
+    const { clock, random, log, store, storeEpoch, duties, settings, documents, usage, nowMs } = options;
     const demand = createDemandMeter(clock);
 
     const handleFailure = (failure: Failure): void => {
@@ -20,15 +20,18 @@
 
     const reporter = createUsageReporter({
         store,
+        storeEpoch,
         keyPrefix: `${documents.ownPrefix}usage/`,
         api: duties,
         counts: usage,
+        records: options.usageRecords,
         windowMs: settings.usage.windowMs,
         dueMs: settings.usage.dueMs,
         nowMs,
         haveAllPeersReportedSince: options.haveAllPeersReportedSince,
         onReported: (window, requests, ageMs) =>
             log.write("usage_reported", { window, requests, ageMs: Math.round(ageMs) }),
+        onOmitted: window => log.write("usage_omitted", { window, reason: "other counts may have been sent" }),
         onFailure: (window, step, failure) => {
             handleFailure(failure);
             log.write("usage_failed", { window, step, reason: failure.code });
@@ -83,6 +86,7 @@
 
     const runner = createDutyRunner({
         store,
+        storeEpoch,
         clock,
         random,
         key: `${documents.ownPrefix}duties`,
--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -38,6 +38,10 @@
             moves.add(1, { outcome: move.outcome });
             log.write("run_moved", move);
         },
+        onUpstreamLeaving: notice => log.write("upstream_leaving", { ...notice, source: "answer" }),
+        onUpstreamPaused: pause => log.write("upstream_paused", pause),
+        onInvalidHeaders: ({ upstreamId, headers }) =>
+            log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
         onRequestEnded: ({ firstByteMs, durationMs, predictedMs, backlogMs, promptMs, ...request }) => {
             const service = request.service ?? "none";
             requests.add(1, { service, outcome: request.outcome, status: String(request.status) });
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@ibislanding/core";
+import type { WindowCounts } from "@ibislanding/duties";
 import type { EdgeSettings } from "./edgeSettings";
 import type { HostComponents } from "./hostComponents";
 import type { HostReport } from "./hostReport";
@@ -6,33 +7,40 @@
 /** Completed windows that reports repeat: counts of a window may not be final in the first report that has them. */
 const REPORTED_WINDOWS = 1;
 
+const toRows = (windows: WindowCounts): HostReport["began"] =>
+    [...windows].flatMap(([window, counts]) =>
+        [...counts].map(([accountId, count]) => [window, accountId, count] as const)
+    );
+
 /** Returns a function that creates the next report of this host. */
 export const createReportFactory = (
-    { documentCache, upstreams, accounts, usage, workMeter, clusterClock }: HostComponents,
-    { hostId, hostName }: EdgeSettings,
+    { documentCache, upstreams, accounts, usage, usageRecords, workMeter, clusterClock }: HostComponents,
+    { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
 ): () => HostReport => {
     let sequence = 0;
 
-    const startedRequestCounts = (): HostReport["began"] =>
-        [...usage.local()]
-            .filter(([window]) => window >= usage.windowOf(clusterClock.nowMs()) - REPORTED_WINDOWS)
-            .flatMap(([window, counts]) =>
-                [...counts].map(([accountId, count]) => [window, accountId, count] as const)
-            );
+    const isReported = (window: number): boolean => window >= usage.windowOf(clusterClock.nowMs()) - REPORTED_WINDOWS;
 
-    return () => ({
-        hostId,
-        hostName,
-        sequence: ++sequence,
-        wallMs: clock.wallMs(),
-        revisions: documentCache.revisions(),
-        isInContact: documentCache.isStoreReachable(),
-        loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
-        accounts: [...accounts.usages()].map(([id, { entitled, spare, level }]) =>
-            [id, entitled, spare, level === undefined ? undefined : Math.round(level)] as const
-        ),
-        began: startedRequestCounts(),
-        work: [...workMeter.busyUpstreams()],
-    });
+    return () => {
+        const usages = [...accounts.usages()];
+        return {
+            hostId,
+            hostName,
+            address: listen.peers,
+            sequence: ++sequence,
+            wallMs: clock.wallMs(),
+            positions: documentCache.positions(),
+            isInContact: documentCache.isStoreReachable(),
+            hostCount: 1,
+            oldestMs: 0,
+            loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
+            accounts: usages.map(([id, { entitled, spare }]) => [id, entitled, spare] as const),
+            levels: usages.flatMap(([id, { level }]) => level === undefined ? [] : [[id, Math.round(level)] as const]),
+            began: toRows(new Map([...usage.local()].filter(([window]) => isReported(window)))),
+            work: [...workMeter.busyUpstreams()].map(([service, busy]) => [service, Number(busy.toFixed(4))] as const),
+            leaving: upstreams.leaving(),
+            usageRecords: toRows(usageRecords.own()),
+        };
+    };
 };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -8,7 +8,18 @@
     const report = parseJson(text) as Partial<HostReport> | null | undefined;
     const isValid = typeof report?.hostId === "string" && typeof report.hostName === "string"
         && typeof report.sequence === "number"
-        && typeof report.wallMs === "number" && typeof report.revisions === "object"
-        && [report.loads, report.accounts, report.began, report.work].every(isArray);
+        && typeof report.address === "string" && typeof report.wallMs === "number"
+        && typeof report.hostCount === "number" && typeof report.oldestMs === "number"
+        && typeof report.positions === "object" && report.positions !== null
+        && Object.values(report.positions).every(isArray)
+        && [
+            report.loads,
+            report.accounts,
+            report.levels,
+            report.began,
+            report.work,
+            report.leaving,
+            report.usageRecords,
+        ].every(isArray);
     return isValid ? report as HostReport : undefined;
 };
--- a/packages/edge/src/documentCache.ts
+++ b/packages/edge/src/documentCache.ts
@@ -1,5 +1,6 @@
 import type { DocumentSet } from "@ibislanding/discovery";
 import type { CompiledConfiguration } from "@ibislanding/gateway";
+import type { HostReport } from "./hostReport";
 
 /** The latest documents that a host has received from the store or its peers. */
 export interface DocumentCache extends AsyncDisposable {
@@ -7,7 +8,11 @@
     readonly documents: (set: string) => DocumentSet | undefined;
     /** Whether all watches reach the store. */
     readonly isStoreReachable: () => boolean;
-    /** Store revision of each set, by name; 0 before the first snapshot. */
-    readonly revisions: () => Readonly<Record<string, number>>;
+    /** Position of each set, by name; 0 before the first snapshot. That of the configuration is its own version. */
+    readonly positions: () => HostReport["positions"];
+    /** Names of the sets of which the given positions are newer. */
+    readonly staleSets: (positions: HostReport["positions"]) => readonly string[];
+    /** Time allowed for the store to deliver a newer version of a set before it is fetched from a peer. */
+    readonly fetchDelayMs: (set: string) => number;
     readonly offer: (set: string, documents: DocumentSet) => void;
 }
--- a/packages/edge/src/edgeDutiesOptions.ts
+++ b/packages/edge/src/edgeDutiesOptions.ts
@@ -1,11 +1,12 @@
 import type { AvailabilityZone, ServiceName } from "@ibislanding/core";
-import type { UsageCounts } from "@ibislanding/duties";
+import type { UsageCounts, UsageRecords } from "@ibislanding/duties";
 import type { CompiledConfiguration, UpstreamTable } from "@ibislanding/gateway";
 import type { EdgeOptions } from "./edgeOptions";
 
 /** State of the host that the duties read, in addition to its ports and settings. */
 export interface EdgeDutiesOptions extends EdgeOptions {
     readonly usage: UsageCounts;
+    readonly usageRecords: UsageRecords;
     readonly upstreams: UpstreamTable;
     readonly configuration: () => CompiledConfiguration | undefined;
     /** Whether this host contends for the duties. */
--- a/packages/edge/src/edgeOptions.ts
+++ b/packages/edge/src/edgeOptions.ts
@@ -1,7 +1,7 @@
 import type { Clock, Failure, RandomSource } from "@ibislanding/core";
 import type { DutyApi } from "@ibislanding/duties";
 import type { EnginePort, GatewayConfiguration, HeaderCodec, UpstreamRecord } from "@ibislanding/gateway";
-import type { KeyValueHistory, KeyValueStore } from "@ibislanding/platform";
+import type { KeyValueHistory, KeyValueStore, StoreEpoch } from "@ibislanding/platform";
 import type { EventLog, MetricsRegistry } from "@ibislanding/runtime";
 import type { Result } from "ts-results";
 import type { EdgeSettings } from "./edgeSettings";
@@ -15,6 +15,7 @@
     readonly metrics: MetricsRegistry;
     readonly store: KeyValueStore;
     readonly history: KeyValueHistory;
+    readonly storeEpoch: StoreEpoch;
     readonly duties: DutyApi;
     readonly engines: EnginePort | undefined;
     readonly codec: HeaderCodec;
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -7,6 +7,8 @@
     /** Id of this process; changes with each restart. */
     readonly hostId: HostId;
     readonly availabilityZone: AvailabilityZone;
+    /** Processing capacity of the host, in cores of the reference speed. */
+    readonly processorCores: number;
     /** Availability zones of the deployment. */
     readonly availabilityZones: readonly AvailabilityZone[];
     /** `ip:port` of each listener. */
--- a/packages/edge/src/hostComponents.ts
+++ b/packages/edge/src/hostComponents.ts
@@ -1,5 +1,5 @@
 import type { ClusterClock } from "@ibislanding/discovery";
-import type { UsageCounts } from "@ibislanding/duties";
+import type { UsageCounts, UsageRecords } from "@ibislanding/duties";
 import type { AccountMeter, UpstreamTable } from "@ibislanding/gateway";
 import type { DocumentCache } from "./documentCache";
 import type { WorkMeter } from "./workMeter";
@@ -10,6 +10,7 @@
     readonly upstreams: UpstreamTable;
     readonly accounts: AccountMeter;
     readonly usage: UsageCounts;
+    readonly usageRecords: UsageRecords;
     readonly workMeter: WorkMeter;
     readonly clusterClock: ClusterClock;
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,7 +1,7 @@
 import type { ServiceName, UpstreamId } from "@ibislanding/core";
 import { createHasher, createResourceStack, FailureError } from "@ibislanding/core";
 import { createClusterClock, createReportExchange, type ReportExchange } from "@ibislanding/discovery";
-import { createUsageCounts } from "@ibislanding/duties";
+import { createUsageCounts, createUsageRecords } from "@ibislanding/duties";
 import {
     createAccountMeter,
     createGateway,
@@ -10,21 +10,24 @@
     type UpstreamRecord,
 } from "@ibislanding/gateway";
 import { applyHostReport } from "./applyHostReport";
+import { assignPeerGroups } from "./assignPeerGroups";
 import { createDocumentCache } from "./createDocumentCache";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
+import { createReportAggregation } from "./createReportAggregation";
 import { createReportFactory } from "./createReportFactory";
 import { createWorkMeter } from "./createWorkMeter";
 import { decodeHostReport } from "./decodeHostReport";
 import type { EdgeHost } from "./edgeHost";
 import type { EdgeOptions } from "./edgeOptions";
 import type { HostComponents } from "./hostComponents";
+import type { HostEntry } from "./hostEntry";
 import type { HostReport } from "./hostReport";
 import { registerHost } from "./registerHost";
 import { startHostListeners } from "./startHostListeners";
 import { watchSuspensions } from "./watchSuspensions";
 
-/** Report interval: placements and limits use peer state that is up to two intervals old. */
+/** Report interval in a small group: placements and limits use peer state that is up to two intervals old. */
 const REPORT_INTERVAL_MS = 300;
 
 /** Peers called in each round; in a small group each pair of hosts then exchanges reports a few times a second. */
@@ -54,6 +57,9 @@
 
 const STOP_POLL_MS = 50;
 
+/** Group of seeds, whose availability zones are not known; nobody collects for it. */
+const UNKNOWN_GROUP = "";
+
 /** Starts all components of a host and resolves when its listeners are open; rejects if one can't be opened. */
 export const startEdgeHost = async (options: EdgeOptions): Promise<EdgeHost> => {
     const { settings, clock, random, log, metrics } = options;
@@ -61,6 +67,7 @@
     const hasher = await createHasher();
     const clusterClock = createClusterClock(clock);
     const usage = createUsageCounts(settings.usage.windowMs, clusterClock.nowMs);
+    const usageRecords = createUsageRecords();
     const peers: { exchange?: ReportExchange<HostReport>; } = {};
     const peerTimeoutMs = (): number =>
         Math.max(MINIMUM_PEER_TIMEOUT_MS, PEER_TIMEOUT_FACTOR * (peers.exchange?.propagationDelayMs() ?? 0));
@@ -71,11 +78,15 @@
     });
     const workMeter = createWorkMeter(clock);
     const stopController = new AbortController();
-    const peerAddresses = new Set(settings.seedAddresses);
+    let registeredHosts: readonly HostEntry[] = [];
     let isStopping = false;
 
-    const updatePeers = (): void =>
-        peers.exchange?.setPeers([...peerAddresses].filter(address => address !== settings.listen.peers));
+    const updatePeers = (): void => {
+        const registered = assignPeerGroups(registeredHosts);
+        const addresses = new Set(registered.map(({ address }) => address));
+        const seeds = settings.seedAddresses.filter(address => !addresses.has(address));
+        peers.exchange?.setHosts([...registered, ...seeds.map(address => ({ address, group: UNKNOWN_GROUP }))]);
+    };
 
     const firstSeenAtMs = new Map<ServiceName, number>();
     const replaceUpstreams = (records: readonly UpstreamRecord[]): void => {
@@ -84,9 +95,13 @@
         );
         upstreams.replace(records);
     };
-    const documentCache = createDocumentCache(options, replaceUpstreams, hosts => {
-        hosts.forEach(address => peerAddresses.add(address));
-        updatePeers();
+    const documentCache = createDocumentCache(options, {
+        onUpstreams: replaceUpstreams,
+        onHosts: hosts => {
+            registeredHosts = hosts;
+            updatePeers();
+        },
+        isRelayed: () => peers.exchange?.isRelayed() ?? false,
     });
     resources.use(documentCache);
     const upstreams = createUpstreamTable({
@@ -103,8 +118,10 @@
         },
     });
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
+    // A store that was restored from a copy may have older documents than the peers.
     const hasInitialState = (): boolean =>
-        documentCache.configuration() !== undefined && upstreams.records().length > 0;
+        documentCache.configuration() !== undefined && upstreams.records().length > 0
+        && peers.exchange?.hasContactedPeers() === true;
 
     const gateway = resources.use(createGateway({
         clock,
@@ -131,7 +148,15 @@
         ),
     );
 
-    const components: HostComponents = { documentCache, upstreams, accounts, usage, workMeter, clusterClock };
+    const components: HostComponents = {
+        documentCache,
+        upstreams,
+        accounts,
+        usage,
+        usageRecords,
+        workMeter,
+        clusterClock,
+    };
     const createReport = createReportFactory(components, settings, clock);
 
     const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
@@ -143,22 +168,32 @@
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
         address: settings.listen.peers,
+        group: assignPeerGroups([{
+            address: settings.listen.peers,
+            availabilityZone: settings.availabilityZone,
+            cores: settings.processorCores,
+        }])[0]?.group ?? UNKNOWN_GROUP,
         clock,
         random,
         intervalMs: REPORT_INTERVAL_MS,
         fanout: REPORT_FANOUT,
         createReport,
+        aggregation: createReportAggregation(clock, createReport),
         decodeReport: decodeHostReport,
-        onReport: (report, ageMs) => applyHostReport(components, report, ageMs),
+        onReport: (report, ageMs) =>
+            applyHostReport(
+                components,
+                options.storeEpoch,
+                report,
+                ageMs,
+                (upstreamId, startedAtMs) =>
+                    log.write("upstream_leaving", { upstreamId, startedAtMs, source: report.hostName }),
+            ),
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
         documents: documentCache.documents,
-        staleSets: ({ revisions }) => {
-            const ownRevisions = documentCache.revisions();
-            return Object.entries(revisions).filter(([set, revision]) => revision > (ownRevisions[set] ?? 0)).map((
-                [set],
-            ) => set);
-        },
+        staleSets: ({ positions }) => documentCache.staleSets(positions),
+        fetchDelayMs: documentCache.fetchDelayMs,
         onDocuments: documentCache.offer,
         onPeerReachabilityChange: (address, isReachable, reason) =>
             log.write(isReachable ? "peer_regained" : "peer_lost", { address, reason }),
@@ -178,11 +213,13 @@
     resources.use(createEdgeDuties({
         ...options,
         usage,
+        usageRecords,
         upstreams,
         configuration: documentCache.configuration,
         // Only the first hosts by name that reach the store contend, because each contender polls the lease.
         mayContend: () =>
-            liveReports().filter(({ report }) => report.isInContact && report.hostName < settings.hostName).length
+            exchange.val.isRepresentative()
+            && liveReports().filter(({ report }) => report.isInContact && report.hostName < settings.hostName).length
                 < MAXIMUM_CONTENDERS,
         firstSeenAtMs: service => firstSeenAtMs.get(service),
         busyUpstreams,
@@ -190,7 +227,7 @@
         nowMs: clusterClock.nowMs,
         haveAllPeersReportedSince: timeMs => {
             const oldestMs = clock.monotonicMs() - (clusterClock.nowMs() - timeMs);
-            return liveReports().every(({ reportedAtMs }) => reportedAtMs >= oldestMs);
+            return liveReports().every(({ report, reportedAtMs }) => reportedAtMs - report.oldestMs >= oldestMs);
         },
     }));
 
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -139,6 +139,7 @@
     table.observePeer(
         "peer",
         new Map([["a" as UpstreamId, { running: 10, backlogTokens: 100_000 }]]),
+        1,
     );
     expect(upstreamOf(place(prompt("s")))).toBe("b");
     await clock.advance(20_000);
@@ -149,7 +150,7 @@
     const { clock, table } = createTable([engine("a")]);
     const rate = table.tokensPerMs(service);
     ["p1", "p2", "p3"].forEach(peer =>
-        table.observePeer(peer, new Map([["a" as UpstreamId, { running: 1, backlogTokens: 10_000 }]]))
+        table.observePeer(peer, new Map([["a" as UpstreamId, { running: 1, backlogTokens: 10_000 }]]), 1)
     );
     await clock.advance(500);
     const backlogMs = table.candidates(service, prompt("s"))[0]?.backlogMs ?? 0;
@@ -201,7 +202,7 @@
         onPlaced: () => undefined,
     });
     table.replace([engine("a")]);
-    table.observePeer("peer", new Map());
+    table.observePeer("peer", new Map(), 1);
     Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
     const request = prompt("s");
     expect(chooseUpstream(table.candidates(service, request), request)).toMatchObject({ reason: "saturated" });
@@ -255,8 +256,8 @@
     const tokensPerMs = table.tokensPerMs(service);
     const backlogTokens = Math.round(tokensPerMs * 580);
     const request = prompt("s", { promptTokens: Math.round(tokensPerMs * 500) });
-    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens }]]));
+    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens }]]), 1);
     expect(upstreamOf(place(request))).toBe("b");
-    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens: backlogTokens / 3 }]]));
+    table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens: backlogTokens / 3 }]]), 1);
     expect(upstreamOf(place(request))).toBe("a");
 });
--- a/packages/gateway/__tests__/support/testCodec.ts
+++ b/packages/gateway/__tests__/support/testCodec.ts
@@ -32,5 +32,8 @@
         isMisdirected: statusCode === 421,
         hasContentEncoding: headers["content-encoding"] !== undefined,
         keepAliveMs: undefined,
+        isLeaving: headers["x-leaving"] !== undefined,
+        pauseMs: headers["x-pause"] === undefined ? undefined : Number(headers["x-pause"]),
+        invalidHeaders: [],
     }),
 };
--- a/packages/gateway/src/codec/responseHead.ts
+++ b/packages/gateway/src/codec/responseHead.ts
@@ -14,4 +14,10 @@
     readonly hasContentEncoding: boolean;
     /** Time for which the upstream keeps the idle connection open; undefined if not stated. */
     readonly keepAliveMs: number | undefined;
+    /** Whether the upstream states that it is leaving. */
+    readonly isLeaving: boolean;
+    /** Time for which the upstream wants no requests from this host; undefined if not stated. */
+    readonly pauseMs: number | undefined;
+    /** Headers with invalid values, as `name: value`. */
+    readonly invalidHeaders: readonly string[];
 }
--- a/packages/gateway/src/forwarding/attemptOptions.ts
+++ b/packages/gateway/src/forwarding/attemptOptions.ts
@@ -1,5 +1,6 @@
 import type { RequestId } from "@ibislanding/core";
 import type { HeaderCodec } from "../codec/headerCodec";
+import type { ResponseHead } from "../codec/responseHead";
 import type { RouteKind } from "../configuration/routeKind";
 import type { UpstreamConnections } from "./upstreamConnections";
 
@@ -13,6 +14,8 @@
     readonly path: string;
     readonly headers: readonly (readonly [string, string])[];
     readonly body: Buffer;
+    /** Called with the head of each response of the addressed upstream, also if the response is not relayed. */
+    readonly onHead: (head: ResponseHead) => void;
     /** Aborts the attempt and closes its connection. */
     readonly signal: AbortSignal;
 }
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -22,6 +22,19 @@
         readonly target: UpstreamId;
         readonly outcome: string;
     }) => void;
+    /** An upstream stated in a response that it is leaving. */
+    readonly onUpstreamLeaving: (notice: {
+        readonly upstreamId: UpstreamId;
+        readonly startedAtMs: number;
+        readonly status: number;
+    }) => void;
+    /** An upstream turned a request away and asked for a pause. */
+    readonly onUpstreamPaused: (pause: { readonly upstreamId: UpstreamId; readonly pauseMs: number; }) => void;
+    /** A response had headers with invalid values. */
+    readonly onInvalidHeaders: (response: {
+        readonly upstreamId: UpstreamId;
+        readonly headers: readonly string[];
+    }) => void;
     readonly onRequestEnded: (request: {
         readonly requestId: RequestId | undefined;
         readonly route: string | undefined;
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from "./attemptOutcome";
 import { filterHeaders } from "./filterHeaders";
 import type { ForwardContext } from "./forwardContext";
+import { observeResponseHead } from "./observeResponseHead";
 import { relayResponse } from "./relayResponse";
 import { startAttempt } from "./startAttempt";
 import { toPlacementRequest } from "./toPlacementRequest";
@@ -186,6 +187,7 @@
         path: request.url ?? "/",
         headers: headersFor(context, upstream, deadlineMs, continuation),
         body,
+        onHead: head => observeResponseHead(options, upstream, head),
         signal: ended,
     });
     const outcome = await match(result)
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -102,6 +102,9 @@
             incoming.on("error", () => {
                 failed = true;
             });
+            if (!head.isMisdirected) {
+                options.onHead(head);
+            }
             if (head.isNotRun || head.isMisdirected) {
                 incoming.resume();
                 resolve({ kind: "not-run", reason: head.isMisdirected ? "misdirected" : "refused" });
--- a/packages/gateway/src/limits/accountMeter.ts
+++ b/packages/gateway/src/limits/accountMeter.ts
@@ -11,10 +11,14 @@
     readonly refund: (accountId: AccountId, units: number, admission: AccountAdmission) => void;
     /** Units that this host has admitted for each account, as reported to its peers. */
     readonly usages: () => ReadonlyMap<AccountId, AccountUsage>;
-    /** Applies the usage reported by a process; `hostName` stays the same across restarts of the process on a host. */
+    /**
+     * Applies the usage reported by a process; `hostName` stays the same across restarts of the process on a host. The
+     * report contains the state of the given number of hosts.
+     */
     readonly observePeer: (
         hostName: string,
         hostId: HostId,
         usages: ReadonlyMap<AccountId, AccountUsage>,
+        hostCount?: number,
     ) => void;
 }
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -57,7 +57,9 @@
 export const createAccountMeter = (clock: Clock, options: AccountMeterOptions): AccountMeter => {
     const { windowMs, toleratedUnits, peerTimeoutMs } = options;
     const accounts = new Map<AccountId, AccountState>();
-    const lastReportAtMs = new Map<string, number>();
+    const reporters = new Map<string, { readonly hostCount: number; readonly reportedAtMs: number; }>();
+    /** Highest number of hosts that were reachable within the last while, and when there were so many. */
+    let mostHosts = { count: 0, atMs: -Infinity };
     const startedAtMs = clock.monotonicMs();
 
     const stateOf = (accountId: AccountId): AccountState => {
@@ -77,11 +79,27 @@
 
     const isWarmingUp = (nowMs: number): boolean => nowMs - startedAtMs < windowMs;
 
+    const countReachable = (nowMs: number): number => {
+        const timeoutMs = peerTimeoutMs();
+        return [...reporters.values()]
+            .filter(({ reportedAtMs }) => nowMs - reportedAtMs < timeoutMs)
+            .reduce((sum, { hostCount }) => sum + hostCount, 1);
+    };
+
+    const updateMostHosts = (reachable: number, nowMs: number): void => {
+        if (reachable >= mostHosts.count || nowMs - mostHosts.atMs >= PEER_EXPIRY_MS) {
+            mostHosts = { count: reachable, atMs: nowMs };
+        }
+    };
+
+    /**
+     * Fraction of the limit that belongs to the hosts that are reachable. Hosts are counted and not told apart, since
+     * the same ones may be reported by another collector a moment later.
+     */
     const ownShare = (nowMs: number): number => {
-        const ages = [...lastReportAtMs.values()].map(reportAtMs => nowMs - reportAtMs);
-        const knownPeers = ages.filter(ageMs => ageMs < PEER_EXPIRY_MS).length;
-        const reachablePeers = ages.filter(ageMs => ageMs < peerTimeoutMs()).length;
-        return (reachablePeers + 1) / (knownPeers + 1);
+        const reachable = countReachable(nowMs);
+        updateMostHosts(reachable, nowMs);
+        return reachable / mostHosts.count;
     };
 
     const refill = (state: AccountState, account: ClientAccount, share: number, nowMs: number): void => {
@@ -202,9 +220,13 @@
                 ) => [accountId, { ...total, level: isKnown ? availableUnits : undefined }]),
             );
         },
-        observePeer: (hostName, hostId, usages) => {
+        observePeer: (hostName, hostId, usages, hostCount = 1) => {
             const nowMs = clock.monotonicMs();
-            lastReportAtMs.set(hostName, nowMs);
+            reporters.set(hostName, { hostCount, reportedAtMs: nowMs });
+            updateMostHosts(countReachable(nowMs), nowMs);
+            [...reporters].filter(([, { reportedAtMs }]) => nowMs - reportedAtMs >= PEER_EXPIRY_MS).forEach(([name]) =>
+                reporters.delete(name)
+            );
             usages.forEach((usage, accountId) => observeUsage(stateOf(accountId), hostId, usage, nowMs));
         },
     };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -82,18 +82,26 @@
  * Handles overload, where prompts arrive faster than the engines process them. A prompt is sent to an engine that has
  * its prefix cached until the backlog there costs more than recomputing the prefix or puts the objective at risk. A
  * request whose first event would come too late for the rest of its response is refused on arrival instead of being
- * queued.
+ * queued. An upstream that asked this host for a pause receives nothing until the pause ends, also as a last resort.
  */
 export const chooseUpstream = (
     candidates: readonly PlacementCandidate[],
     request: PlacementRequest,
 ): PlacementDecision => {
     const eligible = candidates.filter(candidate => isEligible(candidate, request));
-    const healthy = eligible.filter(({ isEjected }) => !isEjected);
-    const considered = healthy.length > 0 ? healthy : eligible;
-    if (considered.length === 0) {
+    if (eligible.length === 0) {
         return { kind: "refuse", reason: "no-upstream", retryAfterMs: NO_UPSTREAM_RETRY_MS };
     }
+    const available = eligible.filter(({ pausedMs }) => pausedMs <= 0);
+    if (available.length === 0) {
+        return {
+            kind: "refuse",
+            reason: "paused",
+            retryAfterMs: Math.min(...eligible.map(({ pausedMs }) => pausedMs)),
+        };
+    }
+    const healthy = available.filter(({ isEjected }) => !isEjected);
+    const considered = healthy.length > 0 ? healthy : available;
     const chosen = selectCandidate(considered.filter(hasCapacity), request.objectiveMs);
     const latestFirstEventMs = Math.min(
         request.remainingMs * MAXIMUM_FIRST_EVENT_SHARE,
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -18,6 +18,8 @@
     readonly overheadMs: number;
     readonly roundTripMs: number;
     readonly isEjected: boolean;
+    /** Remaining time for which the upstream wants no requests from this host; 0 if it did not ask for a pause. */
+    readonly pausedMs: number;
     readonly isMissing: boolean;
     /** Whether this host has reached its connection limit for the upstream. */
     readonly isAtConnectionLimit: boolean;
--- a/packages/gateway/src/placement/placementDecision.ts
+++ b/packages/gateway/src/placement/placementDecision.ts
@@ -11,4 +11,8 @@
         readonly promptMs: number;
         readonly running: number;
     }
-    | { readonly kind: "refuse"; readonly reason: "no-upstream" | "saturated"; readonly retryAfterMs: number; };
+    | {
+        readonly kind: "refuse";
+        readonly reason: "no-upstream" | "paused" | "saturated";
+        readonly retryAfterMs: number;
+    };
--- a/packages/gateway/src/upstreams/createPeerLoadTable.ts
+++ b/packages/gateway/src/upstreams/createPeerLoadTable.ts
@@ -6,11 +6,16 @@
     /** Upstreams for which the peer has reported a load. */
     readonly upstreamIds: Set<UpstreamId>;
     lastReportAtMs: number;
+    /** Hosts whose state the peer's reports contain. */
+    hostCount: number;
 }
 
 /** Time after its last report for which a peer still counts as a host in the division of shared limits. */
 const PEER_EXPIRY_MS = 10_000;
 
+/** Time after its last report for which a peer is remembered. */
+const PEER_RETENTION_MS = 60_000;
+
 /** Creates an empty table. Loads of a peer whose last report is older than the given time are ignored. */
 export const createPeerLoadTable = (clock: Clock, peerTimeoutMs: () => number): PeerLoadTable => {
     const peers = new Map<string, Peer>();
@@ -22,7 +27,7 @@
 
     const recordReport = (hostName: string): Peer => {
         const nowMs = clock.monotonicMs();
-        const peer = peers.get(hostName) ?? { upstreamIds: new Set<UpstreamId>(), lastReportAtMs: nowMs };
+        const peer = peers.get(hostName) ?? { upstreamIds: new Set<UpstreamId>(), lastReportAtMs: nowMs, hostCount: 1 };
         peer.lastReportAtMs = nowMs;
         peers.set(hostName, peer);
         return peer;
@@ -37,6 +42,14 @@
         peer.upstreamIds.delete(upstreamId);
     };
 
+    const removeEndedPeers = (): void =>
+        [...peers].filter(([hostName]) => !hasReportedWithin(hostName, PEER_RETENTION_MS)).forEach(
+            ([hostName, peer]) => {
+                [...peer.upstreamIds].forEach(upstreamId => removeLoad(hostName, peer, upstreamId));
+                peers.delete(hostName);
+            },
+        );
+
     const observeLoad: PeerLoadTable["observeLoad"] = (hostName, upstreamId, load) => {
         const peer = recordReport(hostName);
         const loads = loadsByUpstream.get(upstreamId) ?? new Map<string, ReportedLoad>();
@@ -46,8 +59,10 @@
     };
 
     return {
-        observe: (hostName, loads) => {
+        observe: (hostName, loads, hostCount) => {
+            removeEndedPeers();
             const peer = recordReport(hostName);
+            peer.hostCount = hostCount;
             [...peer.upstreamIds].filter(upstreamId => !loads.has(upstreamId)).forEach(upstreamId =>
                 removeLoad(hostName, peer, upstreamId)
             );
@@ -58,6 +73,9 @@
             [...loadsByUpstream.get(upstreamId) ?? []]
                 .filter(([hostName]) => hasReportedWithin(hostName, peerTimeoutMs()))
                 .map(([, load]) => load),
-        hostCount: () => [...peers.keys()].filter(hostName => hasReportedWithin(hostName, PEER_EXPIRY_MS)).length + 1,
+        hostCount: () =>
+            [...peers]
+                .filter(([hostName]) => hasReportedWithin(hostName, PEER_EXPIRY_MS))
+                .reduce((sum, [, { hostCount }]) => sum + hostCount, 1),
     };
 };
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -14,6 +14,7 @@
     latenessUpdatedAtMs: nowMs,
     ejectedUntilMs: -Infinity,
     ejections: 0,
+    pausedUntilMs: -Infinity,
     failures: 0,
     successes: 0,
     decayedAtMs: nowMs,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -7,6 +7,7 @@
 import { presumedCacheShares } from "../placement/presumedCacheShares";
 import { createDepartureNotifier } from "./createDepartureNotifier";
 import { createEngineSpeedEstimator } from "./createEngineSpeedEstimator";
+import { createLeavingRegister } from "./createLeavingRegister";
 import { createPeerLoadTable } from "./createPeerLoadTable";
 import { createPrefixDirectory } from "./createPrefixDirectory";
 import { createUpstreamHealth } from "./createUpstreamHealth";
@@ -70,6 +71,7 @@
     const speeds = createEngineSpeedEstimator();
     const prefixes = createPrefixDirectory(clock);
     const departureNotifier = createDepartureNotifier();
+    const leavingRegister = createLeavingRegister(clock);
 
     const isDeparting = ({ upstreamId, startedAtMs }: UpstreamRecord): boolean => {
         const state = upstreams.get(upstreamId);
@@ -190,6 +192,7 @@
             overheadMs: engine === undefined ? 0 : speeds.overheadMs(record.service),
             roundTripMs: state.roundTripMs ?? view.roundTripMsByZone.get(record.availabilityZone) ?? view.roundTripMs,
             isEjected: health.isEjected(state),
+            pausedMs: Math.max(0, state.pausedUntilMs - clock.monotonicMs()),
             isMissing: state.missingSinceMs !== undefined,
             isAtConnectionLimit: state.openConnections >= view.connectionLimit,
         };
@@ -213,7 +216,16 @@
             .forEach(({ record }) => upstreams.delete(record.upstreamId));
     };
 
-    const register = (record: UpstreamRecord): void => {
+    /** Marks a record as leaving if the upstream is known to be, whatever the registry says. */
+    const withNotice = (record: UpstreamRecord): UpstreamRecord => {
+        if (record.isLeaving) {
+            leavingRegister.add(record);
+        }
+        return leavingRegister.has(record) ? { ...record, isLeaving: true } : record;
+    };
+
+    const register = (listed: UpstreamRecord): void => {
+        const record = withNotice(listed);
         const known = upstreams.get(record.upstreamId);
         if (known === undefined || known.record.startedAtMs !== record.startedAtMs) {
             upstreams.set(
@@ -309,6 +321,23 @@
                 },
             };
         },
+        observeLeaving: start => {
+            const isNew = leavingRegister.add(start);
+            if (isNew) {
+                update(start.upstreamId, state => {
+                    state.record = withNotice(state.record);
+                });
+                departureNotifier.notifyDepartures(isDepartingOrRemoved);
+            }
+            return isNew;
+        },
+        leaving: leavingRegister.entries,
+        pause: ({ upstreamId, startedAtMs }, durationMs) =>
+            update(upstreamId, state => {
+                if (state.record.startedAtMs === startedAtMs) {
+                    state.pausedUntilMs = Math.max(state.pausedUntilMs, clock.monotonicMs() + durationMs);
+                }
+            }),
         reportSuccess: (upstreamId, responseMs) => update(upstreamId, state => health.recordSuccess(state, responseMs)),
         reportFailure: (upstreamId, kind) =>
             update(upstreamId, state => health.recordFailure(state, siblingsOf(state), kind)),
--- a/packages/gateway/src/upstreams/peerLoadTable.ts
+++ b/packages/gateway/src/upstreams/peerLoadTable.ts
@@ -4,8 +4,8 @@
 
 /** Upstream loads reported by the other hosts. */
 export interface PeerLoadTable {
-    /** Replaces all loads of a host by those of its report. */
-    readonly observe: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>) => void;
+    /** Replaces all loads of a peer by those of its report, which contains the state of the given number of hosts. */
+    readonly observe: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>, hostCount: number) => void;
     /** Replaces a host's load at one upstream. */
     readonly observeLoad: (hostName: string, upstreamId: UpstreamId, load: UpstreamLoad) => void;
     /** Loads of an upstream, without those of peers whose reports have expired. */
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -22,6 +22,8 @@
     /** Monotonic time until which the upstream is ejected and receives no requests. */
     ejectedUntilMs: number;
     ejections: number;
+    /** Monotonic time until which the upstream wants no requests from this host. */
+    pausedUntilMs: number;
     /** Exponentially decayed counts of failures and successes. */
     failures: number;
     successes: number;
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -25,12 +25,24 @@
         readonly recordFirstEvent: () => void;
         readonly end: () => void;
     };
+    /**
+     * Records that this start of an upstream is leaving, as it or a peer states; returns whether that was unknown.
+     */
+    readonly observeLeaving: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
+    /** Starts of upstreams that are leaving, for the other hosts. */
+    readonly leaving: () => readonly (readonly [upstreamId: UpstreamId, startedAtMs: number])[];
+    /** Excludes an upstream from placement for a time, as it asked for. */
+    readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
     readonly reportFailure: (upstreamId: UpstreamId, kind: "unreachable" | "failed") => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
     readonly changeConnections: (upstreamId: UpstreamId, change: number) => void;
-    /** Replaces the loads of a peer by those of its report. */
-    readonly observePeer: (hostName: string, loads: ReadonlyMap<UpstreamId, UpstreamLoad>) => void;
+    /** Replaces the loads of a peer by those of its report, which contains the state of the given number of hosts. */
+    readonly observePeer: (
+        hostName: string,
+        loads: ReadonlyMap<UpstreamId, UpstreamLoad>,
+        hostCount: number,
+    ) => void;
     /** Applies a peer's notice of a placement: its load at the upstream and the prompt parts of the request. */
     readonly observePlacement: (
         hostName: string,
--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -11,6 +11,8 @@
 /** Last observed state of the lease key, and the time since which it has not changed. */
 interface Observation {
     readonly version: number;
+    /** Epoch of the store; versions are comparable within one epoch only. */
+    readonly storeEpoch: number;
     readonly record: LeaseRecord | undefined;
     readonly unchangedSinceMs: number;
 }
@@ -26,20 +28,35 @@
 
 const WRITE_ID_LENGTH = 16;
 
+/**
+ * Distance between the fencing numbers of successive epochs of the store. A restored store no longer has the latest
+ * numbers; those of the new epoch start above all numbers that the old one can have given out.
+ */
+const FENCING_NUMBERS_PER_EPOCH = 2 ** 32;
+
 /**
  * Creates a contender for one lease. A lease expires when its key has not changed for its duration on the contender's
  * own monotonic clock, so that clocks of different hosts are never compared. Fencing numbers increase with each grant.
+ *
+ * Handles a store that was restored from a copy: a grant of the old epoch ends at once, and no one acquires the lease
+ * before its duration has passed, as the last holder of the old epoch may not have noticed the restoration yet.
  */
 export const createLeaseHolder = (options: LeaseHolderOptions): LeaseHolder => {
     const { store, clock, key, holder, durationMs, strategy = defaultLeaseStrategy } = options;
+    const currentEpoch = (): number => options.storeEpoch?.current() ?? 0;
     let observation: Observation | undefined;
+    /** Epoch of the first observation: a lease that does not exist in a later epoch may have been lost. */
+    let firstEpoch: number | undefined;
     let grant: LeaseGrant | undefined;
     let renewedAtMs = -Infinity;
     let observedAtMs = -Infinity;
     let released = false;
 
     const currentGrant = (): LeaseGrant | undefined =>
-        grant !== undefined && !released && clock.monotonicMs() < grant.validUntilMs ? grant : undefined;
+        grant !== undefined && !released && grant.storeEpoch === currentEpoch()
+            && clock.monotonicMs() < grant.validUntilMs
+            ? grant
+            : undefined;
 
     const setGrant = (next: LeaseGrant | undefined): void => {
         const changed = (grant === undefined) !== (next === undefined);
@@ -51,9 +68,11 @@
 
     const observe = (entry: KeyValueEntry | undefined): Observation => {
         const version = entry?.version ?? 0;
-        if (observation === undefined || observation.version !== version) {
+        const storeEpoch = currentEpoch();
+        firstEpoch ??= storeEpoch;
+        if (observation?.version !== version || observation.storeEpoch !== storeEpoch) {
             const record = entry === undefined ? undefined : parseLeaseRecord(entry.value);
-            observation = { version, record, unchangedSinceMs: clock.monotonicMs() };
+            observation = { version, storeEpoch, record, unchangedSinceMs: clock.monotonicMs() };
         }
         return observation;
     };
@@ -67,8 +86,9 @@
         const value = JSON.stringify(record);
         const result = await store.compareAndSwap({ key, expectedVersion, value }, { cause: "lease" });
         if (result.ok) {
-            observation = { version: result.val, record, unchangedSinceMs: clock.monotonicMs() };
-            return result.val;
+            const version = result.val;
+            observation = { version, storeEpoch: record.storeEpoch, record, unchangedSinceMs: clock.monotonicMs() };
+            return version;
         }
         if (!strategy.readsBackWrites || result.val.code === ErrorCode.KeyValueUnavailable) {
             return undefined;
@@ -84,6 +104,7 @@
         durationMs,
         released: false,
         settlingMs: 0,
+        storeEpoch: currentEpoch(),
     });
 
     const renew = async (held: LeaseGrant): Promise<void> => {
@@ -95,16 +116,19 @@
             return;
         }
         const { record, version: seenVersion } = observation ?? { record: undefined, version: held.version };
-        const isLost = record?.holder !== holder || record.fencingNumber !== held.fencingNumber;
+        const isLost = record?.holder !== holder || record.fencingNumber !== held.fencingNumber
+            || held.storeEpoch !== currentEpoch();
         setGrant(isLost ? undefined : { ...held, version: seenVersion });
     };
 
     const canAcquire = ({ record, unchangedSinceMs }: Observation, rank: number): boolean => {
         const unchangedMs = clock.monotonicMs() - unchangedSinceMs;
         if (record === undefined) {
-            return rank === 0 || unchangedMs >= durationMs;
+            return rank === 0 && currentEpoch() === firstEpoch || unchangedMs >= durationMs;
         }
-        return record.released || record.holder === holder || unchangedMs >= Math.max(durationMs, record.durationMs);
+        const isCurrent = record.storeEpoch === currentEpoch();
+        return isCurrent && (record.released || record.holder === holder)
+            || unchangedMs >= Math.max(durationMs, record.durationMs);
     };
 
     const settlingMsAfter = (record: LeaseRecord | undefined): number => {
@@ -117,15 +141,19 @@
     const acquire = async ({ record, version }: Observation): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         // Every grant writes the key, so the key's version is at least the fencing number of an unreadable record.
-        const fencingNumber = strategy.nextFencingNumber(record?.fencingNumber ?? version);
+        const storeEpoch = currentEpoch();
+        const fencingNumber = strategy.nextFencingNumber(
+            Math.max(record?.fencingNumber ?? version, storeEpoch * FENCING_NUMBERS_PER_EPOCH),
+        );
         const writtenVersion = await write(createRecord(fencingNumber), version);
-        if (writtenVersion !== undefined && !released) {
+        if (writtenVersion !== undefined && !released && storeEpoch === currentEpoch()) {
             renewedAtMs = sentAtMs;
             setGrant({
                 fencingNumber: fencingNumber as FencingNumber,
                 version: writtenVersion,
                 validUntilMs: sentAtMs + durationMs * VALIDITY_SHARE,
                 settledAtMs: clock.monotonicMs() + settlingMsAfter(record),
+                storeEpoch,
             });
         }
     };
--- a/packages/placement/src/lease/leaseGrant.ts
+++ b/packages/placement/src/lease/leaseGrant.ts
@@ -9,4 +9,6 @@
     readonly validUntilMs: number;
     /** Monotonic time from which orders may be sent to upstreams that do not check fencing numbers. */
     readonly settledAtMs: number;
+    /** Epoch of the store that granted the lease; the grant ends when the epoch rises. */
+    readonly storeEpoch: number;
 }
--- a/packages/placement/src/lease/leaseHolderOptions.ts
+++ b/packages/placement/src/lease/leaseHolderOptions.ts
@@ -1,10 +1,12 @@
 import type { Clock, RandomSource } from "@ibislanding/core";
-import type { KeyValueStore } from "@ibislanding/platform";
+import type { KeyValueStore, StoreEpoch } from "@ibislanding/platform";
 import type { LeaseStrategy } from "./leaseStrategy";
 
 /** Options of `createLeaseHolder`. */
 export interface LeaseHolderOptions {
     readonly store: KeyValueStore;
+    /** Set if the store may be restored from a copy, which loses the latest grants. */
+    readonly storeEpoch?: StoreEpoch;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly key: string;
--- a/packages/placement/src/lease/leaseRecord.ts
+++ b/packages/placement/src/lease/leaseRecord.ts
@@ -10,4 +10,6 @@
     readonly released: boolean;
     /** Of a released lease: remaining time without orders to upstreams that do not check fencing numbers. */
     readonly settlingMs: number;
+    /** Epoch of the store in which the record was written; 0 if the store has none. */
+    readonly storeEpoch: number;
 }
--- a/packages/placement/src/lease/parseLeaseRecord.ts
+++ b/packages/placement/src/lease/parseLeaseRecord.ts
@@ -15,6 +15,7 @@
                 durationMs: value.durationMs ?? 0,
                 released: value.released === true,
                 settlingMs: value.settlingMs ?? 0,
+                storeEpoch: value.storeEpoch ?? 0,
             }
             : undefined;
     }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 // Key-value service
 export type { CompareAndSwapRequest } from "./keyValue/compareAndSwapRequest";
 export { createFakeKeyValueStore } from "./keyValue/createFakeKeyValueStore";
+export { createStoreEpoch } from "./keyValue/createStoreEpoch";
 export type { FakeKeyValueStore } from "./keyValue/fakeKeyValueStore";
 export type { KeyValueCallOptions } from "./keyValue/keyValueCallOptions";
 export type { KeyValueCause } from "./keyValue/keyValueCause";
@@ -10,6 +11,7 @@
 export type { KeyValueHistory } from "./keyValue/keyValueHistory";
 export type { KeyValueSnapshot } from "./keyValue/keyValueSnapshot";
 export type { KeyValueStore } from "./keyValue/keyValueStore";
+export type { StoreEpoch } from "./keyValue/storeEpoch";
 
 // Host list
 export type { HostList } from "./hosts/hostList";
--- a/packages/platform/src/keyValue/keyValueStore.ts
+++ b/packages/platform/src/keyValue/keyValueStore.ts
@@ -9,7 +9,7 @@
  *
  * Writes fail with `key_value_conflict`, `key_value_too_large`, `lease_lost` or `key_value_unavailable` (not applied),
  * or with `key_value_outcome_unknown` (may already be applied, or may be applied later). `details.currentVersion` of a
- * conflict is set, except by the client of the metadata store.
+ * conflict is set unless the service did not state it.
  */
 export interface KeyValueStore {
     readonly get: (key: string, options: KeyValueCallOptions) => Promise<Result<KeyValueEntry | undefined, Failure>>;
