--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -7,6 +7,8 @@
 } from "@ibislanding/platform";
 import { Err, Ok, type Result } from "ts-results";
 import { applyChanges, createDocumentWatcher, type DocumentSet, replaceDocuments } from "../src";
+import { mergeChangedDocuments } from "../src/documents/mergeChangedDocuments";
+import { selectChangedDocuments } from "../src/documents/selectChangedDocuments";
 
 const entry = (key: string, version: number, value = `${key}@${version}`) => ({ key, value, version });
 
@@ -123,3 +125,95 @@
     await clock.advance(5_000);
     await disposed;
 });
+
+const stopWatcher = async ({ clock, watcher }: ReturnType<typeof startWatcher>): Promise<void> => {
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+};
+
+test("a set of a later epoch replaces one with a higher revision, and never the other way round", () => {
+    const current = set(90, entry("a", 90));
+    const restored = { epoch: 2, revision: 40, entries: [entry("a", 33)] };
+    const replaced = replaceDocuments(current, restored);
+    expect([replaced.epoch, replaced.revision, replaced.entries.get("a")?.version]).toEqual([2, 40, 33]);
+    expect(replaceDocuments(replaced, { epoch: 1, revision: 95, entries: [] })).toBe(replaced);
+    const late = { epoch: 1, revision: 96, changes: [{ kind: "removed", key: "a", version: 96 }] as const };
+    expect(applyChanges(replaced, late)).toBe(replaced);
+});
+
+test("a rise of the epoch ends the watch in progress, and the set is read again although its revision is lower", async () => {
+    const started = startWatcher({
+        snapshots: [
+            Ok({ epoch: 1, revision: 50, entries: [entry("a", 50)] }),
+            Ok({ epoch: 2, revision: 42, entries: [entry("a", 41)] }),
+        ],
+        changes: [],
+    });
+    const { clock, epoch, calls, seen, watcher, reachability } = started;
+    await clock.advance(100);
+    epoch.observe(2);
+    await clock.advance(1);
+    expect(calls).toEqual(["snapshot", "changes after 50", "snapshot", "changes after 42"]);
+    expect(seen.map(({ revision }) => revision)).toEqual([50, 42]);
+    expect(watcher.current()?.entries.get("a")?.version).toBe(41);
+    expect(reachability).toEqual([]);
+    await stopWatcher(started);
+});
+
+test("changes that continue another epoch are discarded, and the set is read again", async () => {
+    const started = startWatcher({
+        snapshots: [
+            Ok({ epoch: 1, revision: 50, entries: [entry("a", 50)] }),
+            Ok({ epoch: 2, revision: 55, entries: [entry("b", 52)] }),
+        ],
+        // The restored store has given out revision 51 and later ones again.
+        changes: [Ok({ epoch: 2, revision: 55, changes: [{ kind: "written", entry: entry("c", 54) }] })],
+    });
+    await started.clock.advance(1);
+    expect([...started.watcher.current()?.entries.keys() ?? []]).toEqual(["b"]);
+    await stopWatcher(started);
+});
+
+test("a peer's set is taken by epoch before revision", async () => {
+    const started = startWatcher({
+        snapshots: [Ok({ epoch: 2, revision: 10, entries: [entry("a", 9)] })],
+        changes: [],
+    });
+    const { clock, watcher } = started;
+    await clock.advance(1);
+    watcher.offer({ epoch: 1, revision: 99, entries: [] });
+    expect(watcher.current()?.revision).toBe(10);
+    watcher.offer({ epoch: 3, revision: 4, entries: [entry("a", 3)] });
+    expect(watcher.current()).toMatchObject({ epoch: 3, revision: 4 });
+    await stopWatcher(started);
+});
+
+test("the store is not watched while a peer tells of changes", async () => {
+    const started = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [] })],
+        changes: [Ok({ epoch: 1, revision: 6, changes: [] }), Ok({ epoch: 1, revision: 7, changes: [] })],
+    });
+    const { clock, state, calls } = started;
+    state.isRelayed = true;
+    await clock.advance(10_000);
+    expect(calls).toEqual(["snapshot"]);
+    state.isRelayed = false;
+    await clock.advance(300);
+    expect(calls.slice(1, 3)).toEqual(["changes after 5", "changes after 6"]);
+    await stopWatcher(started);
+});
+
+test("only changed documents are sent to a host whose position is comparable, and merged with its set", () => {
+    const current = { ...set(20, entry("a", 4), entry("b", 15), entry("d", 2)) };
+    const known = { ...set(10, entry("a", 4), entry("b", 8), entry("c", 9), entry("d", 2)) };
+    const { changed, unchangedKeys } = selectChangedDocuments(current, known);
+    expect(changed.map(({ key }) => key)).toEqual(["b"]);
+    expect(mergeChangedDocuments(current, changed, unchangedKeys, known)).toEqual({
+        ...current,
+        entries: new Map([...unchangedKeys, "b"].map(key => [key, current.entries.get(key)])),
+    });
+    expect(selectChangedDocuments(current, { epoch: 2, revision: 10 }).changed).toHaveLength(3);
+    expect(selectChangedDocuments(current, { epoch: 0, revision: 0 }).changed).toHaveLength(3);
+    expect(mergeChangedDocuments(current, changed, unchangedKeys, set(10, entry("a", 4)))).toBeUndefined();
+});
--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -49,7 +49,7 @@
         onOmitted: window => void omitted.push(window),
         onFailure: () => undefined,
     });
-    return { sent, state, counts, reporter, omitted };
+    return { sent, state, counts, records, reporter, omitted };
 };
 
 test("a window is reported once, with the counts of all hosts", async () => {
@@ -101,3 +101,61 @@
     await reporter.step(() => undefined);
     expect(sent).toEqual([]);
 });
+
+test("after a restoration that lost the record, the same counts are sent again or none", async () => {
+    const clock = createFakeClock(1_000_000);
+    const store = createFakeKeyValueStore(clock);
+    const epoch = createStoreEpoch();
+    epoch.observe(1);
+    const holder = createReporter(clock, store, epoch);
+    const window = holder.counts.windowOf(clock.wallMs());
+    const restore = store.takeCopy();
+    holder.counts.add(acme);
+    await clock.advance(windowMs + 1_500);
+    await holder.reporter.step(fence(3));
+    expect(holder.sent.find(report => report.window === window)?.count).toBe(1);
+
+    const informed = createReporter(clock, store, epoch);
+    informed.counts.add(acme);
+    holder.records.own().forEach((counts, known) => informed.records.remember(known, counts, false));
+    const uninformed = createReporter(clock, store, epoch);
+    restore();
+    epoch.observe(2);
+    await uninformed.reporter.step(fence(8));
+    expect(uninformed.sent.filter(report => report.window === window)).toEqual([]);
+    expect(uninformed.omitted).toContain(window);
+    await informed.reporter.step(fence(9));
+    expect(informed.sent.find(report => report.window === window)).toEqual({ window, count: 1, fence: 9 });
+});
+
+test("a window that ends after a restoration is reported as usual", async () => {
+    const clock = createFakeClock(1_000_000);
+    const epoch = createStoreEpoch();
+    epoch.observe(1);
+    const { sent, counts, reporter, omitted } = createReporter(clock, createFakeKeyValueStore(clock), epoch);
+    const window = counts.windowOf(clock.wallMs());
+    counts.add(acme);
+    epoch.observe(2);
+    await clock.advance(windowMs + 1_500);
+    await reporter.step(fence(1));
+    expect(sent.find(report => report.window === window)?.count).toBe(1);
+    expect(omitted).not.toContain(window);
+});
+
+test("usage counts of hosts that are gone are dropped, over a simulated day of replaced hosts", async () => {
+    const clock = createFakeClock(1_000_000);
+    const counts = createUsageCounts(windowMs, clock.wallMs);
+    const records = createUsageRecords();
+    for (const hour of Array.from({ length: 24 }).keys()) {
+        const window = counts.windowOf(clock.wallMs());
+        Array.from({ length: 50 }).forEach((_, host) =>
+            counts.observePeer(`host-${hour}-${host}` as HostId, new Map([[window, new Map([[acme, 1]])]]))
+        );
+        records.remember(window, new Map([[acme, 50]]), true);
+        expect(counts.total(window).get(acme)).toBe(50);
+        await clock.advance(3_600_000);
+    }
+    counts.observePeer("last" as HostId, new Map());
+    expect(counts.peerCount()).toBe(0);
+    expect(records.own().size).toBeLessThanOrEqual(8);
+});
--- a/packages/duties/src/usage/createUsageCounts.ts
+++ b/packages/duties/src/usage/createUsageCounts.ts
@@ -44,6 +44,7 @@
             peers.forEach(windows => addTo(sum, windows.get(window)));
             return sum;
         },
+        peerCount: () => peers.size,
         windowOf,
     };
 };
--- a/packages/duties/src/usage/usageCounts.ts
+++ b/packages/duties/src/usage/usageCounts.ts
@@ -9,6 +9,8 @@
     readonly observePeer: (hostId: HostId, counts: WindowCounts) => void;
     /** Sum over all hosts, including those that have since stopped. */
     readonly total: (window: number) => ReadonlyMap<AccountId, number>;
+    /** Number of peers whose counts are retained. */
+    readonly peerCount: () => number;
     /** Number of the window that contains a time. */
     readonly windowOf: (timeMs: number) => number;
 }
--- /dev/null
+++ b/packages/edge/__tests__/reportAggregation.spec.ts
@@ -0,0 +1,183 @@
+import { createFakeClock, createRandom, type HostId } from "@ibislanding/core";
+import type { ReportAggregation } from "@ibislanding/discovery";
+import { assignPeerGroups } from "../src/assignPeerGroups";
+import { countRows } from "../src/countRows";
+import { createReportAggregation } from "../src/createReportAggregation";
+import { decodeHostReport } from "../src/decodeHostReport";
+import type { HostReport } from "../src/hostReport";
+
+const createSource = (name: string, wallMs: () => number) => {
+    const state = { admitted: 0, began: 0, running: 0, window: 100 };
+    let sequence = 0;
+    const createReport = (): HostReport => ({
+        hostId: `${name}.1` as HostId,
+        hostName: name,
+        address: name,
+        sequence: ++sequence,
+        wallMs: wallMs(),
+        positions: { upstreams: [1, 5] },
+        isInContact: true,
+        hostCount: 1,
+        oldestMs: 0,
+        loads: state.running === 0 ? [] : [["engine-1", state.running, state.running * 1_000]],
+        accounts: [["acme", state.admitted, 0]],
+        levels: [["acme", 50]],
+        began: [[state.window, "acme", state.began]],
+        work: [["service", 0.25]],
+        leaving: name.endsWith("3") ? [["engine-9", 7]] : [],
+        usageRecords: [],
+    });
+    return { name, hostId: `${name}.1` as HostId, state, createReport };
+};
+
+/** Hosts with one collector; each round, every host contributes and receives the collector's summary. */
+const createGroup = (hostCount: number) => {
+    const clock = createFakeClock(1_000_000);
+    const hosts = Array.from({ length: hostCount }, (_, index) => {
+        const source = createSource(`host-${index}`, clock.wallMs);
+        return { ...source, aggregation: createReportAggregation(clock, source.createReport) };
+    });
+    const contribute = (from: ReportAggregation<HostReport>, collector: (typeof hosts)[number]): void => {
+        const contribution = from.nextContribution();
+        collector.aggregation.collect(contribution);
+        from.acknowledge(contribution, collector.hostId);
+    };
+    return { clock, hosts, contribute };
+};
+
+const admittedIn = ({ accounts }: HostReport): number => accounts.find(([id]) => id === "acme")?.[1] ?? 0;
+
+test.each([8, 30, 195])("with %i hosts, each knows the exact sum of all others from one summary", hostCount => {
+    const { hosts, contribute } = createGroup(hostCount);
+    const [collector] = hosts;
+    const random = createRandom(3);
+    for (const _ of Array.from({ length: 5 })) {
+        hosts.forEach(({ state, aggregation }) => {
+            state.admitted += random.nextInt(10);
+            state.began = state.admitted;
+            state.running = random.nextInt(3);
+            contribute(aggregation, collector as (typeof hosts)[number]);
+        });
+    }
+    const summary = collector?.aggregation.summarize() as HostReport;
+    const sum = (measure: (host: (typeof hosts)[number]) => number): number =>
+        hosts.reduce((total, host) => total + measure(host), 0);
+    hosts.forEach(host => {
+        const others = host.aggregation.withoutOwn(summary);
+        expect(admittedIn(others)).toBe(sum(({ state }) => state.admitted) - host.state.admitted);
+        expect(others.began[0]?.[2] ?? 0).toBe(sum(({ state }) => state.began) - host.state.began);
+        expect(others.loads[0]?.[1] ?? 0).toBe(sum(({ state }) => state.running) - host.state.running);
+        expect(others.hostCount).toBe(hostCount - 1);
+    });
+    expect(summary.leaving).toEqual([["engine-9", 7]]);
+    // The state and the messages depend on upstreams and accounts, not on the number of hosts.
+    expect(JSON.stringify(summary).length).toBeLessThan(600);
+});
+
+test("a host that changes its collector is counted once", () => {
+    const { hosts, contribute } = createGroup(4);
+    const [first, second, member, observer] = hosts;
+    if (first === undefined || second === undefined || member === undefined || observer === undefined) {
+        throw new Error("four hosts are needed");
+    }
+    member.state.admitted = 10;
+    contribute(member.aggregation, first);
+    member.state.admitted = 15;
+    contribute(member.aggregation, second);
+    const admitted = [first, second].map(({ aggregation }) =>
+        admittedIn(observer.aggregation.withoutOwn(aggregation.summarize()))
+    );
+    expect(admitted).toEqual([10, 5]);
+    const seenByMember = [first, second].map(({ aggregation }) =>
+        admittedIn(member.aggregation.withoutOwn(aggregation.summarize()))
+    );
+    expect(seenByMember).toEqual([0, 0]);
+});
+
+test("a contribution that arrives twice counts once, and a refund does not count as usage", () => {
+    const { hosts } = createGroup(2);
+    const [collector, member] = hosts;
+    if (collector === undefined || member === undefined) {
+        throw new Error("two hosts are needed");
+    }
+    member.state.admitted = 10;
+    const contribution = member.aggregation.nextContribution();
+    collector.aggregation.collect(contribution);
+    collector.aggregation.collect(contribution);
+    member.aggregation.acknowledge(contribution, collector.hostId);
+    member.state.admitted = 7;
+    const refunded = member.aggregation.nextContribution();
+    collector.aggregation.collect(refunded);
+    member.aggregation.acknowledge(refunded, collector.hostId);
+    member.state.admitted = 12;
+    const later = member.aggregation.nextContribution();
+    collector.aggregation.collect(later);
+    expect(admittedIn(collector.aggregation.summarize())).toBe(12);
+});
+
+test("the load of a silent member is dropped, its usage stays", async () => {
+    const { clock, hosts, contribute } = createGroup(2);
+    const [collector, member] = hosts;
+    if (collector === undefined || member === undefined) {
+        throw new Error("two hosts are needed");
+    }
+    member.state.admitted = 10;
+    member.state.running = 2;
+    contribute(member.aggregation, collector);
+    await clock.advance(1_000);
+    expect(collector.aggregation.summarize()).toMatchObject({
+        hostCount: 1,
+        oldestMs: 1_000,
+        loads: [["engine-1", 2, 2_000]],
+    });
+    await clock.advance(1_000);
+    const summary = collector.aggregation.summarize();
+    expect(summary).toMatchObject({ hostCount: 0, loads: [] });
+    expect(admittedIn(summary)).toBe(10);
+});
+
+test("the wall clock of a summary is the median of its members' clocks", () => {
+    const { clock, hosts, contribute } = createGroup(5);
+    const collector = hosts[0] as (typeof hosts)[number];
+    hosts.forEach(({ aggregation }) => contribute(aggregation, collector));
+    const jumped = createSource("jumped", () => clock.wallMs() + 60_000);
+    contribute(createReportAggregation(clock, jumped.createReport), collector);
+    expect(collector.aggregation.summarize().wallMs).toBe(clock.wallMs());
+});
+
+test("rows are added and subtracted by their keys, and never fall below 0", () => {
+    const rows = countRows.add(1, [[["a", 1, 2]], [["a", 3, 0], ["b", 1, 1]]]);
+    expect(rows).toEqual([["a", 4, 2], ["b", 1, 1]]);
+    expect(countRows.subtract(1, rows, [["a", 9, 1], ["b", 1, 1], ["c", 5, 5]])).toEqual([["a", 0, 1]]);
+    expect(countRows.distinct(1, [[["a", 1]], [["a", 2], ["b", 3]]])).toEqual(
+        expect.arrayContaining([["a", 1], ["b", 3]]),
+    );
+});
+
+test("hosts are grouped by availability zone, the most capable ones first, and large zones are divided", () => {
+    const host = (index: number, availabilityZone: string, cores: number) => ({
+        address: `10.0.0.${String(index).padStart(3, "0")}:1`,
+        availabilityZone,
+        cores,
+    });
+    const groups = assignPeerGroups([host(1, "a", 0.3), host(2, "a", 1.3), host(3, "b", 0.3)]);
+    expect(groups.map(({ address, group }) => [address, group])).toEqual([
+        ["10.0.0.002:1", "a/0"],
+        ["10.0.0.001:1", "a/0"],
+        ["10.0.0.003:1", "b/0"],
+    ]);
+    const large = assignPeerGroups(Array.from({ length: 130 }, (_, index) => host(index, "a", 1)));
+    expect(new Set(large.map(({ group }) => group)).size).toBe(3);
+});
+
+test.each([
+    "",
+    "null",
+    "[]",
+    "{}",
+    JSON.stringify({ ...createSource("a", () => 1).createReport(), positions: null }),
+    JSON.stringify({ ...createSource("a", () => 1).createReport(), positions: { upstreams: 4 } }),
+    JSON.stringify({ ...createSource("a", () => 1).createReport(), leaving: undefined }),
+])("a malformed report is not decoded: %s", text => {
+    expect(decodeHostReport(text)).toBeUndefined();
+});
--- a/packages/gateway/__tests__/forwarding.spec.ts
+++ b/packages/gateway/__tests__/forwarding.spec.ts
@@ -213,3 +213,60 @@
     expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
     expect(answered).toMatchObject({ status: 200, body: "ok" });
 });
+
+test("an upstream that states in any response that it is leaving receives no further requests", async () => {
+    await using leaving = await startRawUpstream(request => answer(request, "done", "HTTP/1.1 200 OK\r\nX-Leaving: 1"));
+    await using other = await startRawUpstream(request => answer(request, "other"));
+    await using system = await startTestGateway([leaving.port, other.port], {});
+    for (const attempt of Array.from({ length: 12 }).keys()) {
+        await sendClientRequest(system.port, `r${attempt}`);
+    }
+    expect(leaving.requests.length).toBeLessThanOrEqual(1);
+    expect(leaving.requests.length + other.requests.length).toBe(12);
+});
+
+test("a refusal that states that the upstream is leaving counts as well", async () => {
+    await using leaving = await startRawUpstream(({ requestId, socket }) =>
+        void socket.write(
+            `HTTP/1.1 503 Service Unavailable\r\nX-Request: ${requestId}\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\n`
+                + "Content-Length: 0\r\n\r\n",
+        )
+    );
+    await using system = await startTestGateway([leaving.port], {});
+    expect((await sendClientRequest(system.port, "r1")).status).toBe(503);
+    expect((await sendClientRequest(system.port, "r2")).status).toBe(503);
+    expect(leaving.requests).toHaveLength(1);
+});
+
+test("an upstream that turns a request away with a pause receives nothing until the pause ends", async () => {
+    await using pausing = await startRawUpstream(({ requestId, socket }) =>
+        void socket.write(
+            `HTTP/1.1 503 Service Unavailable\r\nX-Request: ${requestId}\r\nX-Not-Run: 1\r\nX-Pause: 1500\r\n`
+                + "Content-Length: 0\r\n\r\n",
+        )
+    );
+    await using system = await startTestGateway([pausing.port], {});
+    const first = await sendClientRequest(system.port, "r1");
+    const second = await sendClientRequest(system.port, "r2");
+    expect([first.status, second.status]).toEqual([503, 503]);
+    expect(pausing.requests).toHaveLength(1);
+    // The client is told when there is room again: after the pause, which is extended by up to a quarter.
+    expect(Number(second.headers["retry-after"])).toBeGreaterThan(1);
+    expect(Number(second.headers["retry-after"])).toBeLessThan(1.5 * 1.25 * 1.5 + 0.1);
+});
+
+test("what a misdirected request's receiver states about itself does not count for the addressed upstream", async () => {
+    let answers = 0;
+    await using upstream = await startRawUpstream(request => {
+        if (answers++ === 0) {
+            request.socket.write(
+                `HTTP/1.1 421 Misdirected\r\nX-Request: ${request.requestId}\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n`,
+            );
+            return;
+        }
+        answer(request, "done");
+    });
+    await using system = await startTestGateway([upstream.port], {});
+    await sendClientRequest(system.port, "r1");
+    expect((await sendClientRequest(system.port, "r2")).status).toBe(200);
+});
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -261,3 +261,75 @@
     table.observePeer("peer", new Map([["a" as UpstreamId, { running: 3, backlogTokens: backlogTokens / 3 }]]), 1);
     expect(upstreamOf(place(request))).toBe("a");
 });
+
+test("an upstream that is known to be leaving stays so until it has started anew, whatever the registry says", async () => {
+    const { clock, table, place } = createTable([engine("a"), engine("b")]);
+    let departures = 0;
+    table.onDeparture("a" as UpstreamId, () => {
+        departures++;
+    });
+    expect(table.observeLeaving({ upstreamId: "a" as UpstreamId, startedAtMs: 1 })).toBe(true);
+    expect(table.observeLeaving({ upstreamId: "a" as UpstreamId, startedAtMs: 1 })).toBe(false);
+    expect(departures).toBe(1);
+    expect(table.leaving()).toEqual([["a", 1]]);
+    table.replace([engine("a"), engine("b")]);
+    expect(upstreamOf(place(prompt("s")))).toBe("b");
+    // The entry expires and is listed again as ready.
+    table.replace([engine("b")]);
+    await clock.advance(5_000);
+    table.replace([engine("a")]);
+    await clock.advance(2_000);
+    expect(upstreamOf(place(prompt("s")))).toBe("no-upstream");
+    table.replace([engine("a", { startedAtMs: 2 })]);
+    expect(upstreamOf(place(prompt("s")))).toBe("a");
+    expect(table.observeLeaving({ upstreamId: "a" as UpstreamId, startedAtMs: 1 })).toBe(false);
+    expect(upstreamOf(place(prompt("s")))).toBe("a");
+});
+
+test("a restored registry that lists a leaving upstream as ready does not bring it back", () => {
+    const { table, place } = createTable([engine("a", { isLeaving: true }), engine("b")]);
+    table.replace([engine("a"), engine("b")]);
+    expect(upstreamOf(place(prompt("s")))).toBe("b");
+});
+
+test("an upstream that asked for a pause receives nothing until it ends, and the refusal states the earliest end", async () => {
+    const { clock, table, place } = createTable([engine("a"), engine("b")]);
+    table.pause(engine("a"), 2_000);
+    expect(upstreamOf(place(prompt("s")))).toBe("b");
+    table.pause(engine("b"), 700);
+    expect(place(prompt("s"))).toEqual({ kind: "refuse", reason: "paused", retryAfterMs: 700 });
+    // A shorter pause does not end a longer one.
+    table.pause(engine("a"), 100);
+    await clock.advance(700);
+    expect(upstreamOf(place(prompt("s")))).toBe("b");
+    await clock.advance(1_300);
+    expect(table.candidates(service, prompt("s")).every(({ pausedMs }) => pausedMs === 0)).toBe(true);
+});
+
+test("a pause ends with the process that asked for it, and ejection does not outweigh it", () => {
+    const { table, place } = createTable([engine("a"), engine("b")]);
+    table.pause(engine("a"), 2_000);
+    table.pause(engine("b"), 2_000);
+    [1, 2, 3].forEach(() => table.reportFailure("b" as UpstreamId, "failed"));
+    expect(place(prompt("s"))).toMatchObject({ reason: "paused" });
+    table.replace([engine("a", { startedAtMs: 2 }), engine("b")]);
+    expect(upstreamOf(place(prompt("s")))).toBe("a");
+});
+
+test("peers that are gone leave nothing behind, over a simulated day of replaced hosts", async () => {
+    const { clock, table } = createTable([engine("a")]);
+    for (const hour of Array.from({ length: 24 }).keys()) {
+        Array.from({ length: 40 }).forEach((_, host) =>
+            table.observePeer(
+                `host-${hour}-${host}`,
+                new Map([["a" as UpstreamId, { running: 1, backlogTokens: 0 }]]),
+                1,
+            )
+        );
+        expect(table.candidates(service, prompt("s"))[0]?.running).toBe(40);
+        expect(table.hostCount()).toBe(41);
+        await clock.advance(3_600_000);
+    }
+    table.observePeer("last", new Map(), 1);
+    expect(table.hostCount()).toBe(2);
+});
--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -45,8 +45,6 @@
     const { store, clock, key, holder, durationMs, strategy = defaultLeaseStrategy } = options;
     const currentEpoch = (): number => options.storeEpoch?.current() ?? 0;
     let observation: Observation | undefined;
-    /** Epoch of the first observation: a lease that does not exist in a later epoch may have been lost. */
-    let firstEpoch: number | undefined;
     let grant: LeaseGrant | undefined;
     let renewedAtMs = -Infinity;
     let observedAtMs = -Infinity;
@@ -69,7 +67,6 @@
     const observe = (entry: KeyValueEntry | undefined): Observation => {
         const version = entry?.version ?? 0;
         const storeEpoch = currentEpoch();
-        firstEpoch ??= storeEpoch;
         if (observation?.version !== version || observation.storeEpoch !== storeEpoch) {
             const record = entry === undefined ? undefined : parseLeaseRecord(entry.value);
             observation = { version, storeEpoch, record, unchangedSinceMs: clock.monotonicMs() };
@@ -124,7 +121,8 @@
     const canAcquire = ({ record, unchangedSinceMs }: Observation, rank: number): boolean => {
         const unchangedMs = clock.monotonicMs() - unchangedSinceMs;
         if (record === undefined) {
-            return rank === 0 && currentEpoch() === firstEpoch || unchangedMs >= durationMs;
+            // A store that can be restored may have lost a lease that another process still holds.
+            return rank === 0 && currentEpoch() === 0 || unchangedMs >= durationMs;
         }
         const isCurrent = record.storeEpoch === currentEpoch();
         return isCurrent && (record.released || record.holder === holder)
--- a/packages/platform/src/keyValue/createFakeKeyValueStore.ts
+++ b/packages/platform/src/keyValue/createFakeKeyValueStore.ts
@@ -158,6 +158,15 @@
         dropRequests: count => {
             requestsToDrop = count;
         },
+        takeCopy: () => {
+            const copiedEntries = [...entries];
+            const copiedVersion = lastVersion;
+            return () => {
+                entries.clear();
+                copiedEntries.forEach(([key, entry]) => entries.set(key, entry));
+                lastVersion = copiedVersion;
+            };
+        },
         callCounts: () => ({ ...callsByCause }),
         writtenBytes: () => ({ ...bytesByCause }),
     };
--- a/packages/platform/src/keyValue/fakeKeyValueStore.ts
+++ b/packages/platform/src/keyValue/fakeKeyValueStore.ts
@@ -8,6 +8,8 @@
     readonly dropResponses: (count: number) => void;
     /** Drops the next `count` writes and reports their outcome as unknown. */
     readonly dropRequests: (count: number) => void;
+    /** Copies the entries and the version counter; returns a function that restores the store from the copy. */
+    readonly takeCopy: () => () => void;
     /** Calls made so far, by cause. */
     readonly callCounts: () => Readonly<Record<string, number>>;
     /** Bytes of values written so far, by cause. */
