perf(placement): contenders for a lease read a cheap, possibly stale state

A contender reads the current state once before it takes the lease, so that a stale read can only delay a takeover. Ruled out: fewer contenders (a takeover would wait for hosts that are cut off).

--- a/packages/placement/src/lease/createLeaseHolder.ts
+++ b/packages/placement/src/lease/createLeaseHolder.ts
@@ -74,9 +74,15 @@
         return observation;
     };
 
-    const read = async (): Promise<Observation | undefined> => {
-        const result = await store.get(key, { cause: "lease" });
-        return result.ok ? observe(result.val) : undefined;
+    /** Reads the key. A state that is older than the known one does not replace it. */
+    const read = async (allowStale = false): Promise<Observation | undefined> => {
+        const result = await store.get(key, { cause: "lease", allowStale });
+        if (result.err) {
+            return undefined;
+        }
+        const isOlder = allowStale && observation?.storeEpoch === currentEpoch()
+            && (result.val?.version ?? 0) < observation.version;
+        return isOlder ? observation : observe(result.val);
     };
 
     const write = async (record: LeaseRecord, expectedVersion: number): Promise<WriteOutcome> => {
@@ -166,9 +172,13 @@
             return;
         }
         observedAtMs = clock.monotonicMs();
-        const seen = await read();
-        if (seen !== undefined && !released && canAcquire(seen, rank)) {
-            await acquire(seen);
+        const seen = await read(true);
+        if (seen === undefined || !canAcquire(seen, rank)) {
+            return;
+        }
+        const current = await read();
+        if (current !== undefined && !released && canAcquire(current, rank)) {
+            await acquire(current);
         }
     };
 
--- a/packages/platform/src/keyValue/keyValueCallOptions.ts
+++ b/packages/platform/src/keyValue/keyValueCallOptions.ts
@@ -6,4 +6,6 @@
     /** Time after which the call fails. */
     readonly timeoutMs?: number;
     readonly signal?: AbortSignal;
+    /** Whether a read may return a state that is seconds old; such a read is cheaper. */
+    readonly allowStale?: boolean;
 }
