--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -76,6 +76,23 @@
     endDisturbance();
 };
 
+/** Time for which the store is away while it is restored, and until what was lost is written again. */
+const RESTORATION_MS = 700;
+const REWRITE_DELAY_MS = 800;
+
+const restoreStore: Handler = async ({ world, sleep, step, startDisturbance }) => {
+    const restore = world.store.takeCopy();
+    await sleep(step.forMs);
+    const endDisturbance = startDisturbance(undefined);
+    world.store.setFault("refuses");
+    await sleep(RESTORATION_MS);
+    restore();
+    world.store.setFault("none");
+    await sleep(REWRITE_DELAY_MS);
+    world.rewriteDocuments();
+    endDisturbance();
+};
+
 /** Handlers by kind of fault; each injects the fault and reverts it when its duration is over. */
 export const faultHandlers: Readonly<Record<FaultKind, Handler>> = {
     "stop-host": onHost((host, context) => restart(host, "SIGTERM", context)),
@@ -99,6 +116,7 @@
     "store-slow": setStore("slow"),
     "store-loses-answers": setStore("loses-answers"),
     "store-late-writes": setStore("late-writes"),
+    "store-restored": restoreStore,
     "store-forgets": onAllHosts(async ({ world }) => world.store.compact()),
     "reset-upstreams": onAllHosts(onUpstream(async ({ link }) => link.reset())),
     "silence-upstreams": onAllHosts(onUpstream(async ({ link }) => link.silence())),
@@ -113,5 +131,6 @@
     "upstream-loses-answers": setUpstream("loses-answers"),
     "upstream-cuts-answers": setUpstream("cuts-answers"),
     "upstream-extra-answers": setUpstream("extra-answers"),
+    "upstream-pauses": setUpstream("pauses"),
     "configuration-changes": ({ world }) => world.changeConfiguration(),
 };
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -16,6 +16,7 @@
     | "store-loses-answers"
     | "store-late-writes"
     | "store-forgets"
+    | "store-restored"
     | "reset-upstreams"
     | "silence-upstreams"
     | "delay-upstreams"
@@ -25,4 +26,5 @@
     | "upstream-loses-answers"
     | "upstream-cuts-answers"
     | "upstream-extra-answers"
+    | "upstream-pauses"
     | "configuration-changes";
--- a/packages/soak/src/faults/soakUpstream.ts
+++ b/packages/soak/src/faults/soakUpstream.ts
@@ -5,7 +5,9 @@
 export interface SoakUpstream {
     readonly link: LinkProxy;
     readonly setFault: (fault: UpstreamFault) => void;
-    /** Announces its shutdown, is replaced under a new id at once, and serves until the drain time is over. */
+    /** Writes its entry to the store again. */
+    readonly register: () => void;
+    /** States in its answers and then in the store that it is leaving, is replaced under a new id at once, and serves until the drain time is over. */
     readonly leave: () => Promise<void>;
     /** Resets all connections and stops; replaced under a new id `downMs` after its store entry was removed. */
     readonly crash: (downMs: number) => Promise<void>;
--- a/packages/soak/src/faults/soakWorld.ts
+++ b/packages/soak/src/faults/soakWorld.ts
@@ -1,5 +1,4 @@
 import type { CallerAttempt } from "../records/callerAttempt";
-
 import type { SoakRecords } from "../records/soakRecords";
 import type { SoakHost } from "./soakHost";
 import type { SoakRoute } from "./soakRoute";
@@ -11,7 +10,14 @@
     readonly hosts: readonly SoakHost[];
     readonly upstreams: readonly SoakUpstream[];
     readonly routes: readonly SoakRoute[];
-    readonly store: { readonly setFault: (fault: StoreFault) => void; readonly compact: () => void; };
+    readonly store: {
+        readonly setFault: (fault: StoreFault) => void;
+        readonly compact: () => void;
+        /** Copies the store; returns a function that restores it from the copy. */
+        readonly takeCopy: () => () => void;
+    };
+    /** Writes the configuration and the entries of all upstreams again, as operators and upstreams do. */
+    readonly rewriteDocuments: () => void;
     /** Writes the next version of the configuration; resolves when it is accepted. */
     readonly changeConfiguration: () => Promise<void>;
     /** Sends a request over a caller's keep-alive connections; never rejects. */
--- a/packages/soak/src/faults/upstreamFault.ts
+++ b/packages/soak/src/faults/upstreamFault.ts
@@ -1,2 +1,2 @@
 /** Fault mode of an upstream, applied to a share of its requests. */
-export type UpstreamFault = "none" | "errors" | "loses-answers" | "cuts-answers" | "extra-answers";
+export type UpstreamFault = "none" | "errors" | "loses-answers" | "cuts-answers" | "extra-answers" | "pauses";
