--- a/packages/edge/__tests__/edgeHost.spec.ts
+++ b/packages/edge/__tests__/edgeHost.spec.ts
@@ -101,3 +101,66 @@
     expect(performance.now() - startedAtMs).toBeLessThan(4_000);
     await host[Symbol.asyncDispose]();
 }, 20_000);
+
+test(
+    "after a restoration the configuration does not go back, and a new host takes the newer one from its peers",
+    async () => {
+        const store = createTestStore();
+        await using upstream = await startUpstream();
+        store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+        store.write("upstreams/u-1", JSON.stringify(createStoredUpstream("u-1", upstream.port)));
+        const first = await startTestHost(store, "a");
+        await until(async () => await call(first.callers, "k1") === 200);
+        const restore = store.takeCopy();
+        store.write("configuration", JSON.stringify(createTestConfiguration(2, "k2")));
+        await until(async () => await call(first.callers, "k2") === 200);
+        restore();
+        const second = await startTestHost(store, "bb", [first.peersAddress]);
+        await until(async () => await call(second.readiness, "", "/") === 200);
+        await until(async () => await call(second.callers, "k2") === 200);
+        expect([await call(first.callers, "k2"), await call(first.callers, "k1")]).toEqual([200, 401]);
+        expect([await call(second.callers, "k2"), await call(second.callers, "k1")]).toEqual([200, 401]);
+        await second.host[Symbol.asyncDispose]();
+        await first.host[Symbol.asyncDispose]();
+    },
+    20_000,
+);
+
+test("a host stores its address again after a restoration that lost it", async () => {
+    const store = createTestStore();
+    await using upstream = await startUpstream();
+    store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+    store.write("upstreams/u-1", JSON.stringify(createStoredUpstream("u-1", upstream.port)));
+    const restore = store.takeCopy();
+    const { host, events } = await startTestHost(store, "a");
+    const registrations = () => events.filter(({ event }) => event === "host_registered");
+    await until(() => registrations().length === 1);
+    restore();
+    await until(() => registrations().length === 2);
+    expect(registrations().map(({ fields }) => fields["storeEpoch"])).toEqual([1, 2]);
+    expect((await store.storeOf("a").get("own/hosts/a", { cause: "membership-seed" })).unwrap()).toBeDefined();
+    await host[Symbol.asyncDispose]();
+}, 20_000);
+
+test(
+    "an upstream that a host knows to be leaving stays so at its peers after a restoration lists it as ready",
+    async () => {
+        const store = createTestStore();
+        await using upstream = await startUpstream();
+        const record = createStoredUpstream("u-1", upstream.port);
+        store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+        store.write("upstreams/u-1", JSON.stringify(record));
+        const first = await startTestHost(store, "a");
+        await until(async () => await call(first.callers, "k1") === 200);
+        const restore = store.takeCopy();
+        store.write("upstreams/u-1", JSON.stringify({ ...record, isLeaving: true }));
+        await until(async () => await call(first.callers, "k1") === 503);
+        restore();
+        const second = await startTestHost(store, "bb", [first.peersAddress]);
+        await until(() => second.events.some(({ event }) => event === "upstream_leaving"));
+        expect([await call(first.callers, "k1"), await call(second.callers, "k1")]).toEqual([503, 503]);
+        await second.host[Symbol.asyncDispose]();
+        await first.host[Symbol.asyncDispose]();
+    },
+    20_000,
+);
--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -28,6 +28,19 @@
         changes.push({ kind: "written", entry });
     };
 
+    /** Copies the store; returns a function that restores it from the copy, which starts a new epoch. */
+    const takeCopy = (): () => void => {
+        const copied = { entries: [...entries], changes: [...changes], revision, restore: keyValueStore.takeCopy() };
+        return () => {
+            entries.clear();
+            copied.entries.forEach(([key, entry]) => entries.set(key, entry));
+            changes.splice(0, Infinity, ...copied.changes);
+            ({ revision } = copied);
+            copied.restore();
+            epoch.observe(epoch.current() + 1);
+        };
+    };
+
     const historyOf = (hostName: string): KeyValueHistory => ({
         snapshot: async prefix =>
             refused.has(hostName)
@@ -74,5 +87,5 @@
         },
     });
 
-    return { write, refused, epoch, historyOf, storeOf };
+    return { write, takeCopy, refused, epoch, historyOf, storeOf };
 };
--- a/packages/placement/__tests__/restoredStore.spec.ts
+++ b/packages/placement/__tests__/restoredStore.spec.ts
@@ -119,6 +119,35 @@
     expect(new Set(numbers).size).toBe(3);
 });
 
+test("a contender reads cheaply while the lease is held, and the current state once before it takes the lease", async () => {
+    const { clock, store, holders, ...world } = createWorld(1);
+    await stepAll({ clock, store, holders, ...world }, DURATION_MS + 1_000);
+    const staleReads: boolean[] = [];
+    const contender = createLeaseHolder({
+        store: {
+            ...store,
+            get: async (key, options) => {
+                staleReads.push(options.allowStale === true);
+                return store.get(key, options);
+            },
+        },
+        clock,
+        random: createRandom(9),
+        key: "lease",
+        holder: "contender",
+        durationMs: DURATION_MS,
+        longestPauseMs: 0,
+        rank: () => 0,
+    });
+    for (let elapsedMs = 0; elapsedMs < DURATION_MS * 3; elapsedMs += 250) {
+        await contender.step();
+        await clock.advance(250);
+    }
+    expect(contender.grant()).toBeDefined();
+    expect(staleReads.filter(isStale => !isStale)).toHaveLength(1);
+    expect(staleReads.length).toBeGreaterThan(3);
+});
+
 type Event =
     | { readonly kind: "step" | "cut" | "heal"; readonly index: number; }
     | { readonly kind: "advance"; readonly durationMs: number; }
