fix(platform): clients of the key-value service and the host list fail on unusable responses

Cause: status 404 counted as success of conditional writes and lease renewals, and the body of a success was parsed without a guard, so that a truncated body ended the caller's task with an exception. Now both are failures; the reason why a listener could not be opened is part of its error.

--- a/packages/platform/src/http/createHttpHostList.ts
+++ b/packages/platform/src/http/createHttpHostList.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import type { HostList } from "../hosts/hostList";
 import type { SystemHostRecord } from "../hosts/systemHostRecord";
@@ -17,9 +17,14 @@
         path: string,
     ): Promise<Result<T, Failure>> => {
         const result = await httpClient.send({ ...request, url: `${baseUrl}${path}`, timeoutMs: TIMEOUT_MS });
-        return result.err || result.val.status >= 300
-            ? Err(createFailure(ErrorCode.PlatformUnavailable))
-            : Ok((result.val.body === "" ? undefined : JSON.parse(result.val.body)) as T);
+        if (result.err || result.val.status >= 300) {
+            return Err(createFailure(ErrorCode.PlatformUnavailable));
+        }
+        const { body } = result.val;
+        const parsed = body === "" ? undefined : parseJson(body);
+        return body !== "" && parsed === undefined
+            ? Err(createFailure(ErrorCode.PlatformUnavailable, { message: "the response is not valid JSON" }))
+            : Ok(parsed as T);
     };
 
     return {
--- a/packages/platform/src/http/createHttpKeyValueStore.ts
+++ b/packages/platform/src/http/createHttpKeyValueStore.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import type { KeyValueCallOptions } from "../keyValue/keyValueCallOptions";
 import type { KeyValueEntry } from "../keyValue/keyValueEntry";
@@ -14,6 +14,7 @@
 const LONG_POLL_MARGIN_MS = 2_000;
 
 const errorCodesByStatus: Readonly<Record<number, ErrorCode>> = {
+    404: ErrorCode.LeaseLost,
     409: ErrorCode.KeyValueConflict,
     410: ErrorCode.LeaseLost,
     413: ErrorCode.KeyValueTooLarge,
@@ -32,6 +33,14 @@
     return createFailure(code, code === ErrorCode.KeyValueConflict ? { details: { currentVersion } } : {});
 };
 
+/** Parses the body of a successful response; a body that is not JSON is a failure like a missing response. */
+const parseBody = <T>(response: JsonResponse, code: ErrorCode): Result<T, Failure> => {
+    const body = parseJson(response.body) as T | undefined;
+    return body === undefined
+        ? Err(createFailure(code, { message: `unexpected body of a response with status ${response.status}` }))
+        : Ok(body);
+};
+
 /** Creates the HTTP adapter to the key-value service at a base URL. */
 export const createHttpKeyValueStore = (baseUrl: string): KeyValueStore & AsyncDisposable => {
     const httpClient = createHttpClient();
@@ -53,7 +62,10 @@
         if (result.err) {
             return Err(createFailure(isRead ? ErrorCode.KeyValueUnavailable : writeErrorCodes[result.val]));
         }
-        return result.val.status < 300 || result.val.status === 404 ? Ok(result.val) : Err(toFailure(result.val));
+        // A missing key is a valid state for a read; a write or a lease that the service does not know has failed.
+        return result.val.status < 300 || isRead && result.val.status === 404
+            ? Ok(result.val)
+            : Err(toFailure(result.val));
     };
 
     const keyPath = (key: string): string => `/v1/keys/${encodeURIComponent(key)}`;
@@ -68,7 +80,7 @@
             (await call({ method: "GET", path: keyPath(key) }, options, true)).map(response => toEntry(key, response)),
         list: async (prefix, options) =>
             (await call({ method: "GET", path: `/v1/keys?prefix=${encodeURIComponent(prefix)}` }, options, true))
-                .map(response => JSON.parse(response.body) as readonly KeyValueEntry[]),
+                .andThen(response => parseBody<readonly KeyValueEntry[]>(response, ErrorCode.KeyValueUnavailable)),
         compareAndSwap: async (request, options) => {
             const headers = {
                 "x-expected-version": String(request.expectedVersion),
@@ -77,7 +89,12 @@
             const method = request.value === undefined ? "DELETE" : "PUT";
             const path = keyPath(request.key);
             const result = await call({ method, path, headers, body: request.value }, options, false);
-            return result.map(response => Number(response.headers["x-version"]));
+            return result.andThen(response => {
+                const version = Number(response.headers["x-version"]);
+                return Number.isInteger(version)
+                    ? Ok(version)
+                    : Err(createFailure(ErrorCode.KeyValueOutcomeUnknown, { message: "no version in the response" }));
+            });
         },
         waitForChange: async (key, knownVersion, waitMs, options) => {
             const path = `${keyPath(key)}?knownVersion=${knownVersion}&waitMs=${waitMs}`;
@@ -87,7 +104,10 @@
         grantLease: async (durationMs, options) => {
             const body = JSON.stringify({ durationMs });
             const result = await call({ method: "POST", path: "/v1/leases", body }, options, false);
-            return result.map(response => (JSON.parse(response.body) as { leaseId: string; }).leaseId);
+            return result.andThen(response =>
+                parseBody<{ readonly leaseId: string; }>(response, ErrorCode.KeyValueOutcomeUnknown)
+                    .map(({ leaseId }) => leaseId)
+            );
         },
         keepLeaseAlive: async (leaseId, options) =>
             (await call({ method: "POST", path: `/v1/leases/${leaseId}/keepalive` }, options, false))
--- a/packages/protocol/src/server/createPeerServer.ts
+++ b/packages/protocol/src/server/createPeerServer.ts
@@ -25,7 +25,9 @@
     new Promise(resolve => {
         server.bindAsync(options.address, toServerCredentials(options.credentials), (error, port) => {
             const failure = (): Failure =>
-                createFailure(ErrorCode.Internal, { message: `Cannot listen on ${options.address}.` });
+                createFailure(ErrorCode.Internal, {
+                    message: `Cannot listen on ${options.address}: ${error?.message ?? "unknown reason"}`,
+                });
             resolve(error === null ? Ok(port) : Err(failure()));
         });
     });
