fix: contributions to collectors are cumulative, so that a lost response is not counted twice

Cause, found by the test of a large group beside 24 busy processes: a call timed out after its contribution had been added, the member sent the same increments to the next collector, and the sum stayed too high. Now each increment is assigned to one collector, contributions to it are cumulative, a restarted collector is told apart by its process id, and only what can't have been received is assigned anew.

--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -56,6 +56,9 @@
 /** A collector that answered within this time is relied on to tell when documents change. */
 const RELAY_TIMEOUT_MS = 1_500;
 
+/** Matches the reason of a failed call for which no connection was established, so that nothing was sent. */
+const NOT_CONNECTED = /^No connection established/;
+
 /** A process without a report for this long is considered stopped. */
 const REPORT_RETENTION_MS = 60_000;
 
@@ -290,16 +293,15 @@
 
     const collectOwnContribution = (): void => {
         lastCollectedAtMs = clock.monotonicMs();
-        const contribution = aggregation.nextContribution();
-        aggregation.collect(contribution);
-        aggregation.acknowledge(contribution, options.hostId);
+        aggregation.collect(aggregation.nextContribution(ownAddress));
+        aggregation.acknowledge(ownAddress, options.hostId);
         const report = aggregation.summarize();
         storeReport(report, JSON.stringify(report), 0);
     };
 
     /** Sends this host's contribution to a collector; returns whether it answered. */
     const contributeTo = async (address: string): Promise<boolean> => {
-        const contribution = aggregation.nextContribution();
+        const contribution = aggregation.nextContribution(address);
         const result = await clients.call(
             address as PeerAddress,
             ReportServiceService.collect,
@@ -310,8 +312,11 @@
             return true;
         }
         setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
+        if (result.err && NOT_CONNECTED.test(String(result.val.details?.["reason"]))) {
+            aggregation.withdraw(address);
+        }
         const collector = result.ok
-            ? receiveMessage(result.val.reports, ({ hostId }) => aggregation.acknowledge(contribution, hostId))
+            ? receiveMessage(result.val.reports, ({ hostId }) => aggregation.acknowledge(address, hostId))
             : undefined;
         if (collector !== undefined) {
             lastRelayedAtMs = collector.isInContact ? clock.monotonicMs() : lastRelayedAtMs;
--- a/packages/discovery/src/reports/reportAggregation.ts
+++ b/packages/discovery/src/reports/reportAggregation.ts
@@ -1,14 +1,17 @@
 import type { HostId } from "@ibislanding/core";
 
 /**
- * Sums of reports. In a large group, each host tells one collector what is new since its last contribution; collectors
- * exchange their summaries and return them to their members.
+ * Sums of reports. In a large group, each host contributes to one collector at a time; collectors exchange their
+ * summaries and return them to their members. Each increment of a counter is assigned to one collector, and contributions
+ * to it are cumulative, so that a contribution whose response was lost can be sent again.
  */
 export interface ReportAggregation<Report> {
-    /** This host's state, with its counters reduced by what collectors have acknowledged. */
-    readonly nextContribution: () => Report;
-    /** Records that a collector has added a contribution of this host to its summary. */
-    readonly acknowledge: (contribution: Report, collectorId: HostId) => void;
+    /** Assigns what is new to the collector at an address; returns this host's state with all that is assigned to it. */
+    readonly nextContribution: (address: string) => Report;
+    /** Records that the collector has added the last contribution to its summary. */
+    readonly acknowledge: (address: string, collectorId: HostId) => void;
+    /** Takes the last contribution back; the collector can't have received it. */
+    readonly withdraw: (address: string) => void;
     /** Adds a member's contribution to this host's summary. */
     readonly collect: (contribution: Report) => void;
     /** Sum of the contributions that this host has collected. */
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -6,9 +6,22 @@
 /** Counters that only grow; each increment of them is contributed once. */
 type Counters = Pick<HostReport, "accounts" | "began">;
 
-/** What a collector's summary contains of this host. */
-interface Contribution extends Counters, Pick<HostReport, "loads" | "work"> {
-    readonly atMs: number;
+/** What is assigned to the collector at an address. */
+interface Assignment extends Pick<HostReport, "loads" | "work"> {
+    /** Empty until the collector has answered. */
+    readonly collectorId: HostId | "";
+    readonly counters: Counters;
+    /** The part of the counters that the last contribution added. */
+    readonly latest: Counters;
+    readonly acknowledged: Counters;
+    readonly acknowledgedAtMs: number;
+}
+
+interface Member {
+    readonly report: HostReport;
+    readonly receivedAtMs: number;
+    /** Counters that are contained in the summary. */
+    readonly counters: Counters;
 }
 
 /** A member that has not contributed for this long, several intervals, no longer counts. */
@@ -17,11 +30,24 @@
 /** Past windows whose counts a collector keeps: late contributions and late usage reports need them. */
 const RETAINED_WINDOWS = 3;
 
-/** Number of collectors whose contributions are remembered; a host changes its collector rarely. */
+/** Number of collectors whose assignments are remembered; a host changes its collector rarely. */
 const REMEMBERED_COLLECTORS = 8;
 
+/** Time after which a silent member is forgotten; its counters stay in the summary. */
+const MEMBER_RETENTION_MS = 600_000;
+
 const NO_COUNTERS: Counters = { accounts: [], began: [] };
 
+const UNASSIGNED: Assignment = {
+    collectorId: "",
+    counters: NO_COUNTERS,
+    latest: NO_COUNTERS,
+    acknowledged: NO_COUNTERS,
+    acknowledgedAtMs: -Infinity,
+    loads: [],
+    work: [],
+};
+
 const addCounters = (left: Counters, right: Counters): Counters => {
     const began = countRows.add(2, [left.began, right.began]);
     const latest = Math.max(...began.map(([window]) => window));
@@ -37,57 +63,92 @@
 });
 
 /**
- * Creates the sums of reports for a large group of hosts; `createReport` returns this host's own state.
+ * Creates the sums of reports for a large group of hosts; `ownId` is the id of this process, and `createReport` returns its
+ * own state.
  *
  * Handles hundreds of hosts, of which each must know the load and the usage of all others within a second or two. With
  * one summary for each group of hosts, neither the messages nor the state of a host grow with the number of hosts.
  */
 export const createReportAggregation = (
     clock: Clock,
+    ownId: HostId,
     createReport: () => HostReport,
 ): ReportAggregation<HostReport> => {
-    const members = new Map<string, { readonly report: HostReport; readonly receivedAtMs: number; }>();
-    const contributions = new Map<HostId, Contribution>();
+    const members = new Map<HostId, Member>();
+    const assignments = new Map<string, Assignment>();
     let collected = NO_COUNTERS;
-    let acknowledged = NO_COUNTERS;
+    let assigned = NO_COUNTERS;
 
-    const removeSilentMembers = (): void => {
-        const oldestMs = clock.monotonicMs() - MEMBER_TIMEOUT_MS;
-        [...members].filter(([, { receivedAtMs }]) => receivedAtMs < oldestMs).forEach(([hostName]) =>
-            members.delete(hostName)
+    const currentMembers = (): readonly Member[] => {
+        const nowMs = clock.monotonicMs();
+        [...members].filter(([, { receivedAtMs }]) => nowMs - receivedAtMs >= MEMBER_RETENTION_MS).forEach(([hostId]) =>
+            members.delete(hostId)
         );
+        return [...members.values()].filter(({ receivedAtMs }) => nowMs - receivedAtMs < MEMBER_TIMEOUT_MS);
+    };
+
+    const setAssignment = (address: string, assignment: Assignment): void => {
+        assignments.delete(address);
+        assignments.set(address, assignment);
+        [...assignments.keys()].slice(0, -REMEMBERED_COLLECTORS).forEach(old => assignments.delete(old));
     };
 
     return {
-        nextContribution: () => {
+        nextContribution: address => {
             const report = createReport();
-            return { ...report, ...subtractCounters(report, acknowledged) };
+            const known = assignments.get(address) ?? UNASSIGNED;
+            const latest = subtractCounters(report, assigned);
+            const counters = addCounters(known.counters, latest);
+            assigned = addCounters(assigned, latest);
+            setAssignment(address, { ...known, counters, latest, loads: report.loads, work: report.work });
+            return { ...report, ...counters, collectorId: known.collectorId };
         },
-        acknowledge: (contribution, collectorId) => {
-            const { loads, work } = contribution;
-            const known = contributions.get(collectorId) ?? NO_COUNTERS;
-            acknowledged = addCounters(acknowledged, contribution);
-            contributions.delete(collectorId);
-            contributions.set(collectorId, {
-                ...addCounters(known, contribution),
-                loads,
-                work,
-                atMs: clock.monotonicMs(),
-            });
-            [...contributions.keys()].slice(0, -REMEMBERED_COLLECTORS).forEach(old => contributions.delete(old));
+        acknowledge: (address, collectorId) => {
+            const known = assignments.get(address) ?? UNASSIGNED;
+            const acknowledgedAtMs = clock.monotonicMs();
+            if (known.collectorId === "" || known.collectorId === collectorId) {
+                setAssignment(address, { ...known, collectorId, acknowledged: known.counters, acknowledgedAtMs });
+                return;
+            }
+            // Another process answers at the address. What its predecessor did not acknowledge is assigned anew.
+            assigned = subtractCounters(assigned, subtractCounters(known.counters, known.acknowledged));
+            const { loads, work } = known;
+            setAssignment(address, { ...UNASSIGNED, collectorId, acknowledgedAtMs, loads, work });
+        },
+        withdraw: address => {
+            const known = assignments.get(address);
+            if (known !== undefined) {
+                assigned = subtractCounters(assigned, known.latest);
+                const counters = subtractCounters(known.counters, known.latest);
+                setAssignment(address, { ...known, counters, latest: NO_COUNTERS });
+            }
         },
         collect: contribution => {
-            const known = members.get(contribution.hostName)?.report;
-            if (known?.hostId === contribution.hostId && known.sequence >= contribution.sequence) {
+            const { hostId, hostName, collectorId } = contribution;
+            const known = members.get(hostId);
+            const isOurs = collectorId === "" || collectorId === ownId;
+            // Counters assigned to this process by a member that it has forgotten are in the summary already.
+            const isForgotten = known === undefined && collectorId !== "";
+            if (isOurs && !isForgotten) {
+                collected = addCounters(collected, subtractCounters(contribution, known?.counters ?? NO_COUNTERS));
+            }
+            if (known !== undefined && known.report.sequence >= contribution.sequence) {
                 return;
             }
-            members.set(contribution.hostName, { report: contribution, receivedAtMs: clock.monotonicMs() });
-            collected = addCounters(collected, contribution);
+            // A new process on the same host replaces the old one at once.
+            [...members.values()].filter(({ report }) => report.hostName === hostName && report.hostId !== hostId)
+                .forEach(
+                    ({ report }) => members.delete(report.hostId),
+                );
+            members.set(hostId, {
+                report: contribution,
+                receivedAtMs: clock.monotonicMs(),
+                counters: isOurs ? contribution : NO_COUNTERS,
+            });
         },
         summarize: () => {
-            removeSilentMembers();
             const nowMs = clock.monotonicMs();
-            const current = [...members.values()];
+            const current = currentMembers();
             const parts = current.map(({ report }) => report);
             const ages = current.map(({ receivedAtMs }) => nowMs - receivedAtMs);
             const own = createReport();
@@ -105,12 +166,12 @@
             };
         },
         withoutOwn: summary => {
-            const own = contributions.get(summary.hostId);
+            const own = [...assignments.values()].find(({ collectorId }) => collectorId === summary.hostId);
             if (own === undefined) {
                 return summary;
             }
-            const withoutCounters = { ...summary, ...subtractCounters(summary, own) };
-            return clock.monotonicMs() - own.atMs >= MEMBER_TIMEOUT_MS ? withoutCounters : {
+            const withoutCounters = { ...summary, ...subtractCounters(summary, own.acknowledged) };
+            return clock.monotonicMs() - own.acknowledgedAtMs >= MEMBER_TIMEOUT_MS ? withoutCounters : {
                 ...withoutCounters,
                 hostCount: summary.hostCount - 1,
                 loads: countRows.subtract(1, summary.loads, own.loads),
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -28,6 +28,7 @@
             hostId,
             hostName,
             address: listen.peers,
+            collectorId: "",
             sequence: ++sequence,
             wallMs: clock.wallMs(),
             positions: documentCache.positions(),
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -8,7 +8,8 @@
     const report = parseJson(text) as Partial<HostReport> | null | undefined;
     const isValid = typeof report?.hostId === "string" && typeof report.hostName === "string"
         && typeof report.sequence === "number"
-        && typeof report.address === "string" && typeof report.wallMs === "number"
+        && typeof report.address === "string" && typeof report.collectorId === "string"
+        && typeof report.wallMs === "number"
         && typeof report.hostCount === "number" && typeof report.oldestMs === "number"
         && typeof report.positions === "object" && report.positions !== null
         && Object.values(report.positions).every(isArray)
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -10,6 +10,8 @@
     readonly hostName: string;
     /** `ip:port` of the host's listener for other hosts. */
     readonly address: string;
+    /** Of a contribution: the collector process to which its counters were assigned; empty while it is not known. */
+    readonly collectorId: string;
     /** Increases with each report of the process. */
     readonly sequence: number;
     readonly wallMs: number;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -178,7 +178,7 @@
         intervalMs: REPORT_INTERVAL_MS,
         fanout: REPORT_FANOUT,
         createReport,
-        aggregation: createReportAggregation(clock, createReport),
+        aggregation: createReportAggregation(clock, settings.hostId, createReport),
         decodeReport: decodeHostReport,
         onReport: (report, ageMs) =>
             applyHostReport(
