--- a/packages/runtime/src/metrics/createMetricsRegistry.ts
+++ b/packages/runtime/src/metrics/createMetricsRegistry.ts
@@ -1,4 +1,6 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's main module also loads number formats and log writers, which would double the cost of the import.
+import { build } from "hdr-histogram-js/dist/HistogramBuilder";
 import type { MetricLabels } from "./metricLabels";
 import type { MetricsRegistry } from "./metricsRegistry";
 
