--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -17,7 +17,7 @@
 const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 600 };
 
 /** Interval at which a paused watcher checks whether it has to watch the store again. */
-const RELAY_CHECK_MS = 250;
+const RELAY_CHECK_MS = 1_000;
 
 /** Creates a watcher for one prefix and starts it. */
 export const createDocumentWatcher = (options: DocumentWatcherOptions): DocumentWatcher => {
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -39,7 +39,7 @@
 const MAXIMUM_DIRECT_PEERS = 12;
 
 /** Interval at which a host of a large group reports to its collector, and at which collectors call each other. */
-const COLLECT_INTERVAL_MS = 500;
+const COLLECT_INTERVAL_MS = 650;
 
 /** Candidates that a host tries in one round before it collects by itself. */
 const MAXIMUM_COLLECTOR_ATTEMPTS = 3;
