refactor(discovery): document fetches and the table of reports in modules of their own

Behaviour is the same, but for a host whose first peers are all gone: it counts as having contacted them after half a second instead of after three time-outs.

--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -4,7 +4,6 @@
     createPeerServer,
     createUnaryHandler,
     type DocumentsRequest,
-    type DocumentsResponse,
     type LoadNotice,
     type LoadNoticeResponse,
     type PeerAddress,
@@ -12,23 +11,19 @@
     ReportServiceService,
 } from "@ibislanding/protocol";
 import { Err, Ok, type Result } from "ts-results";
-import { isNewerPosition } from "../documents/isNewerPosition";
-import { mergeChangedDocuments } from "../documents/mergeChangedDocuments";
-import { selectChangedDocuments } from "../documents/selectChangedDocuments";
 import { createCollectorSelection } from "./createCollectorSelection";
+import { createDocumentFetcher } from "./createDocumentFetcher";
+import { createDocumentsResponse } from "./createDocumentsResponse";
+import { createReportTable } from "./createReportTable";
 import { decodeReports } from "./decodeReports";
 import { encodeReports } from "./encodeReports";
 import type { Peer } from "./peer";
-import type { PeerReport } from "./peerReport";
-import type { ReportEnvelope } from "./reportEnvelope";
 import type { ReportExchange } from "./reportExchange";
 import type { ReportExchangeOptions } from "./reportExchangeOptions";
 
 /** A peer responds within a network round trip; after this time the peer or the connection is considered lost. */
 const CALL_TIMEOUT_MS = 400;
 
-const FETCH_TIMEOUT_MS = 1_000;
-
 /** Interval at which an unreachable peer of a small group is called until it responds. */
 const UNREACHABLE_RETRY_MS = 1_000;
 
@@ -56,12 +51,12 @@
 /** A collector that answered within this time is relied on to tell when documents change. */
 const RELAY_TIMEOUT_MS = 1_500;
 
+/** Time after which a started host no longer waits for the first peers, as all of them may be gone. */
+const FIRST_CONTACT_TIMEOUT_MS = 500;
+
 /** Matches the reason of a failed call for which no connection was established, so that nothing was sent. */
 const NOT_CONNECTED = /^No connection established/;
 
-/** A process without a report for this long is considered stopped. */
-const REPORT_RETENTION_MS = 60_000;
-
 /** Starts the listener and the rounds of a host; fails if the listener can't be opened. */
 export const createReportExchange = async <
     Report extends {
@@ -75,9 +70,8 @@
 ): Promise<Result<ReportExchange<Report>, Failure>> => {
     const { clock, random, aggregation, group } = options;
     const stop = new AbortController();
-    const reports = new Map<HostId, PeerReport<Report> & { readonly text: string; }>();
+    const reports = createReportTable(options);
     const lastFailureAtMs = new Map<string, number>();
-    const fetching = new Set<string>();
     const selection = createCollectorSelection(clock);
     let peers: readonly string[] = [];
     let lastCollectedAtMs = -Infinity;
@@ -89,44 +83,6 @@
 
     const isCollector = (): boolean => clock.monotonicMs() - lastCollectedAtMs < COLLECTOR_TIMEOUT_MS;
 
-    const storeReport = (report: Report, text: string, ageMs: number): void => {
-        const { hostId } = report;
-        const adjusted = aggregation.withoutOwn(report);
-        reports.set(hostId, { hostId, report: adjusted, reportedAtMs: clock.monotonicMs() - ageMs, text });
-        options.onReport(adjusted, ageMs);
-    };
-
-    const receiveReport = (report: Report, { text, ageMs }: ReportEnvelope): void => {
-        const known = reports.get(report.hostId);
-        if (report.hostId !== options.hostId && (known === undefined || report.sequence > known.report.sequence)) {
-            storeReport(report, text, ageMs);
-        }
-    };
-
-    /** Decodes the reports of a message and passes that of its sender, the first one, to the callback before all others. */
-    const receiveMessage = (
-        bytes: Uint8Array,
-        onSender: (report: Report) => void = () => undefined,
-    ): Report | undefined => {
-        const decoded = (decodeReports(bytes) ?? []).flatMap(envelope => {
-            const report = options.decodeReport(envelope.text);
-            return report === undefined ? [] : [{ report, envelope }];
-        });
-        const sender = decoded[0]?.report;
-        if (sender !== undefined) {
-            onSender(sender);
-        }
-        decoded.forEach(({ report, envelope }) => receiveReport(report, envelope));
-        return sender;
-    };
-
-    const evictExpiredReports = (): void => {
-        const oldestMs = clock.monotonicMs() - REPORT_RETENTION_MS;
-        [...reports.values()].filter(({ reportedAtMs }) => reportedAtMs < oldestMs).forEach(({ hostId }) =>
-            reports.delete(hostId)
-        );
-    };
-
     const setReachable = (address: string, isReachable: boolean, reason: string): void => {
         if (isReachable === lastFailureAtMs.has(address)) {
             options.onPeerReachabilityChange(address, isReachable, reason);
@@ -141,16 +97,6 @@
         }
     };
 
-    /** Recently received summaries of the other collectors. */
-    const otherSummaries = (): readonly ReportEnvelope[] => {
-        const nowMs = clock.monotonicMs();
-        return [...reports.values()]
-            .filter(({ hostId, reportedAtMs }) =>
-                hostId !== options.hostId && nowMs - reportedAtMs < MAXIMUM_SUMMARY_AGE_MS
-            )
-            .map(({ text, reportedAtMs }) => ({ text, ageMs: Math.round(nowMs - reportedAtMs) }));
-    };
-
     const ownSummary = (): NonNullable<typeof summary> => {
         const nowMs = clock.monotonicMs();
         if (summary === undefined || nowMs - summary.createdAtMs >= SUMMARY_REUSE_MS) {
@@ -158,7 +104,7 @@
             summary = {
                 text,
                 createdAtMs: nowMs,
-                bytes: encodeReports([{ text, ageMs: 0 }, ...otherSummaries()]),
+                bytes: encodeReports([{ text, ageMs: 0 }, ...reports.recentEnvelopes(MAXIMUM_SUMMARY_AGE_MS)]),
             };
         }
         return summary;
@@ -173,53 +119,15 @@
             const { text, createdAtMs } = ownSummary();
             return { reports: encodeReports([{ text, ageMs: Math.round(clock.monotonicMs() - createdAtMs) }]) };
         }
-        return { reports: encodeReports(otherSummaries()) };
-    };
-
-    const fetchSet = async (address: PeerAddress, set: string, isComplete = false): Promise<void> => {
-        const known = isComplete ? undefined : options.documents(set);
-        const result = await clients.call(
-            address,
-            ReportServiceService.fetchDocuments,
-            { set, knownEpoch: known?.epoch ?? 0, knownRevision: known?.revision ?? 0 },
-            FETCH_TIMEOUT_MS,
-        );
-        if (result.err || result.val.revision === 0) {
-            return;
-        }
-        const { documents, unchangedKeys } = result.val;
-        const merged = mergeChangedDocuments(result.val, documents, unchangedKeys, known);
-        if (merged !== undefined) {
-            options.onDocuments(set, merged);
-        }
-        else if (!isComplete) {
-            await fetchSet(address, set, true);
-        }
+        return { reports: encodeReports(reports.recentEnvelopes(MAXIMUM_SUMMARY_AGE_MS)) };
     };
 
-    const fetchOnce = async (address: PeerAddress, set: string): Promise<void> => {
-        if (!fetching.has(set)) {
-            fetching.add(set);
-            await fetchSet(address, set);
-            fetching.delete(set);
-        }
-    };
-
-    const fetchStaleSets = (report: Report): void =>
-        options.staleSets(report).forEach(staleSet =>
-            void clock.setTimer(options.documents(staleSet) === undefined ? 0 : options.fetchDelayMs(staleSet), () => {
-                if (options.staleSets(report).includes(staleSet)) {
-                    void fetchOnce(report.address as PeerAddress, staleSet);
-                }
-            })
-        );
+    const clients = createPeerClients();
+    const { fetchStaleSets } = createDocumentFetcher(options, clients);
 
     const handleExchange = (request: ReportMessage): Result<ReportMessage, Failure> => {
-        const sender = receiveMessage(request.reports);
-        if (sender === undefined) {
-            return Err(createFailure(ErrorCode.BadRequest));
-        }
-        return Ok(createMessage());
+        const sender = reports.receive(request.reports);
+        return sender === undefined ? Err(createFailure(ErrorCode.BadRequest)) : Ok(createMessage());
     };
 
     const handleCollect = (request: ReportMessage): Result<ReportMessage, Failure> => {
@@ -239,21 +147,6 @@
         return Ok({});
     };
 
-    const handleFetchDocuments = (request: DocumentsRequest): Result<DocumentsResponse, Failure> => {
-        const set = options.documents(request.set);
-        const known = { epoch: request.knownEpoch, revision: request.knownRevision };
-        if (set === undefined || !isNewerPosition(set, known)) {
-            return Ok({ epoch: 0, revision: 0, documents: [], unchangedKeys: [] });
-        }
-        const { changed, unchangedKeys } = selectChangedDocuments(set, known);
-        return Ok({
-            epoch: set.epoch,
-            revision: set.revision,
-            documents: [...changed],
-            unchangedKeys: [...unchangedKeys],
-        });
-    };
-
     const server = await createPeerServer({
         address: options.address,
         services: [{
@@ -262,16 +155,18 @@
                 exchange: createUnaryHandler(handleExchange),
                 collect: createUnaryHandler(handleCollect),
                 notify: createUnaryHandler(handleNotice),
-                fetchDocuments: createUnaryHandler(handleFetchDocuments),
+                fetchDocuments: createUnaryHandler((request: DocumentsRequest) =>
+                    Ok(createDocumentsResponse(options.documents(request.set), request))
+                ),
             },
         }],
         shutdownTimeoutMs: CALL_TIMEOUT_MS,
     });
     if (server.err) {
+        await clients[Symbol.asyncDispose]();
         return server;
     }
     const ownAddress: string = server.val.address;
-    const clients = createPeerClients();
 
     const callPeer = async (address: string): Promise<void> => {
         const message = createMessage();
@@ -285,7 +180,7 @@
             return;
         }
         setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
-        const report = result.ok ? receiveMessage(result.val.reports) : undefined;
+        const report = result.ok ? reports.receive(result.val.reports) : undefined;
         if (report !== undefined) {
             fetchStaleSets(report);
         }
@@ -296,7 +191,7 @@
         aggregation.collect(aggregation.nextContribution(ownAddress));
         aggregation.acknowledge(ownAddress, options.hostId);
         const report = aggregation.summarize();
-        storeReport(report, JSON.stringify(report), 0);
+        reports.store(report, { text: JSON.stringify(report), ageMs: 0 });
     };
 
     /** Sends this host's contribution to a collector; returns whether it answered. */
@@ -316,7 +211,7 @@
             aggregation.withdraw(address);
         }
         const collector = result.ok
-            ? receiveMessage(result.val.reports, ({ hostId }) => aggregation.acknowledge(address, hostId))
+            ? reports.receive(result.val.reports, ({ hostId }) => aggregation.acknowledge(address, hostId))
             : undefined;
         if (collector !== undefined) {
             lastRelayedAtMs = collector.isInContact ? clock.monotonicMs() : lastRelayedAtMs;
@@ -374,12 +269,15 @@
     const run = async (): Promise<void> => {
         while (!stop.signal.aborted) {
             await runRound();
-            evictExpiredReports();
+            reports.evictExpired();
             // Jitter keeps the rounds of hosts that started at the same time from coinciding.
             const intervalMs = isLargeGroup() ? COLLECT_INTERVAL_MS : options.intervalMs;
             await clock.sleep(intervalMs * (0.75 + random.nextFloat() / 2), stop.signal);
         }
     };
+    const firstContactTimer = clock.setTimer(FIRST_CONTACT_TIMEOUT_MS, () => {
+        hasContactedPeers = true;
+    });
     const running = run();
 
     return Ok({
@@ -404,12 +302,13 @@
             isLargeGroup()
                 ? COLLECT_INTERVAL_MS * 1.5
                 : options.intervalMs * peers.length / Math.max(1, 2 * options.fanout),
-        reports: () => reports,
+        reports: reports.all,
         hasContactedPeers: () => hasContactedPeers,
         isRepresentative: () => !isLargeGroup() || isCollector(),
         isRelayed: () => isLargeGroup() && !isCollector() && clock.monotonicMs() - lastRelayedAtMs < RELAY_TIMEOUT_MS,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
+            firstContactTimer.cancel();
             await running;
             await clients[Symbol.asyncDispose]();
             await server.val[Symbol.asyncDispose]();
--- a/packages/discovery/src/reports/reportExchange.ts
+++ b/packages/discovery/src/reports/reportExchange.ts
@@ -20,7 +20,7 @@
     readonly propagationDelayMs: () => number;
     /** Latest reports of the peers of a small group, or latest summaries of the collectors, if not older than a minute. */
     readonly reports: () => ReadonlyMap<HostId, PeerReport<Report>>;
-    /** Whether the first peers that were called have answered or failed to. */
+    /** Whether the first peers that were called have answered or failed to, or half a second has passed. */
     readonly hasContactedPeers: () => boolean;
     /** Whether this host may act for the group: in a large one, whether it currently is a collector. */
     readonly isRepresentative: () => boolean;
