fix(duties): the fencing number is asked for right before a call is sent

A process that was paused, or a link that lost the first packet, then sent it up to a second later, under a lease that had ended; where the platform does not check numbers, nobody refuses it. Now the number is asked for once there is a connection, and the call is not sent if the lease has ended.

--- a/packages/duties/__tests__/usage.spec.ts
+++ b/packages/duties/__tests__/usage.spec.ts
@@ -27,7 +27,7 @@
             if (state.isDown) {
                 return Err(createFailure(ErrorCode.PlatformUnavailable));
             }
-            sent.push({ window, count: counts.get(acme), fence: number });
+            sent.push({ window, count: counts.get(acme), fence: number() ?? 0 });
             return Ok(undefined);
         },
         scale: async () => Ok(undefined),
--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -99,7 +99,7 @@
             return;
         }
         const key = keyOf(request);
-        const result = await api.scale(request, fencingNumber);
+        const result = await api.scale(request, getFencingNumber);
         if (result.ok) {
             refusedAtMs.delete(key);
             sent.set(key, { count: request.count, fencingNumber, sentAtMs: clock.monotonicMs() });
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -104,11 +104,10 @@
         }
         const reportCounts = toCounts(storedReport.val);
         records.remember(window, reportCounts, true);
-        const currentFencingNumber = fencingNumber();
-        if (currentFencingNumber === undefined) {
+        if (fencingNumber() === undefined) {
             return;
         }
-        const sent = await api.reportUsage(window, reportCounts, currentFencingNumber);
+        const sent = await api.reportUsage(window, reportCounts, fencingNumber);
         if (sent.err) {
             options.onFailure(window, "send", sent.val);
             return;
--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -37,14 +37,22 @@
             };
             const timer = setTimeout(abort, request.timeoutMs);
             request.signal?.addEventListener("abort", abort);
+            const sendNow = (): void => {
+                const headers = request.headersAtSend === undefined ? {} : request.headersAtSend();
+                if (headers === undefined) {
+                    abort();
+                    return;
+                }
+                isConnected = true;
+                Object.entries(headers).forEach(([name, value]) => outgoing.setHeader(name, value));
+                outgoing.end(request.body);
+            };
             outgoing.on("socket", socket => {
                 if (socket.connecting) {
-                    socket.once("connect", () => {
-                        isConnected = true;
-                    });
+                    socket.once("connect", sendNow);
                 }
                 else {
-                    isConnected = true;
+                    sendNow();
                 }
             });
             outgoing.on("error", () => finish(Err(isConnected ? "lost" : "not-sent")));
@@ -67,7 +75,6 @@
                         body: Buffer.concat(chunks).toString("utf8"),
                     })));
             });
-            outgoing.end(request.body);
         });
 
     return { send, [Symbol.asyncDispose]: async () => agent.destroy() };
