--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -136,10 +136,9 @@
                 return;
             }
             // A new process on the same host replaces the old one at once.
-            [...members.values()].filter(({ report }) => report.hostName === hostName && report.hostId !== hostId)
-                .forEach(
-                    ({ report }) => members.delete(report.hostId),
-                );
+            [...members.values()]
+                .filter(({ report }) => report.hostName === hostName && report.hostId !== hostId)
+                .forEach(({ report }) => members.delete(report.hostId));
             members.set(hostId, {
                 report: contribution,
                 receivedAtMs: clock.monotonicMs(),
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -276,6 +276,7 @@
     expect(upstreamOf(place(prompt("s")))).toBe("b");
     // The entry expires and is listed again as ready.
     table.replace([engine("b")]);
+    expect(table.leaving()).toEqual([]);
     await clock.advance(5_000);
     table.replace([engine("a")]);
     await clock.advance(2_000);
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -331,7 +331,7 @@
             }
             return isNew;
         },
-        leaving: leavingRegister.entries,
+        leaving: () => leavingRegister.entries().filter(([upstreamId]) => upstreams.has(upstreamId)),
         pause: ({ upstreamId, startedAtMs }, durationMs) =>
             update(upstreamId, state => {
                 if (state.record.startedAtMs === startedAtMs) {
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -29,7 +29,7 @@
      * Records that this start of an upstream is leaving, as it or a peer states; returns whether that was unknown.
      */
     readonly observeLeaving: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
-    /** Starts of upstreams that are leaving, for the other hosts. */
+    /** Starts of upstreams that are leaving, for the other hosts, as long as the upstream is known otherwise. */
     readonly leaving: () => readonly (readonly [upstreamId: UpstreamId, startedAtMs: number])[];
     /** Excludes an upstream from placement for a time, as it asked for. */
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
