--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -52,6 +52,23 @@
     expect((JSON.parse(stdout) as RequestExplanation).lines).toHaveLength(1);
 });
 
+test("explains a refusal by pauses that upstreams asked for, and lists them", async () => {
+    const path = join(mkdtempSync(join(tmpdir(), "ibisctl-")), "hosts.log");
+    const line = (second: number, fields: Readonly<Record<string, unknown>>): string =>
+        JSON.stringify({ host: "a", timestamp: `2026-01-01T00:00:0${second}Z`, ...fields });
+    writeFileSync(
+        path,
+        [
+            line(1, { message: "upstream_paused", upstreamId: "u-1", pauseMs: 2_000 }),
+            line(2, { message: "request_ended", requestId: "r", outcome: "refused", reason: "paused", status: 503 }),
+        ].join("\n"),
+    );
+    const { stdout } = await runIbisctl(["explain", "r", "-f", path, "--output", "json"]);
+    const { cause, lines } = JSON.parse(stdout) as RequestExplanation;
+    expect(cause).toBe("Every upstream of the service had asked this host for a pause; nothing was sent.");
+    expect(lines.map(({ event }) => event)).toEqual(["upstream_paused", "request_ended"]);
+});
+
 test("fails with separate exit codes for an unknown request and an unreadable file", async () => {
     expect((await runIbisctl(["explain", "none", "-f", LOG])).exitCode).toBe(ExitCode.NotFound);
     expect((await runIbisctl(["explain", "none", "-f", join(LOG, "missing")])).exitCode).toBe(ExitCode.Invalid);
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -6,6 +6,7 @@
 const CAUSES: Readonly<Record<string, string>> = {
     "over_limit": "The client account had used up its rate limit; nothing was sent.",
     "saturated": "No upstream could have started the request in time; nothing was sent.",
+    "paused": "Every upstream of the service had asked this host for a pause; nothing was sent.",
     "no-upstream": "The host knew no registered upstream of the service; nothing was sent.",
     "unknown_route": "The configuration in use on the host has no such route.",
     "unauthenticated": "The configuration in use on the host has no such key.",
