fix(platform): the first restoration of a store whose epoch starts at 0 is a rise

An epoch of 0 counted as unknown, and the first restoration of such a store would have gone unnoticed.

--- a/packages/discovery/src/documents/selectChangedDocuments.ts
+++ b/packages/discovery/src/documents/selectChangedDocuments.ts
@@ -10,7 +10,7 @@
     { epoch, entries }: DocumentSet,
     known: DocumentPosition,
 ): { readonly changed: readonly KeyValueEntry[]; readonly unchangedKeys: readonly string[]; } => {
-    const isComparable = epoch > 0 && epoch === known.epoch && known.revision > 0;
+    const isComparable = epoch === known.epoch && known.revision > 0;
     const isUnchanged = ({ version }: KeyValueEntry): boolean => isComparable && version <= known.revision;
     const all = [...entries.values()];
     return {
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -35,5 +35,6 @@
             onLeaving(upstreamId, startedAtMs);
         }
     });
-    Object.values(report.positions).forEach(([epoch]) => storeEpoch.observe(epoch));
+    // The position of the configuration has no epoch of the store.
+    Object.values(report.positions).filter(([epoch]) => epoch > 0).forEach(([epoch]) => storeEpoch.observe(epoch));
 };
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -83,7 +83,7 @@
             return;
         }
         configuration = compileConfiguration(next.val);
-        configurationSet = { epoch: 0, revision: version, entries: new Map([[entry.key, entry]]) };
+        configurationSet = { epoch: 0, revision: version, entries: new Map([[entry.key, { ...entry, version }]]) };
         log.write("configuration_applied", {
             version: next.val.version,
             previous,
@@ -211,7 +211,9 @@
             return watchers[name]?.isStoreReachable() === true ? REACHABLE_FETCH_DELAY_MS : FETCH_DELAY_MS;
         },
         offer: (name, set) => {
-            storeEpoch.observe(set.epoch);
+            if (set.epoch > 0) {
+                storeEpoch.observe(set.epoch);
+            }
             const offer = offerHandlers[name]
                 ?? (({ entries, ...position }) =>
                     watchers[name]?.offer({ ...position, entries: [...entries.values()] }));
--- a/packages/platform/src/keyValue/createStoreEpoch.ts
+++ b/packages/platform/src/keyValue/createStoreEpoch.ts
@@ -4,15 +4,14 @@
 export const createStoreEpoch = (): StoreEpoch => {
     const callbacks = new Set<(epoch: number) => void>();
     let current = 0;
+    let isKnown = false;
     return {
         current: () => current,
         observe: epoch => {
-            if (epoch <= current) {
-                return;
-            }
-            const isFirst = current === 0;
-            current = epoch;
-            if (!isFirst) {
+            const isRise = isKnown && epoch > current;
+            isKnown = true;
+            current = Math.max(current, epoch);
+            if (isRise) {
                 [...callbacks].forEach(callback => callback(epoch));
             }
         },
--- a/packages/platform/src/keyValue/storeEpoch.ts
+++ b/packages/platform/src/keyValue/storeEpoch.ts
@@ -3,7 +3,7 @@
  * and revisions are assigned again. Revisions are comparable within one epoch only.
  */
 export interface StoreEpoch {
-    /** Highest known epoch; 0 while none is known. */
+    /** Highest known epoch; 0 also while none is known. */
     readonly current: () => number;
     /** Records an epoch that the service or a peer stated; a lower one than the current has no effect. */
     readonly observe: (epoch: number) => void;
