fix(discovery): a host contributes to the group in which it is listed

Found by reading: in a zone with more than 64 hosts, which is divided, every host took itself for a member of the first group. The test of the large group lists its hosts in the second one; with the code before, each host collected for itself.

--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -68,12 +68,13 @@
 >(
     options: ReportExchangeOptions<Report>,
 ): Promise<Result<ReportExchange<Report>, Failure>> => {
-    const { clock, random, aggregation, group } = options;
+    const { clock, random, aggregation } = options;
     const stop = new AbortController();
     const reports = createReportTable(options);
     const lastFailureAtMs = new Map<string, number>();
     const selection = createCollectorSelection(clock);
     let peers: readonly string[] = [];
+    let group = options.group;
     let lastCollectedAtMs = -Infinity;
     let lastRelayedAtMs = -Infinity;
     let hasContactedPeers = false;
@@ -284,6 +285,7 @@
         address: ownAddress,
         setHosts: (hosts: readonly Peer[]) => {
             peers = hosts.map(({ address }) => address).filter(address => address !== ownAddress);
+            group = hosts.find(({ address }) => address === ownAddress)?.group ?? options.group;
             selection.setHosts(hosts);
             [...lastFailureAtMs.keys()].filter(address => !peers.includes(address)).forEach(address =>
                 lastFailureAtMs.delete(address)
--- a/packages/discovery/src/reports/reportExchangeOptions.ts
+++ b/packages/discovery/src/reports/reportExchangeOptions.ts
@@ -19,7 +19,7 @@
     readonly hostId: HostId;
     /** `ip:port` of the listener; the same port is used on every host. */
     readonly address: string;
-    /** Group of this host. */
+    /** Group of this host until it is listed among the hosts. */
     readonly group: string;
     readonly clock: Clock;
     readonly random: RandomSource;
--- a/packages/edge/__tests__/largeGroup.spec.ts
+++ b/packages/edge/__tests__/largeGroup.spec.ts
@@ -64,7 +64,8 @@
 /** Starts hosts of one group, of which the first ones are preferred as collectors. */
 const startGroup = async (hostCount: number): Promise<readonly TestHost[]> => {
     const hosts = await Promise.all(Array.from({ length: hostCount }, (_, index) => startHost(`host-${index}`)));
-    const peers = hosts.map(({ exchange }) => ({ address: exchange.address, group: "zone-a/0" }));
+    // The hosts of a large zone are divided: a listed host may be in another group than the first.
+    const peers = hosts.map(({ exchange }) => ({ address: exchange.address, group: "zone-a/1" }));
     hosts.forEach(({ exchange }) => exchange.setHosts(peers));
     return hosts;
 };
