fix(gateway): a stream that ends inside an event has been broken off

The streams had neither a length nor chunks, so Node.js reports the end of the connection as the end of a complete body, and the gateway passed on the rest of an event and ended its own, chunked response.

Every event stream is now relayed in whole events, and one that ends inside an event counts as broken off, whatever its framing says: it is resumed where the route allows it, and the client's connection is closed otherwise. Before, events were only split on routes that can be resumed or moved, and the rest was passed on at the end there too. Responses of another content type are relayed as they arrive, as before. An event of more than 256 KiB counts as bytes that are no event. Lines between events are passed on at once.

--- a/packages/gateway/__tests__/brokenOffStreams.spec.ts
+++ b/packages/gateway/__tests__/brokenOffStreams.spec.ts
@@ -27,7 +27,7 @@
     }],
 ];
 
-test.failing.each(brokenOff)(
+test.each(brokenOff)(
     "a stream that ends inside an event, with %s, does not reach the client as complete",
     async (
         _,
@@ -41,7 +41,7 @@
     },
 );
 
-test.failing.each(brokenOff)(
+test.each(brokenOff)(
     "a resumable stream that ends inside an event, with %s, is resumed after its last event",
     async (
         _,
--- a/packages/gateway/src/forwarding/createEventSplitter.ts
+++ b/packages/gateway/src/forwarding/createEventSplitter.ts
@@ -1,19 +1,21 @@
 import type { EventSplitter } from "./eventSplitter";
 
-const BLANK_LINE = /\r\n\r\n|\n\n|\r\r/g;
+const BLANK_LINE = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/g;
 const EVENT_ID = /^id:[ ]?(.*)$/m;
 
 /** Empty lines and comments, which belong to no event. */
-const LINES_BETWEEN_EVENTS = /^(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*/;
+const LINES_BETWEEN_EVENTS = /^(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))+/;
 
 /** Creates a splitter at the start of a stream. */
 export const createEventSplitter = (): EventSplitter => {
     let pending: Buffer = Buffer.alloc(0);
     let lastEventId: string | undefined;
 
-    /** Returns the length of the complete events at the start of the text. */
-    const completeLength = (text: string): number =>
-        [...text.matchAll(BLANK_LINE)].reduce((_, found) => found.index + found[0].length, 0);
+    /** Returns the length of the complete events at the start of the text, with the lines between events after them. */
+    const completeLength = (text: string): number => {
+        const eventsLength = [...text.matchAll(BLANK_LINE)].reduce((_, found) => found.index + found[0].length, 0);
+        return eventsLength + (LINES_BETWEEN_EVENTS.exec(text.slice(eventsLength))?.[0].length ?? 0);
+    };
 
     return {
         push: chunk => {
@@ -23,17 +25,12 @@
             const length = completeLength(text);
             const whole = pending.subarray(0, length);
             pending = pending.subarray(length);
-            text.slice(0, length).split(/\r\n\r\n|\n\n|\r\r/).forEach(event => {
+            text.slice(0, length).split(BLANK_LINE).forEach(event => {
                 lastEventId = EVENT_ID.exec(event)?.[1]?.trim() ?? lastEventId;
             });
             return whole;
         },
-        flush: () => {
-            const whole = pending;
-            pending = Buffer.alloc(0);
-            return whole;
-        },
-        isInsideEvent: () => pending.toString("latin1").replace(LINES_BETWEEN_EVENTS, "") !== "",
+        pendingBytes: () => pending.length,
         lastEventId: () => lastEventId,
     };
 };
--- a/packages/gateway/src/forwarding/eventSplitter.ts
+++ b/packages/gateway/src/forwarding/eventSplitter.ts
@@ -1,11 +1,9 @@
 /** Splits a stream of server-sent events at event boundaries. */
 export interface EventSplitter {
-    /** Appends received bytes; returns the bytes of all events that are now complete. */
+    /** Appends received bytes; returns the bytes of all events, and lines between them, that are now complete. */
     readonly push: (chunk: Buffer) => Buffer;
-    /** Returns the remaining bytes after the end of the stream. */
-    readonly flush: () => Buffer;
-    /** Whether bytes of an incomplete event were received. */
-    readonly isInsideEvent: () => boolean;
+    /** Number of received bytes that belong to an incomplete event; 0 at an event boundary. */
+    readonly pendingBytes: () => number;
     /** Id of the last complete event that has one. */
     readonly lastEventId: () => string | undefined;
 }
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -4,9 +4,10 @@
 /** A response to relay and the client response that receives it. */
 export interface RelayOptions {
     readonly response: UpstreamResponse;
+    /** Whether bytes are relayed as they arrive, instead of once the body is complete. */
     readonly isStream: boolean;
-    /** Whether only complete events are relayed, so that another run can resume after them. */
-    readonly splitsEvents: boolean;
+    /** Whether the body consists of events; only complete ones are relayed, so that another run can resume after them. */
+    readonly hasEvents: boolean;
     readonly clientResponse: ClientResponse;
     readonly onFirstByte: () => void;
 }
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -6,18 +6,20 @@
 /** Plain responses up to this size are buffered until they are complete, so that an incomplete one can be retried. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+/** Maximum size of one event of a stream; a larger one is treated as bytes that are not an event. */
+const MAXIMUM_EVENT_BYTES = 262_144;
+
 /** Relays the body of a response to the client; ends the client's response only if the body is complete. */
 export const relayResponse = (
-    { response, isStream, splitsEvents, clientResponse, onFirstByte }: RelayOptions,
+    { response, isStream, hasEvents, clientResponse, onFirstByte }: RelayOptions,
 ): Promise<
     RelayResult
 > => new Promise(resolve => {
     const { body } = response;
-    const splitter = isStream ? createEventSplitter() : undefined;
+    const splitter = hasEvents ? createEventSplitter() : undefined;
     let sizeBytes = 0;
     let bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
-    let hasReceivedBytes = false;
     let isSettled = false;
 
     const write = (chunk: Buffer): void => {
@@ -33,28 +35,10 @@
         bufferedBytes = 0;
     };
 
-    const receive = (chunk: Buffer): void => {
-        if (!hasReceivedBytes) {
-            hasReceivedBytes = true;
-            onFirstByte();
-        }
-        sizeBytes += chunk.length;
-        if (splitter !== undefined) {
-            const events = splitter.push(chunk);
-            write(splitsEvents ? events : chunk);
-            return;
-        }
-        bufferedChunks.push(chunk);
-        bufferedBytes += chunk.length;
-        if (clientResponse.isStarted() || bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
-            flushBuffer();
-        }
-    };
-
     const received = (): ReceivedBody => ({
         delimiter: response.delimiter,
         sizeBytes,
-        endsInsideEvent: splitter?.isInsideEvent() ?? false,
+        endsInsideEvent: splitter !== undefined && splitter.pendingBytes() > 0,
     });
 
     const settle = (result: RelayResult): void => {
@@ -66,12 +50,33 @@
 
     const fail = (reason: string): void => {
         response.closeConnection();
-        settle({
-            kind: "broken",
-            reason,
-            lastEventId: splitsEvents ? splitter?.lastEventId() : undefined,
-            received: received(),
-        });
+        settle({ kind: "broken", reason, lastEventId: splitter?.lastEventId(), received: received() });
+    };
+
+    const receive = (chunk: Buffer): void => {
+        if (isSettled) {
+            return;
+        }
+        if (sizeBytes === 0) {
+            onFirstByte();
+        }
+        sizeBytes += chunk.length;
+        if (splitter !== undefined) {
+            write(splitter.push(chunk));
+            if (splitter.pendingBytes() > MAXIMUM_EVENT_BYTES) {
+                fail("event-too-large");
+            }
+            return;
+        }
+        if (isStream) {
+            write(chunk);
+            return;
+        }
+        bufferedChunks.push(chunk);
+        bufferedBytes += chunk.length;
+        if (clientResponse.isStarted() || bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
+            flushBuffer();
+        }
     };
 
     body.on("data", receive);
@@ -82,11 +87,15 @@
                 fail("incomplete-answer");
                 return;
             }
-            const complete: RelayResult = { kind: "complete", received: received() };
-            flushBuffer();
-            write(splitsEvents ? splitter?.flush() ?? Buffer.alloc(0) : Buffer.alloc(0));
-            clientResponse.end();
-            settle(complete);
+            if (received().endsInsideEvent) {
+                fail("ended-inside-event");
+                return;
+            }
+            if (!isSettled) {
+                flushBuffer();
+                clientResponse.end();
+            }
+            settle({ kind: "complete", received: received() });
         });
     });
     body.on("close", () => {
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from "./attemptOutcome";
 import { filterHeaders } from "./filterHeaders";
 import type { ForwardContext } from "./forwardContext";
+import { isEventStream } from "./isEventStream";
 import { observeResponseHead } from "./observeResponseHead";
 import { relayResponse } from "./relayResponse";
 import { startAttempt } from "./startAttempt";
@@ -88,7 +89,7 @@
     const delivery = await relayResponse({
         response,
         isStream,
-        splitsEvents: isStream && (route.isResumable || canMove),
+        hasEvents: isStream && isEventStream(response.body),
         clientResponse: options.clientResponse,
         onFirstByte: () => {
             attempt.onFirstEvent();
