fix(gateway): a stream that ends because its run is moved is not complete

An engine that stops a run for a move closes the stream without its end. For a stream with neither length nor chunks that looks like the end of the body, and the client was told that the response was complete although the run was to continue elsewhere.

The end of such a stream is now passed on only when no move was requested or the engine refused it. If the run was stopped, it continues at its target; if the engine's response was lost, the stream counts as broken off. The client of the move call tells a lost or invalid response from a refusal for this.

--- a/packages/gateway/__tests__/brokenOffStreams.spec.ts
+++ b/packages/gateway/__tests__/brokenOffStreams.spec.ts
@@ -100,7 +100,7 @@
     expect((await sendClientRequest(system.port, "r1")).isComplete).toBe(false);
 });
 
-test.failing("a stream without length and chunks that ends because its run is moved continues at the target", async () => {
+test("a stream without length and chunks that ends because its run is moved continues at the target", async () => {
     const sources: RawRequest[] = [];
     const serve = (request: RawRequest): void => {
         if (/x-handle: h7/i.test(request.text)) {
--- a/packages/gateway/src/engines/evacuateRun.ts
+++ b/packages/gateway/src/engines/evacuateRun.ts
@@ -1,6 +1,7 @@
+import { ErrorCode } from "@ibislanding/core";
 import { chooseUpstream } from "../placement/chooseUpstream";
-import type { Continuation } from "./continuation";
 import type { EvacuationOptions } from "./evacuationOptions";
+import type { EvacuationResult } from "./evacuationResult";
 
 /**
  * Delay between the notice and the move of runs that are still in progress. Short responses finish within it, and the
@@ -11,29 +12,32 @@
 /** Fraction of a longer notice that passes before runs are moved. */
 const EVACUATION_SHARE = 0.4;
 
+/** Failures after which the run is known not to have been stopped. */
+const NOT_STOPPED_CODES: ReadonlySet<ErrorCode> = new Set([ErrorCode.UpstreamRefused, ErrorCode.UpstreamUnreachable]);
+
 /**
- * Moves a run away from an upstream that is about to leave. Returns where the run is continued, or undefined if it was
- * not moved or the move failed.
+ * Moves a run away from an upstream that is about to leave.
  *
  * Handles an availability zone that is reclaimed with two or three seconds of notice while long responses are running.
  */
-export const evacuateRun = async (options: EvacuationOptions): Promise<Continuation | undefined> => {
+export const evacuateRun = async (options: EvacuationOptions): Promise<EvacuationResult> => {
     const { clock, engines, upstreams, upstream, signal } = options;
     const noticeMs = upstreams.noticeMs(upstream.upstreamId);
     await clock.sleep(Math.max(EVACUATION_DELAY_MS, (noticeMs ?? 0) * EVACUATION_SHARE), signal);
     if (signal.aborted || !upstreams.isDeparting(upstream)) {
-        return undefined;
+        return { kind: "not-moved" };
     }
     const request = options.placementRequest();
     const candidates = upstreams.candidates(upstream.service, request).filter(({ isMissing }) => !isMissing);
     const decision = chooseUpstream(candidates, request);
     if (decision.kind === "refuse") {
-        return undefined;
+        return { kind: "not-moved" };
     }
     const moved = await engines.moveRun(upstream.address, options.requestId, decision.upstream.address);
     options.onMove(decision.upstream, moved.ok ? moved.val.isCopied ? "copied" : "stopped" : moved.val.code);
     if (moved.err) {
-        return undefined;
+        return { kind: NOT_STOPPED_CODES.has(moved.val.code) ? "not-moved" : "unknown" };
     }
-    return { upstream: moved.val.isCopied ? decision.upstream : upstream, handle: moved.val.handle };
+    const { handle, isCopied } = moved.val;
+    return { kind: "moved", continuation: { upstream: isCopied ? decision.upstream : upstream, handle } };
 };
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -9,7 +9,7 @@
 /** Maximum size of one event of a stream; a larger one is treated as bytes that are not an event. */
 const MAXIMUM_EVENT_BYTES = 262_144;
 
-/** Relays the body of a response to the client; ends the client's response only if the body is complete. */
+/** Relays the body of a response to the client; the caller ends the client's response. */
 export const relayResponse = (
     { response, isStream, hasEvents, clientResponse, onFirstByte }: RelayOptions,
 ): Promise<
@@ -41,16 +41,16 @@
         endsInsideEvent: splitter !== undefined && splitter.pendingBytes() > 0,
     });
 
-    const settle = (result: RelayResult): void => {
+    const settle = (defect: string | undefined): void => {
         if (!isSettled) {
             isSettled = true;
-            resolve(result);
+            resolve({ defect, lastEventId: splitter?.lastEventId(), received: received() });
         }
     };
 
-    const fail = (reason: string): void => {
+    const fail = (defect: string): void => {
         response.closeConnection();
-        settle({ kind: "broken", reason, lastEventId: splitter?.lastEventId(), received: received() });
+        settle(defect);
     };
 
     const receive = (chunk: Buffer): void => {
@@ -93,9 +93,8 @@
             }
             if (!isSettled) {
                 flushBuffer();
-                clientResponse.end();
             }
-            settle({ kind: "complete", received: received() });
+            settle(undefined);
         });
     });
     body.on("close", () => {
--- a/packages/gateway/src/forwarding/relayResult.ts
+++ b/packages/gateway/src/forwarding/relayResult.ts
@@ -1,10 +1,10 @@
 import type { ReceivedBody } from "./receivedBody";
 
-/** Result of relaying the body of a response. */
-export type RelayResult =
-    & { readonly received: ReceivedBody; }
-    & (
-        | { readonly kind: "complete"; }
-        /** The upstream's response was incomplete; no part of an incomplete event was relayed. */
-        | { readonly kind: "broken"; readonly reason: string; readonly lastEventId: string | undefined; }
-    );
+/** Result of relaying the body of a response; no part of an incomplete event was relayed. */
+export interface RelayResult {
+    /** Why the body is incomplete; undefined if it is complete. */
+    readonly defect: string | undefined;
+    /** Id of the last event that was relayed. */
+    readonly lastEventId: string | undefined;
+    readonly received: ReceivedBody;
+}
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -1,5 +1,6 @@
 import { match } from "ts-pattern";
 import type { Continuation } from "../engines/continuation";
+import type { EvacuationResult } from "../engines/evacuationResult";
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import type { AttemptOutcome } from "./attemptOutcome";
@@ -28,6 +29,8 @@
 /** Removed from streams: the events of several runs need not add up to the length that the first one stated. */
 const STREAM_LENGTH: ReadonlySet<string> = new Set(["content-length"]);
 
+const NOT_MOVED: EvacuationResult = { kind: "not-moved" };
+
 /** Lowest status that counts as a failure of the upstream. */
 const FAILURE_STATUS = 500;
 
@@ -99,17 +102,27 @@
         },
     });
     progress.received = delivery.received;
-    const continuation = await evacuation?.end();
-    if (delivery.kind === "complete") {
+    const complete = (): AttemptOutcome => {
+        options.clientResponse.end();
         return { kind: "done", status: response.head.status };
+    };
+    if (delivery.defect === undefined && delivery.received.delimiter !== "connection") {
+        const outcome = complete();
+        await evacuation?.end();
+        return outcome;
+    }
+    const move = await evacuation?.end() ?? NOT_MOVED;
+    // An engine that stops a run for a move closes its connection, which also ends a body without length and chunks.
+    if (delivery.defect === undefined && move.kind === "not-moved") {
+        return complete();
     }
     context.lastEventId = delivery.lastEventId ?? context.lastEventId;
-    if (continuation !== undefined && !ended.aborted) {
-        return { kind: "moved", reason: "moved", continuation };
+    if (move.kind === "moved" && !ended.aborted) {
+        return { kind: "moved", reason: "moved", continuation: move.continuation };
     }
     reportFailure(attempt, "failed");
     const deliveredMs = Math.round(options.clock.monotonicMs() - headAtMs);
-    return { kind: "repeat", reason: `${delivery.reason} after ${deliveredMs} ms` };
+    return { kind: "repeat", reason: `${delivery.defect ?? "ended-during-move"} after ${deliveredMs} ms` };
 };
 
 /** Whether placement would currently select another upstream for the request. */
--- a/packages/gateway/src/forwarding/watchEvacuation.ts
+++ b/packages/gateway/src/forwarding/watchEvacuation.ts
@@ -1,22 +1,24 @@
-import type { Continuation } from "../engines/continuation";
 import { evacuateRun } from "../engines/evacuateRun";
+import type { EvacuationResult } from "../engines/evacuationResult";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
-/** Moves a run when its upstream begins to leave; `end` returns where the run is continued if it was stopped. */
+const NOT_MOVED: EvacuationResult = { kind: "not-moved" };
+
+/** Moves a run when its upstream begins to leave; `end` stops watching and returns the result of a move. */
 export const watchEvacuation = (
     context: ForwardContext,
     upstream: UpstreamRecord,
-): { readonly end: () => Promise<Continuation | undefined>; } => {
+): { readonly end: () => Promise<EvacuationResult>; } => {
     const { options, admitted, ended } = context;
     const { engines, upstreams, events, clock } = options;
     const { requestId } = admitted.head;
     if (engines === undefined || requestId === undefined) {
-        return { end: async () => undefined };
+        return { end: async () => NOT_MOVED };
     }
     const delivered = new AbortController();
-    let evacuating: Promise<Continuation | undefined> | undefined;
+    let evacuating: Promise<EvacuationResult> | undefined;
     const evacuate = (): void => {
         evacuating ??= evacuateRun({
             clock,
@@ -38,7 +40,7 @@
         end: async () => {
             unsubscribe();
             delivered.abort();
-            return evacuating;
+            return evacuating ?? NOT_MOVED;
         },
     };
 };
