fix: an unfinished response to a client without chunks ends with a reset

A client that sent HTTP/1.0 gets a response with neither chunks nor, for a stream, a length. When the gateway broke such a response off, it closed the connection, and the client took the end of the connection for the end of the response.

The connection of an unfinished response without chunks is now reset, also of those that are unfinished when the host's process ends, and in the listeners and streams of the other programs.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,6 +49,7 @@
 
 // HTTP
 export type { BodyDelimiter } from "./http/bodyDelimiter";
+export { breakOffResponse } from "./http/breakOffResponse";
 export { findBodyDelimiter } from "./http/findBodyDelimiter";
 
 // Hashing
--- a/packages/entry/src/chat/handleChat.ts
+++ b/packages/entry/src/chat/handleChat.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { breakOffResponse, createFailure, ErrorCode, type Failure } from "@ibislanding/core";
 import { depositRetries } from "@ibislanding/limits";
 import { readBody, sendProblem } from "@ibislanding/runtime";
 import {
@@ -68,7 +68,7 @@
     const journal = createTokenJournal(hasher);
     const abort = new AbortController();
     response.on("close", () => abort.abort());
-    const closeForHandover = (): void => void response.destroy();
+    const closeForHandover = (): void => breakOffResponse(response);
     services.handover.addEventListener("abort", closeForHandover);
 
     const ports = createAnswerPorts(services, requestId, {
--- a/packages/gateway/__tests__/brokenOffStreams.spec.ts
+++ b/packages/gateway/__tests__/brokenOffStreams.spec.ts
@@ -146,7 +146,7 @@
         socket.on("close", () => resolve({ text, end }));
     });
 
-test.failing("a client that knows no chunks sees a reset at the end of a stream that broke off", async () => {
+test("a client that knows no chunks sees a reset at the end of a stream that broke off", async () => {
     await using upstream = await startRawUpstream(request => {
         request.socket.write(head(request, "Transfer-Encoding: chunked\r\n") + chunk(event(1)));
         setTimeout(() => request.socket.destroy(), 100);
@@ -155,6 +155,18 @@
     expect((await sendWithoutChunks(system.port)).end).toBe("ECONNRESET");
 });
 
+test("a client that knows no chunks sees a reset when the gateway ends in the middle of its stream", async () => {
+    await using upstream = await startRawUpstream(request => {
+        request.socket.write(head(request, "Transfer-Encoding: chunked\r\n") + chunk(event(1)));
+    });
+    const system = await startTestGateway([upstream.port], { kind: "stream" });
+    const seen = sendWithoutChunks(system.port);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    await system.gateway[Symbol.asyncDispose]();
+    await system[Symbol.asyncDispose]();
+    expect(await seen).toMatchObject({ text: expect.stringContaining("piece 1"), end: "ECONNRESET" });
+});
+
 test("the length of an upstream's stream is not passed on, since the stream may continue at another upstream", async () => {
     const serve = (request: RawRequest): void => {
         if (/last-event-id: 1/i.test(request.text)) {
--- a/packages/gateway/src/forwarding/createClientResponse.ts
+++ b/packages/gateway/src/forwarding/createClientResponse.ts
@@ -1,3 +1,4 @@
+import { breakOffResponse } from "@ibislanding/core";
 import type { ServerResponse } from "node:http";
 import type { ClientResponse } from "./clientResponse";
 
@@ -30,7 +31,7 @@
         },
         refuse: ({ status, reason, retryAfterMs }) => {
             if (response.headersSent) {
-                response.destroy();
+                breakOffResponse(response);
                 return;
             }
             const body = `${JSON.stringify({ status, code: reason })}\n`;
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,3 +1,4 @@
+import { breakOffResponse } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
@@ -11,22 +12,22 @@
 /** Interval at which connections to unregistered upstreams are retired. */
 const RETIRE_INTERVAL_MS = 500;
 
-/** Creates a gateway; disposing of it closes its idle upstream connections. */
+/** Creates a gateway; disposing of it closes its idle upstream connections and those of unfinished requests. */
 export const createGateway = (options: GatewayOptions): Gateway => {
     const { clock } = options;
     const pool = createConnectionPool(options.upstreams);
     const stop = new AbortController();
-    let inFlight = 0;
+    const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
 
     const refusesNewRequests = (): boolean =>
-        inFlight >= MAXIMUM_REQUESTS
+        unfinished.size >= MAXIMUM_REQUESTS
         || stopStartedAtMs !== undefined && clock.monotonicMs() - stopStartedAtMs > options.stopAcceptMs;
 
     const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const clientResponse = createClientResponse(response, () => stopStartedAtMs !== undefined);
         const refuses = refusesNewRequests();
-        inFlight++;
+        unfinished.add(response);
         try {
             await serveRequest({
                 ...options,
@@ -38,7 +39,7 @@
             });
         }
         finally {
-            inFlight--;
+            unfinished.delete(response);
         }
     };
 
@@ -55,10 +56,11 @@
         beginStop: () => {
             stopStartedAtMs ??= clock.monotonicMs();
         },
-        requestsInFlight: () => inFlight,
+        requestsInFlight: () => unfinished.size,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
             await retirementLoop;
+            unfinished.forEach(breakOffResponse);
             await pool[Symbol.asyncDispose]();
         },
     };
--- a/packages/runtime/src/http/createHttpListener.ts
+++ b/packages/runtime/src/http/createHttpListener.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode } from "@ibislanding/core";
+import { breakOffResponse, createFailure, ErrorCode } from "@ibislanding/core";
 import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
@@ -63,7 +63,7 @@
         }
         handler(request, response).catch(() => {
             if (response.headersSent) {
-                response.destroy();
+                breakOffResponse(response);
             }
             else {
                 sendProblem(response, createFailure(ErrorCode.Internal));
