fix(gateway): bytes that never become an answer end with their connection

An upstream in trouble may send bytes without end. Blank lines, informational responses and chunk sizes were read until the request's deadline, and the bodies of refusals, misdirected requests and failures that are sent elsewhere were read for ever: the connection and its processor time were never given back, while the request itself had long been answered.

Headers, trailers, chunk extensions, bytes that are no HTTP, unsigned bodies and streams without events ended in time before this change.

--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -57,6 +57,7 @@
         if (isSettled) {
             return;
         }
+        response.recordProgress();
         if (sizeBytes === 0) {
             onFirstByte();
         }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -4,6 +4,7 @@
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import type { AttemptOutcome } from "./attemptOutcome";
+import { discardBody } from "./discardBody";
 import { filterHeaders } from "./filterHeaders";
 import type { ForwardContext } from "./forwardContext";
 import { isEventStream } from "./isEventStream";
@@ -152,7 +153,7 @@
     if (options.clientResponse.isStarted() && status >= FIRST_UNSUCCESSFUL_STATUS) {
         // Part of the stream was already sent under another head; an error body must not become part of the stream.
         reportFailure(attempt, "failed");
-        response.body.resume();
+        discardBody(response.body, response.closeConnection);
         return { kind: "repeat", reason: `status ${status} in the middle of a stream` };
     }
     if (status < FAILURE_STATUS) {
@@ -167,7 +168,7 @@
     const { route, service } = admitted;
     const mayRunAgain = context.mayRepeat && context.runs < route.maximumAttempts;
     if (mayRunAgain && hasAlternative(context, upstream) && options.retryBudget.tryAcquire(service)) {
-        response.body.resume();
+        discardBody(response.body, response.closeConnection);
         reportStart(context);
         return { kind: "elsewhere", reason: `status ${status}`, isCharged: true };
     }
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -4,6 +4,9 @@
 import type { ResponseHead } from "../codec/responseHead";
 import type { AttemptOptions } from "./attemptOptions";
 import type { AttemptResult } from "./attemptResult";
+import { discardBody } from "./discardBody";
+import type { FramingLimit } from "./framingLimit";
+import { limitFraming } from "./limitFraming";
 
 /** Connection time-out. Connecting takes one round trip between regions; a lost packet would add a second. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -74,6 +77,7 @@
         const { connections, signal, body } = options;
         let sent = false;
         let failed = false;
+        let framing: FramingLimit | undefined;
         const outgoing = sendRequest({
             agent: connections.agent,
             host: connections.address.ip,
@@ -92,6 +96,7 @@
             resolve(sent ? { kind: "unknown", reason } : { kind: "unsent", reason });
         };
         const handleResponse = (incoming: IncomingMessage): void => {
+            framing?.recordProgress();
             const head = options.codec.readResponse(incoming);
             if (head.keepAliveMs !== undefined) {
                 connections.setKeepAlive(incoming.socket, head.keepAliveMs);
@@ -103,7 +108,7 @@
                 options.onHead(head);
             }
             if (head.isNotRun || head.isMisdirected) {
-                incoming.resume();
+                discardBody(incoming, closeConnection);
                 resolve({ kind: "not-run", reason: head.isMisdirected ? "misdirected" : "refused" });
                 return;
             }
@@ -125,6 +130,7 @@
                     head,
                     body: incoming,
                     delimiter,
+                    recordProgress: () => framing?.recordProgress(),
                     hasFailed: () => failed,
                     closeConnection,
                 },
@@ -133,6 +139,10 @@
         watchSocket(outgoing, options, () => {
             sent = true;
         });
+        outgoing.once("socket", socket => {
+            framing = limitFraming(socket, () => outgoing.destroy(new Error("framing-too-large")));
+            outgoing.once("close", framing.release);
+        });
         const onAbort = (): void => {
             closeConnection();
             fail("aborted");
--- a/packages/gateway/src/forwarding/upstreamResponse.ts
+++ b/packages/gateway/src/forwarding/upstreamResponse.ts
@@ -7,6 +7,8 @@
     readonly head: ResponseHead;
     readonly body: IncomingMessage;
     readonly delimiter: BodyDelimiter;
+    /** To be called for each received part of the body. */
+    readonly recordProgress: () => void;
     /** Whether the connection failed; a body that ended with a reset is incomplete although it appears complete. */
     readonly hasFailed: () => boolean;
     readonly closeConnection: () => void;
