fix(platform): a cut value or a missing document is a failure

A value of the key-value service whose response has neither length nor chunks was taken as stored although the connection may have ended in the middle of it, and a missing document was taken for an empty list of hosts or offers, which failed later or looked like a fleet without hosts.

Documents without a length are still read: a cut one does not parse.

--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -1,3 +1,4 @@
+import { findBodyDelimiter } from "@ibislanding/core";
 import { Agent, request as sendRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import type { JsonRequest } from "./jsonRequest";
@@ -73,6 +74,7 @@
                         status: response.statusCode ?? 0,
                         headers: flattenHeaders(response.headers),
                         body: Buffer.concat(chunks).toString("utf8"),
+                        delimiter: findBodyDelimiter(response, request.method),
                     })));
             });
         });
--- a/packages/platform/src/http/createHttpHostList.ts
+++ b/packages/platform/src/http/createHttpHostList.ts
@@ -21,8 +21,9 @@
             return Err(createFailure(ErrorCode.PlatformUnavailable));
         }
         const { body } = result.val;
-        const parsed = body === "" ? undefined : parseJson(body);
-        return body !== "" && parsed === undefined
+        const parsed = parseJson(body);
+        // Only the response to a read has a document.
+        return parsed === undefined && (body !== "" || request.method === "GET")
             ? Err(createFailure(ErrorCode.PlatformUnavailable, { message: "the response is not valid JSON" }))
             : Ok(parsed as T);
     };
--- a/packages/platform/src/http/createHttpKeyValueStore.ts
+++ b/packages/platform/src/http/createHttpKeyValueStore.ts
@@ -70,14 +70,20 @@
 
     const keyPath = (key: string): string => `/v1/keys/${encodeURIComponent(key)}`;
 
-    const toEntry = (key: string, response: JsonResponse): KeyValueEntry | undefined =>
-        response.status === 404
-            ? undefined
-            : { key, value: response.body, version: Number(response.headers["x-version"]) };
+    const toEntry = (key: string, response: JsonResponse): Result<KeyValueEntry | undefined, Failure> => {
+        if (response.status === 404) {
+            return Ok(undefined);
+        }
+        // A value is no document: nothing in it shows that it was cut.
+        return response.delimiter === "connection"
+            ? Err(createFailure(ErrorCode.KeyValueUnavailable, { message: "the value has neither length nor chunks" }))
+            : Ok({ key, value: response.body, version: Number(response.headers["x-version"]) });
+    };
 
     return {
         get: async (key, options) =>
-            (await call({ method: "GET", path: keyPath(key) }, options, true)).map(response => toEntry(key, response)),
+            (await call({ method: "GET", path: keyPath(key) }, options, true))
+                .andThen(response => toEntry(key, response)),
         list: async (prefix, options) =>
             (await call({ method: "GET", path: `/v1/keys?prefix=${encodeURIComponent(prefix)}` }, options, true))
                 .andThen(response => parseBody<readonly KeyValueEntry[]>(response, ErrorCode.KeyValueUnavailable)),
@@ -99,7 +105,7 @@
         waitForChange: async (key, knownVersion, waitMs, options) => {
             const path = `${keyPath(key)}?knownVersion=${knownVersion}&waitMs=${waitMs}`;
             const result = await call({ method: "GET", path }, options, true, waitMs + LONG_POLL_MARGIN_MS);
-            return result.map(response => toEntry(key, response));
+            return result.andThen(response => toEntry(key, response));
         },
         grantLease: async (durationMs, options) => {
             const body = JSON.stringify({ durationMs });
--- a/packages/platform/src/http/createPlatformClient.ts
+++ b/packages/platform/src/http/createPlatformClient.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, parseJson } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import { createHttpClient } from "./createHttpClient";
 import type { JsonRequest } from "./jsonRequest";
@@ -24,13 +24,12 @@
     }
 };
 
-const parseBody = <T>(body: string): Result<T, Failure> => {
-    try {
-        return Ok((body === "" ? undefined : JSON.parse(body)) as T);
-    }
-    catch {
-        return Err(createFailure(ErrorCode.PlatformUnavailable));
-    }
+/** Parses the body of a successful response; only that to a `DELETE` may be empty. */
+const parseBody = <T>(body: string, method: string): Result<T, Failure> => {
+    const parsed = parseJson(body);
+    return parsed === undefined && (body !== "" || method !== "DELETE")
+        ? Err(createFailure(ErrorCode.PlatformUnavailable, { message: "the response is not valid JSON" }))
+        : Ok(parsed as T);
 };
 
 /** Creates the client of a JSON service of the platform at a base URL. */
@@ -45,7 +44,7 @@
             }
             return result.err || result.val.status >= 300
                 ? Err(createFailure(ErrorCode.PlatformUnavailable))
-                : parseBody<T>(result.val.body);
+                : parseBody<T>(result.val.body, request.method);
         },
         [Symbol.asyncDispose]: () => httpClient[Symbol.asyncDispose](),
     };
--- a/packages/runner/src/requests/sendExampleRequests.ts
+++ b/packages/runner/src/requests/sendExampleRequests.ts
@@ -27,7 +27,7 @@
     const post = async (url: string, body: unknown, headers: Record<string, string> = {}): Promise<JsonResponse> => {
         const request = { method: "POST", url, body: JSON.stringify(body), timeoutMs: TIMEOUT_MS } as const;
         const result = await http.send({ ...request, headers: { ...authorization, ...headers } });
-        return result.ok ? result.val : { status: 0, headers: {}, body: "no answer" };
+        return result.ok ? result.val : { status: 0, headers: {}, body: "no answer", delimiter: "none" };
     };
 
     const runExample = async (
