test(soak): answers without length, and bytes that never become an answer

Two faults are added: answers with neither length nor chunks, of which some streams end inside an event without a reset, and bytes without end in a head or a body.

The link proxy turned a reset that arrives with the last bytes into an ordinary end, as Node.js reports it; it passes on the reset now.

--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -131,6 +131,8 @@
     "upstream-loses-answers": setUpstream("loses-answers"),
     "upstream-cuts-answers": setUpstream("cuts-answers"),
     "upstream-extra-answers": setUpstream("extra-answers"),
+    "upstream-unframed-answers": setUpstream("unframed-answers"),
+    "upstream-endless-bytes": setUpstream("endless-bytes"),
     "upstream-pauses": setUpstream("pauses"),
     "configuration-changes": ({ world }) => world.changeConfiguration(),
 };
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -26,5 +26,7 @@
     | "upstream-loses-answers"
     | "upstream-cuts-answers"
     | "upstream-extra-answers"
+    | "upstream-unframed-answers"
+    | "upstream-endless-bytes"
     | "upstream-pauses"
     | "configuration-changes";
--- a/packages/soak/src/links/createLinkProxy.ts
+++ b/packages/soak/src/links/createLinkProxy.ts
@@ -5,6 +5,8 @@
 /** Delay of each chunk on a delayed link; longer than the latency between regions. */
 const DELAY_MS = 120;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** A proxied connection: `near` is the socket of the connecting side, `far` the one to the target. */
 interface Connection {
     readonly near: Socket;
@@ -38,12 +40,24 @@
                     to.write(chunk);
                 }
             }));
-        from.on("end", () =>
+        const forwardEnd = (): void =>
             forward(() => {
                 if (!isDiscarding()) {
                     to.end();
                 }
-            }));
+            });
+        from.on("end", () => {
+            if (!from.writable) {
+                forwardEnd();
+                return;
+            }
+            // Node.js reports a reset that arrives with the last bytes as an ordinary end; only a write fails after it.
+            from.write(NO_BYTES, error => {
+                if (!error) {
+                    forwardEnd();
+                }
+            });
+        });
     };
 
     const accept = (near: Socket): void => {
@@ -51,7 +65,7 @@
             near.resetAndDestroy();
             return;
         }
-        const far = connect(targetPort, "127.0.0.1");
+        const far = connect({ port: targetPort, host: "127.0.0.1", allowHalfOpen: true });
         const connection: Connection = {
             near,
             far,
