--- a/packages/bench/src/throughput/createPassThrough.ts
+++ b/packages/bench/src/throughput/createPassThrough.ts
@@ -1,5 +1,6 @@
 import { Agent, createServer, request as openRequest } from "node:http";
 import type { AddressInfo } from "node:net";
+import { pipeline } from "node:stream";
 
 const CPU_PATH = "/cpu";
 const MICROSECONDS_PER_SECOND = 1_000_000;
@@ -19,7 +20,8 @@
         const { method, headers } = incoming;
         const outgoing = openRequest(`${targetUrl}${incoming.url}`, { method, headers, agent }, answer => {
             response.writeHead(answer.statusCode ?? 0, answer.headers);
-            answer.pipe(response);
+            // Unlike `pipe`, this breaks off the response when the answer breaks off.
+            pipeline(answer, response, () => undefined);
         });
         outgoing.on("error", () => response.destroy());
         incoming.pipe(outgoing);
--- a/packages/bench/src/throughput/measureThroughput.ts
+++ b/packages/bench/src/throughput/measureThroughput.ts
@@ -12,7 +12,10 @@
     events: number;
 }
 
-const countEvents = (text: string): number => text.split("\n\n").length - 1;
+/** A stream that does not end so was broken off inside an event. */
+const EVENT_END = "\n\n";
+
+const countEvents = (text: string): number => text.split(EVENT_END).length - 1;
 
 /** Sends one request, reads the whole stream and counts its events; a failure is only counted. */
 const sendRequest = (
@@ -43,7 +46,9 @@
                 return;
             }
             response.setEncoding("utf8");
+            let lastText = "";
             response.on("data", (text: string) => {
+                lastText = (lastText + text).slice(-EVENT_END.length);
                 // Skips heartbeats and the initial event of the stream, which have no token.
                 if (!hasFirstToken && /"token"|"content"/.test(text)) {
                     hasFirstToken = true;
@@ -52,6 +57,10 @@
                 counts.events += countEvents(text);
             });
             response.on("end", () => {
+                if (lastText !== EVENT_END) {
+                    fail();
+                    return;
+                }
                 counts.requests++;
                 resolve();
             });
