fix(gateway): a body of which a part was sent is continued only by events

A plain body of more than 256 KiB is sent before it is complete. When it broke off on a repeatable route, the request was sent to another upstream, whose body was appended to the part of the first. The same happened on a resumable route to a stream whose content is no events or whose events have no ids, and to a stream that was resumed with a response of another content type. Found while looking for places where a broken-off body ends as a complete one.

Once a part was sent, another run goes on only after an event with an id, and only with events. Everything else is broken off.

--- a/packages/gateway/src/forwarding/forwardContext.ts
+++ b/packages/gateway/src/forwarding/forwardContext.ts
@@ -16,8 +16,8 @@
     readonly forwardedHeaders: readonly (readonly [string, string])[];
     /** Set if the service's upstreams are model engines. */
     readonly engine: EngineSpec | undefined;
-    /** Whether the request may run more than once. */
-    readonly mayRepeat: boolean;
+    /** Whether the request may run more than once; false once a part was sent that no other run can continue. */
+    mayRepeat: boolean;
     /** Upstreams that refused the request or failed to complete it. */
     readonly excluded: Set<UpstreamId>;
     /** Number of runs that were started or may have been; a moved run counts once. */
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -81,7 +81,6 @@
     const { route } = admitted;
     const headAtMs = options.clock.monotonicMs();
     const isStream = route.kind === "stream" && response.head.status < FIRST_UNSUCCESSFUL_STATUS;
-    const canMove = isStream && engine?.supportsMoves === true;
     if (!isStream) {
         reportStart(context);
     }
@@ -89,11 +88,13 @@
         response.head.status,
         filterHeaders(response.body.rawHeaders, isStream ? STREAM_LENGTH : NO_HEADERS),
     );
+    const hasEvents = isStream && isEventStream(response.body);
+    const canMove = hasEvents && engine?.supportsMoves === true;
     const evacuation = canMove ? watchEvacuation(context, upstream) : undefined;
     const delivery = await relayResponse({
         response,
         isStream,
-        hasEvents: isStream && isEventStream(response.body),
+        hasEvents,
         clientResponse: options.clientResponse,
         onFirstByte: () => {
             attempt.onFirstEvent();
@@ -118,6 +119,8 @@
         return complete();
     }
     context.lastEventId = delivery.lastEventId ?? context.lastEventId;
+    // Only a stream of events can be continued by another run, after an event that has an id.
+    context.mayRepeat &&= !options.clientResponse.isStarted() || hasEvents && context.lastEventId !== undefined;
     if (move.kind === "moved" && !ended.aborted) {
         return { kind: "moved", reason: "moved", continuation: move.continuation };
     }
@@ -150,8 +153,9 @@
     const { context, upstream } = attempt;
     const { options, admitted } = context;
     const { status } = response.head;
-    if (options.clientResponse.isStarted() && status >= FIRST_UNSUCCESSFUL_STATUS) {
-        // Part of the stream was already sent under another head; an error body must not become part of the stream.
+    const continues = status < FIRST_UNSUCCESSFUL_STATUS && isEventStream(response.body);
+    if (options.clientResponse.isStarted() && !continues) {
+        // Part of the stream was already sent under another head; another body must not become part of the stream.
         reportFailure(attempt, "failed");
         discardBody(response.body, response.closeConnection);
         return { kind: "repeat", reason: `status ${status} in the middle of a stream` };
