test(soak): the link's disposal resets connections, which the test's servers must expect

The far side of a link stays half-open since the proxy tells a reset from an end, so that disposing of it resets connections of servers that have not closed theirs yet. What the tests check is unchanged.

--- a/packages/soak/__tests__/linkProxy.spec.ts
+++ b/packages/soak/__tests__/linkProxy.spec.ts
@@ -3,6 +3,8 @@
 
 test("delivers delayed bytes before bytes sent after the delay was lifted", async () => {
     const server = createServer(socket => {
+        // Disposing of the link resets the connections that are still open.
+        socket.on("error", () => undefined);
         socket.write("first ");
         setTimeout(() => socket.end("second"), 40);
     });
@@ -21,6 +23,8 @@
 
 test("passes on a reset that arrives together with the last bytes, and not an end", async () => {
     const server = createServer(socket => {
+        // Disposing of the link resets the connections that are still open.
+        socket.on("error", () => undefined);
         setTimeout(() => {
             socket.write("part");
             socket.resetAndDestroy();
