--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -2,6 +2,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ExitCode } from "../src";
+import { causeOf } from "../src/explain/causeOf";
+import type { LogLine } from "../src/explain/logLine";
 import type { RequestExplanation } from "../src/explain/requestExplanation";
 import type { TimeRangeExplanation } from "../src/explain/timeRangeExplanation";
 import { runIbisctl } from "./runIbisctl";
@@ -27,6 +29,17 @@
     expect(lines.some(({ event, host }) => event === "peer_lost" && host === "front-marmara-a-3")).toBe(true);
 });
 
+test.each([
+    ["ended-inside-event after 12 ms", /^The upstream interrupted the response/],
+    ["ended-during-move after 12 ms", /^The upstream interrupted the response/],
+    ["event-too-large after 12 ms", /bytes that are no event/],
+    ["framing-too-large", /bytes that became no response/],
+])("explains the reason %s of a request that failed", (reason, expected) => {
+    const fields = { outcome: "failed", reason, status: 502 };
+    const end: LogLine = { event: "request_ended", host: "front-a", atMs: 0, fields };
+    expect(causeOf(end)).toMatch(expected);
+});
+
 test("explains an interrupted response, and shows that the registration of the upstream expired afterwards", async () => {
     const { cause, lines } = await explain("168b7df9541d4291");
     expect(cause).toBe("The upstream interrupted the response, and the route does not allow another attempt.");
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -16,10 +16,11 @@
     "ECONNREFUSED": "The upstream did not accept a connection; nothing was sent.",
     "connect-timeout": "The upstream did not accept a connection; nothing was sent.",
     "ECONNRESET": "The upstream reset the connection after the request was sent; it may have run.",
+    "framing-too-large": "The upstream sent bytes that became no response; it may have run the request.",
     "aborted": "The deadline passed, or the caller disconnected.",
 };
 
-const INTERRUPTED_RESPONSE_PATTERN = /^connection-lost|^incomplete-answer/;
+const INTERRUPTED_RESPONSE_PATTERN = /^(connection-lost|incomplete-answer|ended-inside-event|ended-during-move)/;
 
 /** Ratio of actual to predicted time above which the prediction counts as wrong. */
 const PREDICTION_TOLERANCE_FACTOR = 1.5;
@@ -50,6 +51,9 @@
             ? `The upstream responded with status ${status}.`
             : causeOfDelay(end) ?? ANSWERED_IN_TIME;
     }
+    if (reason.startsWith("event-too-large")) {
+        return "The upstream sent bytes that are no event in the middle of a stream.";
+    }
     return INTERRUPTED_RESPONSE_PATTERN.test(reason)
         ? "The upstream interrupted the response, and the route does not allow another attempt."
         : CAUSES[reason] ?? `Ended with the reason ${reason}.`;
