feat(gateway): failed attempts state the shared parts of their prompts

The logs of the incident could not tell whether upstreams crash under requests with something in common: attempt_failed named no prompt parts, and only some reasons said whether an answer had begun. It has sharedParts and headMs now. No decision depends on them.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -2,6 +2,9 @@
 import type { GatewayEvents } from "@ibislanding/gateway";
 import type { EventLog, MetricsRegistry } from "@ibislanding/runtime";
 
+/** Logged length of prompt parts, which clients choose. */
+const MAXIMUM_PARTS_LENGTH = 200;
+
 const round = (value: number | undefined): number | undefined => value === undefined ? undefined : Math.round(value);
 
 /** Creates the event handlers that log, measure and count requests. */
@@ -22,7 +25,7 @@
                 addUsage(accountId);
             }
         },
-        onAttemptEnded: ({ predictedMs, durationMs, sendsLeftMs, ...attempt }) => {
+        onAttemptEnded: ({ predictedMs, durationMs, sendsLeftMs, sharedPartIds, headMs, ...attempt }) => {
             sends.add(1, { outcome: attempt.outcome });
             if (attempt.outcome === "done") {
                 return;
@@ -32,6 +35,10 @@
                 predictedMs: round(predictedMs),
                 durationMs: round(durationMs),
                 sendsLeftMs: round(sendsLeftMs),
+                headMs: round(headMs),
+                sharedParts: sharedPartIds.length === 0
+                    ? undefined
+                    : sharedPartIds.join(" ").slice(0, MAXIMUM_PARTS_LENGTH),
             });
         },
         onRunMoved: move => {
--- a/packages/gateway/__tests__/support/testCodec.ts
+++ b/packages/gateway/__tests__/support/testCodec.ts
@@ -14,7 +14,10 @@
         apiKey: headers.authorization,
         deadlineMs: headers["x-deadline"] === undefined ? undefined : Number(headers["x-deadline"]),
         tokens: undefined,
-        promptParts: [],
+        promptParts: (textOf(headers["x-parts"]) ?? "").split(",").filter(part => part !== "").map(partId => ({
+            partId,
+            tokens: 100,
+        })),
     }),
     reservedRequestHeaders: new Set(["authorization", "x-deadline", "x-account", "x-upstream"]),
     upstreamRequestHeaders: ({ upstreamId, deadlineMs, accountId, lastEventId, handle }) => [
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -14,6 +14,10 @@
         readonly predictedMs: number;
         readonly durationMs: number;
         readonly sendsLeftMs: number;
+        /** Prompt parts that other requests may share. */
+        readonly sharedPartIds: readonly string[];
+        /** Time from the send to the head of the response; undefined if none was received. */
+        readonly headMs: number | undefined;
     }) => void;
     /** A run was moved away from a leaving upstream, or the move failed. */
     readonly onRunMoved: (move: {
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { sharedPartIds } from "../codec/sharedPartIds";
 import type { Continuation } from "../engines/continuation";
 import type { EvacuationResult } from "../engines/evacuationResult";
 import { chooseUpstream } from "../placement/chooseUpstream";
@@ -21,6 +22,8 @@
     readonly upstream: UpstreamRecord;
     readonly startedAtMs: number;
     readonly onFirstEvent: () => void;
+    /** Undefined until the head of the response. */
+    headAtMs: number | undefined;
     /** Undefined until the first byte of the body. */
     firstByteAtMs: number | undefined;
 }
@@ -199,6 +202,7 @@
         upstream,
         startedAtMs,
         onFirstEvent: load.recordFirstEvent,
+        headAtMs: undefined,
         firstByteAtMs: undefined,
     };
     const countRun = (): void => {
@@ -213,7 +217,10 @@
         path: request.url ?? "/",
         headers: headersFor(context, upstream, deadlineMs, continuation),
         body,
-        onHead: head => observeResponseHead(options, upstream, head),
+        onHead: head => {
+            attempt.headAtMs = clock.monotonicMs();
+            observeResponseHead(options, upstream, head);
+        },
         signal: ended,
     });
     const outcome = await match(result)
@@ -244,6 +251,8 @@
         predictedMs,
         durationMs: clock.monotonicMs() - startedAtMs,
         sendsLeftMs: deadlineMs,
+        sharedPartIds: sharedPartIds(admitted.head.promptParts),
+        headMs: attempt.headAtMs === undefined ? undefined : attempt.headAtMs - startedAtMs,
     });
     return outcome;
 };
