fix(quarantine): sound parts are not blamed while engines crash all around

A model of a group of hosts found false accusations where many engines are down: the other requests of a crash that a quarantined part explains still accused their parts, a part that is trimmed from a full list was found again for ever, and every request repeated the decision. A crash is explained as a whole now, parts on which answers have gone on need a fourth crash and get a trial after ten seconds, answers accuse for half a second after their head, and decisions are made on new evidence only.

--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -28,11 +28,11 @@
     firstByteAtMs: number | undefined;
 }
 
-/**
- * An answer that is lost within this time after its head may have caused a crash of its upstream. One that has gone on
- * for longer shows that its prompt does not crash upstreams.
- */
-const CRASH_SUSPICION_MS = 1_000;
+/** An answer that is lost within this time after its head may have caused a crash of its upstream. */
+const CRASH_SUSPICION_MS = 500;
+
+/** An answer that has gone on for this long shows that its prompt does not crash upstreams. */
+const CLEARING_MS = 1_000;
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
@@ -121,7 +121,7 @@
     const evacuation = canMove ? watchEvacuation(context, upstream) : undefined;
     const isSuccess = response.head.status < FIRST_UNSUCCESSFUL_STATUS;
     const clearing = isSuccess
-        ? options.clock.setTimer(CRASH_SUSPICION_MS, () => {
+        ? options.clock.setTimer(CLEARING_MS, () => {
             if (attempt.firstByteAtMs !== undefined) {
                 clearParts(attempt);
             }
--- a/packages/quarantine/src/crashingPart.ts
+++ b/packages/quarantine/src/crashingPart.ts
@@ -4,4 +4,6 @@
     /** Crashes at different times since the last answer on the part that went on; those of one wave count once. */
     readonly crashes: number;
     readonly firstCrashAtMs: number;
+    /** Whether an answer on the part has ever gone on. */
+    readonly wasCleared: boolean;
 }
--- a/packages/quarantine/src/createPartQuarantine.ts
+++ b/packages/quarantine/src/createPartQuarantine.ts
@@ -1,5 +1,6 @@
 import type { CrashSuspect } from "./crashSuspect";
 import { findCrashingPart } from "./findCrashingPart";
+import type { PartHistory } from "./partHistory";
 import type { PartQuarantine } from "./partQuarantine";
 import type { QuarantinedPart } from "./quarantinedPart";
 import type { QuarantineEvents } from "./quarantineEvents";
@@ -11,8 +12,20 @@
  */
 const CRASHES_TO_QUARANTINE = 3;
 
-/** The same for a part that was quarantined before: one crash shows that nothing has changed. */
-const CRASHES_TO_RELAPSE = 1;
+/**
+ * The same for a part on which answers have gone on before: it crashes upstreams only if something has changed, and is
+ * far more often a victim.
+ */
+const CRASHES_TO_QUARANTINE_CLEARED = 4;
+
+/**
+ * The same for a part that was quarantined before, and on which no answer has gone on since; one crash suffices if the
+ * quarantine had been confirmed.
+ */
+const CRASHES_TO_RELAPSE = { confirmed: 1, unconfirmed: 2 };
+
+/** Time after which a quarantine that is not confirmed ends for a trial, although requests with the part come. */
+const TRIAL_AFTER_MS = 10_000;
 
 /**
  * Crashes before that of a request under one of its parts after which it is not sent to another upstream; fewer for a
@@ -29,6 +42,9 @@
 /** Time for which a host reports evidence: several rounds of reports. */
 const REPORTED_MS = 5_000;
 
+/** Interval between decisions without new evidence. */
+const DECISION_INTERVAL_MS = 200;
+
 /** Minimum interval between reported clearings of one part. */
 const CLEARING_INTERVAL_MS = 500;
 
@@ -51,8 +67,9 @@
     readonly heardAtMs: number;
 }
 
-const keyOf = ({ upstreamId, startedAtMs, partIds }: CrashSuspect): string =>
-    `${upstreamId} ${startedAtMs} ${partIds.join(" ")}`;
+const crashOf = ({ upstreamId, startedAtMs }: CrashSuspect): string => `${upstreamId} ${startedAtMs}`;
+
+const keyOf = (suspect: CrashSuspect): string => `${crashOf(suspect)} ${suspect.partIds.join(" ")}`;
 
 const isActive = ({ sinceMs, endedAtMs }: QuarantinedPart): boolean => sinceMs > endedAtMs;
 
@@ -67,6 +84,7 @@
     refusedAtMs: Math.max(left.refusedAtMs, right.refusedAtMs),
     firstCrashAtMs: Math.max(left.firstCrashAtMs, right.firstCrashAtMs),
     crashes: Math.max(left.crashes, right.crashes),
+    isConfirmed: left.isConfirmed || right.isConfirmed,
 });
 
 /** Removes the entries at the front of a map, which are the oldest ones, down to a number of entries. */
@@ -78,50 +96,94 @@
  *
  * All hosts collect the same evidence and each decides for itself; the parts that one of them has quarantined are
  * quarantined at all. A quarantine holds as long as requests with the part come, as every trial would cost an upstream.
- * It ends when an answer on the part goes on, or after a quiet time.
+ * It ends when an answer on the part goes on, or after a quiet time. That of a part on which answers had gone on before
+ * ends once for a trial, as sound parts are blamed by accident only.
  */
 export const createPartQuarantine = (nowMs: () => number, events: QuarantineEvents): PartQuarantine => {
     const suspects = new Map<string, KnownSuspect>();
     /** Beginnings of answers that have gone on, of all parts that this host has served or heard of; oldest first. */
     const cleared = new Map<string, Clearing>();
     const parts = new Map<string, QuarantinedPart>();
+    /** Number of suspects that contain each part. */
+    const suspectCounts = new Map<string, number>();
+    let decidedAtMs = -Infinity;
+    let hasNewEvidence = false;
 
     const usable = (partIds: readonly string[]): readonly string[] =>
         partIds.slice(0, MAXIMUM_PROMPT_PARTS).filter(isUsable);
 
     const clearedAtMs = (partId: string): number => cleared.get(partId)?.beganAtMs ?? -Infinity;
 
-    const crashesToQuarantine = (partId: string): number =>
-        clearedAtMs(partId) < (parts.get(partId)?.firstCrashAtMs ?? -Infinity)
-            ? CRASHES_TO_RELAPSE
-            : CRASHES_TO_QUARANTINE;
+    const historyOf = (partId: string): PartHistory => {
+        const part = parts.get(partId);
+        const crashesToBlame = cleared.has(partId) ? CRASHES_TO_QUARANTINE_CLEARED : CRASHES_TO_QUARANTINE;
+        if (part === undefined) {
+            return { clearedAtMs: clearedAtMs(partId), countedFromMs: -Infinity, crashesToBlame };
+        }
+        const toRelapse = part.isConfirmed ? CRASHES_TO_RELAPSE.confirmed : CRASHES_TO_RELAPSE.unconfirmed;
+        return {
+            clearedAtMs: clearedAtMs(partId),
+            countedFromMs: part.endedAtMs,
+            crashesToBlame: clearedAtMs(partId) < part.firstCrashAtMs ? toRelapse : crashesToBlame,
+        };
+    };
 
-    const crashesToStopRepeats = (partId: string): number =>
-        cleared.has(partId) ? CRASHES_TO_STOP_REPEATS.cleared : CRASHES_TO_STOP_REPEATS.neverCleared;
+    const repeatHistoryOf = (partId: string): PartHistory => ({
+        ...historyOf(partId),
+        crashesToBlame: cleared.has(partId) ? CRASHES_TO_STOP_REPEATS.cleared : CRASHES_TO_STOP_REPEATS.neverCleared,
+    });
 
     const find = (partIds: readonly string[]): QuarantinedPart | undefined =>
         partIds.flatMap(partId => parts.get(partId) ?? []).find(isActive);
 
-    const unexplainedSuspects = (): readonly KnownSuspect[] =>
-        [...suspects.values()].filter(({ partIds }) => find(partIds) === undefined);
+    /** Suspects of the crashes in which no request with a quarantined part was involved. */
+    const unexplainedSuspects = (): readonly KnownSuspect[] => {
+        const all = [...suspects.values()];
+        const explained = new Set(all.filter(({ partIds }) => find(partIds) !== undefined).map(crashOf));
+        return all.filter(suspect => !explained.has(crashOf(suspect)));
+    };
+
+    const changeCounts = ({ partIds }: CrashSuspect, change: number): void =>
+        new Set(partIds).forEach(partId => {
+            const count = (suspectCounts.get(partId) ?? 0) + change;
+            if (count === 0) {
+                suspectCounts.delete(partId);
+                return;
+            }
+            suspectCounts.set(partId, count);
+        });
+
+    const removeSuspects = (removed: readonly (readonly [key: string, suspect: KnownSuspect])[]): void =>
+        removed.forEach(([key, suspect]) => {
+            suspects.delete(key);
+            changeCounts(suspect, -1);
+        });
 
     const setPart = (part: QuarantinedPart): void => {
         parts.delete(part.partId);
         parts.set(part.partId, part);
-        trim(parts, MAXIMUM_PARTS);
+        [...parts.keys()].slice(0, Math.max(0, parts.size - MAXIMUM_PARTS)).forEach(dropped => {
+            parts.delete(dropped);
+            // Without its evidence, or the part would be quarantined again at once.
+            removeSuspects([...suspects].filter(([, { partIds }]) => partIds.includes(dropped)));
+        });
     };
 
-    const end = (part: QuarantinedPart, reason: "cleared" | "quiet"): void => {
+    const end = (part: QuarantinedPart, reason: "cleared" | "quiet" | "trial"): void => {
         const ended = { ...part, endedAtMs: nowMs() };
         setPart(ended);
         events.onEnded(ended, reason);
     };
 
+    /** Decides again if there is new evidence; otherwise from time to time, as waiting times end. */
     const decide = (): void => {
         const atMs = nowMs();
-        [...suspects].filter(([, { crashedAtMs }]) => atMs - crashedAtMs >= EVIDENCE_MS).forEach(([key]) =>
-            suspects.delete(key)
-        );
+        if (!hasNewEvidence && (atMs - decidedAtMs < DECISION_INTERVAL_MS || suspects.size + parts.size === 0)) {
+            return;
+        }
+        decidedAtMs = atMs;
+        hasNewEvidence = false;
+        removeSuspects([...suspects].filter(([, { crashedAtMs }]) => atMs - crashedAtMs >= EVIDENCE_MS));
         [...parts.values()].filter(isActive).forEach(part => {
             if (clearedAtMs(part.partId) > part.firstCrashAtMs) {
                 end(part, "cleared");
@@ -129,16 +191,24 @@
             else if (atMs - Math.max(part.sinceMs, part.refusedAtMs) >= QUIET_MS) {
                 end(part, "quiet");
             }
+            else if (!part.isConfirmed && atMs - part.sinceMs >= TRIAL_AFTER_MS) {
+                end(part, "trial");
+            }
         });
         for (;;) {
-            const found = findCrashingPart(unexplainedSuspects(), clearedAtMs, crashesToQuarantine, atMs);
+            const found = findCrashingPart(unexplainedSuspects(), historyOf, atMs);
             if (found === undefined) {
                 return;
             }
-            const known = parts.get(found.partId);
-            const part = {
-                ...found,
-                sinceMs: atMs,
+            const { partId, crashes, firstCrashAtMs, wasCleared } = found;
+            const known = parts.get(partId);
+            const part: QuarantinedPart = {
+                partId,
+                crashes,
+                firstCrashAtMs,
+                isConfirmed: !wasCleared || known !== undefined && clearedAtMs(partId) < known.firstCrashAtMs,
+                // Later than the last end, which may have been reported by a host whose clock is ahead.
+                sinceMs: Math.max(atMs, (known?.endedAtMs ?? -Infinity) + 1),
                 endedAtMs: known?.endedAtMs ?? -Infinity,
                 refusedAtMs: known?.refusedAtMs ?? -Infinity,
             };
@@ -155,13 +225,12 @@
             return;
         }
         suspects.set(key, added);
-        trim(suspects, MAXIMUM_SUSPECTS);
+        changeCounts(added, 1);
+        removeSuspects([...suspects].slice(0, Math.max(0, suspects.size - MAXIMUM_SUSPECTS)));
+        hasNewEvidence = true;
         events.onAccused(added, isOwn);
     };
 
-    const isSuspected = (partId: string): boolean =>
-        [...suspects.values()].some(({ partIds }) => partIds.includes(partId));
-
     const addClearing = (partId: string, beganAtMs: number, isOwn: boolean): void => {
         const known = cleared.get(partId);
         if (beganAtMs <= (known?.beganAtMs ?? -Infinity)) {
@@ -172,7 +241,8 @@
         cleared.delete(partId);
         cleared.set(partId, { beganAtMs, heardAtMs: isReported ? known.heardAtMs : atMs });
         trim(cleared, MAXIMUM_CLEARED);
-        if (!isReported && isSuspected(partId)) {
+        hasNewEvidence ||= parts.has(partId);
+        if (!isReported && suspectCounts.has(partId)) {
             events.onCleared(partId, beganAtMs, isOwn);
         }
     };
@@ -182,6 +252,7 @@
         const merged = known === undefined ? reported : latest(known, reported);
         setPart(merged);
         const wasActive = known !== undefined && isActive(known);
+        hasNewEvidence ||= isActive(merged) !== wasActive;
         if (isActive(merged) && !wasActive) {
             events.onQuarantined(merged, false);
         }
@@ -210,7 +281,7 @@
                 partIds: suspect.partIds.filter(partId => own.includes(partId)),
             }));
             return find(own) === undefined
-                && findCrashingPart(shared, clearedAtMs, crashesToStopRepeats, Infinity) === undefined;
+                && findCrashingPart(shared, repeatHistoryOf, Infinity) === undefined;
         },
         accuse: suspect => {
             addSuspect(suspect, true);
@@ -223,12 +294,12 @@
             decide();
             const oldestMs = nowMs() - REPORTED_MS;
             return {
-                suspects: unexplainedSuspects()
+                suspects: [...suspects.values()]
                     .filter(({ heardAtMs }) => heardAtMs >= oldestMs)
                     .map(({ upstreamId, startedAtMs, partIds, crashedAtMs }) =>
                         [upstreamId, startedAtMs, partIds.join(" "), Math.round(crashedAtMs)] as const
                     ),
-                cleared: [...new Set(unexplainedSuspects().flatMap(({ partIds }) => partIds)), ...parts.keys()]
+                cleared: [...new Set([...suspectCounts.keys(), ...parts.keys()])]
                     .flatMap(partId => {
                         const clearing = cleared.get(partId);
                         return clearing === undefined || clearing.heardAtMs < oldestMs
@@ -243,6 +314,7 @@
                         part.refusedAtMs === -Infinity ? 0 : part.refusedAtMs,
                         part.firstCrashAtMs,
                         part.crashes,
+                        part.isConfirmed ? 1 : 0,
                     ] as const
                 ),
             };
@@ -260,9 +332,17 @@
                 )
             );
             rows.cleared.forEach(([partId, beganAtMs]) => addClearing(partId, beganAtMs, false));
-            rows.quarantined.forEach(([partId, sinceMs, endedAtMs, refusedAtMs, firstCrashAtMs, crashes]) =>
-                addPart({ partId, sinceMs, endedAtMs, refusedAtMs, firstCrashAtMs, crashes })
-            );
+            rows.quarantined.forEach((
+                [partId, sinceMs, endedAtMs, refusedAtMs, firstCrashAtMs, crashes, isConfirmed],
+            ) => addPart({
+                partId,
+                sinceMs,
+                endedAtMs,
+                refusedAtMs,
+                firstCrashAtMs,
+                crashes,
+                isConfirmed: isConfirmed === 1,
+            }));
             decide();
         },
         parts: () => [...parts.values()].filter(isActive),
--- a/packages/quarantine/src/findCrashingPart.ts
+++ b/packages/quarantine/src/findCrashingPart.ts
@@ -1,5 +1,6 @@
 import type { CrashingPart } from "./crashingPart";
 import type { CrashSuspect } from "./crashSuspect";
+import type { PartHistory } from "./partHistory";
 
 /** Crashes within this time of each other count once: a power failure ends many upstreams at once. */
 const WAVE_MS = 300;
@@ -12,7 +13,8 @@
 
 interface Accusation extends CrashingPart {
     readonly lastCrashAtMs: number;
-    readonly wasCleared: boolean;
+    /** Whether there are enough crashes to blame the part. */
+    readonly isSufficient: boolean;
     /** Suspects that contain the part; the crashing part itself is rarer than the parts that it is combined with. */
     readonly suspects: number;
     /** Number of parts that precede it. */
@@ -26,15 +28,33 @@
         [],
     );
 
-const accuse = (partId: string, suspects: readonly CrashSuspect[], clearedAtMs: number): Accusation => {
-    const containing = suspects.filter(({ partIds }) => partIds.includes(partId));
-    const crashTimesMs = containing.map(({ crashedAtMs }) => crashedAtMs).filter(atMs => atMs > clearedAtMs);
+const groupByPart = (suspects: readonly CrashSuspect[]): ReadonlyMap<string, readonly CrashSuspect[]> => {
+    const groups = new Map<string, CrashSuspect[]>();
+    suspects.forEach(suspect =>
+        new Set(suspect.partIds).forEach(partId => {
+            const group = groups.get(partId) ?? [];
+            group.push(suspect);
+            groups.set(partId, group);
+        })
+    );
+    return groups;
+};
+
+const accuse = (
+    partId: string,
+    containing: readonly CrashSuspect[],
+    { clearedAtMs, countedFromMs, crashesToBlame }: PartHistory,
+): Accusation => {
+    const crashTimesMs = containing
+        .map(({ crashedAtMs }) => crashedAtMs)
+        .filter(atMs => atMs > Math.max(clearedAtMs, countedFromMs));
     const waves = waveTimes(crashTimesMs);
     return {
         partId,
         crashes: waves.length,
         firstCrashAtMs: waves[0] ?? Infinity,
         lastCrashAtMs: Math.max(...crashTimesMs),
+        isSufficient: waves.length >= crashesToBlame,
         wasCleared: clearedAtMs > -Infinity,
         suspects: containing.length,
         depth: Math.max(...containing.map(({ partIds }) => partIds.indexOf(partId))),
@@ -56,24 +76,21 @@
  * only if no answer on it has gone on since the first of them. Parts that always occurred together explain the same
  * crashes; the most specific one is blamed, as the others are shared with more requests.
  *
- * `suspects` must not contain requests with a part that has been blamed already: it explains their crashes.
- * `clearedAtMs` returns the time at which the last answer on a part that went on had begun.
+ * `suspects` must not contain those of crashes that a part explains which has been blamed already.
  */
 export const findCrashingPart = (
     suspects: readonly CrashSuspect[],
-    clearedAtMs: (partId: string) => number,
-    crashesToBlame: (partId: string) => number,
+    historyOf: (partId: string) => PartHistory,
     nowMs: number,
 ): CrashingPart | undefined => {
-    const partIds = [...new Set(suspects.flatMap(suspect => suspect.partIds))];
-    const [best] = partIds
-        .map(partId => accuse(partId, suspects, clearedAtMs(partId)))
-        .filter(({ partId, crashes }) => crashes >= crashesToBlame(partId))
+    const [best] = [...groupByPart(suspects)]
+        .map(([partId, containing]) => accuse(partId, containing, historyOf(partId)))
+        .filter(({ isSufficient }) => isSufficient)
         .filter(({ wasCleared, lastCrashAtMs }) => !wasCleared || nowMs - lastCrashAtMs >= CLEARABLE_MS)
         .sort(compareAccusations);
     if (best === undefined) {
         return undefined;
     }
-    const { partId, crashes, firstCrashAtMs } = best;
-    return { partId, crashes, firstCrashAtMs };
+    const { partId, crashes, firstCrashAtMs, wasCleared } = best;
+    return { partId, crashes, firstCrashAtMs, wasCleared };
 };
--- a/packages/quarantine/src/quarantineEvents.ts
+++ b/packages/quarantine/src/quarantineEvents.ts
@@ -7,5 +7,5 @@
     /** An answer on a suspected part has gone on. */
     readonly onCleared: (partId: string, beganAtMs: number, isOwn: boolean) => void;
     readonly onQuarantined: (part: QuarantinedPart, isOwn: boolean) => void;
-    readonly onEnded: (part: QuarantinedPart, reason: "cleared" | "quiet" | "reported") => void;
+    readonly onEnded: (part: QuarantinedPart, reason: "cleared" | "quiet" | "trial" | "reported") => void;
 }
--- a/packages/quarantine/src/quarantineRows.ts
+++ b/packages/quarantine/src/quarantineRows.ts
@@ -16,5 +16,6 @@
         refusedAtMs: number,
         firstCrashAtMs: number,
         crashes: number,
+        isConfirmed: 0 | 1,
     ])[];
 }
--- a/packages/quarantine/src/quarantinedPart.ts
+++ b/packages/quarantine/src/quarantinedPart.ts
@@ -12,4 +12,9 @@
     /** First of the crashes that led to the quarantine. */
     readonly firstCrashAtMs: number;
     readonly crashes: number;
+    /**
+     * Whether the part crashed upstreams again after a trial, or no answer on it has ever gone on. Otherwise the
+     * quarantine ends after a short time for a trial.
+     */
+    readonly isConfirmed: boolean;
 }
