--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -13,6 +13,7 @@
     accountId: "acme",
     sentAtMs: 20_000,
     endedAtMs: 20_100,
+    crashingPart: undefined,
     status: 200,
     signature: "u1",
     answeredId: fields.requestId ?? "r1",
@@ -38,6 +39,7 @@
     runs: [run()],
     changes: [{ version: 4, acceptedAtMs: 0, movingService: "moving-0" }],
     leaving: [],
+    crashes: [],
     usage: [],
     disturbances: [],
     calmSinceMs: 1_000,
@@ -131,3 +133,20 @@
     const disturbances = [{ hostName: "host-1", kind: "pause-host", fromMs: 15_000, untilMs: 17_000 }];
     expect(violatedChecks({ leaving: [{ upstreamId: "u1", acceptedAtMs: 16_500 }], disturbances })).toEqual([]);
 });
+
+test("reports requests that reach upstreams after a prompt part has crashed five of them", () => {
+    const crashing = Array.from({ length: 4 }, (_, index) => `crashing-${index}`);
+    const crashes = [1, 2, 3, 4, 5].map(second => ({ part: "p", upstreamId: `u${second}`, atMs: second * 1_000 }));
+    const observed = (atMs: number): SoakRecords =>
+        records({
+            attempts: [...others, ...crashing].map(requestId =>
+                attempt({ requestId, crashingPart: crashing.includes(requestId) ? "p" : undefined })
+            ),
+            runs: [...others, ...crashing].map(requestId => run({ requestId, atMs })),
+            crashes,
+        });
+    const checksOf = (atMs: number): readonly string[] =>
+        checkRecords(observed(atMs), expectedBody, bounds).map(({ check }) => check);
+    expect(checksOf(9_500)).toContain("crashing-part");
+    expect(checksOf(8_500)).not.toContain("crashing-part");
+});
--- a/packages/soak/src/checks/checkRecords.ts
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -1,6 +1,7 @@
 import type { SoakRecords } from "../records/soakRecords";
 import { checkAnswers } from "./checkAnswers";
 import { checkConfiguration } from "./checkConfiguration";
+import { checkCrashingParts } from "./checkCrashingParts";
 import { checkLeaving } from "./checkLeaving";
 import { checkRecovery } from "./checkRecovery";
 import { checkUsage } from "./checkUsage";
@@ -16,6 +17,7 @@
     ...checkAnswers(records, expectedBody),
     ...checkConfiguration(records, bounds),
     ...checkLeaving(records, bounds),
+    ...checkCrashingParts(records, bounds),
     ...checkUsage(records),
     ...checkRecovery(records),
 ];
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -134,5 +134,6 @@
     "upstream-unframed-answers": setUpstream("unframed-answers"),
     "upstream-endless-bytes": setUpstream("endless-bytes"),
     "upstream-pauses": setUpstream("pauses"),
+    "requests-crash-upstreams": async ({ world }) => world.sendCrashingPart(),
     "configuration-changes": ({ world }) => world.changeConfiguration(),
 };
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -29,4 +29,5 @@
     | "upstream-unframed-answers"
     | "upstream-endless-bytes"
     | "upstream-pauses"
+    | "requests-crash-upstreams"
     | "configuration-changes";
--- a/packages/soak/src/faults/soakWorld.ts
+++ b/packages/soak/src/faults/soakWorld.ts
@@ -20,6 +20,8 @@
     readonly rewriteDocuments: () => void;
     /** Writes the next version of the configuration; resolves when it is accepted. */
     readonly changeConfiguration: () => Promise<void>;
+    /** From now on, some requests of the streaming routes contain a new prompt part that crashes upstreams. */
+    readonly sendCrashingPart: () => void;
     /** Sends a request over a caller's keep-alive connections; never rejects. */
     readonly send: (
         caller: string,
--- a/packages/soak/src/records/callerAttempt.ts
+++ b/packages/soak/src/records/callerAttempt.ts
@@ -11,6 +11,8 @@
     readonly accountId: string;
     readonly sentAtMs: number;
     readonly endedAtMs: number;
+    /** Part of the prompt that crashes upstreams; such a request is not expected to be served. */
+    readonly crashingPart: string | undefined;
     /** Undefined when the connection ended before the response head arrived. */
     readonly status: number | undefined;
     /** Id of the upstream that signed the answer; undefined if none did. */
--- a/packages/soak/src/records/soakRecords.ts
+++ b/packages/soak/src/records/soakRecords.ts
@@ -11,6 +11,8 @@
     readonly changes: ConfigurationChange[];
     /** Upstreams whose draining state the store acknowledged, with the time. */
     readonly leaving: { readonly upstreamId: string; readonly acceptedAtMs: number; }[];
+    /** Crashes of upstreams under a prompt part. */
+    readonly crashes: { readonly part: string; readonly upstreamId: string; readonly atMs: number; }[];
     readonly usage: UsageReport[];
     readonly disturbances: Disturbance[];
     /** Monotonic time at which the last fault ended. */
