feat(gateway): log the limit that upstreams state in their answers

The logs of the incident could not show which host had heard of a limit and when. The platform's header is read with its errors, and upstream_stated_limit has it with the request and the upstream. No decision depends on it.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -25,8 +25,14 @@
                 addUsage(accountId);
             }
         },
-        onAttemptEnded: ({ predictedMs, durationMs, sendsLeftMs, sharedPartIds, headMs, ...attempt }) => {
+        onAttemptEnded: (
+            { predictedMs, durationMs, sendsLeftMs, sharedPartIds, headMs, statedLimitPerS, ...attempt },
+        ) => {
             sends.add(1, { outcome: attempt.outcome });
+            if (statedLimitPerS !== undefined) {
+                const { requestId, upstreamId } = attempt;
+                log.write("upstream_stated_limit", { requestId, upstreamId, limitPerS: statedLimitPerS });
+            }
             if (attempt.outcome === "done") {
                 return;
             }
--- a/packages/gateway/__tests__/support/testCodec.ts
+++ b/packages/gateway/__tests__/support/testCodec.ts
@@ -37,6 +37,7 @@
         keepAliveMs: undefined,
         isLeaving: headers["x-leaving"] !== undefined,
         pauseMs: headers["x-pause"] === undefined ? undefined : Number(headers["x-pause"]),
+        limitPerS: headers["x-limit"] === undefined ? undefined : Number(headers["x-limit"]),
         invalidHeaders: [],
     }),
 };
--- a/packages/gateway/src/codec/responseHead.ts
+++ b/packages/gateway/src/codec/responseHead.ts
@@ -18,6 +18,11 @@
     readonly isLeaving: boolean;
     /** Time for which the upstream wants no requests from this host; undefined if not stated. */
     readonly pauseMs: number | undefined;
+    /**
+     * Requests a second that the upstream takes from all hosts together: undefined if the response states no limit, NaN
+     * if it states one that can't be read.
+     */
+    readonly limitPerS: number | undefined;
     /** Headers with invalid values, as `name: value`. */
     readonly invalidHeaders: readonly string[];
 }
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -16,6 +16,8 @@
         readonly sendsLeftMs: number;
         /** Prompt parts that other requests may share. */
         readonly sharedPartIds: readonly string[];
+        /** Limit that the upstream stated in its response, in requests a second. */
+        readonly statedLimitPerS: number | undefined;
         /** Time from the send to the head of the response; undefined if none was received. */
         readonly headMs: number | undefined;
     }) => void;
