test(edge): upstreams get more requests than the limit that they state

Eight hosts before three upstreams, of which two state a limit of one request a second: one gets 64 in four seconds where 11 are allowed.

--- /dev/null
+++ b/packages/edge/__tests__/statedLimit.spec.ts
@@ -0,0 +1,94 @@
+// Guards against upstreams that get more requests than the limit that they state for all hosts together: nothing read
+// the limit, and a share of it on each host would exceed it by one request a host.
+import { createResourceStack } from "@ibislanding/core";
+import { request as sendRequest } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createTestStore } from "./support/createTestStore";
+import { startLimitedUpstream } from "./support/startLimitedUpstream";
+import { createStoredUpstream, createTestConfiguration, startTestHost } from "./support/startTestHost";
+
+const HOSTS = 8;
+const UPSTREAMS = 3;
+const LIMITED = 2;
+const LIMIT_PER_S = 1;
+
+/** From this time after the first statement on, a window may contain one and a half times the limit and five more. */
+const CONTACT_MS = 4_000;
+const WINDOW_MS = 4_000;
+const MAXIMUM_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5;
+
+const INTERVAL_MS = 20;
+const LIMITED_MS = 14_000;
+
+const send = (port: number): Promise<number> =>
+    new Promise(resolve => {
+        const outgoing = sendRequest({
+            agent: false,
+            host: "127.0.0.1",
+            port,
+            method: "POST",
+            path: "/orders/1",
+            headers: { "Host": "shop.example", "X-Request": `r${Math.random()}`, "Authorization": "k1" },
+        }, response => {
+            response.resume();
+            response.on("close", () => resolve(response.statusCode ?? 0));
+        });
+        outgoing.on("error", () => resolve(0));
+        outgoing.end("{}");
+    });
+
+const mostInWindow = (timesMs: readonly number[], fromMs: number): number => {
+    const later = timesMs.filter(atMs => atMs >= fromMs);
+    return Math.max(
+        0,
+        ...later.map(startMs => later.filter(atMs => atMs >= startMs && atMs < startMs + WINDOW_MS).length),
+    );
+};
+
+test.failing("all hosts together send an upstream no more requests than the limit that it states", async () => {
+    await using resources = createResourceStack();
+    const store = createTestStore();
+    store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+    const upstreams = await Promise.all(Array.from({ length: UPSTREAMS }, startLimitedUpstream));
+    upstreams.forEach((upstream, index) => {
+        resources.use(upstream);
+        const record = { ...createStoredUpstream(`u-${index}`, upstream.port), slots: 64 };
+        store.write(`upstreams/u-${index}`, JSON.stringify(record));
+    });
+    const hosts: Awaited<ReturnType<typeof startTestHost>>[] = [];
+    for (let index = 0; index < HOSTS; index++) {
+        const host = await startTestHost(store, `host-${index}`, hosts.map(({ peersAddress }) => peersAddress));
+        resources.use(host.host);
+        hosts.push(host);
+    }
+    await sleep(1_500);
+    const limited = upstreams.slice(0, LIMITED);
+    const statuses: Promise<number>[] = [];
+    const sendFor = async (durationMs: number): Promise<void> => {
+        const startedAtMs = performance.now();
+        for (let index = 0; performance.now() - startedAtMs < durationMs; index++) {
+            statuses.push(send(hosts[index * 5 % HOSTS]?.callers ?? 0));
+            await sleep(INTERVAL_MS);
+        }
+    };
+    await sendFor(1_000);
+    limited.forEach(({ state }) => {
+        state.limitPerS = LIMIT_PER_S;
+    });
+    const statedAtMs = performance.now();
+    await sendFor(LIMITED_MS);
+    const endedAtMs = performance.now();
+    limited.forEach(({ state }) => {
+        state.limitPerS = undefined;
+    });
+    await sendFor(8_000);
+    limited.forEach(({ arrivalTimesMs }) => {
+        const duringMs = arrivalTimesMs.filter(atMs => atMs < endedAtMs);
+        expect(mostInWindow(duringMs, statedAtMs + CONTACT_MS)).toBeLessThanOrEqual(MAXIMUM_IN_WINDOW);
+        // The limit is used, and ends with the first answers that no longer state it.
+        expect(duringMs.filter(atMs => atMs >= statedAtMs + CONTACT_MS).length).toBeGreaterThan(0);
+        expect(arrivalTimesMs.filter(atMs => atMs > endedAtMs + 5_000).length).toBeGreaterThan(5);
+    });
+    // Callers don't notice: the other upstreams have room.
+    expect(new Set(await Promise.all(statuses))).toEqual(new Set([200]));
+}, 60_000);
