fix: hosts keep the limit that an upstream states for all of them

Upstreams in need were sent as many requests as before they stated a limit: nothing read it. The newest statement of a start holds for all hosts, which tell each other of it; when answers no longer state it, it rises step by step. A few hosts, found by rendezvous hashing, share it without bursts, since a share for every host would already exceed it with the first request of each. Placement passes over an upstream that has no room for this host, like one that asked for a pause.

--- a/packages/edge/__tests__/accountLimits.spec.ts
+++ b/packages/edge/__tests__/accountLimits.spec.ts
@@ -56,6 +56,7 @@
             work: [],
             leaving: [],
             usageRecords: [],
+            limits: [],
             quarantine: { suspects: [], cleared: [], quarantined: [] },
         };
     };
--- a/packages/edge/__tests__/largeGroup.spec.ts
+++ b/packages/edge/__tests__/largeGroup.spec.ts
@@ -27,6 +27,7 @@
         work: [],
         leaving: [],
         usageRecords: [],
+        limits: [],
         quarantine: { suspects: [], cleared: [], quarantined: [] },
     });
     const clock = createSystemClock();
--- a/packages/edge/__tests__/reportAggregation.spec.ts
+++ b/packages/edge/__tests__/reportAggregation.spec.ts
@@ -27,6 +27,7 @@
         work: [["service", 0.25]],
         leaving: name.endsWith("3") ? [["engine-9", 7]] : [],
         usageRecords: [],
+        limits: [],
         quarantine: { suspects: [], cleared: [], quarantined: [] },
     });
     return { name, hostId: `${name}.1` as HostId, state, createReport };
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -6,7 +6,8 @@
 
 /**
  * Applies another host's report, or the summary of a collector, to the components of this host; `ageMs` is the time
- * since it was created. `onLeaving` is called for each upstream of which this host did not know that it is leaving.
+ * since it was created. `onLeaving` is called for each upstream of which this host did not know that it is leaving, and
+ * `onLimited` for each one whose limit has changed.
  */
 export const applyHostReport = (
     { upstreams, accounts, usage, usageRecords, clusterClock, quarantine }: HostComponents,
@@ -14,6 +15,7 @@
     report: HostReport,
     ageMs: number,
     onLeaving: (upstreamId: UpstreamId, startedAtMs: number) => void,
+    onLimited: (upstreamId: UpstreamId, startedAtMs: number, limitPerS: number | undefined) => void,
 ): void => {
     const { hostId, hostName, hostCount } = report;
     clusterClock.observePeer(hostId, report.wallMs + ageMs);
@@ -30,6 +32,13 @@
     usage.observePeer(hostId, toWindowCounts(report.began));
     toWindowCounts(report.usageRecords).forEach((counts, window) => usageRecords.remember(window, counts, false));
     quarantine.observe(report.quarantine);
+    report.limits.forEach(([upstreamId, startedAtMs, statedAtMs, limitPerS]) => {
+        const start = { upstreamId: upstreamId as UpstreamId, startedAtMs };
+        const limit = limitPerS < 0 ? undefined : limitPerS;
+        if (upstreams.observeLimit(start, limit, statedAtMs)) {
+            onLimited(start.upstreamId, startedAtMs, limit);
+        }
+    });
     report.leaving.forEach(([id, startedAtMs]) => {
         const upstreamId = id as UpstreamId;
         if (upstreams.observeLeaving({ upstreamId, startedAtMs })) {
--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -7,11 +7,15 @@
 
 const round = (value: number | undefined): number | undefined => value === undefined ? undefined : Math.round(value);
 
-/** Creates the event handlers that log, measure and count requests. */
+/**
+ * Creates the event handlers that log, measure and count requests; `onLimited` is called when the limit of an upstream has
+ * changed, which the peers must know.
+ */
 export const createGatewayEvents = (
     log: EventLog,
     metrics: MetricsRegistry,
     addUsage: (accountId: AccountId) => void,
+    onLimited: () => void,
 ): GatewayEvents => {
     const requests = metrics.counter("ibis_requests_total", "Callers' requests by service, outcome and status.");
     const durations = metrics.distribution("ibis_request_duration_ms", "Time to the end of the answer.");
@@ -26,13 +30,9 @@
             }
         },
         onAttemptEnded: (
-            { predictedMs, durationMs, sendsLeftMs, sharedPartIds, headMs, statedLimitPerS, ...attempt },
+            { predictedMs, durationMs, sendsLeftMs, sharedPartIds, headMs, ...attempt },
         ) => {
             sends.add(1, { outcome: attempt.outcome });
-            if (statedLimitPerS !== undefined) {
-                const { requestId, upstreamId } = attempt;
-                log.write("upstream_stated_limit", { requestId, upstreamId, limitPerS: statedLimitPerS });
-            }
             if (attempt.outcome === "done") {
                 return;
             }
@@ -53,6 +53,10 @@
         },
         onUpstreamLeaving: notice => log.write("upstream_leaving", { ...notice, source: "answer" }),
         onUpstreamPaused: pause => log.write("upstream_paused", pause),
+        onUpstreamLimited: limit => {
+            log.write("upstream_limited", { ...limit, source: "answer" });
+            onLimited();
+        },
         onInvalidHeaders: ({ upstreamId, headers }) =>
             log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
         onRequestEnded: ({ firstByteMs, durationMs, predictedMs, backlogMs, promptMs, ...request }) => {
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -58,6 +58,9 @@
     };
 };
 
+const newestLimitsFirst = (limits: HostReport["limits"]): HostReport["limits"] =>
+    [...limits].sort(([, , left], [, , right]) => right - left);
+
 const subtractCounters = (from: Counters, counters: Counters): Counters => ({
     accounts: countRows.subtract(1, from.accounts, counters.accounts),
     began: countRows.subtract(2, from.began, counters.began),
@@ -163,6 +166,7 @@
                 work: countRows.add(1, parts.map(({ work }) => work)),
                 leaving: countRows.distinct(2, [own.leaving, ...parts.map(({ leaving }) => leaving)]),
                 usageRecords: countRows.distinct(2, parts.map(({ usageRecords }) => usageRecords)),
+                limits: countRows.distinct(2, [newestLimitsFirst([own, ...parts].flatMap(({ limits }) => limits))]),
                 quarantine: mergeQuarantineRows([own, ...parts].map(({ quarantine }) => quarantine)),
             };
         },
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -42,6 +42,7 @@
             work: [...workMeter.busyUpstreams()].map(([service, busy]) => [service, Number(busy.toFixed(4))] as const),
             leaving: upstreams.leaving(),
             quarantine: quarantine.rows(),
+            limits: upstreams.limits(),
             usageRecords: toRows(usageRecords.own()),
         };
     };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -21,6 +21,7 @@
             report.work,
             report.leaving,
             report.usageRecords,
+            report.limits,
             report.quarantine?.suspects,
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -36,6 +36,13 @@
     readonly work: readonly (readonly [service: string, busyUpstreams: number])[];
     /** Starts of upstreams that are leaving. */
     readonly leaving: readonly (readonly [upstreamId: string, startedAtMs: number])[];
+    /** Newest limits that upstreams have stated, in requests a second of all hosts; -1 for none any more. */
+    readonly limits: readonly (readonly [
+        upstreamId: string,
+        startedAtMs: number,
+        statedAtMs: number,
+        limitPerS: number,
+    ])[];
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Counts that this host stored for windows as lease holder, and which may have been sent. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -27,6 +27,7 @@
 import type { HostComponents } from "./hostComponents";
 import type { HostEntry } from "./hostEntry";
 import type { HostReport } from "./hostReport";
+import { listLiveHosts } from "./listLiveHosts";
 import { registerHost } from "./registerHost";
 import { startHostListeners } from "./startHostListeners";
 import { watchSuspensions } from "./watchSuspensions";
@@ -108,11 +109,27 @@
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
     });
     resources.use(documentCache);
+    const startedAtMs = clock.monotonicMs();
+    const liveHostAddresses = (): readonly string[] =>
+        listLiveHosts({
+            ownAddress: settings.listen.peers,
+            registered: registeredHosts.map(({ address }) => address),
+            reports: [...peers.exchange?.reports().values() ?? []].map(({ report, reportedAtMs }) => ({
+                address: report.address,
+                reportedAtMs,
+            })),
+            isLargeGroup: (peers.exchange?.unnotifiedShare() ?? 0) > 0,
+            uptimeMs: clock.monotonicMs() - startedAtMs,
+            nowMs: clock.monotonicMs(),
+        });
     const upstreams = createUpstreamTable({
         clock,
         hasher,
         peerTimeoutMs,
         unobservedShare: () => peers.exchange?.unnotifiedShare() ?? 0,
+        sharedNowMs: clusterClock.nowMs,
+        ownAddress: settings.listen.peers,
+        hostAddresses: liveHostAddresses,
         serviceOf: service => documentCache.configuration()?.servicesByName.get(service),
         onPlaced: ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
             workMeter.add(service, workMs);
@@ -150,7 +167,7 @@
             onCrash: quarantine.accuse,
         }),
         sharedNowMs: clusterClock.nowMs,
-        events: createGatewayEvents(log, metrics, usage.add),
+        events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
         stopAcceptMs: STOP_ACCEPT_MS,
     }));
 
@@ -206,6 +223,8 @@
                 ageMs,
                 (upstreamId, startedAtMs) =>
                     log.write("upstream_leaving", { upstreamId, startedAtMs, source: report.hostName }),
+                (upstreamId, startedAtMs, limitPerS) =>
+                    log.write("upstream_limited", { upstreamId, startedAtMs, limitPerS, source: report.hostName }),
             ),
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -47,6 +47,9 @@
         { length: 8 },
         (_, host) =>
             createUpstreamTable({
+                sharedNowMs: () => 0,
+                ownAddress: "self",
+                hostAddresses: () => ["self"],
                 clock,
                 hasher,
                 peerTimeoutMs: () => 1_500,
@@ -123,6 +126,9 @@
     const random = createRandom(7);
     const tables: UpstreamTable[] = Array.from({ length: HOSTS }, (_, host) =>
         createUpstreamTable({
+            sharedNowMs: () => 0,
+            ownAddress: "self",
+            hostAddresses: () => ["self"],
             clock,
             hasher,
             peerTimeoutMs: () => 1_500,
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -46,6 +46,9 @@
 const createTable = (records: readonly UpstreamRecord[]) => {
     const clock = createFakeClock();
     const table = createUpstreamTable({
+        sharedNowMs: () => 0,
+        ownAddress: "self",
+        hostAddresses: () => ["self"],
         clock,
         hasher,
         peerTimeoutMs: () => 1_500,
@@ -194,6 +197,9 @@
     const plain: ServiceSpec = { ...spec, maximumConnections: 20, engine: undefined };
     const clock = createFakeClock();
     const table = createUpstreamTable({
+        sharedNowMs: () => 0,
+        ownAddress: "self",
+        hostAddresses: () => ["self"],
         clock,
         hasher,
         peerTimeoutMs: () => 1_500,
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -73,6 +73,9 @@
         limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000, idleTimeoutMs: 5_000 },
     });
     const upstreams = createUpstreamTable({
+        sharedNowMs: () => 0,
+        ownAddress: "self",
+        hostAddresses: () => ["self"],
         clock,
         hasher: await createHasher(),
         peerTimeoutMs: () => 1_500,
@@ -105,6 +108,7 @@
             onRunMoved: () => undefined,
             onUpstreamLeaving: () => undefined,
             onUpstreamPaused: () => undefined,
+            onUpstreamLimited: () => undefined,
             onInvalidHeaders: () => undefined,
             onRequestEnded: request => void ended.push(request),
         },
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -16,8 +16,6 @@
         readonly sendsLeftMs: number;
         /** Prompt parts that other requests may share. */
         readonly sharedPartIds: readonly string[];
-        /** Limit that the upstream stated in its response, in requests a second. */
-        readonly statedLimitPerS: number | undefined;
         /** Time from the send to the head of the response; undefined if none was received. */
         readonly headMs: number | undefined;
     }) => void;
@@ -36,6 +34,12 @@
     }) => void;
     /** An upstream turned a request away and asked for a pause. */
     readonly onUpstreamPaused: (pause: { readonly upstreamId: UpstreamId; readonly pauseMs: number; }) => void;
+    /** An upstream stated a new limit in requests a second, or none any more. */
+    readonly onUpstreamLimited: (limit: {
+        readonly upstreamId: UpstreamId;
+        readonly startedAtMs: number;
+        readonly limitPerS: number | undefined;
+    }) => void;
     /** A response had headers with invalid values. */
     readonly onInvalidHeaders: (response: {
         readonly upstreamId: UpstreamId;
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -24,8 +24,6 @@
     readonly onFirstEvent: () => void;
     /** Undefined until the head of the response. */
     headAtMs: number | undefined;
-    /** Limit that the upstream stated in the head of the response. */
-    statedLimitPerS: number | undefined;
     /** Undefined until the first byte of the body. */
     firstByteAtMs: number | undefined;
 }
@@ -243,7 +241,6 @@
         startedAtMs,
         onFirstEvent: load.recordFirstEvent,
         headAtMs: undefined,
-        statedLimitPerS: undefined,
         firstByteAtMs: undefined,
     };
     const countRun = (): void => {
@@ -260,7 +257,6 @@
         body,
         onHead: head => {
             attempt.headAtMs = clock.monotonicMs();
-            attempt.statedLimitPerS = head.limitPerS;
             observeResponseHead(options, upstream, head);
         },
         signal: ended,
@@ -294,7 +290,6 @@
         durationMs: clock.monotonicMs() - startedAtMs,
         sendsLeftMs: deadlineMs,
         sharedPartIds: sharedPartIds(admitted.head.promptParts),
-        statedLimitPerS: attempt.statedLimitPerS,
         headMs: attempt.headAtMs === undefined ? undefined : attempt.headAtMs - startedAtMs,
     });
     return outcome;
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -82,7 +82,8 @@
  * Handles overload, where prompts arrive faster than the engines process them. A prompt is sent to an engine that has
  * its prefix cached until the backlog there costs more than recomputing the prefix or puts the objective at risk. A
  * request whose first event would come too late for the rest of its response is refused on arrival instead of being
- * queued. An upstream that asked this host for a pause receives nothing until the pause ends, also as a last resort.
+ * queued. An upstream that asked this host for a pause, or whose stated limit leaves no room for it, receives nothing until
+ * then, also as a last resort.
  */
 export const chooseUpstream = (
     candidates: readonly PlacementCandidate[],
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -18,7 +18,10 @@
     readonly overheadMs: number;
     readonly roundTripMs: number;
     readonly isEjected: boolean;
-    /** Remaining time for which the upstream wants no requests from this host; 0 if it did not ask for a pause. */
+    /**
+     * Remaining time for which this host must not send to the upstream, because the upstream asked for a pause or stated
+     * a limit; 0 if it may.
+     */
     readonly pausedMs: number;
     readonly isMissing: boolean;
     /** Whether this host has reached its connection limit for the upstream. */
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,5 +1,6 @@
 import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import type { EngineSpec } from "../configuration/engineSpec";
+import { createStatedLimits } from "../limits/createStatedLimits";
 import { affinityPenaltyMs } from "../placement/affinityPenaltyMs";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -72,6 +73,7 @@
     const prefixes = createPrefixDirectory(clock);
     const departureNotifier = createDepartureNotifier();
     const leavingRegister = createLeavingRegister(clock);
+    const limits = createStatedLimits(options);
 
     const isDeparting = ({ upstreamId, startedAtMs }: UpstreamRecord): boolean => {
         const state = upstreams.get(upstreamId);
@@ -192,7 +194,7 @@
             overheadMs: engine === undefined ? 0 : speeds.overheadMs(record.service),
             roundTripMs: state.roundTripMs ?? view.roundTripMsByZone.get(record.availabilityZone) ?? view.roundTripMs,
             isEjected: health.isEjected(state),
-            pausedMs: Math.max(0, state.pausedUntilMs - clock.monotonicMs()),
+            pausedMs: Math.max(0, state.pausedUntilMs - clock.monotonicMs(), limits.waitMs(record)),
             isMissing: state.missingSinceMs !== undefined,
             isAtConnectionLimit: state.openConnections >= view.connectionLimit,
         };
@@ -251,6 +253,7 @@
             const listed = new Set(records.map(({ upstreamId }) => upstreamId));
             records.forEach(register);
             [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(markMissing);
+            limits.retain(({ upstreamId }) => upstreams.has(upstreamId));
             departureNotifier.notifyDepartures(isDepartingOrRemoved);
         },
         isLeaving: record => leavingRegister.has(record),
@@ -285,6 +288,7 @@
             if (state.backlogTokens === 0) {
                 state.lastProgressAtMs = startedAtMs;
             }
+            limits.recordSend(state.record);
             state.running++;
             state.backlogTokens += tokens;
             prefixes.record(state.record, request);
@@ -333,6 +337,8 @@
             return isNew;
         },
         leaving: () => leavingRegister.entries().filter(([upstreamId]) => upstreams.has(upstreamId)),
+        observeLimit: limits.observe,
+        limits: limits.rows,
         pause: ({ upstreamId, startedAtMs }, durationMs) =>
             update(upstreamId, state => {
                 if (state.record.startedAtMs === startedAtMs) {
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import type { StatedLimits } from "../limits/statedLimits";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
 import type { UpstreamLoad } from "./upstreamLoad";
@@ -33,6 +34,18 @@
     readonly observeLeaving: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
     /** Starts of upstreams that are leaving, for the other hosts, as long as the upstream is known otherwise. */
     readonly leaving: () => readonly (readonly [upstreamId: UpstreamId, startedAtMs: number])[];
+    /**
+     * Records the limit that a response of an upstream states, or a peer reports, at the given time of the shared clock:
+     * requests a second of all hosts together, undefined for none, or NaN for an unreadable one. Returns whether the
+     * limit has changed.
+     */
+    readonly observeLimit: (
+        upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">,
+        limitPerS: number | undefined,
+        atMs: number,
+    ) => boolean;
+    /** Limits that upstreams have stated, for the other hosts. */
+    readonly limits: StatedLimits["rows"];
     /** Excludes an upstream from placement for a time, as it asked for. */
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
--- a/packages/gateway/src/upstreams/upstreamTableOptions.ts
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -11,6 +11,11 @@
     readonly peerTimeoutMs: () => number;
     /** Fraction of the other hosts' placements of which this host receives no notice. */
     readonly unobservedShare: () => number;
+    /** The clock that the hosts share. */
+    readonly sharedNowMs: () => number;
+    readonly ownAddress: string;
+    /** Addresses of the hosts that are presumed live, including the own one. */
+    readonly hostAddresses: () => readonly string[];
     /** Called for each request that is placed on an upstream. */
     readonly onPlaced: (placement: UpstreamPlacement) => void;
 }
