--- a/packages/gateway/src/limits/computeLimitShare.ts
+++ b/packages/gateway/src/limits/computeLimitShare.ts
@@ -29,10 +29,10 @@
     }
     const senders = Math.min(hostHashes.size, Math.ceil(limitPerS) + ADDITIONAL_SENDERS);
     const ownRank = combineHashes(upstreamHash, ownHash);
-    const isBefore = (other: string, hash: number): boolean => {
+    let preceding = 0;
+    hostHashes.forEach((hash, other) => {
         const rank = combineHashes(upstreamHash, hash);
-        return rank < ownRank || rank === ownRank && other < host;
-    };
-    const preceding = [...hostHashes].filter(([other, hash]) => other !== host && isBefore(other, hash));
-    return preceding.length < senders ? { intervalMs: MS_PER_S * senders / limitPerS } : undefined;
+        preceding += rank < ownRank || rank === ownRank && other < host ? 1 : 0;
+    });
+    return preceding < senders ? { intervalMs: MS_PER_S * senders / limitPerS } : undefined;
 };
--- a/packages/gateway/src/limits/createStatedLimits.ts
+++ b/packages/gateway/src/limits/createStatedLimits.ts
@@ -50,12 +50,23 @@
     const statements = new Map<string, Statement>();
     const hashes = new Map<string, { readonly hash: number; }>();
 
+    let hosts = { atMs: -Infinity, hashes: new Map<string, number>() };
+
     const hashOf = (text: string): number => {
         const known = hashes.get(text) ?? { hash: hasher.hash32(text) };
         hashes.set(text, known);
         return known.hash;
     };
 
+    /** Hashes of the live hosts' addresses. */
+    const currentHosts = (): ReadonlyMap<string, number> => {
+        const nowMs = clock.monotonicMs();
+        if (nowMs - hosts.atMs >= INTERVAL_LIFETIME_MS) {
+            hosts = { atMs: nowMs, hashes: new Map(hostAddresses().map(address => [address, hashOf(address)])) };
+        }
+        return hosts.hashes;
+    };
+
     /** The limit in force; undefined if there is none. */
     const currentLimitPerS = ({ limitPerS, liftedAtMs }: Statement): number | undefined => {
         if (liftedAtMs === undefined) {
@@ -72,8 +83,7 @@
         if (limitPerS === undefined) {
             return 0;
         }
-        const hostHashes = new Map(hostAddresses().map(address => [address, hashOf(address)]));
-        return computeLimitShare(limitPerS, hashOf(statement.upstreamId), hostHashes, ownAddress)?.intervalMs;
+        return computeLimitShare(limitPerS, hashOf(statement.upstreamId), currentHosts(), ownAddress)?.intervalMs;
     };
 
     const currentIntervalMs = (statement: Statement): number | undefined => {
