--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -78,10 +78,30 @@
     );
     const { stdout } = await runIbisctl(["explain", "r", "-f", path, "--output", "json"]);
     const { cause, lines } = JSON.parse(stdout) as RequestExplanation;
-    expect(cause).toBe("Every upstream of the service had asked this host for a pause; nothing was sent.");
+    expect(cause).toBe(
+        "Every upstream of the service had asked for a pause or stated a limit that left this host no room; nothing was sent.",
+    );
     expect(lines.map(({ event }) => event)).toEqual(["upstream_paused", "request_ended"]);
 });
 
+test("names the quarantined prompt part of a refused request", async () => {
+    const path = join(mkdtempSync(join(tmpdir(), "ibisctl-")), "hosts.log");
+    const line = (second: number, fields: Readonly<Record<string, unknown>>): string =>
+        JSON.stringify({ host: "a", timestamp: `2026-01-01T00:00:0${second}Z`, ...fields });
+    const refusal = { reason: "prompt_part_quarantined", status: 503, quarantinedPart: "5c1e07a2" };
+    writeFileSync(
+        path,
+        [
+            line(1, { message: "prompt_part_quarantined", part: "5c1e07a2", crashes: 3 }),
+            line(2, { message: "request_ended", requestId: "r", outcome: "refused", ...refusal }),
+        ].join("\n"),
+    );
+    const { stdout } = await runIbisctl(["explain", "r", "-f", path, "--output", "json"]);
+    const { cause, lines } = JSON.parse(stdout) as RequestExplanation;
+    expect(cause).toContain("5c1e07a2");
+    expect(lines.map(({ event }) => event)).toEqual(["prompt_part_quarantined", "request_ended"]);
+});
+
 test("fails with separate exit codes for an unknown request and an unreadable file", async () => {
     expect((await runIbisctl(["explain", "none", "-f", LOG])).exitCode).toBe(ExitCode.NotFound);
     expect((await runIbisctl(["explain", "none", "-f", join(LOG, "missing")])).exitCode).toBe(ExitCode.Invalid);
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -6,7 +6,8 @@
 const CAUSES: Readonly<Record<string, string>> = {
     "over_limit": "The client account had used up its rate limit; nothing was sent.",
     "saturated": "No upstream could have started the request in time; nothing was sent.",
-    "paused": "Every upstream of the service had asked this host for a pause; nothing was sent.",
+    "paused":
+        "Every upstream of the service had asked for a pause or stated a limit that left this host no room; nothing was sent.",
     "no-upstream": "The host knew no registered upstream of the service; nothing was sent.",
     "unknown_route": "The configuration in use on the host has no such route.",
     "unauthenticated": "The configuration in use on the host has no such key.",
@@ -54,6 +55,10 @@
     if (reason.startsWith("event-too-large")) {
         return "The upstream sent bytes that are no event in the middle of a stream.";
     }
+    if (reason === "prompt_part_quarantined") {
+        const part = stringOrEmpty(end.fields["quarantinedPart"]);
+        return `Upstreams have crashed under the part ${part} of the prompt, which is quarantined.`;
+    }
     return INTERRUPTED_RESPONSE_PATTERN.test(reason)
         ? "The upstream interrupted the response, and the route does not allow another attempt."
         : CAUSES[reason] ?? `Ended with the reason ${reason}.`;
--- a/packages/gateway/__tests__/limitShare.spec.ts
+++ b/packages/gateway/__tests__/limitShare.spec.ts
@@ -99,7 +99,7 @@
 };
 
 test("an unreadable limit changes nothing, zero allows no requests, and without answers a limit stays", async () => {
-    const { clock, limits, advance } = await createLimits();
+    const { limits, advance } = await createLimits();
     expect(limits.observe(START, NaN, 1)).toBe(false);
     expect(limits.waitMs(START)).toBe(0);
     expect(limits.observe(START, 0, 2)).toBe(true);
--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -40,6 +40,7 @@
     changes: [{ version: 4, acceptedAtMs: 0, movingService: "moving-0" }],
     leaving: [],
     crashes: [],
+    limits: [],
     usage: [],
     disturbances: [],
     calmSinceMs: 1_000,
@@ -150,3 +151,21 @@
     expect(checksOf(9_500)).toContain("crashing-part");
     expect(checksOf(8_500)).not.toContain("crashing-part");
 });
+
+test("reports upstreams that get more requests than the limit that they state", () => {
+    const requestIds = Array.from({ length: 12 }, (_, index) => `limited-${index}`);
+    const checksOf = (count: number): readonly string[] =>
+        checkRecords(
+            records({
+                attempts: [...others, ...requestIds].map(requestId => attempt({ requestId })),
+                runs: requestIds.slice(0, count).map((requestId, index) =>
+                    run({ requestId, upstreamId: "limited", atMs: 20_000 + index * 300 })
+                ),
+                limits: [{ upstreamId: "limited", limitPerS: 1, fromMs: 10_000, untilMs: 30_000 }],
+            }),
+            expectedBody,
+            bounds,
+        ).map(({ check }) => check);
+    expect(checksOf(12)).toContain("limit");
+    expect(checksOf(11)).not.toContain("limit");
+});
--- a/packages/soak/src/checks/checkRecords.ts
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -3,6 +3,7 @@
 import { checkConfiguration } from "./checkConfiguration";
 import { checkCrashingParts } from "./checkCrashingParts";
 import { checkLeaving } from "./checkLeaving";
+import { checkLimits } from "./checkLimits";
 import { checkRecovery } from "./checkRecovery";
 import { checkUsage } from "./checkUsage";
 import type { TimeBounds } from "./timeBounds";
@@ -18,6 +19,7 @@
     ...checkConfiguration(records, bounds),
     ...checkLeaving(records, bounds),
     ...checkCrashingParts(records, bounds),
+    ...checkLimits(records, bounds),
     ...checkUsage(records),
     ...checkRecovery(records),
 ];
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -80,6 +80,10 @@
 const RESTORATION_MS = 700;
 const REWRITE_DELAY_MS = 800;
 
+/** Limit that an upstream states, and the minimum time for which it does: several windows of the check. */
+const STATED_LIMIT_PER_S = 1;
+const LIMIT_MS = 12_000;
+
 const restoreStore: Handler = async ({ world, sleep, step, startDisturbance }) => {
     const restore = world.store.takeCopy();
     await sleep(step.forMs);
@@ -134,6 +138,11 @@
     "upstream-unframed-answers": setUpstream("unframed-answers"),
     "upstream-endless-bytes": setUpstream("endless-bytes"),
     "upstream-pauses": setUpstream("pauses"),
+    "upstream-states-limit": onUpstream(async (upstream, { sleep, step }) => {
+        const endLimit = upstream.stateLimit(STATED_LIMIT_PER_S);
+        await sleep(LIMIT_MS + step.forMs);
+        endLimit();
+    }),
     "requests-crash-upstreams": async ({ world }) => world.sendCrashingPart(),
     "configuration-changes": ({ world }) => world.changeConfiguration(),
 };
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -29,5 +29,6 @@
     | "upstream-unframed-answers"
     | "upstream-endless-bytes"
     | "upstream-pauses"
+    | "upstream-states-limit"
     | "requests-crash-upstreams"
     | "configuration-changes";
--- a/packages/soak/src/faults/soakUpstream.ts
+++ b/packages/soak/src/faults/soakUpstream.ts
@@ -7,6 +7,8 @@
     readonly setFault: (fault: UpstreamFault) => void;
     /** Writes its entry to the store again. */
     readonly register: () => void;
+    /** From now on states a limit in its answers, in requests a second of all hosts; returns a function that ends it. */
+    readonly stateLimit: (limitPerS: number) => () => void;
     /** States in its answers and then in the store that it is leaving, is replaced under a new id at once, and serves until the drain time is over. */
     readonly leave: () => Promise<void>;
     /** Resets all connections and stops; replaced under a new id `downMs` after its store entry was removed. */
--- a/packages/soak/src/records/soakRecords.ts
+++ b/packages/soak/src/records/soakRecords.ts
@@ -13,6 +13,13 @@
     readonly leaving: { readonly upstreamId: string; readonly acceptedAtMs: number; }[];
     /** Crashes of upstreams under a prompt part. */
     readonly crashes: { readonly part: string; readonly upstreamId: string; readonly atMs: number; }[];
+    /** Limits that upstreams stated, in requests a second of all hosts. */
+    readonly limits: {
+        readonly upstreamId: string;
+        readonly limitPerS: number;
+        readonly fromMs: number;
+        untilMs: number;
+    }[];
     readonly usage: UsageReport[];
     readonly disturbances: Disturbance[];
     /** Monotonic time at which the last fault ended. */
