fix(quarantine): an accusation carries the last answer that went on

Hosts reported that an answer on a part had gone on for five seconds only. Those that heard of an accusation later took the part for one that was never sound and blamed it after three crashes in place of four. The test failed before.

--- a/packages/quarantine/__tests__/partQuarantine.spec.ts
+++ b/packages/quarantine/__tests__/partQuarantine.spec.ts
@@ -52,6 +52,14 @@
     expect(isRefused("popular")).toBe(false);
 });
 
+test("an accusation is reported with the last answer that went on, however long ago", () => {
+    const { crash, quarantine, time } = createHost();
+    quarantine.clear(["popular"], time.nowMs);
+    time.nowMs += 60_000;
+    crash(1, ["popular"]);
+    expect(quarantine.rows().cleared).toEqual([["popular", 1_000]]);
+});
+
 test("upstreams that crash together count once", () => {
     const { time, quarantine, isRefused } = createHost();
     Array.from({ length: 20 }).forEach((_, index) =>
--- a/packages/quarantine/src/createPartQuarantine.ts
+++ b/packages/quarantine/src/createPartQuarantine.ts
@@ -87,9 +87,13 @@
     isConfirmed: left.isConfirmed || right.isConfirmed,
 });
 
-/** Removes the entries at the front of a map, which are the oldest ones, down to a number of entries. */
-const trim = (map: Map<string, unknown>, maximum: number): void =>
-    [...map.keys()].slice(0, Math.max(0, map.size - maximum)).forEach(key => void map.delete(key));
+/** Removes the entry at the front of a map, which is the oldest one, if there are more than a number of entries. */
+const trim = (map: Map<string, unknown>, maximum: number): void => {
+    const [oldest] = map.keys();
+    if (map.size > maximum && oldest !== undefined) {
+        map.delete(oldest);
+    }
+};
 
 /**
  * Creates a quarantine without parts; `nowMs` is a clock that the hosts share.
@@ -228,6 +232,13 @@
         changeCounts(added, 1);
         removeSuspects([...suspects].slice(0, Math.max(0, suspects.size - MAXIMUM_SUSPECTS)));
         hasNewEvidence = true;
+        // The hosts that hear of the accusation may not know that answers on the parts have gone on before.
+        usableIds.forEach(partId => {
+            const clearing = cleared.get(partId);
+            if (clearing !== undefined) {
+                cleared.set(partId, { ...clearing, heardAtMs: nowMs() });
+            }
+        });
         events.onAccused(added, isOwn);
     };
 
