test(edge): the tests of both incidents do not depend on the load of the machine

With the refusals printed and 20 busy processes beside it the reason is saturated, as the objective of 200 ms cannot be met then; no refusal came from the limit. The same load made crashingPart.spec fail. Both use an objective of four seconds now, and check more: that nobody is refused, and that only the crashing part is quarantined.

--- a/packages/edge/__tests__/crashingPart.spec.ts
+++ b/packages/edge/__tests__/crashingPart.spec.ts
@@ -19,6 +19,9 @@
 const SOUND_INTERVAL_MS = 40;
 const LOAD_MS = 11_000;
 
+/** Long enough for no request to be refused because the machine of the test is busy. */
+const OBJECTIVE_MS = 4_000;
+
 const send = (port: number, parts: string): Promise<number> =>
     new Promise(resolve => {
         const outgoing = sendRequest({
@@ -45,7 +48,9 @@
 const startGroup = async (records: CrashRecords) => {
     const resources = createResourceStack();
     const store = createTestStore();
-    store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+    const configuration = createTestConfiguration(1, "k1");
+    const routes = configuration.routes.map(route => ({ ...route, objectiveMs: OBJECTIVE_MS }));
+    store.write("configuration", JSON.stringify({ ...configuration, routes }));
     const upstreams = await Promise.all(
         Array.from({ length: UPSTREAMS }, (_, index) => startCrashingUpstream(store, `u-${index}`, records)),
     );
@@ -89,11 +94,17 @@
             ),
         ]);
         const statuses = await Promise.all(sound);
+        const refusals = group.hosts.flatMap(({ events }) =>
+            events.filter(({ fields }) => fields["reason"] === "prompt_part_quarantined").map(({ fields }) =>
+                fields["quarantinedPart"]
+            )
+        );
         const fifthAtMs = records.crashTimesMs[CRASHES - 1] ?? Infinity;
         expect(records.crashTimesMs.length).toBeGreaterThanOrEqual(3);
         expect(records.arrivalTimesMs.filter(atMs => atMs > fifthAtMs + CONTACT_MS).length).toBeLessThanOrEqual(
             MAXIMUM_ARRIVALS,
         );
+        expect(new Set(refusals)).toEqual(new Set([records.crashingPart]));
         // Of the last seconds, in which such requests still come.
         const last = statuses.slice(-statuses.length / 4);
         expect(last.filter(status => status === 200).length / last.length).toBeGreaterThan(0.9);
--- a/packages/edge/__tests__/statedLimit.spec.ts
+++ b/packages/edge/__tests__/statedLimit.spec.ts
@@ -17,6 +17,9 @@
 const WINDOW_MS = 4_000;
 const MAXIMUM_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_MS / 1_000 + 5;
 
+/** Long enough for no request to be refused because the machine of the test is busy. */
+const OBJECTIVE_MS = 4_000;
+
 const INTERVAL_MS = 20;
 const LIMITED_MS = 14_000;
 
@@ -48,7 +51,9 @@
 test("all hosts together send an upstream no more requests than the limit that it states", async () => {
     await using resources = createResourceStack();
     const store = createTestStore();
-    store.write("configuration", JSON.stringify(createTestConfiguration(1, "k1")));
+    const configuration = createTestConfiguration(1, "k1");
+    const routes = configuration.routes.map(route => ({ ...route, objectiveMs: OBJECTIVE_MS }));
+    store.write("configuration", JSON.stringify({ ...configuration, routes }));
     const upstreams = await Promise.all(Array.from({ length: UPSTREAMS }, startLimitedUpstream));
     upstreams.forEach((upstream, index) => {
         resources.use(upstream);
@@ -81,5 +86,9 @@
         expect(mostInWindow(arrivalTimesMs, statedAtMs + CONTACT_MS)).toBeLessThanOrEqual(MAXIMUM_IN_WINDOW);
     });
     // Callers don't notice: the other upstreams have room.
-    expect(new Set(await Promise.all(statuses))).toEqual(new Set([200]));
+    await Promise.all(statuses);
+    const refusals = hosts.flatMap(({ events }) =>
+        events.filter(({ event, fields }) => event === "request_ended" && fields["outcome"] !== "answered")
+    );
+    expect(refusals.map(({ fields }) => fields)).toEqual([]);
 }, 60_000);
