--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -7,7 +7,7 @@
 const COMMITTED = "packages/protocol/src/generated";
 
 const generateInto = directory => {
-    const { status } = spawnSync(
+    const { status, error } = spawnSync(
         "npx",
         ["--no-install", "buf", "generate", "packages/protocol/proto", "-o", directory],
         {
@@ -15,6 +15,7 @@
         },
     );
     if (status !== 0) {
+        process.stderr.write(`buf generate failed: ${error?.message ?? `status ${status}`}\n`);
         process.exit(status ?? 1);
     }
 };
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -16,7 +16,10 @@
 
 const runCheck = ([title, script]) => {
     process.stdout.write(`\n== ${title}\n`);
-    const { status } = spawnSync("npm", ["run", "--silent", script], { stdio: "inherit" });
+    const { status, signal, error } = spawnSync("npm", ["run", "--silent", script], { stdio: "inherit" });
+    if (status === null) {
+        process.stderr.write(`${title}: npm run ${script} ${error?.message ?? `was ended by ${signal}`}\n`);
+    }
     return { title, passed: status === 0 };
 };
 
@@ -33,5 +36,8 @@
 const failed = results.filter(result => !result.passed);
 printKnownFailures();
 process.stdout.write(`\n${results.map(({ title, passed }) => `${passed ? "ok  " : "FAIL"} ${title}`).join("\n")}\n`);
+if (failed.length > 0) {
+    process.stdout.write(`failed: ${failed.map(({ title }) => title).join(", ")}\n`);
+}
 process.stdout.write(`${results.length - failed.length} passed, ${failed.length} failed\n`);
 process.exit(failed.length === 0 ? 0 : 1);
