fix(gateway): streams are continued at upstreams whose connections are older than the registry's delay

Cause: after a crash between two requests nobody lost an answer, so no host probed the upstream; its old entry was believed and streams of the old version were continued there. Ruled out: the crash detector's timing alone, since the runs without a lost answer never reach it. Change: a continued stream prefers upstreams to which this host has a connection that is older than 4 s, or the oldest one. A crash would have closed it. Connections are tracked by start of the upstream.

--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -227,7 +227,7 @@
     });
     table.replace([engine("a")]);
     table.observePeer("peer", new Map(), 1);
-    Array.from({ length: 9 }).forEach(() => table.changeConnections("a" as UpstreamId, 1));
+    Array.from({ length: 9 }).forEach(() => table.trackConnection(engine("a")));
     const request = prompt("s");
     expect(chooseUpstream(table.candidates(service, request), request)).toMatchObject({ reason: "saturated" });
 });
@@ -358,3 +358,35 @@
     table.observePeer("last", new Map(), 1);
     expect(table.hostCount()).toBe(2);
 });
+
+test("a stream is continued where a connection is older than the delay of the registry, unless it would come too late there", async () => {
+    const { clock, table, place } = createTable([engine("busy"), engine("idle")]);
+    const continued = prompt("s", {
+        objectiveMs: 4_000,
+        remainingMs: 20_000,
+        softwareVersion: engine("busy").softwareVersion,
+    });
+    table.trackRequest("busy" as UpstreamId, prompt("other"));
+    const close = table.trackConnection(engine("busy"));
+    await clock.advance(3_000);
+    table.trackConnection(engine("idle"));
+    expect(upstreamOf(place(prompt("s")))).toBe("idle");
+    expect(upstreamOf(place(continued))).toBe("busy");
+    expect(upstreamOf(place({ ...continued, objectiveMs: 1_000 }))).toBe("idle");
+    await clock.advance(4_000);
+    // Both connections are old enough to lead to the registered starts.
+    expect(upstreamOf(place(continued))).toBe("idle");
+    close();
+    expect(upstreamOf(place(continued))).toBe("idle");
+});
+
+test("connections to a start of an upstream do not count for the next start", async () => {
+    const { clock, table } = createTable([engine("a")]);
+    table.trackConnection(engine("a"));
+    await clock.advance(5_000);
+    expect(table.candidates(service, prompt("s"))[0]?.connectedForMs).toBe(5_000);
+    table.replace([engine("a", { startedAtMs: engine("a").startedAtMs + 1 })]);
+    table.trackConnection(engine("a"));
+    await clock.advance(1_000);
+    expect(table.candidates(service, prompt("s"))[0]?.connectedForMs).toBe(0);
+});
--- a/packages/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/gateway/__tests__/streamVersions.spec.ts
@@ -130,6 +130,7 @@
         pausedMs: 0,
         isMissing: false,
         isAtConnectionLimit: false,
+        connectedForMs: 0,
     });
     const request: PlacementRequest = {
         promptTokens: 0,
--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -56,8 +56,7 @@
         const socket = createConnection(options, callback) as Socket;
         if (!countedSockets.has(socket)) {
             countedSockets.add(socket);
-            upstreams.changeConnections(upstream.upstreamId, 1);
-            socket.once("close", () => upstreams.changeConnections(upstream.upstreamId, -1));
+            socket.once("close", upstreams.trackConnection(upstream));
         }
         return socket;
     };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -2,6 +2,7 @@
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
 import { predictMs } from "./predictMs";
+import { selectContinuing } from "./selectContinuing";
 
 /** `Retry-After` while a service has no eligible upstream: a replacement or a re-registration takes about this long. */
 const NO_UPSTREAM_RETRY_MS = 400;
@@ -105,11 +106,16 @@
     }
     const healthy = available.filter(({ isEjected }) => !isEjected);
     const considered = healthy.length > 0 ? healthy : available;
-    const chosen = selectCandidate(considered.filter(hasCapacity), request.objectiveMs);
     const latestFirstEventMs = Math.min(
         request.remainingMs * MAXIMUM_FIRST_EVENT_SHARE,
         request.objectiveMs * (request.requiresSpareCapacity ? SPARE_OBJECTIVE_FACTOR : MAXIMUM_OBJECTIVE_FACTOR),
     );
+    const withCapacity = considered.filter(hasCapacity);
+    const timely = withCapacity.filter(candidate => predictMs(candidate) <= latestFirstEventMs);
+    const chosen = selectCandidate(
+        request.softwareVersion === undefined || timely.length === 0 ? withCapacity : selectContinuing(timely),
+        request.objectiveMs,
+    );
     if (chosen === undefined || predictMs(chosen) > latestFirstEventMs) {
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestFirstEventMs / 2;
         return { kind: "refuse", reason: "saturated", retryAfterMs: Math.max(NO_UPSTREAM_RETRY_MS / 2, excessMs) };
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -26,4 +26,6 @@
     readonly isMissing: boolean;
     /** Whether this host has reached its connection limit for the upstream. */
     readonly isAtConnectionLimit: boolean;
+    /** Age of this host's oldest open connection to the upstream; 0 if there is none. */
+    readonly connectedForMs: number;
 }
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -22,5 +22,5 @@
     slowdown: 1,
     roundTripMs: undefined,
     responseMs: undefined,
-    openConnections: 0,
+    openConnections: new Set(),
 });
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -172,6 +172,10 @@
         return { running: state.running, backlogTokens: Math.round(ownTokens) };
     };
 
+    const connectedForMs = ({ openConnections }: UpstreamState): number =>
+        clock.monotonicMs()
+        - Math.min(clock.monotonicMs(), ...[...openConnections].map(({ openedAtMs }) => openedAtMs));
+
     const evaluate = (state: UpstreamState, request: PlacementRequest, view: ServiceView): Evaluation => {
         const { record } = state;
         const { engine } = view;
@@ -201,7 +205,8 @@
             isEjected: health.isEjected(state),
             pausedMs: Math.max(0, state.pausedUntilMs - clock.monotonicMs(), limits.waitMs(record)),
             isMissing: state.missingSinceMs !== undefined,
-            isAtConnectionLimit: state.openConnections >= view.connectionLimit,
+            isAtConnectionLimit: state.openConnections.size >= view.connectionLimit,
+            connectedForMs: connectedForMs(state),
         };
         return { candidate, tokens, maximumTokens, backlogTokens };
     };
@@ -371,10 +376,15 @@
             update(upstreamId, state => {
                 state.roundTripMs = movingAverage(state.roundTripMs, roundTripMs);
             }),
-        changeConnections: (upstreamId, change) =>
-            update(upstreamId, state => {
-                state.openConnections = Math.max(0, state.openConnections + change);
-            }),
+        trackConnection: ({ upstreamId, startedAtMs }) => {
+            const state = upstreams.get(upstreamId);
+            if (state?.record.startedAtMs !== startedAtMs) {
+                return () => undefined;
+            }
+            const connection = { openedAtMs: clock.monotonicMs() };
+            state.openConnections.add(connection);
+            return () => void state.openConnections.delete(connection);
+        },
         observePeer: peers.observe,
         observePlacement: (hostName, upstreamId, load, partIds) => {
             peers.observeLoad(hostName, upstreamId, load);
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -40,5 +40,6 @@
      * Moving average of the response time, for upstreams that are not engines; streams are measured to the first byte.
      */
     responseMs: number | undefined;
-    openConnections: number;
+    /** Connections of this host to this start, with the monotonic time at which each was opened. */
+    readonly openConnections: Set<{ readonly openedAtMs: number; }>;
 }
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -55,7 +55,8 @@
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
     readonly reportFailure: (upstreamId: UpstreamId, kind: "unreachable" | "failed") => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
-    readonly changeConnections: (upstreamId: UpstreamId, change: number) => void;
+    /** Counts a connection to this start of an upstream as open until the returned function is called. */
+    readonly trackConnection: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => () => void;
     /** Replaces the loads of a peer by those of its report, which contains the state of the given number of hosts. */
     readonly observePeer: (
         hostName: string,
