fix(edge): the versions of each service outlast a restart of all hosts

Cause: after all hosts had restarted at once, each told the others that it had been running for a moment. That was enough for the only registered version to count as the only one that there had been, so streams that a version had begun whose upstreams had just left were continued by the other one, with status 200. Also, the age of connections was taken with two readings of the clock, so a service without connections seemed to have no upstream for a continued stream; rejoinedStreams.spec.ts found it. Ruled out: origins that are not recorded while two versions are registered; with both registered, such streams were refused. Change: the list of versions is kept in the store, with the code that keeps what is quarantined, written when a version comes or goes and read at the start. bindStream trusts a single version only if the list was read or a host has been running for a minute.

--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -50,6 +50,7 @@
                 }),
                 versionsOf:
                     () => [{ softwareVersion: V1, knownForMs: Infinity }, { softwareVersion: V2, knownForMs: 1 }],
+                areVersionsRead: () => false,
                 onUnrecorded: () => undefined,
             }),
         )
--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -28,6 +28,11 @@
         changes.push({ kind: "written", entry });
     };
 
+    const remove = (key: string): void => {
+        entries.delete(key);
+        changes.push({ kind: "removed", key, version: ++revision });
+    };
+
     /** Copies the store; returns a function that restores it from the copy, which starts a new epoch. */
     const takeCopy = (): () => void => {
         const copied = { entries: [...entries], changes: [...changes], revision, restore: keyValueStore.takeCopy() };
@@ -87,5 +92,5 @@
         },
     });
 
-    return { write, takeCopy, refused, epoch, historyOf, storeOf };
+    return { write, remove, takeCopy, refused, epoch, historyOf, storeOf };
 };
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -71,13 +71,28 @@
     leavesInMs: undefined,
 });
 
-/** Starts a host that uses a test store, with free loopback ports and short intervals. */
+/** Loopback ports of a host's listeners. */
+interface HostPorts {
+    readonly callers: number;
+    readonly readiness: number;
+    readonly peers: number;
+}
+
+const findHostPorts = async (): Promise<HostPorts> => ({
+    callers: await findFreePort(),
+    readiness: await findFreePort(),
+    peers: await findFreePort(),
+});
+
+/** Starts a host that uses a test store, with short intervals; on free ports, unless it restarts on those that it had. */
 export const startTestHost = async (
     store: ReturnType<typeof createTestStore>,
     hostName: string,
     seedAddresses: readonly string[] = [],
+    knownPorts?: HostPorts,
 ) => {
-    const [callers, readiness, peers] = [await findFreePort(), await findFreePort(), await findFreePort()];
+    const ports = knownPorts ?? await findHostPorts();
+    const { callers, readiness, peers } = ports;
     const events: LoggedEvent[] = [];
     const reports: { readonly window: number; readonly requests: number; }[] = [];
     const host = await startEdgeHost({
@@ -125,5 +140,5 @@
             ownPrefix: "own/",
         },
     });
-    return { host, events, reports, callers, readiness, peersAddress: `127.0.0.1:${peers}` };
+    return { host, events, reports, ports, callers, readiness, peersAddress: `127.0.0.1:${peers}` };
 };
--- a/packages/edge/src/createStreamOriginStore.ts
+++ b/packages/edge/src/createStreamOriginStore.ts
@@ -51,7 +51,7 @@
  * hosts that remember a stream are found by rendezvous hashing of its id, so that none has to know all of them.
  */
 export const createStreamOriginStore = (options: StreamOriginStoreOptions): StreamOriginStore => {
-    const { clock, hasher, ownAddress, hostAddresses, exchange, versionsOf, onUnrecorded } = options;
+    const { clock, hasher, ownAddress, hostAddresses, exchange, versionsOf, areVersionsRead, onUnrecorded } = options;
     const origins = new Map<string, { readonly origin: StreamOrigin; readonly atMs: number; }>();
     const startedAtMs = clock.monotonicMs();
 
@@ -101,6 +101,7 @@
                 origin: localOrigin(requestId, accountId),
                 recordedForMs: 0,
                 uptimeMs: uptimeMs(),
+                areVersionsComplete: areVersionsRead() || uptimeMs() >= STREAM_LIFETIME_MS,
                 peerVersions: [],
             };
             const isOnlyVersion = uptimeMs() >= STREAM_LIFETIME_MS && versionsOf(service).length === 1;
@@ -129,6 +130,8 @@
                 recordedForMs: replies.length === calls.length
                     ? Math.min(uptimeMs(), ...replies.map(reply => Number(reply.uptimeMs)))
                     : 0,
+                areVersionsComplete: own.areVersionsComplete
+                    || replies.some(reply => Number(reply.uptimeMs) >= STREAM_LIFETIME_MS),
                 peerVersions: replies.flatMap(({ softwareVersions }) => softwareVersions as SoftwareVersion[]),
             };
         },
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -24,6 +24,7 @@
 import { createReportAggregation } from "./createReportAggregation";
 import { createReportFactory } from "./createReportFactory";
 import { createStreamOriginStore } from "./createStreamOriginStore";
+import { createVersionStore } from "./createVersionStore";
 import { createWorkMeter } from "./createWorkMeter";
 import { decodeHostReport } from "./decodeHostReport";
 import type { EdgeHost } from "./edgeHost";
@@ -35,6 +36,7 @@
 import { rankHosts } from "./rankHosts";
 import { registerHost } from "./registerHost";
 import { startHostListeners } from "./startHostListeners";
+import type { StoredRows } from "./storedRows";
 import { watchSuspensions } from "./watchSuspensions";
 
 /** Report interval in a small group: placements and limits use peer state that is up to two intervals old. */
@@ -79,6 +81,7 @@
     const usage = createUsageCounts(settings.usage.windowMs, clusterClock.nowMs);
     const usageRecords = createUsageRecords();
     const peers: { exchange?: ReportExchange<HostReport>; } = {};
+    const versions: { store?: StoredRows; } = {};
     const peerTimeoutMs = (): number =>
         Math.max(MINIMUM_PEER_TIMEOUT_MS, PEER_TIMEOUT_FACTOR * (peers.exchange?.propagationDelayMs() ?? 0));
     const accounts = createAccountMeter(clock, {
@@ -150,6 +153,7 @@
         hostAddresses: liveHostAddresses,
         exchange: () => peers.exchange,
         versionsOf: upstreams.versionsOf,
+        areVersionsRead: () => versions.store?.isRead() === true,
         onUnrecorded: ({ requestId, softwareVersion }) =>
             log.write("stream_origin_unrecorded", { requestId, softwareVersion }),
     });
@@ -170,17 +174,23 @@
             },
         },
     });
+    const isRepresentative = (): boolean => peers.exchange?.isRepresentative() ?? false;
     const quarantineStore = resources.use(createQuarantineStore({
         ...options,
         key: `${options.documents.ownPrefix}quarantine`,
-        quarantine,
-        isRepresentative: () => peers.exchange?.isRepresentative() ?? false,
-    }));
+        isRepresentative,
+    }, quarantine));
+    versions.store = resources.use(createVersionStore({
+        ...options,
+        key: `${options.documents.ownPrefix}versions`,
+        isRepresentative,
+    }, upstreams));
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
     // A store that was restored from a copy may have older documents than the peers.
     const hasInitialState = (): boolean =>
         documentCache.configuration() !== undefined && upstreams.records().length > 0
-        && peers.exchange?.hasContactedPeers() === true && quarantineStore.isLoaded();
+        && peers.exchange?.hasContactedPeers() === true && quarantineStore.isLoaded()
+        && versions.store?.isLoaded() === true;
 
     const gateway = resources.use(createGateway({
         clock,
--- a/packages/edge/src/streamOriginStoreOptions.ts
+++ b/packages/edge/src/streamOriginStoreOptions.ts
@@ -14,5 +14,7 @@
     readonly exchange: () => Pick<ReportExchange<HostReport>, "recordStreamOrigin" | "findStreamOrigin"> | undefined;
     /** Called if no other host has answered in time that it knows the origin. */
     readonly onUnrecorded: (origin: StreamOrigin) => void;
+    /** Whether the versions of the time before this host started have been read from the platform's store. */
+    readonly areVersionsRead: () => boolean;
     readonly versionsOf: (service: ServiceName) => readonly RegisteredVersion[];
 }
--- a/packages/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/gateway/__tests__/streamVersions.spec.ts
@@ -24,7 +24,13 @@
     knownForMs,
 });
 
-const nothing = { origin: undefined, recordedForMs: 600_000, uptimeMs: 600_000, peerVersions: [] };
+const nothing = {
+    origin: undefined,
+    recordedForMs: 600_000,
+    uptimeMs: 600_000,
+    areVersionsComplete: true,
+    peerVersions: [],
+};
 
 const origin = {
     requestId: "r1" as RequestId,
@@ -54,10 +60,22 @@
     ["one version, and no answer", { ...nothing, recordedForMs: 0 }, [known(V1, Infinity)], "bound"],
     [
         "one version since this host started, and no answer",
-        { ...nothing, recordedForMs: 0, uptimeMs: 5_000 },
+        { ...nothing, recordedForMs: 0, uptimeMs: 5_000, areVersionsComplete: false },
         [known(V1, Infinity)],
         "unknown",
     ],
+    [
+        "one version since all hosts started, which may have missed another one",
+        { ...nothing, recordedForMs: 4_000, uptimeMs: 5_000, areVersionsComplete: false, peerVersions: [V1] },
+        [known(V1, Infinity)],
+        "unknown",
+    ],
+    [
+        "one version since all hosts started, and in the stored list",
+        { ...nothing, recordedForMs: 4_000, uptimeMs: 5_000, peerVersions: [V1] },
+        [known(V1, Infinity)],
+        "bound",
+    ],
     [
         "one version, but another host knows two",
         { ...nothing, peerVersions: [V1, V2] },
@@ -92,7 +110,7 @@
 
 test("a version counts for as long as a stream that it began may last", async () => {
     const clock = createFakeClock();
-    const history = createVersionHistory(clock);
+    const history = createVersionHistory(clock, clock.wallMs);
     const versions = (): readonly string[] => history.versionsOf(SERVICE).map(({ softwareVersion }) => softwareVersion);
     history.observe([createRecord("a", 1)]);
     await clock.advance(100_000);
@@ -108,13 +126,38 @@
 
 test("versions that were there when the host first saw a service are not taken for new ones", async () => {
     const clock = createFakeClock();
-    const history = createVersionHistory(clock);
+    const history = createVersionHistory(clock, clock.wallMs);
     expect(history.versionsOf(SERVICE)).toEqual([]);
     await clock.advance(1_000);
     history.observe([createRecord("a", 1), createRecord("b", 2, { softwareVersion: V2 })]);
     expect(history.versionsOf(SERVICE)).toEqual([known(V1, Infinity), known(V2, Infinity)]);
 });
 
+test("a version that left before a host started counts for as long as a stream that it began may last", async () => {
+    const clock = createFakeClock(1_000_000);
+    const before = createVersionHistory(clock, clock.wallMs);
+    before.observe([createRecord("a", 1), createRecord("b", 2, { softwareVersion: V2 })]);
+    before.observe([createRecord("b", 2, { softwareVersion: V2 })]);
+    const rows = before.rows();
+    expect(rows).toEqual([[SERVICE, V1, clock.wallMs()], [SERVICE, V2, 0]]);
+    await clock.advance(20_000);
+    const after = createVersionHistory(clock, clock.wallMs);
+    after.observe([createRecord("b", 2, { softwareVersion: V2 })]);
+    after.observeRows(rows);
+    expect(after.versionsOf(SERVICE).map(({ softwareVersion }) => softwareVersion).sort()).toEqual([V1, V2]);
+    await clock.advance(41_000);
+    expect(after.versionsOf(SERVICE)).toEqual([known(V2, Infinity)]);
+});
+
+test("a version that is listed as registered, and whose upstreams left with the hosts, was registered until now", async () => {
+    const clock = createFakeClock(1_000_000);
+    const history = createVersionHistory(clock, clock.wallMs);
+    history.observeRows([[SERVICE, V1, 0]]);
+    history.observe([createRecord("b", 2, { softwareVersion: V2 })]);
+    expect(history.versionsOf(SERVICE).map(({ softwareVersion }) => softwareVersion)).toEqual([V1, V2]);
+    expect(history.rows().map(([, version, goneAtMs]) => [version, goneAtMs > 0])).toEqual([[V1, true], [V2, false]]);
+});
+
 test("cache affinity and the least load do not overrule the version", () => {
     const candidate = (id: string, softwareVersion: SoftwareVersion, running: number) => ({
         record: createRecord(id, 1, { softwareVersion, slots: 8 }),
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -113,7 +113,13 @@
         recentAnswers: { ...createRecentAnswers(), record: (_, beganAtMs) => void answersBeganAtMs.push(beganAtMs) },
         streamOrigins: {
             record: () => clock.sleep(state.recordDelayMs),
-            find: async () => ({ origin: undefined, recordedForMs: 1, uptimeMs: 1, peerVersions: [] }),
+            find: async () => ({
+                origin: undefined,
+                recordedForMs: 1,
+                uptimeMs: 1,
+                areVersionsComplete: true,
+                peerVersions: [],
+            }),
         },
         sharedNowMs: clock.wallMs,
         retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -36,6 +36,7 @@
 export { STREAM_LIFETIME_MS } from "./streams/streamLifetimeMs";
 export type { StreamOrigin } from "./streams/streamOrigin";
 export type { StreamOrigins } from "./streams/streamOrigins";
+export type { VersionRow } from "./streams/versionRow";
 
 // Engines
 export type { Continuation } from "./engines/continuation";
--- a/packages/gateway/src/streams/bindStream.ts
+++ b/packages/gateway/src/streams/bindStream.ts
@@ -16,7 +16,7 @@
  * hosts that would know it, or this one, have started since. `versions` has those known longest first.
  */
 export const bindStream = (
-    { origin, recordedForMs, uptimeMs, peerVersions }: StreamKnowledge,
+    { origin, recordedForMs, uptimeMs, areVersionsComplete, peerVersions }: StreamKnowledge,
     versions: readonly RegisteredVersion[],
     accountId: AccountId | undefined,
 ): StreamBinding => {
@@ -31,8 +31,7 @@
     if (oldest === undefined || isKnownToPeersOnly) {
         return { kind: "unknown" };
     }
-    // A host that started a short time ago may have missed a version that is gone.
-    const isOnlyOne = second === undefined && (recordedForMs > 0 || uptimeMs >= STREAM_LIFETIME_MS);
+    const isOnlyOne = second === undefined && areVersionsComplete;
     const isBegunBefore = second !== undefined && second.knownForMs < STREAM_LIFETIME_MS
         && second.knownForMs < recordedForMs && uptimeMs - second.knownForMs >= INTRODUCTION_MS;
     return isOnlyOne || isBegunBefore
--- a/packages/gateway/src/streams/createVersionHistory.ts
+++ b/packages/gateway/src/streams/createVersionHistory.ts
@@ -7,8 +7,8 @@
     lastAtMs: number;
 }
 
-/** Creates a history without versions. */
-export const createVersionHistory = (clock: Clock): VersionHistory => {
+/** Creates a history without versions; `sharedNowMs` is the clock that the hosts share. */
+export const createVersionHistory = (clock: Clock, sharedNowMs: () => number): VersionHistory => {
     const services = new Map<ServiceName, Map<SoftwareVersion, Seen>>();
     /** Versions that are registered now. */
     let registered = new Map<ServiceName, ReadonlySet<SoftwareVersion>>();
@@ -32,7 +32,36 @@
         return versions;
     };
 
+    const isRegistered = (service: ServiceName, version: SoftwareVersion): boolean =>
+        registered.get(service)?.has(version) === true;
+
+    /** Adds a version that was there before this host; one that is listed as registered was so until now. */
+    const addEarlier = (service: ServiceName, version: SoftwareVersion, goneAtMs: number): void => {
+        const versions = services.get(service) ?? new Map<SoftwareVersion, Seen>();
+        const goneForMs = goneAtMs > 0 ? Math.max(0, sharedNowMs() - goneAtMs) : 0;
+        const lastAtMs = clock.monotonicMs() - goneForMs;
+        if (goneForMs <= STREAM_LIFETIME_MS && !versions.has(version)) {
+            services.set(service, versions.set(version, { firstAtMs: -Infinity, lastAtMs }));
+        }
+    };
+
     return {
+        rows: () =>
+            [...services.keys()].flatMap(service =>
+                [...refresh(service)].map(([version, { lastAtMs }]) =>
+                    [
+                        service,
+                        version,
+                        isRegistered(service, version)
+                            ? 0
+                            : Math.round(sharedNowMs() - (clock.monotonicMs() - lastAtMs)),
+                    ] as const
+                )
+            ),
+        observeRows: rows =>
+            rows.forEach(([service, version, goneAtMs]) =>
+                addEarlier(service as ServiceName, version as SoftwareVersion, goneAtMs)
+            ),
         observe: records => {
             // Versions that disappear were registered until now.
             [...registered.keys()].forEach(refresh);
--- a/packages/gateway/src/streams/streamKnowledge.ts
+++ b/packages/gateway/src/streams/streamKnowledge.ts
@@ -11,6 +11,11 @@
     readonly recordedForMs: number;
     /** Time for which this host has been running. */
     readonly uptimeMs: number;
+    /**
+     * Whether this host, or one that was asked, knows all versions with which a stream that is still under way can have
+     * begun, because it has been running for that long or has read the versions of the time before its start.
+     */
+    readonly areVersionsComplete: boolean;
     /** Versions of the service that were registered a short time ago, as the other hosts know. */
     readonly peerVersions: readonly SoftwareVersion[];
 }
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -78,7 +78,7 @@
     const departureNotifier = createDepartureNotifier();
     const leavingRegister = createLeavingRegister(clock);
     const limits = createStatedLimits(options);
-    const versions = createVersionHistory(clock);
+    const versions = createVersionHistory(clock, options.sharedNowMs);
 
     const isDeparting = ({ upstreamId, startedAtMs }: UpstreamRecord): boolean => {
         const state = upstreams.get(upstreamId);
@@ -172,9 +172,10 @@
         return { running: state.running, backlogTokens: Math.round(ownTokens) };
     };
 
-    const connectedForMs = ({ openConnections }: UpstreamState): number =>
-        clock.monotonicMs()
-        - Math.min(clock.monotonicMs(), ...[...openConnections].map(({ openedAtMs }) => openedAtMs));
+    const connectedForMs = ({ openConnections }: UpstreamState): number => {
+        const nowMs = clock.monotonicMs();
+        return nowMs - Math.min(nowMs, ...[...openConnections].map(({ openedAtMs }) => openedAtMs));
+    };
 
     const evaluate = (state: UpstreamState, request: PlacementRequest, view: ServiceView): Evaluation => {
         const { record } = state;
@@ -276,6 +277,8 @@
         noticeMs: upstreamId => upstreams.get(upstreamId)?.record.leavesInMs,
         onDeparture: departureNotifier.onDeparture,
         versionsOf: versions.versionsOf,
+        versionRows: versions.rows,
+        observeVersions: versions.observeRows,
         records: () => [...upstreams.values()].map(({ record }) => record),
         isRegistered: ({ upstreamId, startedAtMs }) => upstreams.get(upstreamId)?.record.startedAtMs === startedAtMs,
         candidates: (service, request) => {
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -12,6 +12,10 @@
     readonly replace: (records: readonly UpstreamRecord[]) => void;
     readonly records: () => readonly UpstreamRecord[];
     readonly versionsOf: VersionHistory["versionsOf"];
+    /** Versions of all services, to be kept for hosts that start later. */
+    readonly versionRows: VersionHistory["rows"];
+    /** Adds versions that were registered before this host started. */
+    readonly observeVersions: VersionHistory["observeRows"];
     readonly isRegistered: (record: UpstreamRecord) => boolean;
     /** Whether this start of an upstream has announced that it is leaving. */
     readonly isLeaving: (record: UpstreamRecord) => boolean;
--- a/packages/platform/src/keyValue/keyValueCause.ts
+++ b/packages/platform/src/keyValue/keyValueCause.ts
@@ -14,4 +14,5 @@
     | "discovery"
     | "duty"
     | "quarantine"
+    | "versions"
     | "experiment";
