fix(limits): an account above its limit gets its limit steadily, at many hosts too

Cause, found by a replay of the load without a network (82 hosts, 6 zones, 16 accounts, one of them at five times its usual load, hosts registering late): - Hosts hear of each other 1 to 2 s late. Each admitted all that fitted what it knew, so the account got several times its rate; then its bucket stood at minus its burst, the rate of the past 3 s was extrapolated and the window was used up, so that it got 0 to 0.1 of its rate for up to 3 s, in turns. In one replay 796 of its requests were refused in one second. - When collectors change, their members are counted twice for some seconds, and the inflated number of hosts was kept for 20 s: all accounts then had 0.86 of their limit. - The available units that a restarted host adopts were as of the peer's last request of that account, without refill (-263,012 units where the account was within its limit). From reading, not measured: a lower total in a report (an older summary, or a refund) made the next one count the difference twice.

Ruled out as main cause: the change of collectors. Without it the replay refused as many requests of the hot account.

Change: each host admits the fraction of its requests that the rate is of the demand at all hosts; reports carry the refused units once there are any (no bytes otherwise). Overconsumption is deducted over some seconds. The number of hosts has to be sustained before it counts, and levels are refilled when they are reported.

--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -25,10 +25,10 @@
         hostCount,
     );
     const levels = new Map(report.levels);
-    const uses = report.accounts.map(([id, entitled, spare]) =>
-        [id as AccountId, { entitled, spare, level: levels.get(id) }] as const
+    const uses = report.accounts.map(([id, entitled, spare, refused]) =>
+        [id as AccountId, { entitled, spare, refused, level: levels.get(id) }] as const
     );
-    accounts.observePeer(hostName, hostId, new Map(uses), hostCount);
+    accounts.observePeer(hostName, hostId, new Map(uses), hostCount, ageMs);
     usage.observePeer(hostId, toWindowCounts(report.began));
     toWindowCounts(report.usageRecords).forEach((counts, window) => usageRecords.remember(window, counts, false));
     quarantine.observe(report.quarantine);
--- a/packages/edge/src/countRows.ts
+++ b/packages/edge/src/countRows.ts
@@ -1,5 +1,5 @@
 /** A row of a table: some key fields, followed by numbers. */
-type Row = readonly (string | number)[];
+type Row = readonly (string | number | undefined)[];
 
 const keyOf = (row: Row, keyLength: number): string => row.slice(0, keyLength).join("\u0000");
 
@@ -10,8 +10,9 @@
     combineNumbers: (one: number, other: number) => number,
 ): Row => [
     ...left.slice(0, keyLength),
-    ...left.slice(keyLength).map((value, index) =>
-        combineNumbers(Number(value), Number(right?.[keyLength + index] ?? 0))
+    ...Array.from(
+        { length: Math.max(left.length, right?.length ?? 0) - keyLength },
+        (_, index) => combineNumbers(Number(left[keyLength + index] ?? 0), Number(right?.[keyLength + index] ?? 0)),
     ),
 ];
 
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -36,7 +36,9 @@
             hostCount: 1,
             oldestMs: 0,
             loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
-            accounts: usages.map(([id, { entitled, spare }]) => [id, entitled, spare] as const),
+            accounts: usages.map(([id, { entitled, spare, refused = 0 }]) =>
+                refused > 0 ? [id, entitled, spare, refused] as const : [id, entitled, spare] as const
+            ),
             levels: usages.flatMap(([id, { level }]) => level === undefined ? [] : [[id, Math.round(level)] as const]),
             began: toRows(new Map([...usage.local()].filter(([window]) => isReported(window)))),
             work: [...workMeter.busyUpstreams()].map(([service, busy]) => [service, Number(busy.toFixed(4))] as const),
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -26,8 +26,11 @@
     readonly oldestMs: number;
     /** Requests in flight and waiting prompt tokens at each upstream. */
     readonly loads: readonly (readonly [upstreamId: string, running: number, backlogTokens: number])[];
-    /** Units of each client account that were admitted since the process started, within its limit and beyond. */
-    readonly accounts: readonly (readonly [accountId: string, entitled: number, spare: number])[];
+    /**
+     * Units of each client account that were admitted since the process started, within its limit and beyond, and units
+     * of requests that were refused, which are left out while there are none.
+     */
+    readonly accounts: readonly (readonly [accountId: string, entitled: number, spare: number, refused?: number])[];
     /** Units of each client account that all hosts together may still admit, where the host knows. */
     readonly levels: readonly (readonly [accountId: string, level: number])[];
     /** Number of requests of each account that began in each of the last windows. */
--- a/packages/gateway/src/limits/accountMeter.ts
+++ b/packages/gateway/src/limits/accountMeter.ts
@@ -13,12 +13,13 @@
     readonly usages: () => ReadonlyMap<AccountId, AccountUsage>;
     /**
      * Applies the usage reported by a process; `hostName` stays the same across restarts of the process on a host. The
-     * report contains the state of the given number of hosts.
+     * report contains the state of the given number of hosts, as of the given time ago.
      */
     readonly observePeer: (
         hostName: string,
         hostId: HostId,
         usages: ReadonlyMap<AccountId, AccountUsage>,
         hostCount?: number,
+        ageMs?: number,
     ) => void;
 }
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -1,21 +1,28 @@
-import { type AccountId, type Clock, createRateMeter, type HostId, type RateMeter } from "@ibislanding/core";
+import type { AccountId, Clock, HostId } from "@ibislanding/core";
 import type { ClientAccount } from "../configuration/clientAccount";
 import type { AccountMeter } from "./accountMeter";
 import type { AccountMeterOptions } from "./accountMeterOptions";
 import type { AccountUsage } from "./accountUsage";
+import { createDemandEstimator } from "./createDemandEstimator";
+import { createReachableShare } from "./createReachableShare";
 import { createUsageWindow } from "./createUsageWindow";
+import type { DemandEstimator } from "./demandEstimator";
 import type { UsageWindow } from "./usageWindow";
 
 type AdmittedUnits = Pick<AccountUsage, "entitled" | "spare">;
 
 const unitsOf = (kind: keyof AdmittedUnits, units: number): AdmittedUnits => ({ entitled: 0, spare: 0, [kind]: units });
 
-interface PeerTotal {
-    readonly total: AdmittedUnits;
+interface PeerTotal extends AdmittedUnits {
+    readonly refused: number;
     readonly receivedAtMs: number;
+    /** Age of the report when it was received. */
+    readonly ageMs: number;
 }
 
 interface AccountState {
+    /** The limit when it was last applied; undefined before the first request. */
+    account: ClientAccount | undefined;
     /** Units of the rate and the burst that are currently available to all hosts together. */
     availableUnits: number;
     refilledAtMs: number;
@@ -23,25 +30,60 @@
     readonly window: UsageWindow;
     /** The portion of them that was consumed above the rate. */
     readonly spareWindow: UsageWindow;
+    /** The portions of both that this host admitted. */
+    readonly ownWindow: UsageWindow;
+    readonly ownSpareWindow: UsageWindow;
     total: AdmittedUnits;
+    refused: number;
     readonly peers: Map<HostId, PeerTotal>;
-    /** Rate at which all peers together consume units, from their reports. */
-    readonly peerRate: RateMeter;
+    readonly demand: DemandEstimator;
+    /** Units that the admitted fraction has earned this host, less those of the requests that used them. */
+    creditUnits: number;
+    /** Units of the rate since the account began to exceed it: the most that this host admits as its fraction. */
+    pacedUnits: number;
     /** Whether the available units were adopted from a peer. */
     isSynchronized: boolean;
 }
 
-/** Time without a report after which a peer no longer counts in the division of the limit. */
-const PEER_EXPIRY_MS = 20_000;
+/** Consumption that is not yet reported, as presumed. */
+interface UnreportedUnits {
+    /** What peers would consume at the rate of their reports. */
+    readonly consumed: number;
+    /** What they would consume if they admitted all that is asked for. */
+    readonly asked: number;
+    /** What the window has more than the one that ended with the reports. */
+    readonly aboveWindow: number;
+}
+
+/** Minimum wait of an account that has exhausted its window: by then, a part of the usage has left the window. */
+const MINIMUM_WAIT_MS = 250;
 
 /**
- * Time over which the combined rate of all peers is averaged. The rate of a single peer would be too noisy: in a large
- * group, each peer admits few requests of an account, and reports may arrive in quick succession.
+ * Part of a window's limit, above the limit and the tolerated units, within which the paced rate falls to zero. The
+ * remaining permitted excess is for what hosts admit at the same moment without knowing of each other.
  */
-const RATE_AVERAGE_MS = 3_000;
+const EXCESS_SHARE = 0.07;
 
-/** Minimum wait of an account that has exhausted its window: by then, a part of the usage has left the window. */
-const MINIMUM_WAIT_MS = 250;
+/**
+ * Reduction of the paced rate for each unit of deficit, relative to a window's limit, and its maximum. What was admitted
+ * before the hosts knew of an account's load is deducted over some seconds: otherwise the window would be exhausted just
+ * before that usage leaves it, and nothing would be admitted for a second or two.
+ */
+const DEFICIT_FACTOR = 2.5;
+const MAXIMUM_DEFICIT_SHARE = 0.3;
+
+/**
+ * Demand, as a multiple of the rate, up to which an account with available units and a window below its rate is not
+ * paced: a few large requests at one moment look like this.
+ */
+const DOUBTFUL_DEMAND = 1.5;
+const DOUBTFUL_WINDOW_SHARE = 0.95;
+
+/** Time after the start of a process from which it knows the demand at its peers. */
+const DEMAND_KNOWN_MS = 2_500;
+
+/** Fraction of a request's units that the credit must exceed, so that credits are on average neither used early nor late. */
+const CREDIT_SHARE = 0.5;
 
 const MS_PER_S = 1_000;
 
@@ -51,26 +93,37 @@
  *
  * Handles an account that sends many times its usual load. Up to its rate and burst, its requests compete with those of
  * other accounts; a tolerated amount beyond that runs only on spare capacity. Any more would be deducted from what the
- * account is entitled to later in the window. A restarted host does not know the previous usage: it adopts the
- * available units of a peer that does. If all hosts restarted at once, each starts with the tolerated units.
+ * account is entitled to later in the window.
+ *
+ * Hosts know each other's usage one to two seconds late. If each admitted all that fits what it knows, an account above
+ * its rate would get several times its rate and then nothing, in turns. Therefore each host admits the fraction of its
+ * own requests that the rate is of the demand at all hosts. The fraction needs no knowledge of how the load is divided
+ * among the hosts.
+ *
+ * A restarted host does not know the previous usage: it adopts the available units of a peer that does. If all hosts
+ * restarted at once, each starts with the tolerated units.
  */
 export const createAccountMeter = (clock: Clock, options: AccountMeterOptions): AccountMeter => {
     const { windowMs, toleratedUnits, peerTimeoutMs } = options;
     const accounts = new Map<AccountId, AccountState>();
-    const reporters = new Map<string, { readonly hostCount: number; readonly reportedAtMs: number; }>();
-    /** Highest number of hosts that were reachable within the last while, and when there were so many. */
-    let mostHosts = { count: 0, atMs: -Infinity };
+    const reachable = createReachableShare(clock, peerTimeoutMs);
     const startedAtMs = clock.monotonicMs();
 
     const stateOf = (accountId: AccountId): AccountState => {
-        const state = accounts.get(accountId) ?? {
+        const state: AccountState = accounts.get(accountId) ?? {
+            account: undefined,
             availableUnits: toleratedUnits,
             refilledAtMs: startedAtMs,
             window: createUsageWindow(clock, windowMs),
             spareWindow: createUsageWindow(clock, windowMs),
+            ownWindow: createUsageWindow(clock, windowMs),
+            ownSpareWindow: createUsageWindow(clock, windowMs),
             total: { entitled: 0, spare: 0 },
+            refused: 0,
             peers: new Map<HostId, PeerTotal>(),
-            peerRate: createRateMeter(RATE_AVERAGE_MS),
+            demand: createDemandEstimator(clock),
+            creditUnits: 0,
+            pacedUnits: 0,
             isSynchronized: false,
         };
         accounts.set(accountId, state);
@@ -79,62 +132,101 @@
 
     const isWarmingUp = (nowMs: number): boolean => nowMs - startedAtMs < windowMs;
 
-    const countReachable = (nowMs: number): number => {
-        const timeoutMs = peerTimeoutMs();
-        return [...reporters.values()]
-            .filter(({ reportedAtMs }) => nowMs - reportedAtMs < timeoutMs)
-            .reduce((sum, { hostCount }) => sum + hostCount, 1);
-    };
-
-    const updateMostHosts = (reachable: number, nowMs: number): void => {
-        if (reachable >= mostHosts.count || nowMs - mostHosts.atMs >= PEER_EXPIRY_MS) {
-            mostHosts = { count: reachable, atMs: nowMs };
-        }
-    };
+    /** Units that may be consumed in a window without the tolerated ones. */
+    const windowUnits = ({ ratePerS, burst }: ClientAccount, share: number): number =>
+        (ratePerS * windowMs / MS_PER_S + burst) * share;
 
     /**
-     * Fraction of the limit that belongs to the hosts that are reachable. Hosts are counted and not told apart, since
-     * the same ones may be reported by another collector a moment later.
+     * Estimates what peers have consumed since their last reports. Peers past the time-out are left out: they are limited
+     * to their own share of the rate, or have terminated.
      */
-    const ownShare = (nowMs: number): number => {
-        const reachable = countReachable(nowMs);
-        updateMostHosts(reachable, nowMs);
-        return reachable / mostHosts.count;
-    };
-
-    const refill = (state: AccountState, account: ClientAccount, share: number, nowMs: number): void => {
-        const elapsedMs = nowMs - state.refilledAtMs;
-        state.availableUnits = Math.min(
-            account.burst,
-            state.availableUnits + account.ratePerS / MS_PER_S * elapsedMs * share,
-        );
-        state.refilledAtMs = nowMs;
+    const estimateUnreported = ({ peers, demand, window }: AccountState, nowMs: number): UnreportedUnits => {
+        const timeoutMs = peerTimeoutMs();
+        const current = [...peers.values()].filter(({ receivedAtMs }) => nowMs - receivedAtMs < timeoutMs);
+        const meanAgeMs = current.reduce((sum, { receivedAtMs, ageMs }) => sum + nowMs - receivedAtMs + ageMs, 0)
+            / Math.max(1, current.length);
+        return {
+            consumed: meanAgeMs * demand.admittedPerMs(),
+            asked: meanAgeMs * demand.peersPerMs(),
+            aboveWindow: meanAgeMs * Math.max(0, demand.admittedPerMs() - window.sum() / windowMs),
+        };
     };
 
     /**
-     * Estimates the units that peers have consumed since their last reports. Peers past the time-out are left out: they
-     * are limited to their own share of the rate, or have terminated. Only the amount above the refill of that time has
-     * to be subtracted from the available units.
+     * Adds the units of the rate since the last refill. The upper bound leaves room for what is not yet reported, since a
+     * late report would otherwise be deducted from a bucket that was full when the units were consumed. The lower bound
+     * is only for usage from before a change of the limit.
      */
-    const estimateUnreported = (
-        { peers, peerRate }: AccountState,
-        { ratePerS }: ClientAccount,
+    const refill = (
+        state: AccountState,
+        account: ClientAccount,
+        share: number,
+        unreportedUnits: number,
         nowMs: number,
-    ): { readonly units: number; readonly aboveRefill: number; } => {
-        const timeoutMs = peerTimeoutMs();
-        const ages = [...peers.values()].map(({ receivedAtMs }) => nowMs - receivedAtMs).filter(ageMs =>
-            ageMs < timeoutMs
+    ): void => {
+        const refillUnits = account.ratePerS / MS_PER_S * (nowMs - state.refilledAtMs) * share;
+        state.availableUnits = Math.max(
+            -account.ratePerS * windowMs / MS_PER_S - account.burst,
+            Math.min(account.burst + unreportedUnits, state.availableUnits + refillUnits),
         );
-        const meanAgeMs = ages.reduce((sum, ageMs) => sum + ageMs, 0) / Math.max(1, ages.length);
-        const perMs = peerRate.ratePerMs(nowMs);
-        return { units: meanAgeMs * perMs, aboveRefill: meanAgeMs * Math.max(0, perMs - ratePerS / MS_PER_S) };
+        state.pacedUnits = Math.min(Math.max(account.ratePerS, account.burst), state.pacedUnits + refillUnits);
+        state.refilledAtMs = nowMs;
     };
 
     /** Units left in the window; the available units of the bucket until a whole window has been observed. */
     const remainingUnits = (state: AccountState, account: ClientAccount, share: number, nowMs: number): number =>
         isWarmingUp(nowMs)
             ? state.availableUnits
-            : (account.ratePerS * windowMs / MS_PER_S + account.burst + toleratedUnits) * share - state.window.sum();
+            : windowUnits(account, share) + toleratedUnits * share - state.window.sum();
+
+    /** Rate for all hosts together; lower than the account's rate after it was exceeded. */
+    const pacedPerMs = (
+        state: AccountState,
+        account: ClientAccount,
+        share: number,
+        unreported: UnreportedUnits,
+    ): number => {
+        const limitUnits = windowUnits(account, share);
+        const usedUnits = state.window.sum() + unreported.aboveWindow;
+        const leftShare = 1 - (usedUnits - limitUnits - toleratedUnits * share) / (limitUnits * EXCESS_SHARE);
+        const deficitShare = Math.min(
+            MAXIMUM_DEFICIT_SHARE,
+            DEFICIT_FACTOR * Math.max(0, -state.availableUnits / limitUnits),
+        );
+        return account.ratePerS / MS_PER_S * share * Math.max(0, Math.min(1 - deficitShare, leftShare));
+    };
+
+    /** Whether the account only appears to exceed its rate. */
+    const isDoubtful = (
+        state: AccountState,
+        account: ClientAccount,
+        units: number,
+        share: number,
+        demandPerMs: number,
+    ): boolean =>
+        state.availableUnits >= Math.min(units, account.burst)
+        && demandPerMs <= account.ratePerS / MS_PER_S * share * DOUBTFUL_DEMAND
+        && state.window.sum() <= account.ratePerS * windowMs / MS_PER_S * share * DOUBTFUL_WINDOW_SHARE;
+
+    /**
+     * Whether this host knows enough to admit a fraction. Shortly after its start it does not know the demand at its
+     * peers, which matters if the adopted units show that the account is well above its rate.
+     */
+    const mayPace = (state: AccountState, { burst }: ClientAccount, nowMs: number): boolean =>
+        !isWarmingUp(nowMs)
+        || state.isSynchronized && (nowMs - startedAtMs >= DEMAND_KNOWN_MS || state.availableUnits >= -burst / 2);
+
+    /** Whether a request belongs to the fraction that is admitted of an account above its rate. */
+    const isPaced = (state: AccountState, units: number, ratePerMs: number, demandPerMs: number): boolean => {
+        const admittedShare = Math.min(1, ratePerMs / demandPerMs);
+        state.creditUnits = Math.min(2 * units, state.creditUnits + units * admittedShare);
+        if (state.creditUnits <= units * CREDIT_SHARE || state.pacedUnits < units) {
+            return false;
+        }
+        state.creditUnits -= units;
+        state.pacedUnits -= units;
+        return true;
+    };
 
     const applyUnits = (state: AccountState, units: AdmittedUnits): void => {
         state.availableUnits -= units.entitled;
@@ -144,40 +236,67 @@
 
     const consume = (state: AccountState, units: AdmittedUnits): void => {
         applyUnits(state, units);
+        state.ownWindow.add(units.entitled + units.spare);
+        state.ownSpareWindow.add(units.spare);
         state.total = { entitled: state.total.entitled + units.entitled, spare: state.total.spare + units.spare };
     };
 
+    /** Whether tolerated units are left; each host may use the part of them that its part of the usage is. */
+    const fitsTolerance = (state: AccountState, units: number, share: number): boolean => {
+        const ownPart = (state.ownWindow.sum() + units) / (state.window.sum() + units);
+        const tolerated = toleratedUnits * share;
+        return state.spareWindow.sum() + units <= tolerated
+            && state.ownSpareWindow.sum() + units <= tolerated * ownPart;
+    };
+
     /**
-     * Adopts the available units of a peer that knew the account before this process started. The peer's total becomes
-     * the baseline, as those units were admitted before.
+     * Applies a report. The totals of a process only grow: a lower one is an older one, or one from which more of the own
+     * usage was subtracted, and counting the difference again would count units twice.
      */
-    const adoptAvailableUnits = (
+    const observeUsage = (
         state: AccountState,
         hostId: HostId,
-        availableUnits: number,
-        total: AdmittedUnits,
+        { entitled, spare, refused = 0, level }: AccountUsage,
+        ageMs: number,
         nowMs: number,
     ): void => {
-        if (!state.isSynchronized) {
-            state.availableUnits = availableUnits;
+        const peer = state.peers.get(hostId);
+        const isBaseline = peer === undefined && isWarmingUp(nowMs) && level !== undefined;
+        if (isBaseline && !state.isSynchronized) {
+            state.availableUnits = level;
             state.refilledAtMs = nowMs;
             state.isSynchronized = true;
         }
-        state.peers.set(hostId, { total, receivedAtMs: nowMs });
+        const total = {
+            entitled: Math.max(entitled, peer?.entitled ?? 0),
+            spare: Math.max(spare, peer?.spare ?? 0),
+            refused: Math.max(refused, peer?.refused ?? 0),
+        };
+        // The total of a peer that knew the account before this process started is the baseline, as those units were
+        // admitted before.
+        if (!isBaseline) {
+            const added = {
+                entitled: total.entitled - (peer?.entitled ?? 0),
+                spare: total.spare - (peer?.spare ?? 0),
+            };
+            state.demand.addPeers(added.entitled + added.spare, total.refused - (peer?.refused ?? 0), ageMs);
+            applyUnits(state, added);
+        }
+        state.peers.set(hostId, { ...total, receivedAtMs: nowMs, ageMs });
     };
 
-    const observeUsage = (state: AccountState, hostId: HostId, usage: AccountUsage, nowMs: number): void => {
-        const peer = state.peers.get(hostId);
-        const { level: availableUnits, ...total } = usage;
-        if (peer === undefined && isWarmingUp(nowMs) && availableUnits !== undefined) {
-            adoptAvailableUnits(state, hostId, availableUnits, total, nowMs);
-            return;
-        }
-        const entitled = Math.max(0, total.entitled - (peer?.total.entitled ?? 0));
-        const spare = Math.max(0, total.spare - (peer?.total.spare ?? 0));
-        state.peerRate.add(entitled + spare, nowMs);
-        applyUnits(state, { entitled, spare });
-        state.peers.set(hostId, { total, receivedAtMs: nowMs });
+    /**
+     * Units that are available now, for a peer that starts. Those of the state are as of this host's last request of the
+     * account, and in a large group a host may have had none for seconds.
+     */
+    const currentLevel = ({ account, availableUnits, refilledAtMs }: AccountState): number | undefined => {
+        const nowMs = clock.monotonicMs();
+        return account === undefined || isWarmingUp(nowMs)
+            ? undefined
+            : Math.min(
+                account.burst,
+                availableUnits + account.ratePerS / MS_PER_S * (nowMs - refilledAtMs) * reachable.share(),
+            );
     };
 
     return {
@@ -188,23 +307,37 @@
                 state.total = { ...state.total, entitled: state.total.entitled + units };
                 return { kind: "entitled" };
             }
-            const share = ownShare(nowMs);
-            refill(state, account, share, nowMs);
-            // Bounds the deficit: overconsumption by several hosts between two reports must not block the account for
-            // long.
-            state.availableUnits = Math.max(state.availableUnits, -account.burst);
-            const unreported = estimateUnreported(state, account, nowMs);
-            const missingUnits = Math.min(units, account.burst) - (state.availableUnits - unreported.aboveRefill);
+            state.account = account;
+            const { demand } = state;
+            const share = reachable.share();
+            demand.addOwn(units);
+            const unreported = estimateUnreported(state, nowMs);
+            refill(state, account, share, unreported.consumed, nowMs);
+            const demandPerMs = demand.ownPerMs() + demand.peersPerMs();
+            const missingUnits = Math.min(units, account.burst) - (state.availableUnits - unreported.asked);
             const waitMs = missingUnits / account.ratePerS * MS_PER_S;
-            const fitsWindow = units + unreported.units <= remainingUnits(state, account, share, nowMs);
-            if (missingUnits <= 0 && (fitsWindow || isWarmingUp(nowMs))) {
+            const fitsWindow = units + unreported.aboveWindow <= remainingUnits(state, account, share, nowMs);
+            if (
+                (missingUnits <= 0 || isDoubtful(state, account, units, share, demandPerMs))
+                && (fitsWindow || isWarmingUp(nowMs))
+            ) {
+                state.creditUnits = 0;
+                state.pacedUnits = 0;
+                consume(state, unitsOf("entitled", units));
+                return { kind: "entitled" };
+            }
+            if (
+                mayPace(state, account, nowMs)
+                && isPaced(state, units, pacedPerMs(state, account, share, unreported), demandPerMs)
+            ) {
                 consume(state, unitsOf("entitled", units));
                 return { kind: "entitled" };
             }
-            if (fitsWindow && state.spareWindow.sum() + units <= toleratedUnits * share) {
+            if (fitsWindow && fitsTolerance(state, units, share)) {
                 consume(state, unitsOf("spare", units));
                 return { kind: "spare", waitMs };
             }
+            state.refused += units;
             return { kind: "over", waitMs: Math.max(waitMs, MINIMUM_WAIT_MS) };
         },
         refund: (accountId, units, admission) => {
@@ -212,22 +345,16 @@
                 consume(stateOf(accountId), unitsOf(admission.kind, -units));
             }
         },
-        usages: () => {
-            const isKnown = !isWarmingUp(clock.monotonicMs());
-            return new Map(
-                [...accounts].map((
-                    [accountId, { total, availableUnits }],
-                ) => [accountId, { ...total, level: isKnown ? availableUnits : undefined }]),
-            );
-        },
-        observePeer: (hostName, hostId, usages, hostCount = 1) => {
+        usages: () =>
+            new Map(
+                [...accounts].map(([accountId, state]) =>
+                    [accountId, { ...state.total, refused: state.refused, level: currentLevel(state) }] as const
+                ),
+            ),
+        observePeer: (hostName, hostId, usages, hostCount = 1, ageMs = 0) => {
             const nowMs = clock.monotonicMs();
-            reporters.set(hostName, { hostCount, reportedAtMs: nowMs });
-            updateMostHosts(countReachable(nowMs), nowMs);
-            [...reporters].filter(([, { reportedAtMs }]) => nowMs - reportedAtMs >= PEER_EXPIRY_MS).forEach(([name]) =>
-                reporters.delete(name)
-            );
-            usages.forEach((usage, accountId) => observeUsage(stateOf(accountId), hostId, usage, nowMs));
+            reachable.observe(hostName, hostCount);
+            usages.forEach((usage, accountId) => observeUsage(stateOf(accountId), hostId, usage, ageMs, nowMs));
         },
     };
 };
