feat(gateway): placement by a rule on versions, and counters by version and route

Cause: a rollout moves a service's traffic from one version to another, but placement knew versions only for streams that go on. Change: each attempt is placed by the first rule of a policy that has room; each send is counted with its outcome. An answer counts as slow when it is overdue. What a slow version has taught the prediction of its own upstreams is left out. Answers that end with a crash count once, those of an announced departure not at all.

--- a/packages/gateway/__tests__/herd.spec.ts
+++ b/packages/gateway/__tests__/herd.spec.ts
@@ -91,6 +91,7 @@
             requiresKnownVersion: false,
             excluded: new Set(),
             softwareVersion: undefined,
+            versionRule: { kind: "any" },
         };
         const decision = chooseUpstream(tables[host]?.candidates(service, request) ?? [], request);
         if (decision.kind === "send") {
@@ -161,6 +162,7 @@
             requiresKnownVersion: false,
             excluded: new Set(),
             softwareVersion: undefined,
+            versionRule: { kind: "any" },
         };
         const decision = chooseUpstream(table?.candidates(service, request) ?? [], request);
         if (decision.kind === "send") {
--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -42,6 +42,7 @@
     requiresKnownVersion: false,
     excluded: new Set(),
     softwareVersion: undefined,
+    versionRule: { kind: "any" },
     ...fields,
 });
 
--- a/packages/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/gateway/__tests__/streamVersions.spec.ts
@@ -140,6 +140,7 @@
         requiresKnownVersion: false,
         excluded: new Set(),
         softwareVersion: V1,
+        versionRule: { kind: "any" },
     };
     const idle = candidate("idle", V2, 0);
     const busy = candidate("busy", V1, 4);
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -20,6 +20,7 @@
     type EnginePort,
     type Route,
     type UpstreamRecord,
+    type VersionPolicy,
 } from "../../src";
 import { testCodec } from "./testCodec";
 
@@ -45,7 +46,12 @@
 });
 
 /** Starts a gateway with one route to upstreams on the given loopback ports. */
-export const startTestGateway = async (ports: readonly number[], route: Partial<Route>, engines?: EnginePort) => {
+export const startTestGateway = async (
+    ports: readonly number[],
+    route: Partial<Route>,
+    engines?: EnginePort,
+    versions?: VersionPolicy,
+) => {
     const clock = createSystemClock();
     const state = { isInitialized: true, recordDelayMs: 0 };
     const ended: { readonly outcome: string; readonly reason: string; readonly status: number; }[] = [];
@@ -115,6 +121,7 @@
             record: () => clock.sleep(state.recordDelayMs),
             find: async () => ({ origin: undefined, recordedForMs: 1, uptimeMs: 1, peerVersions: [] }),
         },
+        versions,
         sharedNowMs: clock.wallMs,
         retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
         events: {
--- /dev/null
+++ b/packages/gateway/__tests__/versions.spec.ts
@@ -0,0 +1,189 @@
+// Guards against versions that receive requests against a rollout's rule, and against evidence that blames a version for
+// what it did not cause: rejections, clients that leave, and upstreams that are reclaimed or crash.
+import { createFakeClock, createHasher, type SoftwareVersion, type UpstreamId } from "@ibislanding/core";
+import { createServer } from "node:http";
+import { createUpstreamTable, createVersionCounters, type VersionPolicy, type VersionRule } from "../src";
+import { isVersionAllowed } from "../src/versions/isVersionAllowed";
+import type { VersionRunOutcome } from "../src/versions/versionRunOutcome";
+import { sendClientRequest } from "./support/sendClientRequest";
+import { createRecord, startTestGateway } from "./support/startTestGateway";
+
+const [V1, V2] = ["v1" as SoftwareVersion, "v2" as SoftwareVersion];
+const OBJECTIVE_MS = 200;
+const CRASH_CHECK_MS = 600;
+
+test.each<[string, VersionRule, boolean, boolean]>([
+    ["any version", { kind: "any" }, true, true],
+    ["one version only", { kind: "only", version: V2, upstreamIds: undefined }, false, true],
+    ["other upstreams only", { kind: "only", version: V2, upstreamIds: new Set(["x" as UpstreamId]) }, false, false],
+    ["all but one version", { kind: "except", versions: [V2] }, true, false],
+])("a rule that permits %s", (_, rule, isOldAllowed, isNewAllowed) => {
+    expect(isVersionAllowed(createRecord("old", 1), rule)).toBe(isOldAllowed);
+    expect(isVersionAllowed(createRecord("new", 1, { softwareVersion: V2 }), rule)).toBe(isNewAllowed);
+});
+
+const createCounters = () => {
+    const clock = createFakeClock();
+    const state = { isCounted: true, isDeparting: false, isLeaving: false, hasCrashed: false };
+    const counters = createVersionCounters({
+        clock,
+        isCounted: () => state.isCounted,
+        upstreams: {
+            isDeparting: () => state.isDeparting,
+            isLeaving: () => state.isLeaving,
+            hasCrashed: () => state.hasCrashed,
+        },
+    });
+    const start = (typicalMs = 10) =>
+        counters.trackRun({
+            upstream: createRecord("u", 1),
+            route: "orders",
+            isStream: false,
+            objectiveMs: OBJECTIVE_MS,
+            typicalMs: () => typicalMs,
+        });
+    return { clock, state, counters, start };
+};
+
+test.each<[VersionRunOutcome, readonly number[]]>([
+    ["answered", [1, 1, 0, 0, 1]],
+    ["failed", [1, 1, 1, 0, 1]],
+    ["lost", [1, 1, 1, 0, 1]],
+    ["not-run", [1, 0, 0, 0, 1]],
+    ["aborted", [1, 0, 0, 0, 1]],
+])("counts a run that is %s", async (outcome, counts) => {
+    const { clock, counters, start } = createCounters();
+    const run = start();
+    run.end(outcome);
+    run.end("failed");
+    await clock.advance(CRASH_CHECK_MS);
+    expect(counters.rows()).toEqual([["orders", V1, "orders", ...counts]]);
+});
+
+test("an answer counts as slow once it is overdue, also if the client leaves then", async () => {
+    const { clock, counters, start } = createCounters();
+    const [hanging, predicted] = [start(), start(1_000)];
+    await clock.advance(OBJECTIVE_MS + 1);
+    expect(counters.rows()).toEqual([["orders", V1, "orders", 2, 1, 0, 1, 0]]);
+    hanging.end("aborted");
+    predicted.end("answered");
+    expect(counters.rows()).toEqual([["orders", V1, "orders", 2, 2, 0, 1, 2]]);
+});
+
+test.each([
+    ["crashes", { hasCrashed: true }, 1],
+    ["is gone without notice", { isDeparting: true }, 1],
+    ["leaves as announced", { isDeparting: true, isLeaving: true }, 0],
+    ["goes on", {}, 3],
+])("answers that are lost when their upstream %s", async (_, fate, failures) => {
+    const { clock, state, counters, start } = createCounters();
+    [start(), start(), start()].forEach(run => run.end("lost"));
+    Object.assign(state, fate);
+    await clock.advance(CRASH_CHECK_MS);
+    expect(counters.rows().map(([, , , , , failed]) => failed)).toEqual([failures]);
+});
+
+test("requests that were sent before counting began are known to run", () => {
+    const { state, counters, start } = createCounters();
+    state.isCounted = false;
+    const [ended, running] = [start(), start()];
+    ended.end("answered");
+    expect(counters.rows()).toEqual([]);
+    state.isCounted = true;
+    expect(counters.rows()).toEqual([["orders", V1, "", 1, 0, 0, 0, 0]]);
+    running.end("answered");
+    expect(counters.rows()).toEqual([["orders", V1, "", 1, 0, 0, 0, 1]]);
+});
+
+test("a version that is ten times as slow as another does not make itself the measure", async () => {
+    const clock = createFakeClock();
+    const upstreams = createUpstreamTable({
+        sharedNowMs: () => 0,
+        ownAddress: "self",
+        hostAddresses: () => ["self"],
+        clock,
+        hasher: await createHasher(),
+        peerTimeoutMs: () => 1_500,
+        unobservedShare: () => 0,
+        serviceOf: () => undefined,
+        onPlaced: () => undefined,
+    });
+    upstreams.replace([createRecord("old", 1), createRecord("new", 2, { softwareVersion: V2 })]);
+    upstreams.reportSuccess("old" as UpstreamId, 80);
+    Array.from({ length: 50 }).forEach(() => upstreams.reportSuccess("new" as UpstreamId, 800));
+    const typicalMs = upstreams.trackRequest("new" as UpstreamId, {
+        promptTokens: 0,
+        promptParts: [],
+        objectiveMs: OBJECTIVE_MS,
+        remainingMs: 5_000,
+        requiresSpareCapacity: false,
+        requiresKnownVersion: false,
+        excluded: new Set(),
+        softwareVersion: undefined,
+        versionRule: { kind: "any" },
+    }).typicalMs();
+    expect(typicalMs).toBeLessThan(100);
+});
+
+const startVersion = async () => {
+    const server = createServer((request, response) => {
+        request.resume();
+        response.writeHead(200, {
+            "X-Request": String(request.headers["x-request"]),
+            "X-Signature": "s",
+            "Content-Length": 2,
+        });
+        response.end("ok");
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = server.address();
+    return {
+        port: typeof address === "object" && address !== null ? address.port : 0,
+        [Symbol.asyncDispose]: async () => {
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+};
+
+test.each<[string, readonly VersionRule[], boolean, number, string[]]>([
+    [
+        "goes to another version if the target has no upstream",
+        [{ kind: "only", version: V2, upstreamIds: undefined }, { kind: "except", versions: [V2] }],
+        false,
+        200,
+        ["v1"],
+    ],
+    [
+        "goes to the target if that has room",
+        [{ kind: "only", version: V2, upstreamIds: undefined }, { kind: "except", versions: [V2] }],
+        true,
+        200,
+        ["v2"],
+    ],
+    [
+        "is refused if no version is permitted that has upstreams",
+        [{ kind: "except", versions: [V1, V2] }],
+        true,
+        503,
+        [],
+    ],
+    ["is refused if it must not run at all", [], true, 503, []],
+])("a request %s", async (_, rules, hasTarget, status, versions) => {
+    await using upstream = await startVersion();
+    const sentTo: string[] = [];
+    const policy: VersionPolicy = {
+        rulesFor: () => rules,
+        trackRun: ({ upstream: { softwareVersion } }) => {
+            sentTo.push(softwareVersion);
+            return { recordFirstEvent: () => undefined, end: () => undefined };
+        },
+    };
+    await using gateway = await startTestGateway([upstream.port], {}, undefined, policy);
+    gateway.upstreams.replace([
+        createRecord("u-0", upstream.port),
+        ...hasTarget ? [createRecord("u-1", upstream.port, { softwareVersion: V2 })] : [],
+    ]);
+    expect((await sendClientRequest(gateway.port, "r1")).status).toBe(status);
+    expect(sentTo).toEqual(versions);
+});
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -1,14 +1,13 @@
 import { match } from "ts-pattern";
 import { Err, Ok, type Result } from "ts-results";
 import type { Continuation } from "../engines/continuation";
-import { chooseUpstream } from "../placement/chooseUpstream";
 import type { PlacementDecision } from "../placement/placementDecision";
 import type { AttemptOutcome } from "./attemptOutcome";
 import { findQuarantinedFeature } from "./findQuarantinedFeature";
 import type { ForwardContext } from "./forwardContext";
+import { placeRequest } from "./placeRequest";
 import type { Refusal } from "./refusal";
 import { sendToUpstream } from "./sendToUpstream";
-import { toPlacementRequest } from "./toPlacementRequest";
 
 /** `Retry-After` of a request that was refused by upstreams. */
 const REFUSED_RETRY_MS = 200;
@@ -52,8 +51,7 @@
         const { upstream } = continuation;
         return { kind: "send", upstream, predictedMs: 0, backlogMs: 0, promptMs: 0, running: 0 };
     }
-    const request = toPlacementRequest(context, false);
-    return chooseUpstream(context.options.upstreams.candidates(context.admitted.service, request), request);
+    return placeRequest(context);
 };
 
 const attemptUntilAnswered = async (context: ForwardContext): Promise<Result<number, Refusal>> => {
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -8,6 +8,7 @@
 import type { StreamOrigins } from "../streams/streamOrigins";
 import type { CrashDetector } from "../upstreams/crashDetector";
 import type { UpstreamTable } from "../upstreams/upstreamTable";
+import type { VersionPolicy } from "../versions/versionPolicy";
 import type { GatewayEvents } from "./gatewayEvents";
 import type { RecentAnswers } from "./recentAnswers";
 
@@ -27,6 +28,8 @@
     readonly crashes: CrashDetector;
     readonly recentAnswers: RecentAnswers;
     readonly streamOrigins: StreamOrigins;
+    /** Set if versions are rolled out. */
+    readonly versions: VersionPolicy | undefined;
     /** The clock that the hosts share. */
     readonly sharedNowMs: () => number;
     /** Set if engines can move running requests. */
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -3,14 +3,17 @@
 import { sharedPartIds } from "../codec/sharedPartIds";
 import type { Continuation } from "../engines/continuation";
 import type { EvacuationResult } from "../engines/evacuationResult";
-import { chooseUpstream } from "../placement/chooseUpstream";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
+import { ANY_VERSION } from "../versions/anyVersion";
+import type { VersionRun } from "../versions/versionRun";
+import type { VersionRunOutcome } from "../versions/versionRunOutcome";
 import type { AttemptOutcome } from "./attemptOutcome";
 import { discardBody } from "./discardBody";
 import { filterHeaders } from "./filterHeaders";
 import type { ForwardContext } from "./forwardContext";
 import { isEventStream } from "./isEventStream";
 import { observeResponseHead } from "./observeResponseHead";
+import { placeRequest } from "./placeRequest";
 import { relayResponse } from "./relayResponse";
 import { startAttempt } from "./startAttempt";
 import { toPlacementRequest } from "./toPlacementRequest";
@@ -23,6 +26,8 @@
     readonly upstream: UpstreamRecord;
     readonly startedAtMs: number;
     readonly onFirstEvent: () => void;
+    /** Undefined if versions are not rolled out. */
+    readonly versionRun: VersionRun | undefined;
     /** Undefined until the head of the response. */
     headAtMs: number | undefined;
     /** Undefined until the first byte of the body. */
@@ -85,6 +90,10 @@
     }
 };
 
+/** Records how the run ended, unless the attempt was aborted by the gateway. */
+const endVersionRun = ({ context, versionRun }: Attempt, outcome: VersionRunOutcome): void =>
+    versionRun?.end(context.ended.aborted && outcome !== "answered" ? "aborted" : outcome);
+
 /** Time at which the answer began, on the clock that the hosts share. */
 const answerBeganAtMs = ({ context, headAtMs }: Attempt): number => {
     const { clock, sharedNowMs } = context.options;
@@ -179,6 +188,7 @@
         return { kind: "moved", reason: "moved", continuation: move.continuation };
     }
     reportFailure(attempt, "failed");
+    endVersionRun(attempt, "lost");
     const suspectedIds = recordLoss(attempt);
     const deliveredMs = Math.round(options.clock.monotonicMs() - headAtMs);
     return {
@@ -189,11 +199,8 @@
 };
 
 /** Whether placement would currently select another upstream for the request. */
-const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean => {
-    const request = toPlacementRequest(context, false, upstream);
-    const candidates = context.options.upstreams.candidates(context.admitted.service, request);
-    return chooseUpstream(candidates, request).kind === "send";
-};
+const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean =>
+    placeRequest(context, upstream).kind === "send";
 
 /**
  * Returns the time that placement compares with the objective: to the first event of a stream, or to the end of a plain
@@ -216,6 +223,7 @@
     if (options.clientResponse.isStarted() && !continues) {
         // Part of the stream was already sent under another head; another body must not become part of the stream.
         reportFailure(attempt, "failed");
+        endVersionRun(attempt, "failed");
         discardBody(response.body, response.closeConnection, () => void recordLoss(attempt));
         return { kind: "repeat", reason: `status ${status} in the middle of a stream`, suspectedIds: [] };
     }
@@ -227,6 +235,7 @@
         return outcome;
     }
     options.upstreams.reportFailure(upstream.upstreamId, "failed");
+    endVersionRun(attempt, "failed");
     // An error response is retried at another upstream if possible; the client receives the last one.
     const { route, service } = admitted;
     const mayRunAgain = context.mayRepeat && context.runs < route.maximumAttempts;
@@ -273,13 +282,24 @@
     const deadlineMs = admitted.dueAtMs - startedAtMs;
     const load = options.upstreams.trackRequest(
         upstream.upstreamId,
-        toPlacementRequest(context, continuation !== undefined),
+        toPlacementRequest(context, continuation !== undefined, ANY_VERSION),
     );
+    const versionRun = options.versions?.trackRun({
+        upstream,
+        route: admitted.route.name,
+        isStream: admitted.route.kind === "stream",
+        objectiveMs: admitted.route.objectiveMs,
+        typicalMs: load.typicalMs,
+    });
     const attempt: Attempt = {
         context,
         upstream,
         startedAtMs,
-        onFirstEvent: load.recordFirstEvent,
+        onFirstEvent: () => {
+            load.recordFirstEvent();
+            versionRun?.recordFirstEvent();
+        },
+        versionRun,
         headAtMs: undefined,
         firstByteAtMs: undefined,
     };
@@ -305,12 +325,17 @@
     const outcome = await match(result)
         .returnType<Promise<AttemptOutcome>>()
         .with({ kind: "unsent" }, async ({ reason }) => {
+            versionRun?.end("not-run");
             reportFailure(attempt, "unreachable");
             return { kind: "elsewhere", reason, isCharged: false };
         })
-        .with({ kind: "not-run" }, async ({ reason }) => ({ kind: "elsewhere", reason, isCharged: false }))
+        .with({ kind: "not-run" }, async ({ reason }) => {
+            versionRun?.end("not-run");
+            return { kind: "elsewhere", reason, isCharged: false };
+        })
         .with({ kind: "unknown" }, async ({ reason, isLost }) => {
             countRun();
+            endVersionRun(attempt, isLost ? "lost" : "failed");
             reportFailure(attempt, "failed");
             return { kind: "repeat", reason, suspectedIds: isLost ? recordLoss(attempt) : [] };
         })
@@ -322,6 +347,7 @@
         })
         .exhaustive();
     load.end();
+    endVersionRun(attempt, outcome.kind === "done" ? "answered" : "not-run");
     events.onAttemptEnded({
         requestId: admitted.head.requestId,
         upstreamId: upstream.upstreamId,
--- a/packages/gateway/src/forwarding/toPlacementRequest.ts
+++ b/packages/gateway/src/forwarding/toPlacementRequest.ts
@@ -1,5 +1,6 @@
 import type { PlacementRequest } from "../placement/placementRequest";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
+import type { VersionRule } from "../versions/versionRule";
 import type { ForwardContext } from "./forwardContext";
 
 /**
@@ -9,6 +10,7 @@
 export const toPlacementRequest = (
     { options, admitted, excluded, softwareVersion }: ForwardContext,
     isMoved: boolean,
+    versionRule: VersionRule,
     additionallyExcluded?: UpstreamRecord,
 ): PlacementRequest => ({
     promptTokens: isMoved ? 0 : admitted.head.tokens?.prompt ?? 0,
@@ -19,4 +21,5 @@
     remainingMs: admitted.dueAtMs - options.clock.monotonicMs(),
     excluded: additionallyExcluded === undefined ? excluded : new Set([...excluded, additionallyExcluded.upstreamId]),
     softwareVersion: isMoved ? additionallyExcluded?.softwareVersion ?? softwareVersion : softwareVersion,
+    versionRule,
 });
--- a/packages/gateway/src/forwarding/watchEvacuation.ts
+++ b/packages/gateway/src/forwarding/watchEvacuation.ts
@@ -1,11 +1,19 @@
 import { evacuateRun } from "../engines/evacuateRun";
 import type { EvacuationResult } from "../engines/evacuationResult";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
+import { ANY_VERSION } from "../versions/anyVersion";
+import type { VersionRule } from "../versions/versionRule";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
 const NOT_MOVED: EvacuationResult = { kind: "not-moved" };
 
+/** Rule for the target of a move, which has the same version: none is eligible once that version was rolled back. */
+const moveRule = ({ options, admitted }: ForwardContext, { softwareVersion }: UpstreamRecord): VersionRule => {
+    const rules = options.versions?.rulesFor(admitted.service, { softwareVersion, isFirst: false });
+    return rules === undefined ? ANY_VERSION : rules[0] ?? { kind: "except", versions: [softwareVersion] };
+};
+
 /** Moves a run when its upstream begins to leave; `end` stops watching and returns the result of a move. */
 export const watchEvacuation = (
     context: ForwardContext,
@@ -26,7 +34,7 @@
             upstreams,
             upstream,
             requestId,
-            placementRequest: () => toPlacementRequest(context, true, upstream),
+            placementRequest: () => toPlacementRequest(context, true, moveRule(context, upstream), upstream),
             signal: AbortSignal.any([delivered.signal, ended]),
             onMove: (target, outcome) =>
                 events.onRunMoved({ requestId, upstreamId: upstream.upstreamId, target: target.upstreamId, outcome }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,6 +37,13 @@
 export type { StreamOrigin } from "./streams/streamOrigin";
 export type { StreamOrigins } from "./streams/streamOrigins";
 
+// Versions
+export { createVersionCounters } from "./versions/createVersionCounters";
+export type { VersionCounters } from "./versions/versionCounters";
+export type { VersionCounts } from "./versions/versionCounts";
+export type { VersionPolicy } from "./versions/versionPolicy";
+export type { VersionRule } from "./versions/versionRule";
+
 // Engines
 export type { Continuation } from "./engines/continuation";
 export type { EnginePort } from "./engines/enginePort";
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,3 +1,4 @@
+import { isVersionAllowed } from "../versions/isVersionAllowed";
 import type { PlacementCandidate } from "./placementCandidate";
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
@@ -36,9 +37,13 @@
  */
 const MAXIMUM_REQUESTS_PER_SLOT = 2;
 
-const isEligible = ({ record }: PlacementCandidate, { excluded, softwareVersion }: PlacementRequest): boolean =>
+const isEligible = (
+    { record }: PlacementCandidate,
+    { excluded, softwareVersion, versionRule }: PlacementRequest,
+): boolean =>
     !record.isLeaving && !excluded.has(record.upstreamId)
-    && (softwareVersion === undefined || record.softwareVersion === softwareVersion);
+    && (softwareVersion === undefined || record.softwareVersion === softwareVersion)
+    && isVersionAllowed(record, versionRule);
 
 const hasCapacity = ({ running, record, isAtConnectionLimit }: PlacementCandidate): boolean =>
     !isAtConnectionLimit && running < record.slots * MAXIMUM_REQUESTS_PER_SLOT;
@@ -92,7 +97,8 @@
 ): PlacementDecision => {
     const eligible = candidates.filter(candidate => isEligible(candidate, request));
     if (eligible.length === 0) {
-        const reason = request.softwareVersion === undefined ? "no-upstream" : "no-upstream-of-version";
+        const isAnyVersion = request.softwareVersion === undefined && request.versionRule.kind === "any";
+        const reason = isAnyVersion ? "no-upstream" : "no-upstream-of-version";
         return { kind: "refuse", reason, retryAfterMs: NO_UPSTREAM_RETRY_MS };
     }
     const available = eligible.filter(({ pausedMs }) => pausedMs <= 0);
--- a/packages/gateway/src/placement/placementRequest.ts
+++ b/packages/gateway/src/placement/placementRequest.ts
@@ -1,5 +1,6 @@
 import type { SoftwareVersion, UpstreamId } from "@ibislanding/core";
 import type { PromptPart } from "../codec/promptPart";
+import type { VersionRule } from "../versions/versionRule";
 
 /** Properties of a request on which its placement depends. */
 export interface PlacementRequest {
@@ -16,4 +17,6 @@
     readonly requiresKnownVersion: boolean;
     /** Version of the software at which a stream goes on; undefined if any version may begin it. */
     readonly softwareVersion: SoftwareVersion | undefined;
+    /** Versions at which a rollout lets the request run. */
+    readonly versionRule: VersionRule;
 }
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,10 @@
-import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import {
+    type AvailabilityZone,
+    median,
+    type ServiceName,
+    type SoftwareVersion,
+    type UpstreamId,
+} from "@ibislanding/core";
 import type { EngineSpec } from "../configuration/engineSpec";
 import { createStatedLimits } from "../limits/createStatedLimits";
 import { affinityPenaltyMs } from "../placement/affinityPenaltyMs";
@@ -206,6 +212,29 @@
         return { candidate, tokens, maximumTokens, backlogTokens };
     };
 
+    /** Median response time of the fastest version of a service's upstreams, which a slow version does not raise. */
+    const typicalResponseMs = (service: ServiceName): number => {
+        const timesByVersion = new Map<SoftwareVersion, number[]>();
+        statesOf(service).forEach(({ record, responseMs }) =>
+            timesByVersion.set(record.softwareVersion, [
+                ...timesByVersion.get(record.softwareVersion) ?? [],
+                ...responseMs === undefined ? [] : [responseMs],
+            ])
+        );
+        const medians = [...timesByVersion.values()].flatMap(times => median(times) ?? []);
+        return medians.length === 0 ? INITIAL_RESPONSE_MS : Math.min(...medians);
+    };
+
+    const typicalMs = ({ record }: UpstreamState, candidate: PlacementCandidate, queuedTokens: number): number =>
+        predictMs({
+            ...candidate,
+            unexplainedDelayMs: 0,
+            backlogMs: 0,
+            promptMs: candidate.isEngine
+                ? queuedTokens / speeds.tokensPerMs(record.service)
+                : typicalResponseMs(record.service),
+        });
+
     const siblingsOf = (state: UpstreamState): readonly UpstreamState[] =>
         statesOf(state.record.service).filter(other => other !== state);
 
@@ -283,7 +312,7 @@
         trackRequest: (upstreamId, request) => {
             const state = upstreams.get(upstreamId);
             if (state === undefined) {
-                return { recordFirstEvent: () => undefined, end: () => undefined };
+                return { recordFirstEvent: () => undefined, end: () => undefined, typicalMs: () => 0 };
             }
             const { service } = state.record;
             const view = viewOf(service, request);
@@ -337,6 +366,7 @@
                     state.running -= isInFlight ? 1 : 0;
                     isInFlight = false;
                 },
+                typicalMs: () => typicalMs(state, candidate, tokens + backlogTokens),
             };
         },
         observeLeaving: start => {
@@ -356,6 +386,10 @@
                     state.crashedAtMs ??= clock.monotonicMs();
                 }
             }),
+        hasCrashed: ({ upstreamId, startedAtMs }) => {
+            const state = upstreams.get(upstreamId);
+            return state !== undefined && state.record.startedAtMs === startedAtMs && state.crashedAtMs !== undefined;
+        },
         observeLimit: limits.observe,
         limits: limits.rows,
         pause: ({ upstreamId, startedAtMs }, durationMs) =>
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -29,6 +29,11 @@
     readonly trackRequest: (upstreamId: UpstreamId, request: PlacementRequest) => {
         readonly recordFirstEvent: () => void;
         readonly end: () => void;
+        /**
+         * Predicts the time to the first event, or to the plain answer, as of the call, at a typical upstream with the
+         * load of this one; what was learned of this one's own speed is left out.
+         */
+        readonly typicalMs: () => number;
     };
     /**
      * Records that this start of an upstream is leaving, as it or a peer states; returns whether that was unknown.
@@ -50,6 +55,8 @@
     readonly limits: StatedLimits["rows"];
     /** Records that this start of an upstream has crashed; until it is registered again, its version is not known. */
     readonly observeCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
+    /** Whether this start of an upstream was found to have crashed. */
+    readonly hasCrashed: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
     /** Excludes an upstream from placement for a time, as it asked for. */
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
