--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -105,7 +105,7 @@
             name: "gateway-imports",
             severity: "error",
             from: { path: "^packages/gateway/src" },
-            to: { path: "^packages/", pathNot: "^packages/(gateway|core|quarantine)/" },
+            to: { path: "^packages/", pathNot: "^packages/(gateway|core|quarantine|rollouts)/" },
         },
         {
             name: "quarantine-imports",
@@ -113,6 +113,12 @@
             from: { path: "^packages/quarantine/src" },
             to: { path: "^packages/", pathNot: "^packages/(quarantine|core)/" },
         },
+        {
+            name: "rollouts-imports",
+            severity: "error",
+            from: { path: "^packages/rollouts/src" },
+            to: { path: "^packages/", pathNot: "^packages/(rollouts|core)/" },
+        },
         {
             name: "duties-imports",
             severity: "error",
@@ -125,7 +131,7 @@
             from: { path: "^packages/edge/src" },
             to: {
                 path: "^packages/",
-                pathNot: "^packages/(edge|core|discovery|duties|gateway|platform|quarantine|runtime)/",
+                pathNot: "^packages/(edge|core|discovery|duties|gateway|platform|quarantine|rollouts|runtime)/",
             },
         },
         {
@@ -140,7 +146,7 @@
             from: { path: "^platform/src" },
             to: {
                 path: "^packages/",
-                pathNot: "^packages/(core|duties|edge|gateway|platform|runtime)/src/index\\.ts$",
+                pathNot: "^packages/(core|duties|edge|gateway|platform|rollouts|runtime)/src/index\\.ts$",
             },
         },
         {
