refactor(gateway): the rule on versions is that of the package rollouts

Cause: packages/rollouts states the rule with the versions that a request may not fall back to, and charges each send. Change: the gateway asks for the rule once for each attempt and keeps it until it is sent; moves ask for that of a stream that goes on. A slow answer that breaks off later counts once.

--- a/packages/gateway/src/forwarding/createForwardContext.ts
+++ b/packages/gateway/src/forwarding/createForwardContext.ts
@@ -28,6 +28,7 @@
         features,
         lostRuns: 0,
         softwareVersion: admitted.softwareVersion,
+        versionRule: undefined,
         forwardedHeaders: filterHeaders(options.request.rawHeaders, excludedHeaders),
         engine: configuration.servicesByName.get(service)?.engine,
         mayRepeat: route.kind === "repeatable" || route.isResumable,
--- a/packages/gateway/src/forwarding/forwardContext.ts
+++ b/packages/gateway/src/forwarding/forwardContext.ts
@@ -1,4 +1,5 @@
 import type { SoftwareVersion, UpstreamId } from "@ibislanding/core";
+import type { VersionRule } from "@ibislanding/rollouts";
 import type { RequestFeatures } from "../codec/requestFeatures";
 import type { EngineSpec } from "../configuration/engineSpec";
 import type { AdmittedRequest } from "./admittedRequest";
@@ -26,6 +27,8 @@
     lostRuns: number;
     /** Version of the software that wrote the first event that the client has of a stream. */
     softwareVersion: SoftwareVersion | undefined;
+    /** Versions at which the next attempt may run; undefined until it is asked for. */
+    versionRule: VersionRule | undefined;
     /** Number of runs that were started or may have been; a moved run counts once. */
     runs: number;
     /** Whether `onProcessingStarted` was called; it is called at most once per request. */
--- a/packages/gateway/src/forwarding/placeRequest.ts
+++ b/packages/gateway/src/forwarding/placeRequest.ts
@@ -1,39 +1,35 @@
+import type { GateRequest, VersionRule } from "@ibislanding/rollouts";
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { PlacementDecision } from "../placement/placementDecision";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import { ANY_VERSION } from "../versions/anyVersion";
-import type { VersionRule } from "../versions/versionRule";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
-const UNRESTRICTED: readonly VersionRule[] = [ANY_VERSION];
-
-/** `Retry-After` of a stream that must not go on at its version: it can be requested anew at once. */
-const ROLLED_BACK_RETRY_MS = 100;
-
-const ROLLED_BACK: PlacementDecision = {
-    kind: "refuse",
-    reason: "version-rolled-back",
-    retryAfterMs: ROLLED_BACK_RETRY_MS,
+const toGateRequest = ({ admitted, softwareVersion, progress }: ForwardContext): GateRequest => {
+    const { service } = admitted;
+    return softwareVersion === undefined
+        ? { kind: progress.attempts === 0 ? "first" : "retry", service }
+        : { kind: "resume", service, version: softwareVersion };
 };
 
+/** Rule under which a request is placed if the first one leaves no place; undefined if there is none. */
+const fallbackOf = (rule: VersionRule): VersionRule | undefined =>
+    rule.kind === "only" ? { kind: "except", versions: new Set([...rule.excluded, rule.version]) } : undefined;
+
 /**
- * Selects the upstream for the next attempt by the first of the rules on versions under which one has room; one upstream
- * may be excluded in addition to those of earlier attempts.
+ * Selects the upstream for the next attempt; one upstream may be excluded in addition to those of earlier attempts. A
+ * request that finds no place at the target of a rollout goes to another version.
  */
 export const placeRequest = (context: ForwardContext, additionallyExcluded?: UpstreamRecord): PlacementDecision => {
-    const { options, admitted, softwareVersion, progress } = context;
-    const { service } = admitted;
-    const isFirst = progress.attempts === 0;
-    const [first, ...others] = options.versions?.rulesFor(service, { softwareVersion, isFirst }) ?? UNRESTRICTED;
-    if (first === undefined) {
-        return ROLLED_BACK;
-    }
-    const request = toPlacementRequest(context, false, first, additionallyExcluded);
-    const candidates = options.upstreams.candidates(service, request);
-    return others.reduce<PlacementDecision>(
-        (decision, versionRule) =>
-            decision.kind === "send" ? decision : chooseUpstream(candidates, { ...request, versionRule }),
-        chooseUpstream(candidates, request),
-    );
+    const { options, admitted } = context;
+    // The rule of an attempt is kept until it is sent: asking for it charges the send.
+    context.versionRule ??= options.versions?.ruleFor(toGateRequest(context)) ?? ANY_VERSION;
+    const request = toPlacementRequest(context, false, context.versionRule, additionallyExcluded);
+    const candidates = options.upstreams.candidates(admitted.service, request);
+    const decision = chooseUpstream(candidates, request);
+    const fallback = fallbackOf(context.versionRule);
+    return decision.kind === "send" || fallback === undefined
+        ? decision
+        : chooseUpstream(candidates, { ...request, versionRule: fallback });
 };
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -284,6 +284,7 @@
         upstream.upstreamId,
         toPlacementRequest(context, continuation !== undefined, ANY_VERSION),
     );
+    context.versionRule = undefined;
     const versionRun = options.versions?.trackRun({
         upstream,
         route: admitted.route.name,
--- a/packages/gateway/src/forwarding/toPlacementRequest.ts
+++ b/packages/gateway/src/forwarding/toPlacementRequest.ts
@@ -1,6 +1,6 @@
+import type { VersionRule } from "@ibislanding/rollouts";
 import type { PlacementRequest } from "../placement/placementRequest";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
-import type { VersionRule } from "../versions/versionRule";
 import type { ForwardContext } from "./forwardContext";
 
 /**
--- a/packages/gateway/src/forwarding/watchEvacuation.ts
+++ b/packages/gateway/src/forwarding/watchEvacuation.ts
@@ -1,18 +1,16 @@
+import type { VersionRule } from "@ibislanding/rollouts";
 import { evacuateRun } from "../engines/evacuateRun";
 import type { EvacuationResult } from "../engines/evacuationResult";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import { ANY_VERSION } from "../versions/anyVersion";
-import type { VersionRule } from "../versions/versionRule";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
 const NOT_MOVED: EvacuationResult = { kind: "not-moved" };
 
 /** Rule for the target of a move, which has the same version: none is eligible once that version was rolled back. */
-const moveRule = ({ options, admitted }: ForwardContext, { softwareVersion }: UpstreamRecord): VersionRule => {
-    const rules = options.versions?.rulesFor(admitted.service, { softwareVersion, isFirst: false });
-    return rules === undefined ? ANY_VERSION : rules[0] ?? { kind: "except", versions: [softwareVersion] };
-};
+const moveRule = ({ options, admitted }: ForwardContext, { softwareVersion }: UpstreamRecord): VersionRule =>
+    options.versions?.ruleFor({ kind: "resume", service: admitted.service, version: softwareVersion }) ?? ANY_VERSION;
 
 /** Moves a run when its upstream begins to leave; `end` stops watching and returns the result of a move. */
 export const watchEvacuation = (
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -42,7 +42,6 @@
 export type { VersionCounters } from "./versions/versionCounters";
 export type { VersionCounts } from "./versions/versionCounts";
 export type { VersionPolicy } from "./versions/versionPolicy";
-export type { VersionRule } from "./versions/versionRule";
 
 // Engines
 export type { Continuation } from "./engines/continuation";
--- a/packages/gateway/src/placement/placementDecision.ts
+++ b/packages/gateway/src/placement/placementDecision.ts
@@ -13,6 +13,6 @@
     }
     | {
         readonly kind: "refuse";
-        readonly reason: "no-upstream" | "no-upstream-of-version" | "paused" | "saturated" | "version-rolled-back";
+        readonly reason: "no-upstream" | "no-upstream-of-version" | "paused" | "saturated";
         readonly retryAfterMs: number;
     };
--- a/packages/gateway/src/placement/placementRequest.ts
+++ b/packages/gateway/src/placement/placementRequest.ts
@@ -1,6 +1,6 @@
 import type { SoftwareVersion, UpstreamId } from "@ibislanding/core";
+import type { VersionRule } from "@ibislanding/rollouts";
 import type { PromptPart } from "../codec/promptPart";
-import type { VersionRule } from "../versions/versionRule";
 
 /** Properties of a request on which its placement depends. */
 export interface PlacementRequest {
--- a/packages/gateway/src/versions/createVersionCounters.ts
+++ b/packages/gateway/src/versions/createVersionCounters.ts
@@ -102,6 +102,7 @@
             }
             const row = rowOf(service, softwareVersion, route);
             row.sent++;
+            let isSlow = false;
             let isAnswered = false;
             let isEnded = false;
             const countAnswer = (): void => {
@@ -112,6 +113,7 @@
             const overdue = clock.setTimer(Math.max(objectiveMs, SLOW_FACTOR * typicalMs()), () => {
                 countAnswer();
                 row.slow++;
+                isSlow = true;
             });
             return {
                 recordFirstEvent: () => {
@@ -130,11 +132,13 @@
                         .with("answered", countAnswer)
                         .with("failed", () => {
                             countAnswer();
-                            row.failures++;
+                            row.failures += isSlow ? 0 : 1;
                         })
                         .with("lost", () => {
                             countAnswer();
-                            recordLoss(row, upstream);
+                            if (!isSlow) {
+                                recordLoss(row, upstream);
+                            }
                         })
                         .with("not-run", "aborted", () => undefined)
                         .exhaustive();
--- a/packages/gateway/src/versions/isVersionAllowed.ts
+++ b/packages/gateway/src/versions/isVersionAllowed.ts
@@ -1,6 +1,6 @@
+import type { VersionRule } from "@ibislanding/rollouts";
 import { match } from "ts-pattern";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
-import type { VersionRule } from "./versionRule";
 
 /** Whether a rule permits an upstream. */
 export const isVersionAllowed = (
@@ -14,5 +14,5 @@
             ({ version, upstreamIds }) =>
                 softwareVersion === version && (upstreamIds === undefined || upstreamIds.has(upstreamId)),
         )
-        .with({ kind: "except" }, ({ versions }) => !versions.includes(softwareVersion))
+        .with({ kind: "except" }, ({ versions }) => !versions.has(softwareVersion))
         .exhaustive();
