feat(edge): hosts follow rollouts, report evidence, and one of them advances rollouts

Cause: orders to move a service to another version need hosts that agree on state and share, and one that decides. Change: two more document sets, the report field versions, the rollout duty, and GET /rollouts; all of them only where the settings enable rollouts. The test store has one revision counter, like the real one, as its entries are written by compare-and-swap.

--- a/packages/edge/__tests__/accountLimits.spec.ts
+++ b/packages/edge/__tests__/accountLimits.spec.ts
@@ -57,6 +57,7 @@
             leaving: [],
             usageRecords: [],
             limits: [],
+            versions: [],
             quarantine: { suspects: [], cleared: [], quarantined: [] },
         };
     };
--- a/packages/edge/__tests__/largeGroup.spec.ts
+++ b/packages/edge/__tests__/largeGroup.spec.ts
@@ -28,6 +28,7 @@
         leaving: [],
         usageRecords: [],
         limits: [],
+        versions: [],
         quarantine: { suspects: [], cleared: [], quarantined: [] },
     });
     const clock = createSystemClock();
--- a/packages/edge/__tests__/reportAggregation.spec.ts
+++ b/packages/edge/__tests__/reportAggregation.spec.ts
@@ -28,6 +28,7 @@
         leaving: name.endsWith("3") ? [["engine-9", 7]] : [],
         usageRecords: [],
         limits: [],
+        versions: [],
         quarantine: { suspects: [], cleared: [], quarantined: [] },
     });
     return { name, hostId: `${name}.1` as HostId, state, createReport };
--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -22,21 +22,30 @@
     epoch.observe(1);
     let revision = 0;
 
-    const write = (key: string, value: string): void => {
+    /** Called after each write of a host. */
+    const hooks = { onWrite: (_hostName: string, _key: string): void => undefined };
+
+    const write = (key: string, value: string): number => {
         const entry = { key, value, version: ++revision };
         entries.set(key, entry);
         changes.push({ kind: "written", entry });
+        return revision;
+    };
+
+    const remove = (key: string): number => {
+        entries.delete(key);
+        changes.push({ kind: "removed", key, version: ++revision });
+        return revision;
     };
 
     /** Copies the store; returns a function that restores it from the copy, which starts a new epoch. */
     const takeCopy = (): () => void => {
-        const copied = { entries: [...entries], changes: [...changes], revision, restore: keyValueStore.takeCopy() };
+        const copied = { entries: [...entries], changes: [...changes], revision };
         return () => {
             entries.clear();
             copied.entries.forEach(([key, entry]) => entries.set(key, entry));
             changes.splice(0, Infinity, ...copied.changes);
             ({ revision } = copied);
-            copied.restore();
             epoch.observe(epoch.current() + 1);
         };
     };
@@ -70,22 +79,33 @@
         },
     });
 
-    /** Returns a store for one host; its writes, such as host addresses, also appear in the history. */
+    /** Returns a store for one host, with the entries and revisions of the history. */
     const storeOf = (hostName: string): KeyValueStore => ({
         ...keyValueStore,
-        get: async (key, options) =>
-            refused.has(hostName) ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : keyValueStore.get(key, options),
-        compareAndSwap: async (request, options) => {
+        get: async key =>
+            refused.has(hostName) ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : Ok(entries.get(key)),
+        compareAndSwap: async ({ key, value, expectedVersion }) => {
             if (refused.has(hostName)) {
                 return Err(createFailure(ErrorCode.KeyValueUnavailable));
             }
-            const result = await keyValueStore.compareAndSwap(request, options);
-            if (result.ok && request.value !== undefined) {
-                write(request.key, request.value);
+            if ((entries.get(key)?.version ?? 0) !== expectedVersion) {
+                return Err(createFailure(ErrorCode.KeyValueConflict));
             }
-            return result;
+            const version = value === undefined ? remove(key) : write(key, value);
+            hooks.onWrite(hostName, key);
+            return Ok(version);
         },
     });
 
-    return { write, takeCopy, refused, epoch, historyOf, storeOf };
+    return {
+        write,
+        remove,
+        valueOf: (key: string) => entries.get(key)?.value,
+        hooks,
+        takeCopy,
+        refused,
+        epoch,
+        historyOf,
+        storeOf,
+    };
 };
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -1,18 +1,22 @@
 import {
     type AccountId,
     type AvailabilityZone,
+    createFailure,
     createRandom,
     createSystemClock,
+    ErrorCode,
     type HostId,
+    parseJson,
     type ServiceName,
     type SoftwareVersion,
     type UpstreamId,
 } from "@ibislanding/core";
 import type { GatewayConfiguration, HeaderCodec, UpstreamRecord } from "@ibislanding/gateway";
+import type { RolloutBounds } from "@ibislanding/rollouts";
 import { createMetricsRegistry } from "@ibislanding/runtime";
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { testCodec } from "../../../gateway/__tests__/support/testCodec";
-import { startEdgeHost } from "../../src";
+import { startEdgeHost, type StatedRolloutOrder } from "../../src";
 import type { createTestStore } from "./createTestStore";
 import { findFreePort } from "./findFreePort";
 
@@ -76,6 +80,7 @@
     store: ReturnType<typeof createTestStore>,
     hostName: string,
     seedAddresses: readonly string[] = [],
+    rollouts?: RolloutBounds,
 ) => {
     const [callers, readiness, peers] = [await findFreePort(), await findFreePort(), await findFreePort()];
     const events: LoggedEvent[] = [];
@@ -99,6 +104,7 @@
             retryBudget: { ratio: 0.2, slack: 10, windowMs: 10_000 },
             accountLimits: { windowMs: 8_000, slackUnits: 0 },
             usage: { windowMs: 1_000, dueMs: 5_000 },
+            rollouts,
             duties: { usage: true, scaling: false },
         },
         clock: createSystemClock(),
@@ -122,6 +128,15 @@
             decodeConfiguration: value => Ok(JSON.parse(value) as GatewayConfiguration),
             upstreamsPrefix: "upstreams/",
             decodeUpstream: (_key, value) => Ok(JSON.parse(value) as UpstreamRecord),
+            rollouts: {
+                ordersPrefix: "orders/",
+                decodeOrder: (_key, value) => {
+                    const order = parseJson(value) as StatedRolloutOrder | undefined;
+                    return order === undefined ? Err(createFailure(ErrorCode.InvalidResource)) : Ok(order);
+                },
+                statusKeyOf: service => `statuses/${service}`,
+                encodeStatus: ({ outcome, target }) => `${outcome} ${target}`,
+            },
             ownPrefix: "own/",
         },
     });
--- a/packages/edge/__tests__/support/startVersionedUpstream.ts
+++ b/packages/edge/__tests__/support/startVersionedUpstream.ts
@@ -51,7 +51,7 @@
     const address = server.address();
     const port = typeof address === "object" && address !== null ? address.port : 0;
     let startedAtMs = 1;
-    const register = (): void =>
+    const register = (): number =>
         store.write(
             `upstreams/${upstreamId}`,
             JSON.stringify({
--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -10,7 +10,7 @@
  * `onLimited` for each one whose limit has changed.
  */
 export const applyHostReport = (
-    { upstreams, accounts, usage, usageRecords, clusterClock, quarantine }: HostComponents,
+    { upstreams, accounts, usage, usageRecords, clusterClock, quarantine, rollouts }: HostComponents,
     storeEpoch: StoreEpoch,
     report: HostReport,
     ageMs: number,
@@ -32,6 +32,7 @@
     usage.observePeer(hostId, toWindowCounts(report.began));
     toWindowCounts(report.usageRecords).forEach((counts, window) => usageRecords.remember(window, counts, false));
     quarantine.observe(report.quarantine);
+    rollouts?.observePeer(hostId, report.versions);
     report.limits.forEach(([upstreamId, startedAtMs, statedAtMs, limitPerS]) => {
         const start = { upstreamId: upstreamId as UpstreamId, startedAtMs };
         const limit = limitPerS < 0 ? undefined : limitPerS;
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -32,6 +32,9 @@
 /** Maximum batch delay of upstreams: in a large group only collectors watch them. */
 const COLLECTOR_BATCH_DELAY_MS = 300;
 
+/** Batch delay of rollouts: their entries change a few times in a rollout, and a roll-back is urgent. */
+const ROLLOUT_BATCH_DELAY_MS = 50;
+
 /**
  * Maximum batch delay, as a fraction of the time within which a change must be in force; hosts that can't reach the
  * store receive the change later.
@@ -52,7 +55,7 @@
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
     options: EdgeOptions,
-    { onUpstreams, onHosts, isRelayed }: DocumentCacheOptions,
+    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRelayed }: DocumentCacheOptions,
 ): DocumentCache => {
     const { documents, log, history, storeEpoch, clock, random, settings } = options;
     const withoutRestoredEntries = createRestoredEntryFilter(clock);
@@ -180,6 +183,24 @@
             () => MAXIMUM_WATCH_WAIT_MS,
             () => HOSTS_BATCH_DELAY_MS,
         ),
+        ...(settings.rollouts === undefined ? {} : {
+            [documentSetNames.rolloutOrders]: watch(
+                documentSetNames.rolloutOrders,
+                documents.rollouts.ordersPrefix,
+                onRolloutOrders,
+                isRelayed,
+                defaultWatchWaitMs,
+                () => ROLLOUT_BATCH_DELAY_MS,
+            ),
+            [documentSetNames.rolloutStates]: watch(
+                documentSetNames.rolloutStates,
+                `${documents.ownPrefix}rollouts/`,
+                onRolloutStates,
+                isRelayed,
+                defaultWatchWaitMs,
+                () => ROLLOUT_BATCH_DELAY_MS,
+            ),
+        }),
     };
 
     const documentsOf = (name: string): DocumentSet | undefined =>
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -2,11 +2,12 @@
 import { createDutyRunner, createScaler, createUsageReporter, type DutyRunner } from "@ibislanding/duties";
 import { createDemandMeter } from "./createDemandMeter";
 import type { EdgeDutiesOptions } from "./edgeDutiesOptions";
+import { createRolloutDuty } from "./rollouts/createRolloutDuty";
 
 /** Time within which upstreams that started together have registered. */
 const REGISTRATION_PERIOD_MS = 4_000;
 
-/** Creates the usage and scaling duties and starts contending for their lease. */
+/** Creates the duties for usage, scaling and rollouts and starts contending for their lease. */
 export const createEdgeDuties = (options: EdgeDutiesOptions): DutyRunner => {
     const { clock, random, log, store, storeEpoch, duties, settings, documents, usage, nowMs } = options;
     const demand = createDemandMeter(clock);
@@ -84,6 +85,14 @@
         }
     };
 
+    const { rollouts } = options;
+    const rolloutDuties = rollouts === undefined || settings.rollouts === undefined ? [] : [createRolloutDuty({
+        ...options,
+        rollouts,
+        bounds: settings.rollouts,
+        hasService: service => options.configuration()?.servicesByName.has(service),
+    })];
+
     const runner = createDutyRunner({
         store,
         storeEpoch,
@@ -96,6 +105,7 @@
         duties: [
             ...(settings.duties.usage ? [reporter.step] : []),
             ...(settings.duties.scaling ? [scale] : []),
+            ...rolloutDuties,
         ],
         onChange: (held, fencingNumber) => log.write(held ? "duties_taken" : "duties_lost", { fencingNumber }),
         onError: error => log.write("duty_error", { reason: error instanceof Error ? error.stack : typeof error }),
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -5,7 +5,7 @@
 import { mergeQuarantineRows } from "./mergeQuarantineRows";
 
 /** Counters that only grow; each increment of them is contributed once. */
-type Counters = Pick<HostReport, "accounts" | "began">;
+type Counters = Pick<HostReport, "accounts" | "began" | "versions">;
 
 /** What is assigned to the collector at an address. */
 interface Assignment extends Pick<HostReport, "loads" | "work"> {
@@ -37,7 +37,10 @@
 /** Time after which a silent member is forgotten; its counters stay in the summary. */
 const MEMBER_RETENTION_MS = 600_000;
 
-const NO_COUNTERS: Counters = { accounts: [], began: [] };
+/** Service, version and route. */
+const VERSION_KEY_LENGTH = 3;
+
+const NO_COUNTERS: Counters = { accounts: [], began: [], versions: [] };
 
 const UNASSIGNED: Assignment = {
     collectorId: "",
@@ -55,6 +58,7 @@
     return {
         accounts: countRows.add(1, [left.accounts, right.accounts]),
         began: began.filter(([window]) => window > latest - RETAINED_WINDOWS),
+        versions: countRows.add(VERSION_KEY_LENGTH, [left.versions, right.versions]),
     };
 };
 
@@ -64,6 +68,7 @@
 const subtractCounters = (from: Counters, counters: Counters): Counters => ({
     accounts: countRows.subtract(1, from.accounts, counters.accounts),
     began: countRows.subtract(2, from.began, counters.began),
+    versions: countRows.subtract(VERSION_KEY_LENGTH, from.versions, counters.versions),
 });
 
 /**
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -14,7 +14,8 @@
 
 /** Returns a function that creates the next report of this host. */
 export const createReportFactory = (
-    { documentCache, upstreams, accounts, usage, usageRecords, workMeter, clusterClock, quarantine }: HostComponents,
+    { documentCache, upstreams, accounts, usage, usageRecords, workMeter, clusterClock, quarantine, rollouts }:
+        HostComponents,
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
 ): () => HostReport => {
@@ -43,6 +44,7 @@
             leaving: upstreams.leaving(),
             quarantine: quarantine.rows(),
             limits: upstreams.limits(),
+            versions: rollouts?.counts() ?? [],
             usageRecords: toRows(usageRecords.own()),
         };
     };
--- a/packages/edge/src/documentCacheOptions.ts
+++ b/packages/edge/src/documentCacheOptions.ts
@@ -1,3 +1,4 @@
+import type { DocumentSet } from "@ibislanding/discovery";
 import type { UpstreamRecord } from "@ibislanding/gateway";
 import type { HostEntry } from "./hostEntry";
 
@@ -5,6 +6,8 @@
 export interface DocumentCacheOptions {
     readonly onUpstreams: (records: readonly UpstreamRecord[]) => void;
     readonly onHosts: (hosts: readonly HostEntry[]) => void;
+    readonly onRolloutOrders: (set: DocumentSet) => void;
+    readonly onRolloutStates: (set: DocumentSet) => void;
     /** Whether a collector currently tells this host when upstreams and hosts change. */
     readonly isRelayed: () => boolean;
 }
--- a/packages/edge/src/edgeDutiesOptions.ts
+++ b/packages/edge/src/edgeDutiesOptions.ts
@@ -2,12 +2,15 @@
 import type { UsageCounts, UsageRecords } from "@ibislanding/duties";
 import type { CompiledConfiguration, UpstreamTable } from "@ibislanding/gateway";
 import type { EdgeOptions } from "./edgeOptions";
+import type { Rollouts } from "./rollouts/rollouts";
 
 /** State of the host that the duties read, in addition to its ports and settings. */
 export interface EdgeDutiesOptions extends EdgeOptions {
     readonly usage: UsageCounts;
     readonly usageRecords: UsageRecords;
     readonly upstreams: UpstreamTable;
+    /** Undefined if versions are not rolled out. */
+    readonly rollouts: Rollouts | undefined;
     readonly configuration: () => CompiledConfiguration | undefined;
     /** Whether this host contends for the duties. */
     readonly mayContend: () => boolean;
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -1,4 +1,5 @@
 import type { AvailabilityZone, HostId } from "@ibislanding/core";
+import type { RolloutBounds } from "@ibislanding/rollouts";
 
 /** Identity, listeners, limits and enabled duties of a host. */
 export interface EdgeSettings {
@@ -24,5 +25,7 @@
     /** Window over which account limits apply, and units by which an account may exceed its limit in it. */
     readonly accountLimits: { readonly windowMs: number; readonly slackUnits: number; };
     readonly usage: { readonly windowMs: number; readonly dueMs: number; };
+    /** Bounds on what a bad version receives while it is rolled out; undefined if versions are not rolled out. */
+    readonly rollouts: RolloutBounds | undefined;
     readonly duties: { readonly usage: boolean; readonly scaling: boolean; };
 }
--- a/packages/edge/src/hostComponents.ts
+++ b/packages/edge/src/hostComponents.ts
@@ -3,6 +3,7 @@
 import type { AccountMeter, UpstreamTable } from "@ibislanding/gateway";
 import type { Quarantine } from "@ibislanding/quarantine";
 import type { DocumentCache } from "./documentCache";
+import type { Rollouts } from "./rollouts/rollouts";
 import type { WorkMeter } from "./workMeter";
 
 /** Components of a host whose state is exchanged with other hosts through reports. */
@@ -15,4 +16,6 @@
     readonly workMeter: WorkMeter;
     readonly clusterClock: ClusterClock;
     readonly quarantine: Quarantine;
+    /** Undefined if versions are not rolled out. */
+    readonly rollouts: Rollouts | undefined;
 }
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@ibislanding/core";
+import type { VersionCounts } from "@ibislanding/gateway";
 import type { QuarantineRows } from "@ibislanding/quarantine";
 
 /**
@@ -45,6 +46,8 @@
     ])[];
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
+    /** Requests of the services with a rollout order by version and route, since each process began to count; they only grow. */
+    readonly versions: readonly VersionCounts[];
     /** Counts that this host stored for windows as lease holder, and which may have been sent. */
     readonly usageRecords: readonly (readonly [window: number, accountId: string, count: number])[];
 }
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -1,4 +1,6 @@
 export type { EdgeHost } from "./edgeHost";
 export type { EdgeOptions } from "./edgeOptions";
 export type { EdgeSettings } from "./edgeSettings";
+export type { RolloutStatus } from "./rollouts/rolloutStatus";
+export type { StatedRolloutOrder } from "./rollouts/statedRolloutOrder";
 export { startEdgeHost } from "./startEdgeHost";
--- /dev/null
+++ b/packages/edge/src/rollouts/rollouts.ts
@@ -0,0 +1,21 @@
+import type { HostId, ServiceName, SoftwareVersion } from "@ibislanding/core";
+import type { VersionCounts, VersionPolicy } from "@ibislanding/gateway";
+import type { EvidenceSeries } from "@ibislanding/rollouts";
+import type { RolloutBook } from "./rolloutBook";
+import type { RolloutSummary } from "./rolloutSummary";
+
+/** Follows the rollouts of all services and applies them to the requests of this host. */
+export interface Rollouts extends AsyncDisposable {
+    readonly book: RolloutBook;
+    /** Assigns versions to requests and counts what becomes of them. */
+    readonly policy: VersionPolicy;
+    /** Counters of this host, for its report. */
+    readonly counts: () => readonly VersionCounts[];
+    readonly observePeer: (hostId: HostId, counts: readonly VersionCounts[]) => void;
+    /** Evidence since the current order. */
+    readonly evidenceOf: (service: ServiceName) => EvidenceSeries;
+    /** Requests that run at other versions than the given one, over all hosts. */
+    readonly runningExcept: (service: ServiceName, version: SoftwareVersion) => number;
+    /** What operators are shown of each rollout. */
+    readonly summaries: () => readonly RolloutSummary[];
+}
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -34,6 +34,8 @@
 import { listLiveHosts } from "./listLiveHosts";
 import { rankHosts } from "./rankHosts";
 import { registerHost } from "./registerHost";
+import { createRolloutHandler } from "./rollouts/createRolloutHandler";
+import { createRollouts } from "./rollouts/createRollouts";
 import { startHostListeners } from "./startHostListeners";
 import { watchSuspensions } from "./watchSuspensions";
 
@@ -111,6 +113,8 @@
             registeredHosts = hosts;
             updatePeers();
         },
+        onRolloutOrders: set => rollouts?.book.observeOrders(set),
+        onRolloutStates: set => rollouts?.book.observeStates(set),
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
     });
     resources.use(documentCache);
@@ -143,6 +147,14 @@
             }
         },
     });
+    const rollouts = settings.rollouts === undefined ? undefined : resources.use(createRollouts({
+        ...options,
+        bounds: settings.rollouts,
+        hasher,
+        upstreams,
+        nowMs: clusterClock.nowMs,
+        isFollowing: () => documentCache.isStoreReachable() || peers.exchange?.isRelayed() === true,
+    }));
     const streamOrigins = createStreamOriginStore({
         clock,
         hasher,
@@ -195,6 +207,7 @@
         quarantine,
         recentAnswers,
         streamOrigins,
+        versions: rollouts?.policy,
         crashes: createCrashDetector({
             clock,
             sharedNowMs: clusterClock.nowMs,
@@ -227,6 +240,7 @@
         workMeter,
         clusterClock,
         quarantine,
+        rollouts,
     };
     const createReport = createReportFactory(components, settings, clock);
 
@@ -290,6 +304,7 @@
         usage,
         usageRecords,
         upstreams,
+        rollouts,
         configuration: documentCache.configuration,
         // Only the first hosts by name that reach the store contend, because each contender polls the lease.
         mayContend: () =>
@@ -333,6 +348,7 @@
 
     return {
         handleQuarantine: createQuarantineHandler(quarantine),
+        handleRollouts: createRolloutHandler(() => rollouts?.summaries() ?? []),
         stop,
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
--- a/packages/runtime/src/metrics/createMetricsRegistry.ts
+++ b/packages/runtime/src/metrics/createMetricsRegistry.ts
@@ -72,6 +72,12 @@
         gauge: (name, help, read) => {
             renderers.push(() => `${header(name, help, "gauge")}${name} ${read()}\n`);
         },
+        labelledGauge: (name, help, read) => {
+            renderers.push(() =>
+                header(name, help, "gauge")
+                + read().map(({ labels, value }) => `${name}${renderLabels(labels)} ${value}\n`).join("")
+            );
+        },
         render: () => renderers.map(render => render()).join(""),
     };
 };
