--- a/packages/ctl/src/cli/commandClasses.ts
+++ b/packages/ctl/src/cli/commandClasses.ts
@@ -13,6 +13,7 @@
 import { StatusCommand } from "../queries/statusCommand";
 import { ValidateCommand } from "../queries/validateCommand";
 import { WatchCommand } from "../queries/watchCommand";
+import { RolloutListCommand } from "../rollout/rolloutListCommand";
 
 /** All commands of `ibisctl`. */
 export const commandClasses: readonly CommandClass[] = [
@@ -29,5 +30,6 @@
     ExplainCommand,
     QuarantineListCommand,
     QuarantineEndCommand,
+    RolloutListCommand,
     CompletionCommand,
 ];
