--- /dev/null
+++ b/packages/edge/__tests__/rolloutReports.spec.ts
@@ -0,0 +1,101 @@
+// Guards against evidence that is lost or counted twice on its way through collectors, and against reports that grow with a
+// rollout by more than the network of a small host has room for.
+import { createFakeClock, createRandom, type HostId, type ServiceName, type SoftwareVersion } from "@ibislanding/core";
+import { deflateRawSync } from "node:zlib";
+import { createReportAggregation } from "../src/createReportAggregation";
+import type { HostReport } from "../src/hostReport";
+import { createRolloutEvidence } from "../src/rollouts/createRolloutEvidence";
+
+const SERVICE = "orders" as ServiceName;
+const [V1, V2] = ["2026.11.3", "2026.12.0"].map(version => version as SoftwareVersion) as [
+    SoftwareVersion,
+    SoftwareVersion,
+];
+const ROUTES = ["orders-read", "orders-write", "orders-stream"];
+
+type Versions = HostReport["versions"];
+
+const createSource = (name: string) => {
+    const state = { versions: [] as Versions };
+    let sequence = 0;
+    const createReport = (): HostReport => ({
+        hostId: `${name}.1` as HostId,
+        hostName: name,
+        address: name,
+        collectorId: "",
+        sequence: ++sequence,
+        wallMs: 1,
+        positions: {},
+        isInContact: true,
+        hostCount: 1,
+        oldestMs: 0,
+        loads: Array.from({ length: 20 }, (_, index) => [`i-${index}`, index % 7, index * 311]),
+        accounts: Array.from({ length: 20 }, (_, index) => [`account-${index}`, index * 977, index]),
+        levels: [],
+        began: [],
+        work: [],
+        leaving: [],
+        usageRecords: [],
+        limits: [],
+        versions: state.versions,
+        quarantine: { suspects: [], cleared: [], quarantined: [] },
+    });
+    return { name, hostId: `${name}.1` as HostId, state, createReport };
+};
+
+const createRows = (requests: number): Versions => {
+    const random = createRandom(requests);
+    return [V1, V2].flatMap(version =>
+        ROUTES.map(route => {
+            const sent = requests + random.nextInt(requests);
+            return [SERVICE, version, route, sent, sent - 3, random.nextInt(5), random.nextInt(9), sent - 2] as const;
+        })
+    );
+};
+
+test("each host knows the counters of all others once, and those of a host that is gone", () => {
+    const clock = createFakeClock();
+    const sources = ["a", "b", "c"].map(createSource);
+    const [collector, ...members] = sources.map(source => ({
+        ...source,
+        aggregation: createReportAggregation(clock, source.hostId, source.createReport),
+        evidence: createRolloutEvidence(clock, () => source.state.versions),
+    }));
+    if (collector === undefined) {
+        throw new Error("a collector is needed");
+    }
+    const exchange = (sent: number): void => {
+        [collector, ...members].forEach(({ state, aggregation }) => {
+            state.versions = [[SERVICE, V1, "r", sent, sent, 0, 0, sent - 1], [SERVICE, V1, "", 2, 0, 0, 0, 1]];
+            collector.aggregation.collect(aggregation.nextContribution(collector.name));
+            aggregation.acknowledge(collector.name, collector.hostId);
+        });
+        const summary = collector.aggregation.summarize();
+        [collector, ...members].forEach(({ aggregation, evidence }) =>
+            evidence.observePeer(collector.hostId, aggregation.withoutOwn(summary).versions)
+        );
+    };
+    exchange(10);
+    exchange(25);
+    [collector, ...members].forEach(({ evidence }) => {
+        expect(evidence.evidenceOf(SERVICE)).toEqual([
+            { service: SERVICE, version: V1, route: "r", sent: 75, answers: 75, failures: 0, slow: 0 },
+        ]);
+        // One counted request runs at each host, and one from before counting began.
+        expect(evidence.runningExcept(SERVICE, V2)).toBe(6);
+        expect(evidence.runningExcept(SERVICE, V1)).toBe(0);
+    });
+});
+
+test.each([[8, 300], [65, 2_400], [195, 7_200]])(
+    "the counters of a rollout on three routes add at most 160 bytes to a report of %i hosts",
+    (_, requests) => {
+        const { state, createReport } = createSource("front-a-1");
+        const sizeOf = (): number => deflateRawSync(JSON.stringify([{ text: JSON.stringify(createReport()) }])).length;
+        const withoutRollout = sizeOf();
+        state.versions = createRows(requests);
+        const addedBytes = sizeOf() - withoutRollout;
+        expect(addedBytes).toBeGreaterThan(0);
+        expect(addedBytes).toBeLessThanOrEqual(160);
+    },
+);
--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -18,6 +18,8 @@
     const changes: KeyValueChange[] = [];
     const entries = new Map<string, KeyValueEntry>();
     const refused = new Set<string>();
+    /** Hosts whose writes are refused. */
+    const readOnly = new Set<string>();
     const epoch = createStoreEpoch();
     epoch.observe(1);
     let revision = 0;
@@ -85,7 +87,7 @@
         get: async key =>
             refused.has(hostName) ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : Ok(entries.get(key)),
         compareAndSwap: async ({ key, value, expectedVersion }) => {
-            if (refused.has(hostName)) {
+            if (refused.has(hostName) || readOnly.has(hostName)) {
                 return Err(createFailure(ErrorCode.KeyValueUnavailable));
             }
             if ((entries.get(key)?.version ?? 0) !== expectedVersion) {
@@ -104,6 +106,7 @@
         hooks,
         takeCopy,
         refused,
+        readOnly,
         epoch,
         historyOf,
         storeOf,
--- a/packages/edge/__tests__/support/readStream.ts
+++ b/packages/edge/__tests__/support/readStream.ts
@@ -11,10 +11,11 @@
 /** Reads a stream to its end, or until the client leaves after a number of events. */
 export const readStream = (
     port: number,
-    { requestId, leavesAfter = Infinity, headers = {} }: {
+    { requestId, leavesAfter = Infinity, headers = {}, path = "/orders/1" }: {
         readonly requestId: string;
         readonly leavesAfter?: number;
         readonly headers?: Readonly<Record<string, string>>;
+        readonly path?: string;
     },
 ): Promise<ReceivedStream> =>
     new Promise(resolve => {
@@ -26,7 +27,7 @@
             host: "127.0.0.1",
             port,
             method: "POST",
-            path: "/orders/1",
+            path,
             headers: { "Host": "shop.example", "X-Request": requestId, "Authorization": "k1", ...headers },
         }, response => {
             status = response.statusCode ?? 0;
--- a/packages/edge/__tests__/support/startVersionedUpstream.ts
+++ b/packages/edge/__tests__/support/startVersionedUpstream.ts
@@ -1,4 +1,4 @@
-import type { SoftwareVersion } from "@ibislanding/core";
+import type { ServiceName, SoftwareVersion } from "@ibislanding/core";
 import { createServer, type Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { createTestStore } from "./createTestStore";
@@ -10,6 +10,9 @@
 const EVENTS = 8;
 const EVENTS_BEFORE_BREAK = 3;
 
+/** Delay of slow answers. */
+const DELAY_MS = 1_200;
+
 /**
  * Starts an upstream whose events state its software version; it breaks off the streams that begin there if `breaksOff`
  * returns true.
@@ -19,6 +22,12 @@
     upstreamId: string,
     softwareVersion: string,
     breaksOff: (requestId: string) => boolean,
+    { service = "orders", faultOf = () => undefined, onRequest = () => undefined }: {
+        readonly service?: string;
+        /** Returns what is wrong with the next answer; undefined for a sound one. */
+        readonly faultOf?: () => "failure" | "delay" | undefined;
+        readonly onRequest?: (fault: "failure" | "delay" | undefined) => void;
+    } = {},
 ) => {
     const timers = new Set<NodeJS.Timeout>();
     let runningVersion = softwareVersion;
@@ -26,13 +35,24 @@
         createServer((request, response) => {
             const first = Number(request.headers["last-event-id"] ?? 0) + 1;
             const isBroken = first === 1 && breaksOff(String(request.headers["x-request"]));
+            const fault = faultOf();
             let number = first;
+            onRequest(fault);
             request.resume();
+            if (fault === "failure") {
+                response.writeHead(500, { "X-Request": String(request.headers["x-request"]), "Content-Length": "0" });
+                response.end();
+                return;
+            }
             response.writeHead(200, {
                 "X-Request": String(request.headers["x-request"]),
                 "Content-Type": "text/event-stream",
             });
+            const beginsAtMs = performance.now() + (fault === "delay" ? DELAY_MS : 0);
             const timer = setInterval(() => {
+                if (performance.now() < beginsAtMs) {
+                    return;
+                }
                 if (isBroken && number === EVENTS_BEFORE_BREAK + 1) {
                     response.destroy();
                     return;
@@ -57,6 +77,7 @@
             JSON.stringify({
                 ...createStoredUpstream(upstreamId, port),
                 startedAtMs,
+                service: service as ServiceName,
                 softwareVersion: runningVersion as SoftwareVersion,
                 slots: 64,
             }),
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -32,6 +32,9 @@
 /** Maximum batch delay of upstreams: in a large group only collectors watch them. */
 const COLLECTOR_BATCH_DELAY_MS = 300;
 
+/** Wait of a watch during a rollout: a host that no longer hears of a roll-back stops sending to the target in time. */
+const ROLLOUT_WATCH_WAIT_MS = 1_000;
+
 /** Batch delay of rollouts: their entries change a few times in a rollout, and a roll-back is urgent. */
 const ROLLOUT_BATCH_DELAY_MS = 50;
 
@@ -55,7 +58,7 @@
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
     options: EdgeOptions,
-    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRelayed }: DocumentCacheOptions,
+    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRollingOut, isRelayed }: DocumentCacheOptions,
 ): DocumentCache => {
     const { documents, log, history, storeEpoch, clock, random, settings } = options;
     const withoutRestoredEntries = createRestoredEntryFilter(clock);
@@ -197,7 +200,7 @@
                 `${documents.ownPrefix}rollouts/`,
                 onRolloutStates,
                 isRelayed,
-                defaultWatchWaitMs,
+                () => isRollingOut() ? ROLLOUT_WATCH_WAIT_MS : defaultWatchWaitMs(),
                 () => ROLLOUT_BATCH_DELAY_MS,
             ),
         }),
--- a/packages/edge/src/documentCacheOptions.ts
+++ b/packages/edge/src/documentCacheOptions.ts
@@ -8,6 +8,8 @@
     readonly onHosts: (hosts: readonly HostEntry[]) => void;
     readonly onRolloutOrders: (set: DocumentSet) => void;
     readonly onRolloutStates: (set: DocumentSet) => void;
+    /** Whether a rollout is under way, so that a lost store must be detected soon. */
+    readonly isRollingOut: () => boolean;
     /** Whether a collector currently tells this host when upstreams and hosts change. */
     readonly isRelayed: () => boolean;
 }
--- a/packages/edge/src/rollouts/createRolloutBook.ts
+++ b/packages/edge/src/rollouts/createRolloutBook.ts
@@ -4,6 +4,7 @@
     compareRolloutStates,
     createRolloutOrderId,
     type RolloutOrder,
+    type RolloutPhase,
     type RolloutState,
 } from "@ibislanding/rollouts";
 import type { KnownRollout } from "./knownRollout";
@@ -17,6 +18,8 @@
     readonly order: RolloutOrder;
 }
 
+const FINAL_PHASES: ReadonlySet<RolloutPhase> = new Set(["completed", "rolled-back"]);
+
 const revisionOf = (orderId: string): number => Number(orderId.slice(orderId.lastIndexOf(".") + 1));
 
 /**
@@ -88,6 +91,14 @@
         observeNewest(state);
     };
 
+    const rollouts = (): readonly KnownRollout[] =>
+        [...new Set([...orders.keys(), ...states.keys()])].map(service => {
+            const state = states.get(service);
+            const read = orders.get(service);
+            const order = read === undefined ? undefined : withKnownId(read, state);
+            return { service, order, state, stored: storedStates.get(service) };
+        });
+
     return {
         observeOrders: ({ entries, epoch }) => {
             const listed = [...entries.values()].filter(({ key }) => key.startsWith(ordersPrefix));
@@ -122,13 +133,12 @@
             observeNewest(state);
             onChange();
         },
-        rollouts: () =>
-            [...new Set([...orders.keys(), ...states.keys()])].map(service => {
-                const state = states.get(service);
-                const read = orders.get(service);
-                const order = read === undefined ? undefined : withKnownId(read, state);
-                return { service, order, state, stored: storedStates.get(service) };
-            }),
+        rollouts,
+        isRollingOut: () =>
+            rollouts().some(({ order, state }) =>
+                state === undefined || !FINAL_PHASES.has(state.phase)
+                || order !== undefined && order.orderId !== state.orderId
+            ),
         isCounted: service => orders.has(service) || states.has(service),
         stateKeyOf,
     };
--- a/packages/edge/src/rollouts/rolloutBook.ts
+++ b/packages/edge/src/rollouts/rolloutBook.ts
@@ -15,6 +15,9 @@
     /** Records that this host has stored a state. */
     readonly recordStored: (state: RolloutState, version: number) => void;
     readonly rollouts: () => readonly KnownRollout[];
+    /** Whether the outcome of a known order is not known yet. */
+    readonly isRollingOut: () => boolean;
+    /** Whether there is or was an order for a service. */
     readonly isCounted: (service: ServiceName) => boolean;
     readonly stateKeyOf: (service: ServiceName) => string;
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -26,6 +26,7 @@
 import { createStreamOriginStore } from "./createStreamOriginStore";
 import { createWorkMeter } from "./createWorkMeter";
 import { decodeHostReport } from "./decodeHostReport";
+import { documentSetNames } from "./documentSetNames";
 import type { EdgeHost } from "./edgeHost";
 import type { EdgeOptions } from "./edgeOptions";
 import type { HostComponents } from "./hostComponents";
@@ -115,9 +116,17 @@
         },
         onRolloutOrders: set => rollouts?.book.observeOrders(set),
         onRolloutStates: set => rollouts?.book.observeStates(set),
+        isRollingOut: () => rollouts?.book.isRollingOut() ?? false,
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
     });
     resources.use(documentCache);
+
+    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
+        [...peers.exchange?.reports().values() ?? []]
+            .filter(({ reportedAtMs }) =>
+                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
+            );
+
     const startedAtMs = clock.monotonicMs();
     const liveHostAddresses = (): readonly string[] =>
         listLiveHosts({
@@ -153,7 +162,13 @@
         hasher,
         upstreams,
         nowMs: clusterClock.nowMs,
-        isFollowing: () => documentCache.isStoreReachable() || peers.exchange?.isRelayed() === true,
+        // A host that can't reach the store has the newest states as long as a peer that reaches it has no newer ones.
+        isFollowing: () =>
+            documentCache.isStoreReachable() || peers.exchange?.isRelayed() === true
+            || liveReports().some(({ report }) =>
+                report.isInContact
+                && !documentCache.staleSets(report.positions).includes(documentSetNames.rolloutStates)
+            ),
     }));
     const streamOrigins = createStreamOriginStore({
         clock,
@@ -244,12 +259,6 @@
     };
     const createReport = createReportFactory(components, settings, clock);
 
-    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
-        [...peers.exchange?.reports().values() ?? []]
-            .filter(({ reportedAtMs }) =>
-                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
-            );
-
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
         address: settings.listen.peers,
