--- a/packages/rollouts/src/index.ts
+++ b/packages/rollouts/src/index.ts
@@ -1,4 +1,5 @@
 export { advanceRollout } from "./advanceRollout";
+export { compareOrderIds } from "./compareOrderIds";
 export { compareRolloutStates } from "./compareRolloutStates";
 export { createRolloutOrderId } from "./createRolloutOrderId";
 export { createVersionGate } from "./createVersionGate";
@@ -20,6 +21,7 @@
 export type { ShareKnowledge } from "./shareKnowledge";
 export { validateOrder } from "./validateOrder";
 export type { Verdict } from "./verdict";
+export type { VerdictCause } from "./verdictCause";
 export type { VersionEvidence } from "./versionEvidence";
 export type { VersionGate } from "./versionGate";
 export type { VersionGateOptions } from "./versionGateOptions";
--- a/packages/rollouts/src/selectCanaryUpstreams.ts
+++ b/packages/rollouts/src/selectCanaryUpstreams.ts
@@ -1,4 +1,4 @@
-import type { Hasher, UpstreamId } from "@ibislanding/core";
+import { combineHashes, type Hasher, type UpstreamId } from "@ibislanding/core";
 import type { RolloutOrderId } from "./rolloutOrderId";
 
 /**
@@ -6,8 +6,15 @@
  * hashing, the same on all hosts. Each of them runs at the usual load at least, which reveals versions that fail under load.
  */
 export const selectCanaryUpstreams = (
-    _hasher: Hasher,
-    _orderId: RolloutOrderId,
+    hasher: Hasher,
+    orderId: RolloutOrderId,
     upstreamIds: readonly UpstreamId[],
-    _share: number,
-): ReadonlySet<UpstreamId> => new Set(upstreamIds);
+    share: number,
+): ReadonlySet<UpstreamId> => {
+    const orderHash = hasher.hash32(orderId);
+    const ranked = upstreamIds
+        .map(upstreamId => ({ upstreamId, rank: combineHashes(orderHash, hasher.hash32(upstreamId)) }))
+        .sort((left, right) => left.rank - right.rank || (left.upstreamId < right.upstreamId ? -1 : 1));
+    const selected = ranked.slice(0, Math.max(1, Math.floor(share * upstreamIds.length)));
+    return new Set(selected.map(({ upstreamId }) => upstreamId));
+};
--- a/packages/rollouts/src/verdict.ts
+++ b/packages/rollouts/src/verdict.ts
@@ -1,9 +1,8 @@
-/** Verdict on a version. `undecided` means that there are too few answers yet. */
+import type { VerdictCause } from "./verdictCause";
+
+/** Verdict on a version. */
 export type Verdict =
     | { readonly kind: "good"; }
-    | {
-        readonly kind: "bad";
-        readonly reason: "failures" | "slow"; /** Undefined for all routes. */
-        readonly route: string | undefined;
-    }
-    | { readonly kind: "undecided"; };
+    | { readonly kind: "bad"; } & VerdictCause
+    /** Too few answers yet; `suspected` is set if more of them are bad than is likely for a good version. */
+    | { readonly kind: "undecided"; readonly suspected: VerdictCause | undefined; };
