--- a/packages/ctl/__tests__/ibisctl.spec.ts
+++ b/packages/ctl/__tests__/ibisctl.spec.ts
@@ -164,3 +164,48 @@
         expect(result.stderr).toContain("spec.repeatable");
     });
 });
+
+describe("ibisctl rollout", () => {
+    it("lists the rollouts of a host with the evidence for and against their targets", async () => {
+        const counts = { route: "r", answers: 9, slow: 1 };
+        await using server = await startServer([json({
+            rollouts: [{
+                service: "advisor",
+                target: "v2",
+                phase: "canary",
+                reason: "the target has an upstream",
+                share: 0.07,
+                deadlineMs: 0,
+                runningElsewhere: 3,
+                versions: [{ ...counts, version: "v2", sent: 12, failures: 4 }, {
+                    ...counts,
+                    version: "v1",
+                    sent: 150,
+                    failures: 0,
+                }],
+            }, { service: "orders", target: "v7", runningElsewhere: 0, versions: [] }],
+        })]);
+        const result = await runIbisctl(["rollout", "list", server.env.IBIS_SERVER]);
+        expect(server.seen).toEqual(["GET /rollouts"]);
+        expect(result.exitCode).toBe(0);
+        const cells = result.stdout.trim().split("\n").slice(1).map(line => line.trim().split(/ {2,}/));
+        expect(cells).toEqual([
+            [
+                "advisor",
+                "v2",
+                "canary",
+                "7.0 %",
+                "1970-01-01T00:00:00.000Z",
+                "12/4/1",
+                "150/0/1",
+                "3",
+                "the target has an upstream",
+            ],
+            ["orders", "v7", "ordered", "-", "-", "0/0/0", "0/0/0", "0", "-"],
+        ]);
+    });
+
+    it("refuses a host without a scheme", async () => {
+        expect((await runIbisctl(["rollout", "list", "10.0.0.1:9101"])).exitCode).toBe(2);
+    });
+});
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -10,7 +10,7 @@
         "Every upstream of the service had asked for a pause or stated a limit that left this host no room; nothing was sent.",
     "no-upstream": "The host knew no registered upstream of the service; nothing was sent.",
     "no-upstream-of-version":
-        "No other upstream of the software version that began the stream was registered; nothing was sent.",
+        "No upstream of a software version at which the request may run was registered; nothing was sent.",
     "stream_origin_unknown":
         "The client took up a stream, and no host knew which software version began it; nothing was sent.",
     "unknown_route": "The configuration in use on the host has no such route.",
