test(edge): a stream of a version that was rolled back is refused; a rule that permits all costs one comparison

Cause: after a roll-back, neither the target nor another version may continue a stream that the target began. Change: the test takes such a stream up and expects 503. Counters drop an unused method.

--- a/packages/edge/__tests__/rollouts.spec.ts
+++ b/packages/edge/__tests__/rollouts.spec.ts
@@ -1,6 +1,7 @@
 // Guards against rollouts that expose callers to a bad version, that are never decided, or whose status differs from what the
 // hosts do, while lease holders die and the store is away.
 import { setTimeout as sleep } from "node:timers/promises";
+import { readStream } from "./support/readStream";
 import { ROLLOUT_BOUNDS, startRolloutGroup } from "./support/startRolloutGroup";
 
 const ORDER_MS = 10_000;
@@ -49,6 +50,13 @@
             // A failed request is sent to the other version.
             expect(answers[index]?.filter(({ status }) => status === 200).length).toBe(total);
         });
+        // No other version may continue a stream that the target began, nor may the target.
+        const begun = answers[0]?.findIndex(({ versions }) => versions.has("v2")) ?? -1;
+        const takenUp = await readStream(group.hosts[0]?.callers ?? 0, {
+            requestId: "again",
+            headers: { "X-Resumes": `orders${begun}`, "Last-Event-Id": "3" },
+        });
+        expect([begun >= 0, takenUp.status]).toEqual([true, 503]);
     },
     40_000,
 );
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -43,7 +43,7 @@
 ): boolean =>
     !record.isLeaving && !excluded.has(record.upstreamId)
     && (softwareVersion === undefined || record.softwareVersion === softwareVersion)
-    && isVersionAllowed(record, versionRule);
+    && (versionRule.kind === "any" || isVersionAllowed(record, versionRule));
 
 const hasCapacity = ({ running, record, isAtConnectionLimit }: PlacementCandidate): boolean =>
     !isAtConnectionLimit && running < record.slots * MAXIMUM_REQUESTS_PER_SLOT;
--- a/packages/gateway/src/versions/createVersionCounters.ts
+++ b/packages/gateway/src/versions/createVersionCounters.ts
@@ -146,9 +146,5 @@
             };
         },
         rows: () => [...rows.values()].filter(({ service, sent }) => checkCounted(service) && sent > 0).map(toCounts),
-        running: (service, version) =>
-            [...rows.values()]
-                .filter(row => row.service === service && row.version === version)
-                .reduce((sum, { sent, ended }) => sum + sent - ended, 0),
     };
 };
