fix(gateway): a first slow answer does not keep a rollout's requests away from its target

Cause: placement refuses upstreams whose answers are predicted to be late. After two slow answers of a canary it sent nothing more there, so a slow version ended with 'too few requests reached the target', as a sound one with a slow start would have. Ruled out: a prediction without the learned response time, which would hide a loaded upstream in all other decisions.

--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -82,6 +82,17 @@
         ?? minimumBy(candidates, candidate => predictMs(candidate) + missingPenaltyMs(candidate));
 };
 
+/**
+ * A request that a rollout assigned to a few upstreams of its target runs there also if its answer is predicted to be late. A
+ * first slow answer would otherwise keep all others away: a slow version would not be found out, and a sound one not promoted.
+ */
+const maximumObjectiveFactor = ({ requiresSpareCapacity, versionRule }: PlacementRequest): number => {
+    if (requiresSpareCapacity) {
+        return SPARE_OBJECTIVE_FACTOR;
+    }
+    return versionRule.kind === "only" && versionRule.upstreamIds !== undefined ? Infinity : MAXIMUM_OBJECTIVE_FACTOR;
+};
+
 /**
  * Selects the upstream for a request, or refuses the request if no upstream is predicted to respond in time.
  *
@@ -114,7 +125,7 @@
     const chosen = selectCandidate(considered.filter(hasCapacity), request.objectiveMs);
     const latestFirstEventMs = Math.min(
         request.remainingMs * MAXIMUM_FIRST_EVENT_SHARE,
-        request.objectiveMs * (request.requiresSpareCapacity ? SPARE_OBJECTIVE_FACTOR : MAXIMUM_OBJECTIVE_FACTOR),
+        request.objectiveMs * maximumObjectiveFactor(request),
     );
     if (chosen === undefined || predictMs(chosen) > latestFirstEventMs) {
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestFirstEventMs / 2;
