fix(edge): a verdict on a target does not depend on when the duty runs

Cause: the gate of a host keeps its verdict on a bad target and sends nothing more there, but the holder of the duties judged anew at each step, and newer counters of the other versions can turn the verdict back to undecided. The evidence then stands still. Change: the evidence that showed that a target is bad is kept for the duty until another order.

--- a/packages/edge/__tests__/rolloutReports.spec.ts
+++ b/packages/edge/__tests__/rolloutReports.spec.ts
@@ -1,10 +1,23 @@
 // Guards against evidence that is lost or counted twice on its way through collectors, and against reports that grow with a
 // rollout by more than the network of a small host has room for.
-import { createFakeClock, createRandom, type ServiceName, type SoftwareVersion } from "@ibislanding/core";
+import {
+    createFakeClock,
+    createHasher,
+    createRandom,
+    type HostId,
+    type ServiceName,
+    type SoftwareVersion,
+} from "@ibislanding/core";
+import { judgeVersion } from "@ibislanding/rollouts";
+import { createMetricsRegistry } from "@ibislanding/runtime";
 import { deflateRawSync } from "node:zlib";
+import { Ok } from "ts-results";
 import { createReportAggregation } from "../src/createReportAggregation";
+import type { EdgeOptions } from "../src/edgeOptions";
+import type { EdgeSettings } from "../src/edgeSettings";
 import type { HostReport } from "../src/hostReport";
 import { createRolloutEvidence } from "../src/rollouts/createRolloutEvidence";
+import { createRollouts } from "../src/rollouts/createRollouts";
 import { createReportSource } from "./support/createReportSource";
 
 const SERVICE = "orders" as ServiceName;
@@ -72,3 +85,50 @@
         expect(addedBytes).toBeLessThanOrEqual(160);
     },
 );
+
+test("evidence that has shown that a target is bad is kept until another order", async () => {
+    const clock = createFakeClock();
+    await using rollouts = createRollouts({
+        clock,
+        nowMs: clock.wallMs,
+        log: { write: () => undefined, droppedLines: () => 0 },
+        metrics: createMetricsRegistry(),
+        hasher: await createHasher(),
+        settings: { hostId: "a.1" } as EdgeSettings,
+        bounds: { exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5_000 },
+        upstreams: { records: () => [], isDeparting: () => false, isLeaving: () => false, hasCrashed: () => false },
+        isFollowing: () => true,
+        documents: {
+            ownPrefix: "own/",
+            rollouts: {
+                ordersPrefix: "orders/",
+                decodeOrder: () => Ok({ service: SERVICE, target: V2, durationMs: 10_000 }),
+            },
+        } as unknown as EdgeOptions["documents"],
+    });
+    const observeOrder = (version: number): void => {
+        const key = `orders/${SERVICE}`;
+        rollouts.book.observeOrders({
+            epoch: 1,
+            revision: version,
+            entries: new Map([[key, { key, value: "", version }]]),
+        });
+    };
+    const verdict = () => judgeVersion(V2, rollouts.evidenceOf(SERVICE)).kind;
+    const observe = async (failedShare: number): Promise<void> => {
+        for (const round of [1, 2, 3, 4, 5]) {
+            const counts = (version: SoftwareVersion, sent: number, failed: number) =>
+                [SERVICE, version, "r", sent, sent, failed, 0, sent] as const;
+            const target = counts(V2, round * 8, Math.round(round * 8 * failedShare));
+            rollouts.observePeer("b.1" as HostId, [counts(V1, round * 60, 0), target]);
+            await clock.advance(600);
+        }
+    };
+    observeOrder(1);
+    await observe(0.5);
+    expect(verdict()).toBe("bad");
+    await observe(0);
+    expect(verdict()).toBe("bad");
+    observeOrder(2);
+    expect(verdict()).not.toBe("bad");
+});
--- a/packages/edge/src/rollouts/createRollouts.ts
+++ b/packages/edge/src/rollouts/createRollouts.ts
@@ -1,5 +1,6 @@
+import type { ServiceName } from "@ibislanding/core";
 import { createVersionCounters } from "@ibislanding/gateway";
-import { createVersionGate } from "@ibislanding/rollouts";
+import { createVersionGate, type EvidenceSeries, judgeVersion, type RolloutOrderId } from "@ibislanding/rollouts";
 import { createRolloutBook } from "./createRolloutBook";
 import { createRolloutEvidence } from "./createRolloutEvidence";
 import type { KnownRollout } from "./knownRollout";
@@ -21,9 +22,29 @@
     const gate = createVersionGate({ hostId: settings.hostId, hasher, bounds });
     const counters = createVersionCounters({ clock, upstreams, isCounted: service => book.isCounted(service) });
     const evidence = createRolloutEvidence(clock, counters.rows);
+    const badEvidence = new Map<
+        ServiceName,
+        { readonly orderId: RolloutOrderId; readonly series: EvidenceSeries; }
+    >();
     let followedAtMs = clock.monotonicMs();
 
-    const updateService = ({ service, order, state }: KnownRollout): void =>
+    /**
+     * Keeps the evidence that showed that a target is bad. The gate sends nothing to such a target any more, and the verdict
+     * must not depend on whether the duty runs before newer counters of the other versions change it.
+     */
+    const keepBadEvidence = ({ service, order, state }: KnownRollout): void => {
+        const current = order ?? state;
+        if (badEvidence.get(service)?.orderId !== current?.orderId) {
+            badEvidence.delete(service);
+        }
+        const series = gate.evidenceOf(service);
+        if (current !== undefined && !badEvidence.has(service) && judgeVersion(current.target, series).kind === "bad") {
+            badEvidence.set(service, { orderId: current.orderId, series });
+        }
+    };
+
+    const updateService = (known: KnownRollout): void => {
+        const { service, order, state } = known;
         gate.update({
             service,
             order,
@@ -33,6 +54,8 @@
             upstreams: upstreams.records().filter(record => record.service === service),
             nowMs: nowMs(),
         });
+        keepBadEvidence(known);
+    };
 
     const update = (): void => {
         followedAtMs = isFollowing() ? clock.monotonicMs() : followedAtMs;
@@ -69,7 +92,7 @@
         policy: { ruleFor: gate.ruleFor, trackRun: counters.trackRun },
         counts: counters.rows,
         observePeer: evidence.observePeer,
-        evidenceOf: gate.evidenceOf,
+        evidenceOf: service => badEvidence.get(service)?.series ?? gate.evidenceOf(service),
         runningExcept: evidence.runningExcept,
         summaries: () =>
             book.rollouts().map(({ service, order, state }) => {
--- a/packages/edge/src/rollouts/rollouts.ts
+++ b/packages/edge/src/rollouts/rollouts.ts
@@ -12,7 +12,7 @@
     /** Counters of this host, for its report. */
     readonly counts: () => readonly VersionCounts[];
     readonly observePeer: (hostId: HostId, counts: readonly VersionCounts[]) => void;
-    /** Evidence since the current order. */
+    /** Evidence since the current order; once it has shown that the target is bad, as of that time. */
     readonly evidenceOf: (service: ServiceName) => EvidenceSeries;
     /** Requests that run at other versions than the given one, over all hosts. */
     readonly runningExcept: (service: ServiceName, version: SoftwareVersion) => number;
