--- a/packages/edge/__tests__/rejoinedStreams.spec.ts
+++ b/packages/edge/__tests__/rejoinedStreams.spec.ts
@@ -36,7 +36,7 @@
     const hosts: Host[] = [];
     for (let index = 0; index < HOSTS; index++) {
         const seeds = hosts.map(({ peersAddress }) => peersAddress);
-        const started = await startTestHost(store, `host-${index}`, seeds, before[index]?.ports);
+        const started = await startTestHost(store, `host-${index}`, seeds, { ports: before[index]?.ports });
         resources.use(started.host);
         hosts.push(started);
     }
--- a/packages/edge/__tests__/support/replayAccountLoad.ts
+++ b/packages/edge/__tests__/support/replayAccountLoad.ts
@@ -81,7 +81,8 @@
             leaving: [],
             usageRecords: [],
             limits: [],
-            quarantine: { suspects: [], cleared: [], quarantined: [] },
+            versions: [],
+        quarantine: { suspects: [], cleared: [], quarantined: [] },
         };
     };
     const aggregation = createReportAggregation(clock, hostId, createReport);
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -27,6 +27,7 @@
 import { createVersionStore } from "./createVersionStore";
 import { createWorkMeter } from "./createWorkMeter";
 import { decodeHostReport } from "./decodeHostReport";
+import { documentSetNames } from "./documentSetNames";
 import type { EdgeHost } from "./edgeHost";
 import type { EdgeOptions } from "./edgeOptions";
 import type { HostComponents } from "./hostComponents";
@@ -35,6 +36,8 @@
 import { listLiveHosts } from "./listLiveHosts";
 import { rankHosts } from "./rankHosts";
 import { registerHost } from "./registerHost";
+import { createRolloutHandler } from "./rollouts/createRolloutHandler";
+import { createRollouts } from "./rollouts/createRollouts";
 import { startHostListeners } from "./startHostListeners";
 import type { StoredRows } from "./storedRows";
 import { watchSuspensions } from "./watchSuspensions";
@@ -114,9 +117,19 @@
             registeredHosts = hosts;
             updatePeers();
         },
+        onRolloutOrders: set => rollouts?.book.observeOrders(set),
+        onRolloutStates: set => rollouts?.book.observeStates(set),
+        isRollingOut: () => rollouts?.book.isRollingOut() ?? false,
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
     });
     resources.use(documentCache);
+
+    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
+        [...peers.exchange?.reports().values() ?? []]
+            .filter(({ reportedAtMs }) =>
+                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
+            );
+
     const startedAtMs = clock.monotonicMs();
     const liveHostAddresses = (): readonly string[] =>
         listLiveHosts({
@@ -146,6 +159,20 @@
             }
         },
     });
+    const rollouts = settings.rollouts === undefined ? undefined : resources.use(createRollouts({
+        ...options,
+        bounds: settings.rollouts,
+        hasher,
+        upstreams,
+        nowMs: clusterClock.nowMs,
+        // A host that can't reach the store has the newest states as long as a peer that reaches it has no newer ones.
+        isFollowing: () =>
+            documentCache.isStoreReachable() || peers.exchange?.isRelayed() === true
+            || liveReports().some(({ report }) =>
+                report.isInContact
+                && !documentCache.staleSets(report.positions).includes(documentSetNames.rolloutStates)
+            ),
+    }));
     const streamOrigins = createStreamOriginStore({
         clock,
         hasher,
@@ -205,6 +232,7 @@
         quarantine,
         recentAnswers,
         streamOrigins,
+        versions: rollouts?.policy,
         crashes: createCrashDetector({
             clock,
             sharedNowMs: clusterClock.nowMs,
@@ -237,15 +265,10 @@
         workMeter,
         clusterClock,
         quarantine,
+        rollouts,
     };
     const createReport = createReportFactory(components, settings, clock);
 
-    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
-        [...peers.exchange?.reports().values() ?? []]
-            .filter(({ reportedAtMs }) =>
-                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
-            );
-
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
         address: settings.listen.peers,
@@ -300,6 +323,7 @@
         usage,
         usageRecords,
         upstreams,
+        rollouts,
         configuration: documentCache.configuration,
         // Only the first hosts by name that reach the store contend, because each contender polls the lease.
         mayContend: () =>
@@ -343,6 +367,7 @@
 
     return {
         handleQuarantine: createQuarantineHandler(quarantine),
+        handleRollouts: createRolloutHandler(() => rollouts?.summaries() ?? []),
         stop,
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
--- /dev/null
+++ b/packages/gateway/src/forwarding/placeRequest.ts
@@ -0,0 +1,35 @@
+import type { GateRequest, VersionRule } from "@ibislanding/rollouts";
+import { chooseUpstream } from "../placement/chooseUpstream";
+import type { PlacementDecision } from "../placement/placementDecision";
+import type { UpstreamRecord } from "../upstreams/upstreamRecord";
+import { ANY_VERSION } from "../versions/anyVersion";
+import type { ForwardContext } from "./forwardContext";
+import { toPlacementRequest } from "./toPlacementRequest";
+
+const toGateRequest = ({ admitted, softwareVersion, progress }: ForwardContext): GateRequest => {
+    const { service } = admitted;
+    return softwareVersion === undefined
+        ? { kind: progress.attempts === 0 ? "first" : "retry", service }
+        : { kind: "resume", service, version: softwareVersion };
+};
+
+/** Rule under which a request is placed if the first one leaves no place; undefined if there is none. */
+const fallbackOf = (rule: VersionRule): VersionRule | undefined =>
+    rule.kind === "only" ? { kind: "except", versions: new Set([...rule.excluded, rule.version]) } : undefined;
+
+/**
+ * Selects the upstream for the next attempt; one upstream may be excluded in addition to those of earlier attempts. A
+ * request that finds no place at the target of a rollout goes to another version.
+ */
+export const placeRequest = (context: ForwardContext, additionallyExcluded?: UpstreamRecord): PlacementDecision => {
+    const { options, admitted } = context;
+    // The rule of an attempt is kept until it is sent: asking for it charges the send.
+    context.versionRule ??= options.versions?.ruleFor(toGateRequest(context)) ?? ANY_VERSION;
+    const request = toPlacementRequest(context, false, context.versionRule, additionallyExcluded);
+    const candidates = options.upstreams.candidates(admitted.service, request);
+    const decision = chooseUpstream(candidates, request);
+    const fallback = fallbackOf(context.versionRule);
+    return decision.kind === "send" || fallback === undefined
+        ? decision
+        : chooseUpstream(candidates, { ...request, versionRule: fallback });
+};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,6 +38,12 @@
 export type { StreamOrigins } from "./streams/streamOrigins";
 export type { VersionRow } from "./streams/versionRow";
 
+// Versions
+export { createVersionCounters } from "./versions/createVersionCounters";
+export type { VersionCounters } from "./versions/versionCounters";
+export type { VersionCounts } from "./versions/versionCounts";
+export type { VersionPolicy } from "./versions/versionPolicy";
+
 // Engines
 export type { Continuation } from "./engines/continuation";
 export type { EnginePort } from "./engines/enginePort";
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,3 +1,4 @@
+import { isVersionAllowed } from "../versions/isVersionAllowed";
 import type { PlacementCandidate } from "./placementCandidate";
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
@@ -37,9 +38,13 @@
  */
 const MAXIMUM_REQUESTS_PER_SLOT = 2;
 
-const isEligible = ({ record }: PlacementCandidate, { excluded, softwareVersion }: PlacementRequest): boolean =>
+const isEligible = (
+    { record }: PlacementCandidate,
+    { excluded, softwareVersion, versionRule }: PlacementRequest,
+): boolean =>
     !record.isLeaving && !excluded.has(record.upstreamId)
-    && (softwareVersion === undefined || record.softwareVersion === softwareVersion);
+    && (softwareVersion === undefined || record.softwareVersion === softwareVersion)
+    && (versionRule.kind === "any" || isVersionAllowed(record, versionRule));
 
 const hasCapacity = ({ running, record, isAtConnectionLimit }: PlacementCandidate): boolean =>
     !isAtConnectionLimit && running < record.slots * MAXIMUM_REQUESTS_PER_SLOT;
@@ -78,6 +83,17 @@
         ?? minimumBy(candidates, candidate => predictMs(candidate) + missingPenaltyMs(candidate));
 };
 
+/**
+ * A request that a rollout assigned to a few upstreams of its target runs there also if its answer is predicted to be late. A
+ * first slow answer would otherwise keep all others away: a slow version would not be found out, and a sound one not promoted.
+ */
+const maximumObjectiveFactor = ({ requiresSpareCapacity, versionRule }: PlacementRequest): number => {
+    if (requiresSpareCapacity) {
+        return SPARE_OBJECTIVE_FACTOR;
+    }
+    return versionRule.kind === "only" && versionRule.upstreamIds !== undefined ? Infinity : MAXIMUM_OBJECTIVE_FACTOR;
+};
+
 /**
  * Selects the upstream for a request, or refuses the request if no upstream is predicted to respond in time.
  *
@@ -93,7 +109,8 @@
 ): PlacementDecision => {
     const eligible = candidates.filter(candidate => isEligible(candidate, request));
     if (eligible.length === 0) {
-        const reason = request.softwareVersion === undefined ? "no-upstream" : "no-upstream-of-version";
+        const isAnyVersion = request.softwareVersion === undefined && request.versionRule.kind === "any";
+        const reason = isAnyVersion ? "no-upstream" : "no-upstream-of-version";
         return { kind: "refuse", reason, retryAfterMs: NO_UPSTREAM_RETRY_MS };
     }
     const available = eligible.filter(({ pausedMs }) => pausedMs <= 0);
@@ -108,7 +125,7 @@
     const considered = healthy.length > 0 ? healthy : available;
     const latestFirstEventMs = Math.min(
         request.remainingMs * MAXIMUM_FIRST_EVENT_SHARE,
-        request.objectiveMs * (request.requiresSpareCapacity ? SPARE_OBJECTIVE_FACTOR : MAXIMUM_OBJECTIVE_FACTOR),
+        request.objectiveMs * maximumObjectiveFactor(request),
     );
     const withCapacity = considered.filter(hasCapacity);
     const timely = withCapacity.filter(candidate => predictMs(candidate) <= latestFirstEventMs);
--- a/packages/gateway/src/placement/placementRequest.ts
+++ b/packages/gateway/src/placement/placementRequest.ts
@@ -1,4 +1,5 @@
 import type { SoftwareVersion, UpstreamId } from "@ibislanding/core";
+import type { VersionRule } from "@ibislanding/rollouts";
 import type { PromptPart } from "../codec/promptPart";
 
 /** Properties of a request on which its placement depends. */
@@ -16,4 +17,6 @@
     readonly requiresKnownVersion: boolean;
     /** Version of the software at which a stream goes on; undefined if any version may begin it. */
     readonly softwareVersion: SoftwareVersion | undefined;
+    /** Versions at which a rollout lets the request run. */
+    readonly versionRule: VersionRule;
 }
