feat(rollouts): verdict by interval with enough answers, tests of outcomes and rules

Cause: trials blamed good versions for trouble of all upstreams that began near the promotion, and promoted versions that had turned bad shortly before.

--- a/packages/rollouts/__tests__/support/simulateRollout.ts
+++ b/packages/rollouts/__tests__/support/simulateRollout.ts
@@ -36,7 +36,7 @@
     };
     /** Times without a duty holder. The next one is a host whose evidence has another age. */
     readonly holderGap?: { readonly fromMs: number; readonly toMs: number; };
-    /** Time at which the upstream of the canary breaks all its answers. */
+    /** Time at which one upstream of the target breaks all its answers. */
     readonly crashAtMs?: number;
     readonly readyMs: number;
     readonly answerMs: number;
@@ -97,6 +97,7 @@
     let [toTarget, total, late, bad, fiftiethAtMs] = [0, 0, 0, 0, Infinity];
     const targetSends: number[] = [];
     let running: Event[] = [];
+    let usedUpstreams = 1;
 
     const count = (version: SoftwareVersion, route: number, field: "sent" | Event["field"]): void => {
         const key = `${version} ${route}`;
@@ -136,7 +137,9 @@
         const host = hosts[random.nextInt(hosts.length)];
         const rule = host?.gate.ruleFor({ kind: kind === "retry" ? "retry" : "first", service: SERVICE });
         const isReady = nowMs >= readyMs;
-        const mayTarget = isReady && (rule?.kind === "only" || rule?.kind === "any" && random.nextFloat() < 0.5);
+        // Before hosts know the order, they know no upstream of the target; a retry after the promotion may reach any.
+        const mayTarget = isReady
+            && (rule?.kind === "only" || kind === "retry" && rule?.kind === "any" && random.nextFloat() < 0.5);
         const version = mayTarget ? TARGET : OLD;
         total++;
         count(version, route, "sent");
@@ -147,6 +150,7 @@
             targetSends.push(nowMs);
             const recent = targetSends.slice(-1_000).filter(atMs => atMs > nowMs - 1_000).length;
             const used = rule?.kind === "only" ? rule.upstreamIds?.size ?? scenario.upstreams : scenario.upstreams;
+            usedUpstreams = used;
             loadPart = recent / used / (ratePerS / scenario.upstreams);
         }
         const outcome = outcomeOf(nowMs, version, route, loadPart);
@@ -201,9 +205,9 @@
         due.forEach(event => settle(nowMs, event));
         running = running.filter(({ atStep }) => atStep > step);
         if (crashAtMs !== undefined && step === Math.floor(crashAtMs / STEP_MS)) {
-            running.forEach(({ atStep, ...event }) => {
-                events.set(atStep, (events.get(atStep) ?? []).filter(other => other.version !== TARGET));
-                settle(nowMs, { ...event, atStep: step, field: "failures", retries: true });
+            running.filter(() => random.nextFloat() < 1 / usedUpstreams).forEach(event => {
+                events.set(event.atStep, (events.get(event.atStep) ?? []).filter(other => other !== event));
+                settle(nowMs, { ...event, field: "failures", retries: true });
             });
         }
         history.push([...counters.values()]);
--- a/packages/rollouts/src/advanceRollout.ts
+++ b/packages/rollouts/src/advanceRollout.ts
@@ -21,6 +21,12 @@
 /** Time for which the ramp's share is observed before its reports are awaited. */
 const RAMP_MS = 1_500;
 
+/** Time in which most hosts learn of a larger share. */
+const STATE_SPREAD_MS = 1_000;
+
+/** Time from the start of the ramp to the promotion. */
+const RAMP_LEAD_MS = STATE_SPREAD_MS + RAMP_MS + reportAgeMs;
+
 /** A version may turn bad this long after its start. */
 const LATE_FAILURE_MS = 3_000;
 
@@ -33,6 +39,9 @@
 /** Largest share in the ramp: half of the requests give the best comparison. */
 const MAXIMUM_RAMP_SHARE = 0.5;
 
+/** A ramp's share is raised by this factor at least: the rate is overestimated at first, and each change is a write. */
+const RAISE_FACTOR = 1.25;
+
 /** Time from which the rate of requests is known well enough for an early ramp. */
 const EARLY_RAMP_AFTER_MS = reportAgeMs + 500;
 
@@ -130,8 +139,8 @@
         return decide(situation, promote);
     }
     const promotionAtMs = canaryPromotionAtMs(state);
-    const rampUntilMs = Math.max(promotionAtMs, nowMs + RAMP_MS + reportAgeMs);
-    if (nowMs >= promotionAtMs - RAMP_MS - reportAgeMs) {
+    const rampUntilMs = Math.max(promotionAtMs, nowMs + RAMP_LEAD_MS);
+    if (nowMs >= promotionAtMs - RAMP_LEAD_MS) {
         const share = Math.max(state.share, rampShare(situation, rampUntilMs));
         return enter(state, "ramp", nowMs, { share, reason: "the canary was observed for long enough" });
     }
@@ -147,8 +156,12 @@
     if (nowMs >= timeOf(state, LATEST_PROMOTION_PART)) {
         return decide(situation, promote);
     }
-    const promotionAtMs = Math.max(timeOf(state, PROMOTION_PART), state.phaseSinceMs + RAMP_MS + reportAgeMs);
-    return nowMs >= promotionAtMs && verdict.kind === "good" ? decide(situation, promote) : state;
+    const promotionAtMs = Math.max(timeOf(state, PROMOTION_PART), state.phaseSinceMs + RAMP_LEAD_MS);
+    if (nowMs >= promotionAtMs && verdict.kind === "good") {
+        return decide(situation, promote);
+    }
+    const share = rampShare(situation, Math.max(promotionAtMs, nowMs) + reportAgeMs);
+    return share >= RAISE_FACTOR * state.share ? { ...state, share } : state;
 };
 
 const observePromotion: Step = situation => {
--- a/packages/rollouts/src/createVersionGate.ts
+++ b/packages/rollouts/src/createVersionGate.ts
@@ -98,19 +98,20 @@
         const targetIds = upstreams.flatMap(({ upstreamId, softwareVersion }) =>
             softwareVersion === target ? [upstreamId] : []
         );
+        const share = excluded.has(target) ? 0 : Math.min(permitted, isStale ? known?.share ?? 0 : 1);
         entries.set(service, {
             orderId,
             target,
             state,
             evidence,
             isLocallyBad,
-            share: excluded.has(target) ? 0 : Math.min(permitted, isStale ? known?.share ?? 0 : 1),
+            share,
             mode,
             excluded,
             withoutTarget,
             canaryIds: targetIds.length === 0
                 ? new Set()
-                : selectCanaryUpstreams(hasher, orderId, targetIds, current?.share ?? 0),
+                : selectCanaryUpstreams(hasher, orderId, targetIds, share),
             credit: known?.credit ?? hasher.hash32(`${orderId} ${hostId}`) / HASH_RANGE,
         });
     };
--- a/packages/rollouts/src/scoreCounts.ts
+++ b/packages/rollouts/src/scoreCounts.ts
@@ -1,4 +1,5 @@
 import type { VersionCounts } from "./versionCounts";
+import type { VersionScore } from "./versionScore";
 
 /** Parameters of the comparison of a target with the other versions. */
 interface Comparison {
@@ -6,12 +7,23 @@
     readonly timesMs: readonly number[];
     readonly target: VersionCounts;
     readonly others: VersionCounts;
-    /** Bad share of the other versions that is assumed before their answers are counted. */
-    readonly priorShare: number;
+    /** Bad share of the other versions that is assumed in each interval before their answers are counted. */
+    readonly priorShares: readonly number[];
+    /** Whether intervals in which the other versions receive next to nothing are left out. */
+    readonly requiresOthers: boolean;
 }
 
+/** Requests to the other versions, in relation to those to the target, from which an interval allows a comparison. */
+const MINIMUM_OTHERS_PART = 0.02;
+
 /** Answers that the prior share counts for: an interval with fewer answers of the other versions leans on it. */
-const PRIOR_WEIGHT = 10;
+const PRIOR_WEIGHT = 5;
+
+/** With fewer answers of the other versions, an interval takes those of its neighbours into account. */
+const ENOUGH_ANSWERS = 10;
+
+/** Intervals on each side that are taken into account, a second in all. */
+const NEIGHBOURS = 2;
 
 /** Least bad share that is assumed of a good version, so that a single bad answer is no strong evidence. */
 const MINIMUM_BAD_SHARE = 0.02;
@@ -38,31 +50,47 @@
 
 const between = (values: readonly number[], from: number, to: number): number => at(values, to) - at(values, from);
 
+/** Bad shares of the other versions in each interval, which ends at the snapshot of the same index. */
+const expectShares = ({ timesMs, others, priorShares }: Comparison): readonly number[] => {
+    const last = timesMs.length - 1;
+    return timesMs.map((_atMs, index) => {
+        const widths = Array.from({ length: NEIGHBOURS + 1 }, (_unused, width) => ({
+            from: Math.max(0, index - 1 - width),
+            to: Math.min(last, index + width),
+        }));
+        const { from, to } = widths.find(width => between(others.sent, width.from, width.to) >= ENOUGH_ANSWERS)
+            ?? widths[NEIGHBOURS] ?? { from: index - 1, to: index };
+        const priorShare = at(priorShares, index);
+        // Few answers of the other versions may all be good by chance.
+        return Math.max(
+            shareOf(at(others.bad, last), at(others.sent, last), priorShare),
+            shareOf(between(others.bad, from, to), between(others.sent, from, to), priorShare),
+        );
+    });
+};
+
 /**
- * Scores a target against the other versions: `recent` is the largest logarithmic likelihood ratio over all periods that
- * end now, without the worst burst, and `whole` is that of all time. Compares the hypothesis that half of the sound
- * answers turn bad with the hypothesis that the bad share is that of the other versions in each interval.
+ * Scores a target against the other versions by logarithmic likelihood ratios, see `Suspicion`. Compares the hypothesis that
+ * half of the sound answers turn bad with the hypothesis that the bad share is that of the other versions in each interval.
  *
  * Handles a share that changes while all upstreams have trouble: the expected bad share is taken from the same interval.
  * The number of requests is that of any earlier period of the same length, if larger, since late bad answers belong to it.
  */
-export const scoreCounts = (
-    { timesMs, target, others, priorShare }: Comparison,
-): { readonly recent: number; readonly whole: number; readonly otherShare: number; } => {
+export const scoreCounts = (comparison: Comparison): VersionScore => {
+    const { timesMs, target, others, requiresOthers } = comparison;
     const last = timesMs.length - 1;
-    const otherShare = shareOf(at(others.bad, last), at(others.sent, last), priorShare);
+    const otherShares = expectShares(comparison);
     if (at(target.bad, last) === 0) {
-        return { recent: 0, whole: -Math.LN2 * at(target.sent, last), otherShare };
+        return { recent: 0, lasting: 0, whole: -Math.LN2 * at(target.sent, last), otherShares };
     }
     // With a share p of bad answers expected and (1 + p) / 2 suspected, a bad answer weighs ln((1 + p) / p) more than a
     // good one, and each request weighs -ln 2.
     let weight = 0;
     const weights = timesMs.map((_atMs, index) => {
-        const share = shareOf(
-            between(others.bad, index - 1, index),
-            between(others.sent, index - 1, index),
-            otherShare,
-        );
+        const sentToOthers = between(others.sent, index - 1, index);
+        const isComparable = !requiresOthers
+            || sentToOthers >= MINIMUM_OTHERS_PART * between(target.sent, index - 1, index);
+        const share = isComparable ? at(otherShares, index) : MAXIMUM_BAD_SHARE;
         weight += between(target.bad, index - 1, index) * Math.log((1 + share) / share);
         return weight;
     });
@@ -82,10 +110,16 @@
         );
         return between(weights, from, last) - Math.LN2 * requests;
     };
+    const starts = timesMs.map((_atMs, index) => last - 1 - index).slice(0, -1);
     let worstBurst = 0;
-    const recent = timesMs.map((_atMs, index) => last - 1 - index).slice(0, -1).map(from => {
+    const lasting = starts.map(from => {
         worstBurst = Math.max(worstBurst, burstFrom(from));
         return scoreFrom(from) - worstBurst;
     });
-    return { recent: Math.max(0, ...recent), whole: scoreFrom(0), otherShare };
+    return {
+        recent: Math.max(0, ...starts.map(scoreFrom)),
+        lasting: Math.max(0, ...lasting),
+        whole: scoreFrom(0),
+        otherShares,
+    };
 };
--- a/packages/rollouts/src/suspicion.ts
+++ b/packages/rollouts/src/suspicion.ts
@@ -4,10 +4,12 @@
     /** Undefined for all routes together. */
     readonly route: string | undefined;
     /**
-     * Largest logarithmic likelihood ratio over all periods that end now, without the worst second or so; positive if it
-     * is more likely that the version fails half of its requests than that it is like the other versions.
+     * Largest logarithmic likelihood ratio over all periods that end now; positive if it is more likely that the version
+     * fails half of its requests than that it is like the other versions.
      */
     readonly recent: number;
-    /** The same over the whole series. */
+    /** The same without the worst second or so of each period. */
+    readonly lasting: number;
+    /** The ratio over the whole series. */
     readonly whole: number;
 }
