refactor(gateway): statements and host hashes as parts of stated limits

Cause: another property that upstreams state for all hosts together needs the newest statement of each start and the hashes of the live hosts. Change: createStatements and createHostHashes are taken out of createStatedLimits.

--- a/packages/gateway/src/limits/createStatedLimits.ts
+++ b/packages/gateway/src/limits/createStatedLimits.ts
@@ -1,7 +1,9 @@
-import type { UpstreamId } from "@ibislanding/core";
 import { computeLimitShare } from "./computeLimitShare";
+import { createHostHashes } from "./createHostHashes";
+import { createStatements } from "./createStatements";
 import type { StatedLimits } from "./statedLimits";
 import type { StatedLimitsOptions } from "./statedLimitsOptions";
+import type { Statement } from "./statement";
 
 /** Wait for a host that may not send: by then, other hosts have sent some requests or the hosts have changed. */
 const OTHER_SENDERS_WAIT_MS = 1_000;
@@ -16,17 +18,8 @@
 /** Time for which a computed share is used; computing it takes time in proportion to the number of hosts. */
 const INTERVAL_LIFETIME_MS = 300;
 
-/** Limit of an upstream whose responses state none any more, in reports. */
-const NO_LIMIT = -1;
-
-interface Statement {
-    readonly upstreamId: UpstreamId;
-    readonly startedAtMs: number;
-    /** Last stated limit. */
-    readonly limitPerS: number;
-    readonly statedAtMs: number;
-    /** Shared time since which responses state no limit. */
-    readonly liftedAtMs: number | undefined;
+/** This host's sends to an upstream that states a limit. */
+interface Sending {
     /** Monotonic time from which this host may send again. */
     nextSendAtMs: number;
     /** Minimum time between two requests of this host; undefined if it may not send. */
@@ -47,34 +40,28 @@
 export const createStatedLimits = (
     { clock, hasher, sharedNowMs, ownAddress, hostAddresses }: StatedLimitsOptions,
 ): StatedLimits => {
-    const statements = new Map<string, Statement>();
-    let hosts: { readonly atMs: number; readonly hashes: ReadonlyMap<string, number>; } = {
-        atMs: -Infinity,
-        hashes: new Map(),
-    };
+    const statements = createStatements();
+    const sendings = new Map<string, Sending>();
+    const currentHosts = createHostHashes({ clock, hasher, hostAddresses });
 
-    /** Hashes of the live hosts' addresses. */
-    const currentHosts = (): ReadonlyMap<string, number> => {
-        const nowMs = clock.monotonicMs();
-        if (nowMs - hosts.atMs >= INTERVAL_LIFETIME_MS) {
-            const known = hosts.hashes;
-            const hashes = hostAddresses().map(address =>
-                [address, known.get(address) ?? hasher.hash32(address)] as const
-            );
-            hosts = { atMs: nowMs, hashes: new Map(hashes) };
+    const sendingOf = (statement: Statement): Sending => {
+        const known = sendings.get(keyOf(statement));
+        const sending = known ?? { nextSendAtMs: -Infinity, intervalMs: undefined, intervalSetAtMs: -Infinity };
+        if (known === undefined) {
+            sendings.set(keyOf(statement), sending);
         }
-        return hosts.hashes;
+        return sending;
     };
 
     /** The limit in force; undefined if there is none. */
-    const currentLimitPerS = ({ limitPerS, liftedAtMs }: Statement): number | undefined => {
+    const currentLimitPerS = ({ perS, liftedAtMs }: Statement): number | undefined => {
         if (liftedAtMs === undefined) {
-            return limitPerS;
+            return perS;
         }
         const risingMs = Math.max(0, sharedNowMs() - liftedAtMs);
         return risingMs >= RISE_MS
             ? undefined
-            : Math.max(MINIMUM_RISING_PER_S, limitPerS) * 2 ** Math.floor(risingMs / DOUBLING_MS);
+            : Math.max(MINIMUM_RISING_PER_S, perS) * 2 ** Math.floor(risingMs / DOUBLING_MS);
     };
 
     const computeIntervalMs = (statement: Statement): number | undefined => {
@@ -87,67 +74,49 @@
     };
 
     const currentIntervalMs = (statement: Statement): number | undefined => {
+        const sending = sendingOf(statement);
         const nowMs = clock.monotonicMs();
-        if (nowMs - statement.intervalSetAtMs >= INTERVAL_LIFETIME_MS) {
-            statement.intervalMs = computeIntervalMs(statement);
-            statement.intervalSetAtMs = nowMs;
+        if (nowMs - sending.intervalSetAtMs >= INTERVAL_LIFETIME_MS) {
+            sending.intervalMs = computeIntervalMs(statement);
+            sending.intervalSetAtMs = nowMs;
         }
-        return statement.intervalMs;
+        return sending.intervalMs;
     };
 
     return {
         observe: (start, limitPerS, atMs) => {
-            const key = keyOf(start);
-            const known = statements.get(key);
-            if (Number.isNaN(limitPerS) || atMs <= (known?.statedAtMs ?? -Infinity)) {
+            if (Number.isNaN(limitPerS)) {
                 return false;
             }
-            if (limitPerS === undefined) {
-                if (known !== undefined) {
-                    statements.set(key, { ...known, statedAtMs: atMs, liftedAtMs: known.liftedAtMs ?? atMs });
-                }
-                return known !== undefined && known.liftedAtMs === undefined;
+            const isChanged = statements.observe(start, limitPerS, atMs);
+            const sending = sendings.get(keyOf(start));
+            if (isChanged && limitPerS !== undefined && sending !== undefined) {
+                sending.intervalSetAtMs = -Infinity;
             }
-            const isNew = known?.limitPerS !== limitPerS || known.liftedAtMs !== undefined;
-            statements.set(key, {
-                upstreamId: start.upstreamId,
-                startedAtMs: start.startedAtMs,
-                limitPerS,
-                statedAtMs: atMs,
-                liftedAtMs: undefined,
-                nextSendAtMs: known?.nextSendAtMs ?? -Infinity,
-                intervalMs: isNew ? undefined : known.intervalMs,
-                intervalSetAtMs: isNew ? -Infinity : known.intervalSetAtMs,
-            });
-            return isNew;
+            return isChanged;
         },
         waitMs: start => {
-            const statement = statements.get(keyOf(start));
+            const statement = statements.find(start);
             if (statement === undefined) {
                 return 0;
             }
             return currentIntervalMs(statement) === undefined
                 ? OTHER_SENDERS_WAIT_MS
-                : Math.max(0, statement.nextSendAtMs - clock.monotonicMs());
+                : Math.max(0, sendingOf(statement).nextSendAtMs - clock.monotonicMs());
         },
         recordSend: start => {
-            const statement = statements.get(keyOf(start));
+            const statement = statements.find(start);
             if (statement !== undefined) {
-                const nowMs = clock.monotonicMs();
-                statement.nextSendAtMs = Math.max(nowMs, statement.nextSendAtMs)
+                const sending = sendingOf(statement);
+                sending.nextSendAtMs = Math.max(clock.monotonicMs(), sending.nextSendAtMs)
                     + (currentIntervalMs(statement) ?? OTHER_SENDERS_WAIT_MS);
             }
         },
-        rows: () =>
-            [...statements.values()].map(({ upstreamId, startedAtMs, statedAtMs, limitPerS, liftedAtMs }) =>
-                [
-                    upstreamId,
-                    startedAtMs,
-                    Math.round(statedAtMs),
-                    liftedAtMs === undefined ? limitPerS : NO_LIMIT,
-                ] as const
-            ),
-        retain: isKnown =>
-            [...statements].filter(([, statement]) => !isKnown(statement)).forEach(([key]) => statements.delete(key)),
+        rows: statements.rows,
+        retain: isKnown => {
+            statements.retain(isKnown);
+            const keys = new Set(statements.list().map(keyOf));
+            [...sendings.keys()].filter(key => !keys.has(key)).forEach(key => sendings.delete(key));
+        },
     };
 };
