feat(gateway): brittle upstreams get no more requests than they have slots

Cause: an upstream that states Server-Brittle: N crashes if it rejects more than N requests in a second, and hosts know each other's load only from reports that are 0.3 to 2 s old. Change: each slot of a brittle upstream belongs to one host, by an order that all hosts find without asking each other. A host sends only into its own slots; other requests wait for a moment at the host or are refused. Rejections reduce the slots in use. Statements and rejections travel in reports, which are as large as before while no upstream states anything.

--- a/packages/edge/src/applyHostReport.ts
+++ b/packages/edge/src/applyHostReport.ts
@@ -7,7 +7,7 @@
 /**
  * Applies another host's report, or the summary of a collector, to the components of this host; `ageMs` is the time
  * since it was created. `onLeaving` is called for each upstream of which this host did not know that it is leaving, and
- * `onLimited` for each one whose limit has changed.
+ * `onLimited` and `onBrittle` for each one whose limit or brittleness has changed.
  */
 export const applyHostReport = (
     { upstreams, accounts, usage, usageRecords, clusterClock, quarantine }: HostComponents,
@@ -16,6 +16,7 @@
     ageMs: number,
     onLeaving: (upstreamId: UpstreamId, startedAtMs: number) => void,
     onLimited: (upstreamId: UpstreamId, startedAtMs: number, limitPerS: number | undefined) => void,
+    onBrittle: (upstreamId: UpstreamId, startedAtMs: number, rejectionsPerS: number | undefined) => void,
 ): void => {
     const { hostId, hostName, hostCount } = report;
     clusterClock.observePeer(hostId, report.wallMs + ageMs);
@@ -39,6 +40,12 @@
             onLimited(start.upstreamId, startedAtMs, limit);
         }
     });
+    report.brittle?.forEach(row => {
+        if (upstreams.brittle.observeRow(row)) {
+            const [upstreamId, startedAtMs, , rejectionsPerS] = row;
+            onBrittle(upstreamId as UpstreamId, startedAtMs, rejectionsPerS < 0 ? undefined : rejectionsPerS);
+        }
+    });
     report.leaving.forEach(([id, startedAtMs]) => {
         const upstreamId = id as UpstreamId;
         if (upstreams.observeLeaving({ upstreamId, startedAtMs })) {
--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -9,14 +9,14 @@
 const round = (value: number | undefined): number | undefined => value === undefined ? undefined : Math.round(value);
 
 /**
- * Creates the event handlers that log, measure and count requests; `onLimited` is called when the limit of an upstream has
- * changed, which the peers must know.
+ * Creates the event handlers that log, measure and count requests; `onStatement` is called when an upstream has stated
+ * another limit or brittleness, or a brittle one has rejected a request, which the peers must know.
  */
 export const createGatewayEvents = (
     log: EventLog,
     metrics: MetricsRegistry,
     addUsage: (accountId: AccountId) => void,
-    onLimited: () => void,
+    onStatement: () => void,
 ): GatewayEvents => {
     const requests = metrics.counter("ibis_requests_total", "Callers' requests by service, outcome and status.");
     const durations = metrics.distribution("ibis_request_duration_ms", "Time to the end of the answer.");
@@ -24,6 +24,8 @@
     const sends = metrics.counter("ibis_upstream_sends_total", "Sends to upstreams by outcome.");
     const moves = metrics.counter("ibis_run_moves_total", "Runs moved away from leaving upstreams by outcome.");
 
+    const rejections = metrics.counter("ibis_brittle_rejections_total", "Rejections by brittle upstreams.");
+
     return {
         onProcessingStarted: accountId => {
             if (accountId !== undefined) {
@@ -57,7 +59,16 @@
         onUpstreamPaused: pause => log.write("upstream_paused", pause),
         onUpstreamLimited: limit => {
             log.write("upstream_limited", { ...limit, source: "answer" });
-            onLimited();
+            onStatement();
+        },
+        onUpstreamBrittle: statement => {
+            log.write("upstream_brittle", { ...statement, source: "answer" });
+            onStatement();
+        },
+        onBrittleRejection: rejection => {
+            rejections.add(1, {});
+            log.write("brittle_rejection", rejection);
+            onStatement();
         },
         onInvalidHeaders: ({ upstreamId, headers }) =>
             log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -2,6 +2,7 @@
 import type { ReportAggregation } from "@ibislanding/discovery";
 import { countRows } from "./countRows";
 import type { HostReport } from "./hostReport";
+import { mergeBrittleRows } from "./mergeBrittleRows";
 import { mergeQuarantineRows } from "./mergeQuarantineRows";
 
 /** Counters that only grow; each increment of them is contributed once. */
@@ -155,6 +156,7 @@
             const parts = current.map(({ report }) => report);
             const ages = current.map(({ receivedAtMs }) => nowMs - receivedAtMs);
             const own = createReport();
+            const brittle = mergeBrittleRows([own, ...parts].flatMap(report => report.brittle ?? []));
             return {
                 ...own,
                 ...collected,
@@ -167,6 +169,7 @@
                 leaving: countRows.distinct(2, [own.leaving, ...parts.map(({ leaving }) => leaving)]),
                 usageRecords: countRows.distinct(2, parts.map(({ usageRecords }) => usageRecords)),
                 limits: countRows.distinct(2, [newestLimitsFirst([own, ...parts].flatMap(({ limits }) => limits))]),
+                brittle: brittle.length === 0 ? undefined : brittle,
                 quarantine: mergeQuarantineRows([own, ...parts].map(({ quarantine }) => quarantine)),
             };
         },
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -23,6 +23,7 @@
     const isReported = (window: number): boolean => window >= usage.windowOf(clusterClock.nowMs()) - REPORTED_WINDOWS;
 
     return () => {
+        const brittle = upstreams.brittle.rows();
         const usages = [...accounts.usages()];
         return {
             hostId,
@@ -43,6 +44,7 @@
             leaving: upstreams.leaving(),
             quarantine: quarantine.rows(),
             limits: upstreams.limits(),
+            brittle: brittle.length === 0 ? undefined : brittle,
             usageRecords: toRows(usageRecords.own()),
         };
     };
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -1,4 +1,5 @@
 import type { HostId } from "@ibislanding/core";
+import type { BrittleRow } from "@ibislanding/gateway";
 import type { QuarantineRows } from "@ibislanding/quarantine";
 
 /**
@@ -43,6 +44,8 @@
         statedAtMs: number,
         limitPerS: number,
     ])[];
+    /** Newest statements of brittle upstreams; left out if there are none, so that it adds no bytes. */
+    readonly brittle?: readonly BrittleRow[] | undefined;
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Counts that this host stored for windows as lease holder, and which may have been sent. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -261,6 +261,13 @@
                     log.write("upstream_leaving", { upstreamId, startedAtMs, source: report.hostName }),
                 (upstreamId, startedAtMs, limitPerS) =>
                     log.write("upstream_limited", { upstreamId, startedAtMs, limitPerS, source: report.hostName }),
+                (upstreamId, startedAtMs, rejectionsPerS) =>
+                    log.write("upstream_brittle", {
+                        upstreamId,
+                        startedAtMs,
+                        rejectionsPerS,
+                        source: report.hostName,
+                    }),
             ),
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -124,6 +124,8 @@
             onUpstreamLeaving: () => undefined,
             onUpstreamPaused: () => undefined,
             onUpstreamLimited: () => undefined,
+            onUpstreamBrittle: () => undefined,
+            onBrittleRejection: () => undefined,
             onInvalidHeaders: () => undefined,
             onRequestEnded: request => void ended.push(request),
         },
--- a/packages/gateway/__tests__/support/testCodec.ts
+++ b/packages/gateway/__tests__/support/testCodec.ts
@@ -40,6 +40,7 @@
         isLeaving: headers["x-leaving"] !== undefined,
         pauseMs: headers["x-pause"] === undefined ? undefined : Number(headers["x-pause"]),
         limitPerS: headers["x-limit"] === undefined ? undefined : Number(headers["x-limit"]),
+        brittleRejectionsPerS: headers["x-brittle"] === undefined ? undefined : Number(headers["x-brittle"]),
         invalidHeaders: [],
     }),
 };
--- a/packages/gateway/src/codec/responseHead.ts
+++ b/packages/gateway/src/codec/responseHead.ts
@@ -23,6 +23,11 @@
      * if it states one that can't be read.
      */
     readonly limitPerS: number | undefined;
+    /**
+     * Rejections a second, for lack of capacity, above which the upstream crashes; undefined if the response states none. An
+     * unreadable number is read as 1, the safe value.
+     */
+    readonly brittleRejectionsPerS: number | undefined;
     /** Headers with invalid values, as `name: value`. */
     readonly invalidHeaders: readonly string[];
 }
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,5 +1,6 @@
 import { breakOffResponse } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { createRoomQueue } from "../brittle/createRoomQueue";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
 import type { Gateway } from "./gateway";
@@ -16,6 +17,7 @@
 export const createGateway = (options: GatewayOptions): Gateway => {
     const { clock } = options;
     const pool = createConnectionPool(options.upstreams);
+    const rooms = createRoomQueue(clock);
     const stop = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
@@ -32,6 +34,7 @@
             await serveRequest({
                 ...options,
                 pool,
+                rooms,
                 request,
                 response,
                 clientResponse,
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -9,6 +9,7 @@
 import type { Refusal } from "./refusal";
 import { sendToUpstream } from "./sendToUpstream";
 import { toPlacementRequest } from "./toPlacementRequest";
+import { waitForRoom } from "./waitForRoom";
 
 /** `Retry-After` of a request that was refused by upstreams. */
 const REFUSED_RETRY_MS = 200;
@@ -67,7 +68,9 @@
         if (quarantined !== undefined) {
             return Err(context.runs > 0 ? { status: 502, reason: quarantined.reason } : quarantined);
         }
-        const decision = nextDecision(context, continuation);
+        const next = waitForRoom(context, () => nextDecision(context, continuation));
+        // Not awaited otherwise, so that no other request is placed between the decision and the send.
+        const decision = next instanceof Promise ? await next : next;
         progress.placement = decision;
         if (decision.kind === "refuse") {
             return Err(finalRefusal(context, decision.reason, decision.retryAfterMs));
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -44,6 +44,16 @@
         readonly startedAtMs: number;
         readonly limitPerS: number | undefined;
     }) => void;
+    /** An upstream stated a new number of rejections a second above which it crashes, or none any more. */
+    readonly onUpstreamBrittle: (statement: {
+        readonly upstreamId: UpstreamId;
+        readonly startedAtMs: number;
+        readonly rejectionsPerS: number | undefined;
+    }) => void;
+    /** A brittle upstream rejected a request for want of room. */
+    readonly onBrittleRejection: (
+        rejection: { readonly upstreamId: UpstreamId; readonly startedAtMs: number; },
+    ) => void;
     /** A response had headers with invalid values. */
     readonly onInvalidHeaders: (response: {
         readonly upstreamId: UpstreamId;
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -321,7 +321,7 @@
             return handleResponse(attempt, response);
         })
         .exhaustive();
-    load.end();
+    load.end(ended.aborted || result.kind === "unknown");
     events.onAttemptEnded({
         requestId: admitted.head.requestId,
         upstreamId: upstream.upstreamId,
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { RoomQueue } from "../brittle/roomQueue";
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
@@ -6,6 +7,7 @@
 /** A client request with the dependencies needed to serve it. */
 export interface ServeOptions extends GatewayOptions {
     readonly pool: ConnectionPool;
+    readonly rooms: RoomQueue;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
--- /dev/null
+++ b/packages/gateway/src/forwarding/waitForRoom.ts
@@ -0,0 +1,43 @@
+import type { PlacementDecision } from "../placement/placementDecision";
+import type { ForwardContext } from "./forwardContext";
+
+/** Fractions of the objective and of the remaining time that a request may wait for room. */
+const MAXIMUM_OBJECTIVE_SHARE = 0.3;
+const MAXIMUM_REMAINING_SHARE = 0.2;
+
+/** Waiting requests for each slot that belongs to this host; more would wait in vain while the service is overloaded. */
+const WAITING_PER_SLOT = 1;
+
+/**
+ * Lets a request wait for room at brittle upstreams if it would be refused, or if others wait already. Returns the
+ * decision, or a promise of it; without brittle upstreams, the decision is that of `decide`.
+ */
+export const waitForRoom = (
+    { options, admitted, ended }: ForwardContext,
+    decide: () => PlacementDecision,
+): PlacementDecision | Promise<PlacementDecision> => {
+    const { upstreams, rooms, clock } = options;
+    const { service, route, dueAtMs } = admitted;
+    if (!upstreams.brittle.isRestricted(service)) {
+        return decide();
+    }
+    const isPaused = (decision: PlacementDecision): boolean =>
+        decision.kind === "refuse" && decision.reason === "paused";
+    const decision = decide();
+    if (!isPaused(decision) && !rooms.hasWaiting(service)) {
+        return decision;
+    }
+    const waited = rooms.wait(service, {
+        maximumWaiting: upstreams.brittle.ownSlots(service) * WAITING_PER_SLOT,
+        durationMs: Math.min(
+            route.objectiveMs * MAXIMUM_OBJECTIVE_SHARE,
+            (dueAtMs - clock.monotonicMs()) * MAXIMUM_REMAINING_SHARE,
+        ),
+        signal: ended,
+        findRoom: () => {
+            const next = decide();
+            return isPaused(next) ? undefined : next;
+        },
+    });
+    return waited.then(found => found ?? decide());
+};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -30,6 +30,9 @@
 export type { UpstreamTable } from "./upstreams/upstreamTable";
 export type { UpstreamTableOptions } from "./upstreams/upstreamTableOptions";
 
+// Brittle upstreams
+export type { BrittleRow } from "./brittle/brittleRow";
+
 // Streams
 export type { RegisteredVersion } from "./streams/registeredVersion";
 export type { StreamKnowledge } from "./streams/streamKnowledge";
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -1,4 +1,5 @@
 import { type AvailabilityZone, median, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import { createBrittleUpstreams } from "../brittle/createBrittleUpstreams";
 import type { EngineSpec } from "../configuration/engineSpec";
 import { createStatedLimits } from "../limits/createStatedLimits";
 import { affinityPenaltyMs } from "../placement/affinityPenaltyMs";
@@ -94,6 +95,11 @@
     const statesOf = (service: ServiceName): readonly UpstreamState[] =>
         [...upstreams.values()].filter(({ record }) => record.service === service);
 
+    const brittle = createBrittleUpstreams({
+        ...options,
+        upstreamsOf: service => statesOf(service).map(({ record }) => record),
+    });
+
     const medianRoundTripMs = (states: readonly UpstreamState[]): number | undefined =>
         median(states.flatMap(({ roundTripMs }) => roundTripMs ?? []));
 
@@ -186,10 +192,13 @@
             maximumTokens,
             Math.max(0, request.promptTokens - (view.presumedTokens.get(record.upstreamId) ?? 0)),
         );
+        const running = peerLoads.reduce((sum, load) => sum + load.running, state.running);
+        const roundTripMs = state.roundTripMs ?? view.roundTripMsByZone.get(record.availabilityZone)
+            ?? view.roundTripMs;
         const candidate = {
             record,
             isEngine: engine !== undefined,
-            running: peerLoads.reduce((sum, load) => sum + load.running, state.running),
+            running,
             backlogMs: backlogTokens / rate,
             promptMs: engine === undefined ? state.responseMs ?? view.responseMs : tokens / rate,
             affinityPenaltyMs: engine === undefined
@@ -197,9 +206,14 @@
                 : affinityPenaltyMs(hasher, record.upstreamId, request.promptParts),
             unexplainedDelayMs: health.unexplainedDelayMs(state),
             overheadMs: engine === undefined ? 0 : speeds.overheadMs(record.service),
-            roundTripMs: state.roundTripMs ?? view.roundTripMsByZone.get(record.availabilityZone) ?? view.roundTripMs,
+            roundTripMs,
             isEjected: health.isEjected(state),
-            pausedMs: Math.max(0, state.pausedUntilMs - clock.monotonicMs(), limits.waitMs(record)),
+            pausedMs: Math.max(
+                0,
+                state.pausedUntilMs - clock.monotonicMs(),
+                limits.waitMs(record),
+                brittle.waitMs(record, { own: state.running, all: running, roundTripMs }),
+            ),
             isMissing: state.missingSinceMs !== undefined,
             isAtConnectionLimit: state.openConnections >= view.connectionLimit,
         };
@@ -264,6 +278,7 @@
             versions.observe(records);
             [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(markMissing);
             limits.retain(({ upstreamId }) => upstreams.has(upstreamId));
+            brittle.retain(({ upstreamId }) => upstreams.has(upstreamId));
             departureNotifier.notifyDepartures(isDepartingOrRemoved);
         },
         isLeaving: record => leavingRegister.has(record),
@@ -302,6 +317,7 @@
                 state.lastProgressAtMs = startedAtMs;
             }
             limits.recordSend(state.record);
+            const brittleSend = brittle.trackSend(state.record);
             state.running++;
             state.backlogTokens += tokens;
             prefixes.record(state.record, request);
@@ -323,6 +339,7 @@
             };
             return {
                 recordFirstEvent: () => {
+                    brittleSend.confirm();
                     if (isQueued) {
                         health.recordLateness(state, clock.monotonicMs() - pendingFirstByte.predictedAtMs);
                     }
@@ -332,8 +349,9 @@
                     }
                     leaveBacklog();
                 },
-                end: () => {
+                end: (isBrokenOff = false) => {
                     leaveBacklog();
+                    brittleSend.end(isBrokenOff);
                     state.running -= isInFlight ? 1 : 0;
                     isInFlight = false;
                 },
@@ -358,6 +376,7 @@
             }),
         observeLimit: limits.observe,
         limits: limits.rows,
+        brittle,
         pause: ({ upstreamId, startedAtMs }, durationMs) =>
             update(upstreamId, state => {
                 if (state.record.startedAtMs === startedAtMs) {
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import type { BrittleUpstreams } from "../brittle/brittleUpstreams";
 import type { StatedLimits } from "../limits/statedLimits";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -28,7 +29,8 @@
     /** Counts a request as in flight until `end` is called on the returned object. */
     readonly trackRequest: (upstreamId: UpstreamId, request: PlacementRequest) => {
         readonly recordFirstEvent: () => void;
-        readonly end: () => void;
+        /** `isBrokenOff` if the upstream may not know yet that the request has ended. */
+        readonly end: (isBrokenOff?: boolean) => void;
     };
     /**
      * Records that this start of an upstream is leaving, as it or a peer states; returns whether that was unknown.
@@ -48,6 +50,8 @@
     ) => boolean;
     /** Limits that upstreams have stated, for the other hosts. */
     readonly limits: StatedLimits["rows"];
+    /** Upstreams that crash under rejections, and what this host may send to them. */
+    readonly brittle: BrittleUpstreams;
     /** Records that this start of an upstream has crashed; until it is registered again, its version is not known. */
     readonly observeCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Excludes an upstream from placement for a time, as it asked for. */
