feat(gateway): few hosts send to a brittle upstream while its load is not known

Cause: with a service at twice its load, requests from before the first statement take more slots than there are, and each waiting request decided again when its time was over, so that several found the same slot. Change: after the first statement, and while a host has more requests in flight than slots, only hosts that are first in the order of the upstream send, one request at a time. A waiting request whose time is over is refused.

--- /dev/null
+++ b/packages/edge/__tests__/brittleUpstream.spec.ts
@@ -0,0 +1,70 @@
+// Guards against hosts that together send a brittle upstream more than it has slots: each knows the others' load only from
+// reports, so at twice the load every host finds the same free slot, and the upstream crashes under the rejections.
+import { createResourceStack } from "@ibislanding/core";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createTestStore } from "./support/createTestStore";
+import { sendTestRequest } from "./support/sendTestRequest";
+import { startBrittleUpstream } from "./support/startBrittleUpstream";
+import { createStoredUpstream, createTestConfiguration, startTestHost } from "./support/startTestHost";
+
+const HOSTS = 4;
+const UPSTREAMS = 3;
+const SLOTS = 6;
+const REJECTIONS_PER_S = 2;
+const OBJECTIVE_MS = 1_000;
+const REACTION_MS = 1_000;
+const OVERLOAD_MS = 6_000;
+
+test(
+    "a brittle upstream of six slots rejects few requests at twice its load, and serves most of what it can",
+    async () => {
+        await using resources = createResourceStack();
+        const store = createTestStore();
+        const configuration = createTestConfiguration(1, "k1");
+        const routes = configuration.routes.map(route => ({ ...route, objectiveMs: OBJECTIVE_MS }));
+        store.write("configuration", JSON.stringify({ ...configuration, routes }));
+        const upstreams = await Promise.all(Array.from({ length: UPSTREAMS }, () => startBrittleUpstream(SLOTS)));
+        upstreams.forEach((upstream, index) => {
+            resources.use(upstream);
+            const record = { ...createStoredUpstream(`u-${index}`, upstream.port), slots: SLOTS };
+            store.write(`upstreams/u-${index}`, JSON.stringify(record));
+        });
+        const hosts: Awaited<ReturnType<typeof startTestHost>>[] = [];
+        for (let index = 0; index < HOSTS; index++) {
+            const host = await startTestHost(store, `host-${index}`, hosts.map(({ peersAddress }) => peersAddress));
+            resources.use(host.host);
+            hosts.push(host);
+        }
+        await sleep(1_500);
+        upstreams.forEach(({ state }) => {
+            state.rejectionsPerS = REJECTIONS_PER_S;
+        });
+        const statedAtMs = performance.now();
+        const answers: Promise<unknown>[] = [];
+        const intervalMs = (upstreams[0]?.workMs ?? 1) / (2 * UPSTREAMS * SLOTS);
+        for (let sent = 0; performance.now() - statedAtMs < OVERLOAD_MS;) {
+            for (; sent < (performance.now() - statedAtMs) / intervalMs; sent++) {
+                answers.push(sendTestRequest(hosts[sent % HOSTS]?.callers ?? 0, { path: "/orders/1", body: "{}" }));
+            }
+            await sleep(2);
+        }
+        await Promise.all(answers);
+        const served = upstreams.reduce((sum, { state }) => sum + state.served, 0);
+        const rejectionTimesMs = upstreams.map(upstream =>
+            upstream.rejectionTimesMs.filter(atMs => atMs >= statedAtMs + REACTION_MS)
+        );
+        const mostInSecond = Math.max(
+            0,
+            ...rejectionTimesMs.flatMap(timesMs =>
+                timesMs.map(fromMs => timesMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length)
+            ),
+        );
+        expect(mostInSecond).toBeLessThanOrEqual(REJECTIONS_PER_S);
+        expect(served * intervalMs * 2).toBeGreaterThan(OVERLOAD_MS * 2 / 3);
+        // All hosts know of the statements, and log where each came from.
+        hosts.forEach(({ events }) =>
+            expect(events.filter(({ event }) => event === "upstream_brittle").length).toBeGreaterThanOrEqual(UPSTREAMS)
+        );
+    },
+    30_000,
+);
--- a/packages/gateway/src/brittle/createBrittleUpstreams.ts
+++ b/packages/gateway/src/brittle/createBrittleUpstreams.ts
@@ -20,16 +20,19 @@
 const START_HOLD_OFF_MS = 2_000;
 
 /**
- * Time for which only few hosts send after a host had more requests in flight than slots of its own, as all had before the
- * first statement: the age of reports in a small and in a large group.
+ * Time for which only few hosts send after the first statement, and after a host had more requests in flight than slots of
+ * its own: the usual age of reports in a small and in a large group.
  */
 const DRAIN_MS = 700;
-const LARGE_GROUP_DRAIN_MS = 2_000;
+const LARGE_GROUP_DRAIN_MS = 1_500;
 const LARGE_GROUP_HOSTS = 16;
 
 /** Part of the allowed rejections that these few hosts may cause, as each pauses after a rejection. */
 const DRAIN_REJECTION_SHARE = 0.5;
 
+/** Hosts that may send in this time, for each slot that is known to be free once reports show the load since then. */
+const DRAIN_HOSTS_PER_SLOT = 2;
+
 /** Age at which a rejection that a peer reports no longer says anything about the current load. */
 const REJECTION_LIFETIME_MS = 4_000;
 
@@ -105,9 +108,10 @@
         return traffic;
     };
 
+    const drainMs = (): number => hosts().size > LARGE_GROUP_HOSTS ? LARGE_GROUP_DRAIN_MS : DRAIN_MS;
+
     const isDraining = ({ restrictedAtMs, exceededAtMs }: Traffic): boolean =>
-        sharedNowMs() - Math.max(restrictedAtMs, exceededAtMs)
-            < (hosts().size > LARGE_GROUP_HOSTS ? LARGE_GROUP_DRAIN_MS : DRAIN_MS);
+        sharedNowMs() - Math.max(restrictedAtMs, exceededAtMs) < drainMs();
 
     /** Time until one more request may be on its way to the upstream, of which it is not known whether it is rejected. */
     const confirmationWaitMs = ({ unconfirmed }: Traffic, maximum: number, roundTripMs: number): number => {
@@ -131,7 +135,10 @@
             traffic.exceededAtMs = sharedNowMs();
         }
         const drains = isDraining(traffic);
-        const drainingHosts = Math.max(1, statement.perS * DRAIN_REJECTION_SHARE);
+        // The known load is that of the time before the statement.
+        const isLoadKnown = sharedNowMs() - traffic.restrictedAtMs >= drainMs();
+        const room = isLoadKnown ? DRAIN_HOSTS_PER_SLOT * (slots - all) / Math.max(1, share) : 0;
+        const drainingHosts = Math.max(1, statement.perS * DRAIN_REJECTION_SHARE, room);
         if (share === 0 || all >= slots || drains && !shares.isAmongFirst(upstream, drainingHosts)) {
             return OTHER_HOSTS_WAIT_MS;
         }
@@ -144,7 +151,11 @@
 
     const observeRejection: BrittleUpstreams["observeRejection"] = (start, atMs) => {
         if (!statements.isEmpty() && sharedNowMs() - atMs < REJECTION_LIFETIME_MS) {
-            trafficOf(start).usable.observeRejection(atMs, statements.find(start)?.perS ?? 1);
+            const { usable, restrictedAtMs } = trafficOf(start);
+            // At first, the upstream rejects for what was sent before the statement was known.
+            if (atMs - restrictedAtMs >= DRAIN_MS) {
+                usable.observeRejection(atMs, statements.find(start)?.perS ?? 1);
+            }
         }
     };
 
--- a/packages/gateway/src/forwarding/waitForRoom.ts
+++ b/packages/gateway/src/forwarding/waitForRoom.ts
@@ -5,6 +5,9 @@
 const MAXIMUM_OBJECTIVE_SHARE = 0.3;
 const MAXIMUM_REMAINING_SHARE = 0.2;
 
+/** `Retry-After` of a request that is refused because others wait already. */
+const RETRY_AFTER_QUEUE_MS = 250;
+
 /** Waiting requests for each slot that belongs to this host; more would wait in vain while the service is overloaded. */
 const WAITING_PER_SLOT = 1;
 
@@ -23,8 +26,10 @@
     }
     const isPaused = (decision: PlacementDecision): boolean =>
         decision.kind === "refuse" && decision.reason === "paused";
-    const decision = decide();
-    if (!isPaused(decision) && !rooms.hasWaiting(service)) {
+    const decision: PlacementDecision = rooms.hasWaiting(service)
+        ? { kind: "refuse", reason: "paused", retryAfterMs: RETRY_AFTER_QUEUE_MS }
+        : decide();
+    if (!isPaused(decision)) {
         return decision;
     }
     const waited = rooms.wait(service, {
@@ -39,5 +44,6 @@
             return isPaused(next) ? undefined : next;
         },
     });
-    return waited.then(found => found ?? decide());
+    // Not decided again: all requests whose time is over would find the same room.
+    return waited.then(found => found ?? decision);
 };
