fix(gateway): waiting requests leave one in each turn of the event loop while there is room

Cause: one waiting request of a service left every 5 ms, and new ones queue behind it, which bounded a host with many slots to 200 requests a second. Change: the next request looks for room in the next turn; without room, the queue looks every 10 ms. Retry-After no longer depends on requests that are on their way.

--- a/packages/gateway/src/brittle/createBrittleUpstreams.ts
+++ b/packages/gateway/src/brittle/createBrittleUpstreams.ts
@@ -9,7 +9,7 @@
 import { createUsableShare } from "./createUsableShare";
 import type { UsableShare } from "./usableShare";
 
-/** Wait for a slot if this host has slots of the upstream, and if it has none or other hosts use all. */
+/** Wait if this host's slots of the upstream are in use, and if it has none or other hosts use all. */
 const OWN_SLOT_WAIT_MS = 250;
 const OTHER_HOSTS_WAIT_MS = 1_000;
 
@@ -113,13 +113,11 @@
     const isDraining = ({ restrictedAtMs, exceededAtMs }: Traffic): boolean =>
         sharedNowMs() - Math.max(restrictedAtMs, exceededAtMs) < drainMs();
 
-    /** Time until one more request may be on its way to the upstream, of which it is not known whether it is rejected. */
-    const confirmationWaitMs = ({ unconfirmed }: Traffic, maximum: number, roundTripMs: number): number => {
-        const durationMs = CONFIRMATION_ADDITION_MS + CONFIRMATION_ROUND_TRIPS * roundTripMs;
-        const nowMs = clock.monotonicMs();
-        removeUntil(unconfirmed, nowMs - durationMs);
-        const [oldest] = unconfirmed;
-        return oldest === undefined || unconfirmed.size < maximum ? 0 : Math.max(1, oldest.atMs + durationMs - nowMs);
+    /** Number of requests on their way to the upstream that it may still reject. */
+    const countUnconfirmed = ({ unconfirmed }: Traffic, roundTripMs: number): number => {
+        const confirmedAfterMs = CONFIRMATION_ADDITION_MS + CONFIRMATION_ROUND_TRIPS * roundTripMs;
+        removeUntil(unconfirmed, clock.monotonicMs() - confirmedAfterMs);
+        return unconfirmed.size;
     };
 
     const restrictedWaitMs = (
@@ -142,11 +140,9 @@
         if (share === 0 || all >= slots || drains && !shares.isAmongFirst(upstream, drainingHosts)) {
             return OTHER_HOSTS_WAIT_MS;
         }
-        if (own + traffic.releases.size >= share) {
-            return OWN_SLOT_WAIT_MS;
-        }
-        const maximum = drains ? 1 : Math.max(1, Math.min(share * UNCONFIRMED_SHARE, statement.perS));
-        return confirmationWaitMs(traffic, Math.floor(maximum), roundTripMs);
+        const maximum = drains ? 1 : Math.max(1, Math.min(Math.floor(share * UNCONFIRMED_SHARE), statement.perS));
+        const hasRoom = own + traffic.releases.size < share && countUnconfirmed(traffic, roundTripMs) < maximum;
+        return hasRoom ? 0 : OWN_SLOT_WAIT_MS;
     };
 
     const observeRejection: BrittleUpstreams["observeRejection"] = (start, atMs) => {
--- a/packages/gateway/src/brittle/createRoomQueue.ts
+++ b/packages/gateway/src/brittle/createRoomQueue.ts
@@ -1,8 +1,8 @@
 import type { Clock, ServiceName } from "@ibislanding/core";
 import type { RoomQueue } from "./roomQueue";
 
-/** Interval at which the first waiting request of a service looks for room. */
-const POLL_INTERVAL_MS = 5;
+/** Interval at which the first waiting request of a service looks for room while there is none. */
+const POLL_INTERVAL_MS = 10;
 
 interface Waiting {
     readonly dueAtMs: number;
@@ -26,14 +26,15 @@
         const all = queues.get(service) ?? [];
         const waiting = all.filter(({ dueAtMs, signal }) => nowMs < dueAtMs && !signal.aborted);
         all.filter(entry => !waiting.includes(entry)).forEach(({ giveUp }) => giveUp());
-        // One at a time: the room is taken only when the request is sent, which is after this call.
-        const remaining = waiting[0]?.tryLeave() === true ? waiting.slice(1) : waiting;
+        // One in each turn of the event loop: the room is taken only when the request is sent, which is after this call.
+        const hasLeft = waiting[0]?.tryLeave() === true;
+        const remaining = hasLeft ? waiting.slice(1) : waiting;
         if (remaining.length === 0) {
             queues.delete(service);
             return;
         }
         queues.set(service, remaining);
-        clock.setTimer(POLL_INTERVAL_MS, () => poll(service));
+        clock.setTimer(hasLeft ? 0 : POLL_INTERVAL_MS, () => poll(service));
     };
 
     return {
