test(soak): a kind of fault in which upstreams crash under rejections

Cause: the soak had no upstreams that state Server-Brittle. Change: the kind upstreams-brittle, and a check that counts the crashes.

--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -43,6 +43,8 @@
     leaving: [],
     crashes: [],
     limits: [],
+    brittlePeriods: [],
+    rejectionCrashes: [],
     usage: [],
     disturbances: [],
     calmSinceMs: 1_000,
@@ -180,6 +182,17 @@
     expect(checksOf(11)).not.toContain("limit");
 });
 
+test("reports brittle upstreams that crash more often than they may once hosts had time to react", () => {
+    const brittlePeriods = [{ fromMs: 10_000, untilMs: 30_000, upstreamCount: 9 }];
+    const checksOf = (atMs: number): readonly string[] =>
+        violatedChecks({
+            brittlePeriods,
+            rejectionCrashes: ["a", "b", "c"].map(upstreamId => ({ upstreamId, atMs })),
+        });
+    expect(checksOf(20_000)).toContain("brittle");
+    expect(checksOf(10_100)).not.toContain("brittle");
+});
+
 test.each([["in one answer", undefined], ["at another attempt", { requestId: "r1", lastEventId: 3 }]])(
     "reports a stream that goes on at another software version, %s",
     (_, takenUp) => {
--- a/packages/soak/src/checks/checkRecords.ts
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -1,5 +1,6 @@
 import type { SoakRecords } from "../records/soakRecords";
 import { checkAnswers } from "./checkAnswers";
+import { checkBrittle } from "./checkBrittle";
 import { checkConfiguration } from "./checkConfiguration";
 import { checkCrashes } from "./checkCrashes";
 import { checkLeaving } from "./checkLeaving";
@@ -21,6 +22,7 @@
     ...checkLeaving(records, bounds),
     ...checkCrashes(records, bounds),
     ...checkLimits(records, bounds),
+    ...checkBrittle(records, bounds),
     ...checkVersions(records),
     ...checkUsage(records),
     ...checkRecovery(records),
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -84,6 +84,10 @@
 const STATED_LIMIT_PER_S = 1;
 const LIMIT_MS = 12_000;
 
+/** Rejections a second above which brittle upstreams crash, and the minimum time for which they are brittle. */
+const BRITTLE_REJECTIONS_PER_S = 3;
+const BRITTLE_MS = 8_000;
+
 const restoreStore: Handler = async ({ world, sleep, step, startDisturbance }) => {
     const restore = world.store.takeCopy();
     await sleep(step.forMs);
@@ -144,6 +148,15 @@
         await sleep(LIMIT_MS + step.forMs);
         endLimit();
     }),
+    "upstreams-brittle": async ({ world, sleep, step }) => {
+        const { upstreams, records } = world;
+        const period = { fromMs: performance.now(), upstreamCount: upstreams.length, untilMs: Infinity };
+        records.brittlePeriods.push(period);
+        const ends = upstreams.map(upstream => upstream.becomeBrittle(BRITTLE_REJECTIONS_PER_S));
+        await sleep(BRITTLE_MS + step.forMs);
+        ends.forEach(end => end());
+        period.untilMs = performance.now();
+    },
     "requests-crash-upstreams": async ({ world }) => world.sendCrashing("part"),
     "request-crashes-upstreams": async ({ world }) => world.sendCrashing("request"),
     "configuration-changes": ({ world }) => world.changeConfiguration(),
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -31,6 +31,7 @@
     | "upstream-endless-bytes"
     | "upstream-pauses"
     | "upstream-states-limit"
+    | "upstreams-brittle"
     | "requests-crash-upstreams"
     | "request-crashes-upstreams"
     | "configuration-changes";
--- a/packages/soak/src/faults/soakUpstream.ts
+++ b/packages/soak/src/faults/soakUpstream.ts
@@ -9,6 +9,11 @@
     readonly register: () => void;
     /** From now on states a limit in its answers, in requests a second of all hosts; returns a function that ends it. */
     readonly stateLimit: (limitPerS: number) => () => void;
+    /**
+     * From now on has few slots and states in its answers that it crashes if it rejects more requests in a second; returns a
+     * function that ends it.
+     */
+    readonly becomeBrittle: (rejectionsPerS: number) => () => void;
     /** States in its answers and then in the store that it is leaving, is replaced under a new id at once, and serves until the drain time is over. */
     readonly leave: () => Promise<void>;
     /** The same, replaced by one of another software version. */
--- a/packages/soak/src/records/soakRecords.ts
+++ b/packages/soak/src/records/soakRecords.ts
@@ -21,6 +21,10 @@
         readonly fromMs: number;
         untilMs: number;
     }[];
+    /** Times in which upstreams were brittle, and how many. */
+    readonly brittlePeriods: { readonly fromMs: number; readonly upstreamCount: number; untilMs: number; }[];
+    /** Crashes of brittle upstreams under rejections. */
+    readonly rejectionCrashes: { readonly upstreamId: string; readonly atMs: number; }[];
     readonly usage: UsageReport[];
     readonly disturbances: Disturbance[];
     /** Monotonic time at which the last fault ended. */
