--- a/packages/ctl/src/explain/explainRequest.ts
+++ b/packages/ctl/src/explain/explainRequest.ts
@@ -21,6 +21,8 @@
     "store_restored",
     "upstream_paused",
     "upstream_limited",
+    "upstream_brittle",
+    "brittle_rejection",
     "prompt_part_quarantined",
     "prompt_part_quarantine_ended",
     "request_quarantined",
