--- a/packages/edge/__tests__/support/replayAccountLoad.ts
+++ b/packages/edge/__tests__/support/replayAccountLoad.ts
@@ -82,7 +82,7 @@
             usageRecords: [],
             limits: [],
             versions: [],
-        quarantine: { suspects: [], cleared: [], quarantined: [] },
+            quarantine: { suspects: [], cleared: [], quarantined: [] },
         };
     };
     const aggregation = createReportAggregation(clock, hostId, createReport);
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -24,6 +24,7 @@
     const isReported = (window: number): boolean => window >= usage.windowOf(clusterClock.nowMs()) - REPORTED_WINDOWS;
 
     return () => {
+        const brittle = upstreams.brittle.rows();
         const usages = [...accounts.usages()];
         return {
             hostId,
@@ -47,6 +48,7 @@
             quarantine: quarantine.rows(),
             limits: upstreams.limits(),
             versions: rollouts?.counts() ?? [],
+            brittle: brittle.length === 0 ? undefined : brittle,
             usageRecords: toRows(usageRecords.own()),
         };
     };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -23,6 +23,7 @@
             report.usageRecords,
             report.limits,
             report.versions,
+            report.brittle ?? [],
             report.quarantine?.suspects,
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -1,5 +1,5 @@
 import type { HostId } from "@ibislanding/core";
-import type { VersionCounts } from "@ibislanding/gateway";
+import type { BrittleRow, VersionCounts } from "@ibislanding/gateway";
 import type { QuarantineRows } from "@ibislanding/quarantine";
 
 /**
@@ -47,6 +47,8 @@
         statedAtMs: number,
         limitPerS: number,
     ])[];
+    /** Newest statements of brittle upstreams; left out if there are none, so that it adds no bytes. */
+    readonly brittle?: readonly BrittleRow[] | undefined;
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Requests of the services with a rollout order by version and route, since each process began to count; they only grow. */
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -137,6 +137,8 @@
             onUpstreamLeaving: () => undefined,
             onUpstreamPaused: () => undefined,
             onUpstreamLimited: () => undefined,
+            onUpstreamBrittle: () => undefined,
+            onBrittleRejection: () => undefined,
             onInvalidHeaders: () => undefined,
             onRequestEnded: request => void ended.push(request),
         },
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -347,7 +347,7 @@
             return handleResponse(attempt, response);
         })
         .exhaustive();
-    load.end();
+    load.end(ended.aborted || result.kind === "unknown");
     endVersionRun(attempt, outcome.kind === "done" ? "answered" : "not-run");
     events.onAttemptEnded({
         requestId: admitted.head.requestId,
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -1,4 +1,5 @@
 import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import type { BrittleUpstreams } from "../brittle/brittleUpstreams";
 import type { StatedLimits } from "../limits/statedLimits";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
@@ -32,7 +33,8 @@
     /** Counts a request as in flight until `end` is called on the returned object. */
     readonly trackRequest: (upstreamId: UpstreamId, request: PlacementRequest) => {
         readonly recordFirstEvent: () => void;
-        readonly end: () => void;
+        /** `isBrokenOff` if the upstream may not know yet that the request has ended. */
+        readonly end: (isBrokenOff?: boolean) => void;
         /**
          * Predicts the time to the first event, or to the plain answer, as of the call, at a typical upstream with the
          * load of this one; what was learned of this one's own speed is left out.
@@ -57,6 +59,8 @@
     ) => boolean;
     /** Limits that upstreams have stated, for the other hosts. */
     readonly limits: StatedLimits["rows"];
+    /** Upstreams that crash under rejections, and what this host may send to them. */
+    readonly brittle: BrittleUpstreams;
     /** Records that this start of an upstream has crashed; until it is registered again, its version is not known. */
     readonly observeCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Whether this start of an upstream was found to have crashed. */
