--- a/packages/rollouts/__tests__/rolloutRules.spec.ts
+++ b/packages/rollouts/__tests__/rolloutRules.spec.ts
@@ -87,6 +87,11 @@
     });
 });
 
+test("the deadline counts from the time at which the order was seen, also if there was no duty holder then", () => {
+    const late = advanceRollout({ ...begin, evidence: [{ atMs: 500, rows: [] }], nowMs: 4_500 });
+    expect([late.startedAtMs, late.deadlineMs]).toEqual([500, 12_500]);
+});
+
 test("a second order excludes the first target, unless it was completed or is ordered again", () => {
     const second = { ...begin, order: { ...order, orderId: createRolloutOrderId(1, 10), target: NEXT }, upstreams };
     const states = (["ramp", "rolled-back", "completed"] as const).map(phase => at(phase, 0));
--- a/packages/rollouts/src/advanceRollout.ts
+++ b/packages/rollouts/src/advanceRollout.ts
@@ -200,14 +200,16 @@
 const startRollout = (progress: RolloutProgress): RolloutState => {
     const { state: earlier, order, hasService, evidence, upstreams, nowMs } = progress;
     const excluded = earlier === undefined ? [] : excludedAfter[earlier.phase](earlier);
+    // The first snapshot was taken when this host saw the order, which may be before it became the duty holder.
+    const startedAtMs = Math.min(nowMs, evidence.at(0)?.atMs ?? nowMs);
     const started: RolloutState = {
         orderId: order.orderId,
         service: order.service,
         target: order.target,
         phase: "canary",
-        startedAtMs: nowMs,
+        startedAtMs,
         phaseSinceMs: nowMs,
-        deadlineMs: nowMs + order.durationMs,
+        deadlineMs: startedAtMs + order.durationMs,
         share: 0,
         reason: "the order was seen",
         excluded: excluded.filter(version => version !== order.target),
