relay: decide whether a host is cut off from the upstreams, and pass its requests to a peer

Cause: a host that reaches no upstream while callers still reach it fails their first tries until the cut ends; a send on a kept-alive connection hangs up to its deadline, as Node.js sets no TCP_USER_TIMEOUT. Change: a package of its own. Pure: createUpstreamReachability, judgeCutOff, chooseRelayPeer, sendPatienceMs, checkRelayedRequest, createCutHistory. I/O: a monitor with probes, a client and a listener. The end of the body is withheld until the peer has confirmed that it has read the rest, so that a request which is lost before has not run.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -119,13 +119,19 @@
             from: { path: "^packages/duties/src" },
             to: { path: "^packages/", pathNot: "^packages/(duties|core|platform|placement)/" },
         },
+        {
+            name: "relay-imports",
+            severity: "error",
+            from: { path: "^packages/relay/src" },
+            to: { path: "^packages/", pathNot: "^packages/(relay|core|runtime)/" },
+        },
         {
             name: "edge-imports",
             severity: "error",
             from: { path: "^packages/edge/src" },
             to: {
                 path: "^packages/",
-                pathNot: "^packages/(edge|core|discovery|duties|gateway|platform|quarantine|runtime)/",
+                pathNot: "^packages/(edge|core|discovery|duties|gateway|platform|quarantine|relay|runtime)/",
             },
         },
         {
--- /dev/null
+++ b/packages/relay/src/client/relaySend.ts
@@ -0,0 +1,17 @@
+import type { RelayHead } from "../messages/relayHead";
+
+/** A request to pass on to a peer. */
+export interface RelaySend {
+    readonly method: string;
+    /** Path with the query. */
+    readonly target: string;
+    /** Headers of the caller. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    readonly head: Omit<RelayHead, "sender" | "remainingMs" | "bodyBytes">;
+    /** Monotonic time of the deadline. */
+    readonly dueAtMs: number;
+    readonly requestId: string | undefined;
+    /** Aborts at the deadline or when the caller disconnects. */
+    readonly signal: AbortSignal;
+}
