gateway: a request may be relayed to a peer, and one that a peer relays is served like an own one

Cause: forwardRequest knows upstreams only. Change: an optional port RequestRelay. While it says that the host is cut off, relayRequest passes requests on before placement; each send is watched, so that it can be abandoned when it hangs. handleRelayed serves a relayed request without charging or refunding its account, without relaying it again, and counts its first send once for the retry budget. Without the port, nothing changes.

--- a/packages/gateway/src/forwarding/attemptOptions.ts
+++ b/packages/gateway/src/forwarding/attemptOptions.ts
@@ -16,6 +16,8 @@
     readonly body: Buffer;
     /** Called with the head of each response of the addressed upstream, also if the response is not relayed. */
     readonly onHead: (head: ResponseHead) => void;
+    /** Called with each part of the response that arrives, and first with its head. */
+    readonly onProgress?: (() => void) | undefined;
     /** Aborts the attempt and closes its connection. */
     readonly signal: AbortSignal;
 }
--- a/packages/gateway/src/forwarding/createClientResponse.ts
+++ b/packages/gateway/src/forwarding/createClientResponse.ts
@@ -4,8 +4,15 @@
 
 const MS_PER_S = 1_000;
 
-/** Creates the response to a request; `closesConnection` returns whether the connection is closed after it. */
-export const createClientResponse = (response: ServerResponse, closesConnection: () => boolean): ClientResponse => {
+/**
+ * Creates the response to a request; `closesConnection` returns whether the connection is closed after it, and `onRefusal`
+ * is called before the head of a refusal.
+ */
+export const createClientResponse = (
+    response: ServerResponse,
+    closesConnection: () => boolean,
+    onRefusal?: (reason: string) => void,
+): ClientResponse => {
     let head: { readonly status: number; readonly headers: readonly (readonly [string, string])[]; } | undefined;
 
     const sendHead = (): void => {
@@ -34,6 +41,7 @@
                 breakOffResponse(response);
                 return;
             }
+            onRefusal?.(reason);
             const body = `${JSON.stringify({ status, code: reason, detail })}\n`;
             head = {
                 status,
--- a/packages/gateway/src/forwarding/createForwardContext.ts
+++ b/packages/gateway/src/forwarding/createForwardContext.ts
@@ -34,6 +34,7 @@
         excluded: new Set(),
         runs: 0,
         isStartReported: false,
-        lastEventId: undefined,
+        isSendRecorded: false,
+        lastEventId: options.relayed?.lastEventId,
     };
 };
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -4,6 +4,7 @@
 import { createConnectionPool } from "./createConnectionPool";
 import type { Gateway } from "./gateway";
 import type { GatewayOptions } from "./gatewayOptions";
+import type { RelayedRequest } from "./relayedRequest";
 import { serveRequest } from "./serveRequest";
 
 /** Maximum requests in flight per process; more could exhaust the memory for their buffered bodies. */
@@ -24,8 +25,16 @@
         unfinished.size >= MAXIMUM_REQUESTS
         || stopStartedAtMs !== undefined && clock.monotonicMs() - stopStartedAtMs > options.stopAcceptMs;
 
-    const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const clientResponse = createClientResponse(response, () => stopStartedAtMs !== undefined);
+    const handle = async (
+        request: IncomingMessage,
+        response: ServerResponse,
+        relayed?: RelayedRequest,
+    ): Promise<void> => {
+        const clientResponse = createClientResponse(
+            response,
+            () => stopStartedAtMs !== undefined,
+            relayed?.onRefusal,
+        );
         const refuses = refusesNewRequests();
         unfinished.add(response);
         try {
@@ -35,6 +44,7 @@
                 request,
                 response,
                 clientResponse,
+                relayed,
                 refusesNewRequests: refuses,
             });
         }
@@ -53,6 +63,7 @@
 
     return {
         handle: (request, response) => void handle(request, response),
+        handleRelayed: (request, response, relayed) => void handle(request, response, relayed),
         beginStop: () => {
             stopStartedAtMs ??= clock.monotonicMs();
         },
--- a/packages/gateway/src/forwarding/forwardContext.ts
+++ b/packages/gateway/src/forwarding/forwardContext.ts
@@ -30,6 +30,8 @@
     runs: number;
     /** Whether `onProcessingStarted` was called; it is called at most once per request. */
     isStartReported: boolean;
+    /** Whether a send of the request was counted for the retry budget. */
+    isSendRecorded: boolean;
     /** Id of the last event that was sent to the client. */
     lastEventId: string | undefined;
 }
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -7,6 +7,7 @@
 import { findQuarantinedFeature } from "./findQuarantinedFeature";
 import type { ForwardContext } from "./forwardContext";
 import type { Refusal } from "./refusal";
+import { relayRequest } from "./relayRequest";
 import { sendToUpstream } from "./sendToUpstream";
 import { toPlacementRequest } from "./toPlacementRequest";
 
@@ -56,8 +57,17 @@
     return chooseUpstream(context.options.upstreams.candidates(context.admitted.service, request), request);
 };
 
+/** Counts the first send of a request for the retry budget, unless another host has. */
+const recordSend = (context: ForwardContext): void => {
+    const { options, admitted, isSendRecorded } = context;
+    if (!isSendRecorded && options.relayed?.isFirstSend !== false) {
+        options.retryBudget.recordRequest(admitted.service);
+    }
+    context.isSendRecorded = true;
+};
+
 const attemptUntilAnswered = async (context: ForwardContext): Promise<Result<number, Refusal>> => {
-    const { progress, excluded, features } = context;
+    const { options, progress, excluded, features } = context;
     let continuation: Continuation | undefined;
     for (;;) {
         // Before the first attempt this was checked on arrival.
@@ -67,6 +77,17 @@
         if (quarantined !== undefined) {
             return Err(context.runs > 0 ? { status: 502, reason: quarantined.reason } : quarantined);
         }
+        const relayed = await relayRequest(context);
+        if (relayed?.kind === "final") {
+            return relayed.result;
+        }
+        if (relayed !== undefined) {
+            if (mayRetry(context, relayed.outcome)) {
+                continue;
+            }
+            return Err(finalRefusal(context, relayed.outcome.reason, REFUSED_RETRY_MS));
+        }
+        recordSend(context);
         const decision = nextDecision(context, continuation);
         progress.placement = decision;
         if (decision.kind === "refuse") {
@@ -77,7 +98,10 @@
         if (outcome.kind === "done") {
             return Ok(outcome.status);
         }
-        if (!mayRetry(context, outcome)) {
+        await options.relay?.checked();
+        // A request that has not run anywhere is relayed without a charge to the retry budget.
+        const isRelayable = options.relay?.isCutOff() === true && context.runs === 0 && !context.ended.aborted;
+        if (!isRelayable && !mayRetry(context, outcome)) {
             return Err(finalRefusal(context, outcome.reason, REFUSED_RETRY_MS));
         }
         excluded.add(decision.upstream.upstreamId);
@@ -88,9 +112,8 @@
 /** Sends a request to upstreams until one responds; returns the status, or the error response for the client. */
 export const forwardRequest = async (context: ForwardContext): Promise<Result<number, Refusal>> => {
     const { options, admitted } = context;
-    options.retryBudget.recordRequest(admitted.service);
     const result = await attemptUntilAnswered(context);
-    if (context.runs === 0 && admitted.account !== undefined) {
+    if (context.runs === 0 && options.relayed === undefined && admitted.account !== undefined) {
         options.accounts.refund(admitted.account.accountId, admitted.units, admitted.admission);
     }
     return result;
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -78,5 +78,7 @@
         readonly runningAtUpstream: number | undefined;
         /** Quarantined feature for which the request was refused. */
         readonly quarantinedFeature: FeatureId | undefined;
+        /** Address of the host that relayed the request to this one. */
+        readonly relayedBy: string | undefined;
     }) => void;
 }
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -10,6 +10,7 @@
 import type { UpstreamTable } from "../upstreams/upstreamTable";
 import type { GatewayEvents } from "./gatewayEvents";
 import type { RecentAnswers } from "./recentAnswers";
+import type { RequestRelay } from "./requestRelay";
 
 /** Dependencies and settings of a gateway. */
 export interface GatewayOptions {
@@ -31,6 +32,8 @@
     readonly sharedNowMs: () => number;
     /** Set if engines can move running requests. */
     readonly engines: EnginePort | undefined;
+    /** Set if peers take this host's requests while it reaches no upstream. */
+    readonly relay?: RequestRelay | undefined;
     readonly events: GatewayEvents;
     /** Time after the start of the shutdown for which new requests are still forwarded. */
     readonly stopAcceptMs: number;
--- a/packages/gateway/src/forwarding/readRequestBody.ts
+++ b/packages/gateway/src/forwarding/readRequestBody.ts
@@ -4,11 +4,13 @@
 
 /**
  * Reads a request body up to a maximum size; the error is undefined if the client disconnected or the signal aborted.
+ * `onBytes` is called with the number of bytes received so far, first with 0.
  */
 export const readRequestBody = (
     request: IncomingMessage,
     maximumBytes: number,
     signal: AbortSignal,
+    onBytes?: (receivedBytes: number) => void,
 ): Promise<Result<Buffer, Refusal | undefined>> =>
     new Promise(resolve => {
         const chunks: Buffer[] = [];
@@ -27,9 +29,11 @@
                 return;
             }
             chunks.push(chunk);
+            onBytes?.(sizeBytes);
         });
         request.once("end", () => finish(Ok(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))));
         request.once("error", () => finish(Err(undefined)));
+        onBytes?.(0);
         if (signal.aborted) {
             onAbort();
         }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -122,6 +122,7 @@
     if (!isStream) {
         reportStart(context);
     }
+    options.relayed?.onAnswer(upstream.softwareVersion);
     options.clientResponse.setHead(
         response.head.status,
         filterHeaders(response.body.rawHeaders, isStream ? STREAM_LENGTH : NO_HEADERS),
@@ -287,6 +288,12 @@
         context.runs += continuation === undefined ? 1 : 0;
     };
     const recorded = recordOrigin(context, upstream);
+    const watch = options.relay?.watchSend({
+        upstreamId: upstream.upstreamId,
+        objectiveMs: admitted.route.objectiveMs,
+        remainingMs: deadlineMs,
+        signal: ended,
+    });
     const result = await startAttempt({
         connections: options.pool.connectionsOf(upstream),
         codec,
@@ -300,7 +307,8 @@
             attempt.headAtMs = clock.monotonicMs();
             observeResponseHead(options, upstream, head);
         },
-        signal: ended,
+        onProgress: watch?.recordProgress,
+        signal: watch?.signal ?? ended,
     });
     const outcome = await match(result)
         .returnType<Promise<AttemptOutcome>>()
@@ -321,6 +329,7 @@
             return handleResponse(attempt, response);
         })
         .exhaustive();
+    watch?.end();
     load.end();
     events.onAttemptEnded({
         requestId: admitted.head.requestId,
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -2,6 +2,7 @@
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
+import type { RelayedRequest } from "./relayedRequest";
 
 /** A client request with the dependencies needed to serve it. */
 export interface ServeOptions extends GatewayOptions {
@@ -9,6 +10,8 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
+    /** Set if another host relays the request to this one. */
+    readonly relayed: RelayedRequest | undefined;
     /** Whether the process refuses new requests. */
     readonly refusesNewRequests: boolean;
 }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -27,6 +27,9 @@
 const INITIALIZATION_WAIT_MS = 300;
 const INITIALIZATION_POLL_MS = 10;
 
+/** `Retry-After` of a relayed request whose account differs here: another configuration is in force for a moment. */
+const RELAY_RETRY_MS = 300;
+
 const ENTITLED: AccountAdmission = { kind: "entitled" };
 
 /** Logged outcome by status for requests that were refused without a run; other statuses are logged as failed. */
@@ -80,6 +83,18 @@
     return { ...request, service, admission, softwareVersion };
 };
 
+/** Admits a request by the limit of its account; one that another host relays was admitted there. */
+const admit = (
+    { accounts, relayed }: ServeOptions,
+    account: IdentifiedRequest["account"],
+    units: number,
+): AccountAdmission => {
+    if (relayed !== undefined) {
+        return relayed.spareWaitMs === undefined ? ENTITLED : { kind: "spare", waitMs: relayed.spareWaitMs };
+    }
+    return account === undefined ? ENTITLED : accounts.admit(account, units);
+};
+
 /** Serves one request, from reading its head to the end of its response. */
 export const serveRequest = async (options: ServeOptions): Promise<void> => {
     const { clock, clientResponse, events, random, request } = options;
@@ -136,6 +151,7 @@
             promptMs: chosen?.promptMs,
             runningAtUpstream: chosen?.running,
             quarantinedFeature: progress.quarantinedFeature,
+            relayedBy: options.relayed?.sender,
         });
     };
 
@@ -153,7 +169,13 @@
         refuseEarly(undefined, identified.val);
         return;
     }
-    const identifiedRequest = identified.val;
+    const identifiedRequest = options.relayed === undefined
+        ? identified.val
+        : { ...identified.val, dueAtMs: Math.min(identified.val.dueAtMs, arrivedAtMs + options.relayed.remainingMs) };
+    if (options.relayed !== undefined && options.relayed.accountId !== identifiedRequest.account?.accountId) {
+        refuseEarly(identifiedRequest, { status: 503, reason: "relay_account_unknown", retryAfterMs: RELAY_RETRY_MS });
+        return;
+    }
     // Checked before the body is read and the account is charged.
     const partIds = sharedPartIds(head.promptParts);
     const quarantined = findQuarantinedFeature(
@@ -175,6 +197,7 @@
         request,
         identifiedRequest.configuration.source.limits.maximumBodyBytes,
         ended.signal,
+        options.relayed?.onBodyBytes,
     );
     if (body.err) {
         const refusal = body.val ?? { status: 408 as const, reason: "request_incomplete" };
@@ -202,13 +225,13 @@
         report(identifiedRequest, "refused", quarantinedRequest.reason, quarantinedRequest.status);
         return;
     }
-    const binding = await findBinding(options, identifiedRequest);
+    const binding = await findBinding(options, identifiedRequest, options.relayed?.softwareVersion);
     if (binding.err) {
         refuse(binding.val);
         report(identifiedRequest, "refused", binding.val.reason, binding.val.status);
         return;
     }
-    const admission = account === undefined ? ENTITLED : options.accounts.admit(account, units);
+    const admission = admit(options, account, units);
     if (admission.kind === "over") {
         const refusal = refuse({ status: 429, reason: "over_limit", retryAfterMs: admission.waitMs });
         report(identifiedRequest, "refused", refusal.reason, refusal.status);
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -80,6 +80,7 @@
         };
         const handleResponse = (incoming: IncomingMessage): void => {
             framing?.recordProgress();
+            options.onProgress?.();
             const head = options.codec.readResponse(incoming);
             if (head.keepAliveMs !== undefined) {
                 connections.setKeepAlive(incoming.socket, head.keepAliveMs);
@@ -113,7 +114,10 @@
                     head,
                     body: incoming,
                     delimiter,
-                    recordProgress: () => framing?.recordProgress(),
+                    recordProgress: () => {
+                        framing?.recordProgress();
+                        options.onProgress?.();
+                    },
                     hasFailed: () => failed,
                     closeConnection,
                 },
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -62,3 +62,5 @@
 export type { GatewayEvents } from "./forwarding/gatewayEvents";
 export type { GatewayOptions } from "./forwarding/gatewayOptions";
 export type { RecentAnswers } from "./forwarding/recentAnswers";
+export type { RelayedRequest } from "./forwarding/relayedRequest";
+export type { RequestRelay } from "./forwarding/requestRelay";
--- a/packages/gateway/src/streams/findBinding.ts
+++ b/packages/gateway/src/streams/findBinding.ts
@@ -1,3 +1,4 @@
+import type { SoftwareVersion } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
 import type { IdentifiedRequest } from "../forwarding/identifiedRequest";
 import type { Refusal } from "../forwarding/refusal";
@@ -14,12 +15,19 @@
 
 const FREE: StreamBinding = { kind: "free" };
 
-/** Finds out at which software version a request may run; only streams that clients take up are bound to one. */
+/**
+ * Finds out at which software version a request may run; only streams that clients take up are bound to one, and those of
+ * which another host relays the rest, which states `relayedVersion`.
+ */
 export const findBinding = async (
     { upstreams, streamOrigins }: ServeOptions,
     { head, route, service, account }: IdentifiedRequest,
+    relayedVersion?: SoftwareVersion,
 ): Promise<Result<StreamBinding, Refusal>> => {
     const { resumedRequestId, lastEventId } = head;
+    if (relayedVersion !== undefined) {
+        return Ok({ kind: "bound", service: undefined, softwareVersion: relayedVersion });
+    }
     if (!route.isResumable || resumedRequestId === undefined && lastEventId === undefined) {
         return Ok(FREE);
     }
--- a/packages/gateway/src/upstreams/createUpstreamHealth.ts
+++ b/packages/gateway/src/upstreams/createUpstreamHealth.ts
@@ -65,6 +65,14 @@
                 eject(state);
             }
         },
+        reset: state =>
+            void Object.assign(state, {
+                failures: 0,
+                ejections: 0,
+                ejectedUntilMs: -Infinity,
+                latenessMs: 0,
+                latenessUpdatedAtMs: clock.monotonicMs(),
+            }),
         isEjected: ({ ejectedUntilMs }) => clock.monotonicMs() < ejectedUntilMs,
         unexplainedDelayMs: state =>
             [...state.pendingFirstBytes].reduce(
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -367,6 +367,7 @@
         reportSuccess: (upstreamId, responseMs) => update(upstreamId, state => health.recordSuccess(state, responseMs)),
         reportFailure: (upstreamId, kind) =>
             update(upstreamId, state => health.recordFailure(state, siblingsOf(state), kind)),
+        forgetFailures: () => upstreams.forEach(health.reset),
         reportRoundTrip: (upstreamId, roundTripMs) =>
             update(upstreamId, state => {
                 state.roundTripMs = movingAverage(state.roundTripMs, roundTripMs);
--- a/packages/gateway/src/upstreams/upstreamHealth.ts
+++ b/packages/gateway/src/upstreams/upstreamHealth.ts
@@ -8,6 +8,8 @@
         siblings: readonly UpstreamState[],
         kind: "unreachable" | "failed",
     ) => void;
+    /** Forgets failures, ejections and lateness. */
+    readonly reset: (state: UpstreamState) => void;
     readonly isEjected: (state: UpstreamState) => boolean;
     /** Delay of the upstream that the load known to this host does not explain. */
     readonly unexplainedDelayMs: (state: UpstreamState) => number;
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -54,6 +54,8 @@
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
     readonly reportFailure: (upstreamId: UpstreamId, kind: "unreachable" | "failed") => void;
+    /** Forgets failures, ejections and lateness of all upstreams, as after a cut of this host from them. */
+    readonly forgetFailures: () => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
     readonly changeConnections: (upstreamId: UpstreamId, change: number) => void;
     /** Replaces the loads of a peer by those of its report, which contains the state of the given number of hosts. */
