edge: hosts relay requests while they are cut off, and ignore the evidence of that time

Cause: at a host that is cut off from all upstreams, no request was served, and resets by the cut could pass for crashes. Reports carry the hosts that reach no upstream (cutOff, absent if none).

--- /dev/null
+++ b/packages/edge/__tests__/cutOffHost.spec.ts
@@ -0,0 +1,112 @@
+// Guards against failed first tries at hosts that callers reach but that reach no upstream: connections that are refused or
+// hang, kept-alive ones included, must be noticed within a second, and the requests be served through a peer, each run once.
+import { setTimeout as sleep } from "node:timers/promises";
+import { actEveryMs } from "./support/actEveryMs";
+import { sendTestRequest } from "./support/sendTestRequest";
+import { startRelayGroup } from "./support/startRelayGroup";
+
+const NOTICE_MS = 1_000;
+
+const ROUTE = { kind: "repeatable", objectiveMs: 1_000, timeoutMs: 4_000, maximumAttempts: 2 } as const;
+
+type Group = Awaited<ReturnType<typeof startRelayGroup>>;
+
+/** Sends requests to each host at an interval for a time; returns the statuses of each host. */
+const sendLoad = async ({ hosts }: Group, intervalMs: number, durationMs: number): Promise<number[][]> => {
+    const statuses: Promise<number>[][] = hosts.map(() => []);
+    await actEveryMs(
+        intervalMs,
+        durationMs,
+        () =>
+            hosts.forEach(({ callers }, index) =>
+                statuses[index]?.push(sendTestRequest(callers, { path: "/orders/1", body: "{}" }))
+            ),
+    );
+    return Promise.all(statuses.map(sent => Promise.all(sent)));
+};
+
+const servedShare = (statuses: readonly number[][]): number => {
+    const all = statuses.flat();
+    return all.filter(status => status === 200).length / all.length;
+};
+
+const eventsOf = ({ hosts }: Group, name: string) =>
+    hosts.flatMap(({ events }) => events.filter(({ event }) => event === name));
+
+test(
+    "four hosts of ten that are cut off serve first tries as often as the others from a second after the cut",
+    async () => {
+        await using group = await startRelayGroup({ hosts: 10, behindForwarders: 4, route: ROUTE, answerMs: 30 });
+        await sendLoad(group, 100, 800);
+        await Promise.all(group.forwarders.map(forwarder => forwarder.hang()));
+        void sendLoad(group, 100, NOTICE_MS);
+        await sleep(NOTICE_MS);
+        const statuses = await sendLoad(group, 100, 2_500);
+        const [cutOff, others] = [servedShare(statuses.slice(0, 4)), servedShare(statuses.slice(4))];
+        expect(others).toBeGreaterThan(0.95);
+        expect(cutOff).toBeGreaterThanOrEqual(others * 2 / 3);
+        expect(Math.max(...group.runs.values())).toBeLessThanOrEqual(2);
+        expect(eventsOf(group, "upstreams_unreachable").length).toBe(4);
+        expect(eventsOf(group, "request_accused")).toEqual([]);
+        group.forwarders.forEach(forwarder => forwarder.resume());
+        await sleep(NOTICE_MS);
+        expect(eventsOf(group, "upstreams_reached").length).toBe(4);
+        expect(servedShare(await sendLoad(group, 100, 500))).toBeGreaterThan(0.95);
+    },
+    60_000,
+);
+
+test.each(["refuse", "reset"] as const)(
+    "requests that must not be repeated run once at most and their refusals are true (%s)",
+    async mode => {
+        await using group = await startRelayGroup({
+            hosts: 3,
+            behindForwarders: 1,
+            route: { ...ROUTE, kind: "once" },
+            answerMs: 30,
+        });
+        const sent: Promise<readonly [string, number]>[] = [];
+        const send = (index: number): void => {
+            const id = `once-${mode}-${index}`;
+            sent.push(
+                sendTestRequest(group.hosts[0]?.callers ?? 0, {
+                    path: "/orders/1",
+                    body: "{}",
+                    headers: { "X-Request": id },
+                }).then(status => [id, status] as const),
+            );
+        };
+        setTimeout(() => group.forwarders[0]?.[mode](), 500);
+        await actEveryMs(20, 2_000, send);
+        const results = await Promise.all(sent);
+        const runsOf = (id: string): number => group.runs.get(id) ?? 0;
+        expect(results.filter(([id]) => runsOf(id) > 1)).toEqual([]);
+        expect(results.filter(([id, status]) => status === 503 && runsOf(id) > 0)).toEqual([]);
+        expect(results.filter(([, status]) => status === 200).length).toBeGreaterThan(results.length * 0.9);
+        expect(eventsOf(group, "request_accused")).toEqual([]);
+    },
+    30_000,
+);
+
+test("nothing is relayed round when all upstreams are down, and hosts stay ready", async () => {
+    await using group = await startRelayGroup({ hosts: 4, behindForwarders: 0, route: ROUTE, answerMs: 30 });
+    group.stopUpstreams();
+    await sendLoad(group, 100, NOTICE_MS);
+    const relaysBefore = eventsOf(group, "relay_ended").length;
+    const statuses = await sendLoad(group, 100, 1_000);
+    expect(new Set(statuses.flat())).toEqual(new Set([503]));
+    expect(eventsOf(group, "relay_ended").length).toBe(relaysBefore);
+    expect((await fetch(`http://127.0.0.1:${group.hosts[0]?.readiness}/`)).status).toBe(200);
+}, 30_000);
+
+test("a host without a peer that helps is not ready and refuses with 503", async () => {
+    await using group = await startRelayGroup({ hosts: 2, behindForwarders: 1, route: ROUTE, answerMs: 30 });
+    group.forwarders[0]?.reset();
+    await sendLoad(group, 100, 500);
+    const peer = group.hosts[1];
+    expect(await sendTestRequest(group.hosts[0]?.callers ?? 0, { path: "/orders/1", body: "{}" })).toBe(200);
+    await peer?.host[Symbol.asyncDispose]();
+    const refused = await sendTestRequest(group.hosts[0]?.callers ?? 0, { path: "/orders/1", body: "{}" });
+    expect(refused).toBe(503);
+    expect((await fetch(`http://127.0.0.1:${group.hosts[0]?.readiness}/`)).status).toBe(503);
+}, 30_000);
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -76,6 +76,12 @@
     store: ReturnType<typeof createTestStore>,
     hostName: string,
     seedAddresses: readonly string[] = [],
+    { relays = false, mapUpstream = record => record }: {
+        /** Whether the host takes and sends relayed requests. */
+        readonly relays?: boolean;
+        /** Changes the records of upstreams as this host sees them. */
+        readonly mapUpstream?: (record: UpstreamRecord) => UpstreamRecord;
+    } = {},
 ) => {
     const [callers, readiness, peers] = [await findFreePort(), await findFreePort(), await findFreePort()];
     const events: LoggedEvent[] = [];
@@ -91,6 +97,7 @@
                 callers: `127.0.0.1:${callers}`,
                 readiness: `127.0.0.1:${readiness}`,
                 peers: `127.0.0.1:${peers}`,
+                relay: relays ? `127.0.0.1:${await findFreePort()}` : undefined,
             },
             seedAddresses,
             graceMs: 4_000,
@@ -121,7 +128,7 @@
             configurationPrefix: "configuration",
             decodeConfiguration: value => Ok(JSON.parse(value) as GatewayConfiguration),
             upstreamsPrefix: "upstreams/",
-            decodeUpstream: (_key, value) => Ok(JSON.parse(value) as UpstreamRecord),
+            decodeUpstream: (_key, value) => Ok(mapUpstream(JSON.parse(value) as UpstreamRecord)),
             ownPrefix: "own/",
         },
     });
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -2,6 +2,7 @@
 import type { ReportAggregation } from "@ibislanding/discovery";
 import { countRows } from "./countRows";
 import type { HostReport } from "./hostReport";
+import { mergeCutOff } from "./mergeCutOff";
 import { mergeQuarantineRows } from "./mergeQuarantineRows";
 
 /** Counters that only grow; each increment of them is contributed once. */
@@ -167,6 +168,7 @@
                 leaving: countRows.distinct(2, [own.leaving, ...parts.map(({ leaving }) => leaving)]),
                 usageRecords: countRows.distinct(2, parts.map(({ usageRecords }) => usageRecords)),
                 limits: countRows.distinct(2, [newestLimitsFirst([own, ...parts].flatMap(({ limits }) => limits))]),
+                cutOff: mergeCutOff([own, ...parts]),
                 quarantine: mergeQuarantineRows([own, ...parts].map(({ quarantine }) => quarantine)),
             };
         },
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -12,11 +12,12 @@
         [...counts].map(([accountId, count]) => [window, accountId, count] as const)
     );
 
-/** Returns a function that creates the next report of this host. */
+/** Returns a function that creates the next report of this host; `reachesUpstreams` tells whether it reaches any. */
 export const createReportFactory = (
     { documentCache, upstreams, accounts, usage, usageRecords, workMeter, clusterClock, quarantine }: HostComponents,
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
+    reachesUpstreams: () => boolean = () => true,
 ): () => HostReport => {
     let sequence = 0;
 
@@ -44,6 +45,7 @@
             quarantine: quarantine.rows(),
             limits: upstreams.limits(),
             usageRecords: toRows(usageRecords.own()),
+            cutOff: reachesUpstreams() ? undefined : [listen.peers],
         };
     };
 };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -22,6 +22,7 @@
             report.leaving,
             report.usageRecords,
             report.limits,
+            report.cutOff ?? [],
             report.quarantine?.suspects,
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -11,8 +11,16 @@
     readonly processorCores: number;
     /** Availability zones of the deployment. */
     readonly availabilityZones: readonly AvailabilityZone[];
-    /** `ip:port` of each listener. */
-    readonly listen: { readonly callers: string; readonly readiness: string; readonly peers: string; };
+    /**
+     * `ip:port` of each listener. With `relay`, for requests that cut-off hosts relay, this host takes such requests and
+     * relays its own when it is cut off; without it, it does neither.
+     */
+    readonly listen: {
+        readonly callers: string;
+        readonly readiness: string;
+        readonly peers: string;
+        readonly relay?: string | undefined;
+    };
     /** Addresses of a few hosts to contact first; may be stale. */
     readonly seedAddresses: readonly string[];
     /** Time between the stop request and the kill of the process. */
--- /dev/null
+++ b/packages/edge/src/hostRelay.ts
@@ -0,0 +1,16 @@
+import type { Gateway, RequestRelay, UpstreamTable } from "@ibislanding/gateway";
+import type { CrashSuspect } from "@ibislanding/quarantine";
+
+/** What a host does while it reaches no upstream, and for other hosts that reach none. */
+export interface HostRelay extends AsyncDisposable {
+    readonly port: RequestRelay;
+    /** Returns the table with the results of sends observed; failures at a cut-off host are not recorded in it. */
+    readonly observeSends: (upstreams: UpstreamTable) => UpstreamTable;
+    /** Calls the function unless this host was cut off when it saw the crash, as soon as that is known. */
+    readonly verifyCrash: (suspect: CrashSuspect, accuse: () => void) => void;
+    readonly reachesUpstreams: () => boolean;
+    /** Whether requests can be served: this host is not cut off, or a peer helps. */
+    readonly canServe: () => boolean;
+    /** Opens the listener for requests that other hosts relay. */
+    readonly listen: (gateway: Gateway) => Promise<void>;
+}
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -43,6 +43,11 @@
         statedAtMs: number,
         limitPerS: number,
     ])[];
+    /**
+     * `address` of each host that reaches no upstream; absent if there is none, so that the report is no longer than without
+     * it.
+     */
+    readonly cutOff?: readonly string[] | undefined;
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Counts that this host stored for windows as lease holder, and which may have been sent. */
--- a/packages/edge/src/registerHost.ts
+++ b/packages/edge/src/registerHost.ts
@@ -18,6 +18,7 @@
         address: settings.listen.peers,
         availabilityZone: settings.availabilityZone,
         cores: settings.processorCores,
+        relayAddress: settings.listen.relay,
     };
     const value = JSON.stringify(entry);
 
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -18,6 +18,7 @@
 import { createDocumentCache } from "./createDocumentCache";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
+import { createHostRelay } from "./createHostRelay";
 import { createQuarantineEvents } from "./createQuarantineEvents";
 import { createQuarantineHandler } from "./createQuarantineHandler";
 import { createQuarantineStore } from "./createQuarantineStore";
@@ -177,6 +178,22 @@
         isRepresentative: () => peers.exchange?.isRepresentative() ?? false,
     }));
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
+    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
+        [...peers.exchange?.reports().values() ?? []]
+            .filter(({ reportedAtMs }) =>
+                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
+            );
+
+    const { relay: relayAddress } = settings.listen;
+    const relay = relayAddress === undefined ? undefined : resources.use(createHostRelay(relayAddress, {
+        ...options,
+        upstreams,
+        sharedNowMs: clusterClock.nowMs,
+        registeredHosts: () => registeredHosts,
+        liveHostAddresses,
+        reportedCutOff: () => new Set(liveReports().flatMap(({ report }) => report.cutOff ?? [])),
+        announce: () => peers.exchange?.announce(),
+    }));
     // A store that was restored from a copy may have older documents than the peers.
     const hasInitialState = (): boolean =>
         documentCache.configuration() !== undefined && upstreams.records().length > 0
@@ -189,7 +206,8 @@
         engines: options.engines,
         configuration: documentCache.configuration,
         isInitialized: hasInitialState,
-        upstreams,
+        upstreams: relay?.observeSends(upstreams) ?? upstreams,
+        relay: relay?.port,
         accounts,
         retryBudget: retries,
         quarantine,
@@ -200,7 +218,10 @@
             sharedNowMs: clusterClock.nowMs,
             upstreams,
             probe: probeAddress,
-            onCrash: quarantine.accuse,
+            onCrash: suspect =>
+                relay === undefined
+                    ? quarantine.accuse(suspect)
+                    : relay.verifyCrash(suspect, () => quarantine.accuse(suspect)),
         }),
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
@@ -213,11 +234,13 @@
         await startHostListeners(
             settings.listen,
             gateway.handle,
-            () => !isStopping && hasInitialState(),
+            () => !isStopping && hasInitialState() && relay?.canServe() !== false,
             () => documentCache.configuration()?.source.limits.idleTimeoutMs,
         ),
     );
 
+    await relay?.listen(gateway);
+
     const components: HostComponents = {
         documentCache,
         upstreams,
@@ -228,13 +251,7 @@
         clusterClock,
         quarantine,
     };
-    const createReport = createReportFactory(components, settings, clock);
-
-    const liveReports = (): readonly { readonly report: HostReport; readonly reportedAtMs: number; }[] =>
-        [...peers.exchange?.reports().values() ?? []]
-            .filter(({ reportedAtMs }) =>
-                clock.monotonicMs() - reportedAtMs < Math.max(MINIMUM_LIVE_MS, peerTimeoutMs())
-            );
+    const createReport = createReportFactory(components, settings, clock, relay?.reachesUpstreams);
 
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
