edge: an upstream whose crash is being verified has an unknown version at once

Cause: with relays enabled, a crash counts only after another upstream has been reached, so that a stream could go on at another version that listened at the address before. restartedUpstream.spec.ts failed so once with relays enabled beside other tests. Change: observeCrash is called before the verification, and forgetCrash if the evidence is dropped.

--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -87,10 +87,10 @@
         },
     }));
 
-    const verify = async (
-        { upstreamId, startedAtMs, crashedAtMs }: CrashSuspect,
-        accuse: () => void,
-    ): Promise<void> => {
+    const verify = async (suspect: CrashSuspect, accuse: () => void): Promise<void> => {
+        const { upstreamId, startedAtMs, crashedAtMs } = suspect;
+        // Until it is known, another version may listen at the address; a crash that is dropped reaches this host by reports.
+        upstreams.observeCrash(suspect);
         const seenAtMs = clock.monotonicMs() - Math.max(0, options.sharedNowMs() - crashedAtMs);
         if (history.classify(seenAtMs) === "reached" && await monitor.confirmReach(seenAtMs, upstreamId)) {
             accuse();
@@ -102,6 +102,7 @@
         const verdict = history.classify(seenAtMs);
         if (verdict === "cut-off" || verdict === "open" && isCutOff()) {
             dropped.add(1);
+            upstreams.forgetCrash(suspect);
             log.write("crash_evidence_dropped", { upstreamId, startedAtMs, crashedAtMs: Math.round(crashedAtMs) });
             return;
         }
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -356,6 +356,12 @@
                     state.crashedAtMs ??= clock.monotonicMs();
                 }
             }),
+        forgetCrash: ({ upstreamId, startedAtMs }) =>
+            update(upstreamId, state => {
+                if (state.record.startedAtMs === startedAtMs) {
+                    state.crashedAtMs = undefined;
+                }
+            }),
         observeLimit: limits.observe,
         limits: limits.rows,
         pause: ({ upstreamId, startedAtMs }, durationMs) =>
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -50,6 +50,8 @@
     readonly limits: StatedLimits["rows"];
     /** Records that this start of an upstream has crashed; until it is registered again, its version is not known. */
     readonly observeCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
+    /** Takes `observeCrash` back. */
+    readonly forgetCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Excludes an upstream from placement for a time, as it asked for. */
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
