edge: a lost connection leads to a check of the upstreams, and tests of streams, usage and charges at cut-off hosts

Change: observeLosses passes lost connections to the monitor. The tests' forwarder lets the system choose its ports, as a port that was taken in between left a test without an end once. The usage counts are compared with the answered requests: a run whose answer is lost before its head has never been counted.

--- a/packages/edge/__tests__/cutOffHost.spec.ts
+++ b/packages/edge/__tests__/cutOffHost.spec.ts
@@ -2,11 +2,17 @@
 // hang, kept-alive ones included, must be noticed within a second, and the requests be served through a peer, each run once.
 import { setTimeout as sleep } from "node:timers/promises";
 import { actEveryMs } from "./support/actEveryMs";
+import { readStream } from "./support/readStream";
 import { sendTestRequest } from "./support/sendTestRequest";
 import { startRelayGroup } from "./support/startRelayGroup";
+import { startVersionedUpstream } from "./support/startVersionedUpstream";
 
 const NOTICE_MS = 1_000;
 
+/** Usage of a window is reported within five seconds. */
+const USAGE_WAIT_MS = 100;
+const USAGE_WAITS = 70;
+
 const ROUTE = { kind: "repeatable", objectiveMs: 1_000, timeoutMs: 4_000, maximumAttempts: 2 } as const;
 
 type Group = Awaited<ReturnType<typeof startRelayGroup>>;
@@ -36,7 +42,7 @@
 test(
     "four hosts of ten that are cut off serve first tries as often as the others from a second after the cut",
     async () => {
-        await using group = await startRelayGroup({ hosts: 10, behindForwarders: 4, route: ROUTE, answerMs: 30 });
+        await using group = await startRelayGroup({ hosts: 10, behindForwarders: 4, route: ROUTE });
         await sendLoad(group, 100, 800);
         await Promise.all(group.forwarders.map(forwarder => forwarder.hang()));
         void sendLoad(group, 100, NOTICE_MS);
@@ -63,7 +69,6 @@
             hosts: 3,
             behindForwarders: 1,
             route: { ...ROUTE, kind: "once" },
-            answerMs: 30,
         });
         const sent: Promise<readonly [string, number]>[] = [];
         const send = (index: number): void => {
@@ -84,13 +89,21 @@
         expect(results.filter(([id, status]) => status === 503 && runsOf(id) > 0)).toEqual([]);
         expect(results.filter(([, status]) => status === 200).length).toBeGreaterThan(results.length * 0.9);
         expect(eventsOf(group, "request_accused")).toEqual([]);
+        // Each answered request counts once in the usage counts, at the host where it ran.
+        const answered = results.filter(([, status]) => status === 200).length;
+        const counted = (): number =>
+            group.hosts.flatMap(({ reports }) => reports).reduce((sum, { requests }) => sum + requests, 0);
+        for (let waits = 0; counted() < answered && waits < USAGE_WAITS; waits++) {
+            await sleep(USAGE_WAIT_MS);
+        }
+        expect(counted()).toBe(answered);
     },
     30_000,
 );
 
 test("nothing is relayed round when all upstreams are down, and hosts stay ready", async () => {
-    await using group = await startRelayGroup({ hosts: 4, behindForwarders: 0, route: ROUTE, answerMs: 30 });
-    group.stopUpstreams();
+    await using group = await startRelayGroup({ hosts: 4, behindForwarders: 0, route: ROUTE });
+    await group.stopUpstreams();
     await sendLoad(group, 100, NOTICE_MS);
     const relaysBefore = eventsOf(group, "relay_ended").length;
     const statuses = await sendLoad(group, 100, 1_000);
@@ -100,7 +113,7 @@
 }, 30_000);
 
 test("a host without a peer that helps is not ready and refuses with 503", async () => {
-    await using group = await startRelayGroup({ hosts: 2, behindForwarders: 1, route: ROUTE, answerMs: 30 });
+    await using group = await startRelayGroup({ hosts: 2, behindForwarders: 1, route: ROUTE });
     group.forwarders[0]?.reset();
     await sendLoad(group, 100, 500);
     const peer = group.hosts[1];
@@ -110,3 +123,37 @@
     expect(refused).toBe(503);
     expect((await fetch(`http://127.0.0.1:${group.hosts[0]?.readiness}/`)).status).toBe(503);
 }, 30_000);
+
+test("a relayed request is charged to its account once", async () => {
+    // The limit in the window of 8 s is 80 requests. A second charge at the peers would refuse a third of the requests.
+    await using group = await startRelayGroup({ hosts: 3, behindForwarders: 1, route: ROUTE, ratePerS: 10 });
+    group.forwarders[0]?.reset();
+    const { callers = 0 } = group.hosts[0] ?? {};
+    const sent: Promise<number>[] = [];
+    await actEveryMs(40, 2_400, () => void sent.push(sendTestRequest(callers, { path: "/orders/1", body: "{}" })));
+    const statuses = await Promise.all(sent);
+    expect(statuses.length).toBeGreaterThan(45);
+    expect(statuses.filter(status => status === 429)).toEqual([]);
+    expect(statuses.filter(status => status === 200).length).toBeGreaterThan(statuses.length * 0.9);
+}, 30_000);
+
+test("streams of before the cut go on at a peer, at the version that began them", async () => {
+    await using group = await startRelayGroup({
+        hosts: 3,
+        behindForwarders: 1,
+        route: { ...ROUTE, kind: "stream", isResumable: true, maximumAttempts: 3 },
+        startUpstream: (store, index) =>
+            startVersionedUpstream(store, `u-${index}`, index % 2 === 0 ? "v1" : "v2", () => false),
+    });
+    setTimeout(() => group.forwarders[0]?.reset(), 600);
+    const reads: ReturnType<typeof readStream>[] = [];
+    await actEveryMs(
+        50,
+        1_200,
+        index => reads.push(readStream(group.hosts[0]?.callers ?? 0, { requestId: `s${index}` })),
+    );
+    const streams = await Promise.all(reads);
+    expect(streams.filter(({ versions }) => versions.size > 1)).toEqual([]);
+    expect(streams.filter(({ lastEventId }) => lastEventId === 8).length).toBeGreaterThan(streams.length * 0.8);
+    expect(eventsOf(group, "relay_ended").length).toBeGreaterThan(0);
+}, 30_000);
--- a/packages/edge/__tests__/reportAggregation.spec.ts
+++ b/packages/edge/__tests__/reportAggregation.spec.ts
@@ -159,6 +159,16 @@
     expect(admittedIn(collector.aggregation.summarize())).toBe(12);
 });
 
+test("hosts that reach no upstream are in their collector's summary until they do, and add no byte otherwise", () => {
+    const { createReport, hostId } = createSource("host-1", () => 0);
+    const collector = createSource("host-2", () => 0);
+    const aggregation = createReportAggregation(createFakeClock(), collector.hostId, collector.createReport);
+    aggregation.collect({ ...createReport(), cutOff: [hostId] });
+    expect(decodeHostReport(JSON.stringify(aggregation.summarize()))?.cutOff).toEqual([hostId]);
+    aggregation.collect(createReport());
+    expect(JSON.stringify(aggregation.summarize())).not.toContain("cutOff");
+});
+
 test("a member that its collector has forgotten is not counted again", async () => {
     const { clock, collector, member, contribute } = createPair();
     member.state.admitted = 10;
--- a/packages/edge/__tests__/support/startRelayGroup.ts
+++ b/packages/edge/__tests__/support/startRelayGroup.ts
@@ -3,7 +3,6 @@
 import { createServer } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createTestStore } from "./createTestStore";
-import { findFreePort } from "./findFreePort";
 import { startForwarder } from "./startForwarder";
 import { createStoredUpstream, createTestConfiguration, startTestHost } from "./startTestHost";
 
@@ -12,13 +11,25 @@
 
 const UPSTREAMS = 6;
 
+const ANSWER_MS = 30;
+
+interface RelayGroupUpstream extends AsyncDisposable {
+    readonly port: number;
+}
+
 /** Starts hosts that relay, of which the first ones reach the upstreams through a forwarder that can be switched off. */
 export const startRelayGroup = async (
-    { hosts: hostCount, behindForwarders, route, answerMs }: {
+    { hosts: hostCount, behindForwarders, route, ratePerS = 0, startUpstream }: {
         readonly hosts: number;
         readonly behindForwarders: number;
         readonly route: Partial<Route>;
-        readonly answerMs: number;
+        /** Rate of the account; 0 for none. */
+        readonly ratePerS?: number;
+        /** Starts and registers an upstream; by default, one that answers plain requests. */
+        readonly startUpstream?: (
+            store: ReturnType<typeof createTestStore>,
+            index: number,
+        ) => Promise<RelayGroupUpstream>;
     },
 ) => {
     const resources = createResourceStack();
@@ -26,20 +37,24 @@
     const configuration = createTestConfiguration(1, "k1");
     store.write(
         "configuration",
-        JSON.stringify({ ...configuration, routes: configuration.routes.map(known => ({ ...known, ...route })) }),
+        JSON.stringify({
+            ...configuration,
+            accounts: configuration.accounts.map(known => ({ ...known, ratePerS })),
+            routes: configuration.routes.map(known => ({ ...known, ...route })),
+        }),
     );
     /** Requests that upstreams have run, by id. */
     const runs = new Map<string, number>();
-    const servers = await Promise.all(Array.from({ length: UPSTREAMS }, async (_, index) => {
+    const startPlainUpstream = async (index: number): Promise<RelayGroupUpstream> => {
         const server = createServer((request, response) => {
             const id = String(request.headers["x-request"]);
             request.resume();
             request.on("end", () => {
                 runs.set(id, (runs.get(id) ?? 0) + 1);
                 setTimeout(() => {
-                    response.writeHead(200, { "X-Request": id, "X-Signature": "yes" });
+                    response.writeHead(200, { "X-Request": id });
                     response.end("{}");
-                }, answerMs);
+                }, ANSWER_MS);
             });
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -53,28 +68,33 @@
                 availabilityZone: `zone-${index % 3}` as AvailabilityZone,
             }),
         );
-        resources.defer(async () => {
-            server.closeAllConnections();
-            server.close();
-        });
-        return { port, server };
-    }));
+        return {
+            port,
+            [Symbol.asyncDispose]: async () => {
+                server.closeAllConnections();
+                server.close();
+            },
+        };
+    };
+    const servers = await Promise.all(
+        Array.from({ length: UPSTREAMS }, (_, index) => startUpstream?.(store, index) ?? startPlainUpstream(index)),
+    );
+    servers.forEach(server => resources.use(server));
     const hosts: Awaited<ReturnType<typeof startTestHost>>[] = [];
     const forwarders: Awaited<ReturnType<typeof startForwarder>>[] = [];
     for (let index = 0; index < hostCount; index++) {
-        const pairs: [number, number][] = [];
-        if (index < behindForwarders) {
-            for (const { port } of servers) {
-                pairs.push([await findFreePort(), port]);
-            }
-            forwarders.push(resources.use(await startForwarder(pairs)));
+        const forwarder = index < behindForwarders
+            ? resources.use(await startForwarder(servers.map(({ port }) => port)))
+            : undefined;
+        if (forwarder !== undefined) {
+            forwarders.push(forwarder);
         }
         const started = await startTestHost(store, `host-${index}`, hosts.map(({ peersAddress }) => peersAddress), {
             relays: true,
-            mapUpstream: record => {
-                const from = pairs.find(([, to]) => to === record.address.port)?.[0];
-                return from === undefined ? record : { ...record, address: { ip: "127.0.0.1", port: from } };
-            },
+            mapUpstream: record => ({
+                ...record,
+                address: { ip: "127.0.0.1", port: forwarder?.ports.get(record.address.port) ?? record.address.port },
+            }),
         });
         resources.use(started.host);
         hosts.push(started);
@@ -84,11 +104,7 @@
         hosts,
         forwarders,
         runs,
-        stopUpstreams: () =>
-            servers.forEach(({ server }) => {
-                server.closeAllConnections();
-                server.close();
-            }),
+        stopUpstreams: () => Promise.all(servers.map(server => server[Symbol.asyncDispose]())),
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
 };
--- a/packages/edge/__tests__/support/startVersionedUpstream.ts
+++ b/packages/edge/__tests__/support/startVersionedUpstream.ts
@@ -63,6 +63,7 @@
         );
     register();
     return {
+        port,
         events: EVENTS,
         /** Crashes, listens again at the same address with another version, and registers some time later. */
         restart: async (
--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -139,6 +139,12 @@
             privateHeaders: new Set(Object.values(relayHeaders)),
         },
         observeSends,
+        observeLosses: crashes => ({
+            recordLoss: (upstream, lost) => {
+                monitor.recordFailure(upstream.upstreamId);
+                crashes.recordLoss(upstream, lost);
+            },
+        }),
         verifyCrash: (suspect, accuse) => void verify(suspect, accuse),
         reachesUpstreams: monitor.reachesUpstreams,
         canServe: () => !isCutOff() || client.hasPeer(),
--- a/packages/edge/src/hostRelay.ts
+++ b/packages/edge/src/hostRelay.ts
@@ -1,4 +1,4 @@
-import type { Gateway, RequestRelay, UpstreamTable } from "@ibislanding/gateway";
+import type { CrashDetector, Gateway, RequestRelay, UpstreamTable } from "@ibislanding/gateway";
 import type { CrashSuspect } from "@ibislanding/quarantine";
 
 /** What a host does while it reaches no upstream, and for other hosts that reach none. */
@@ -6,6 +6,8 @@
     readonly port: RequestRelay;
     /** Returns the table with the results of sends observed; failures at a cut-off host are not recorded in it. */
     readonly observeSends: (upstreams: UpstreamTable) => UpstreamTable;
+    /** Returns the detector with lost connections observed, which may be the first sign of a cut. */
+    readonly observeLosses: (crashes: CrashDetector) => CrashDetector;
     /** Calls the function unless this host was cut off when it saw the crash, as soon as that is known. */
     readonly verifyCrash: (suspect: CrashSuspect, accuse: () => void) => void;
     readonly reachesUpstreams: () => boolean;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -199,6 +199,17 @@
         documentCache.configuration() !== undefined && upstreams.records().length > 0
         && peers.exchange?.hasContactedPeers() === true && quarantineStore.isLoaded();
 
+    const crashes = createCrashDetector({
+        clock,
+        sharedNowMs: clusterClock.nowMs,
+        upstreams,
+        probe: probeAddress,
+        onCrash: suspect =>
+            relay === undefined
+                ? quarantine.accuse(suspect)
+                : relay.verifyCrash(suspect, () => quarantine.accuse(suspect)),
+    });
+
     const gateway = resources.use(createGateway({
         clock,
         random,
@@ -213,16 +224,7 @@
         quarantine,
         recentAnswers,
         streamOrigins,
-        crashes: createCrashDetector({
-            clock,
-            sharedNowMs: clusterClock.nowMs,
-            upstreams,
-            probe: probeAddress,
-            onCrash: suspect =>
-                relay === undefined
-                    ? quarantine.accuse(suspect)
-                    : relay.verifyCrash(suspect, () => quarantine.accuse(suspect)),
-        }),
+        crashes: relay?.observeLosses(crashes) ?? crashes,
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
         stopAcceptMs: STOP_ACCEPT_MS,
--- /dev/null
+++ b/packages/relay/__tests__/reachability.spec.ts
@@ -0,0 +1,165 @@
+// Guards against hosts that miss a cut from all upstreams, and against hosts that take crashes, a lost zone, long answers or a
+// stalled process for one: their requests would be relayed, and what they see of the upstreams would be ignored.
+import { type AvailabilityZone, createFakeClock, createRandom, type UpstreamId } from "@ibislanding/core";
+import { createReachabilityMonitor, judgeCutOff, type ProbeTarget } from "../src";
+
+const PROBE_TIMEOUT_MS = 500;
+const ROUND_TRIP_MS = 5;
+
+interface Upstream extends ProbeTarget {
+    state: "up" | "down" | "hanging";
+}
+
+const createUpstreams = (count: number, zones: number): Upstream[] =>
+    Array.from({ length: count }, (_, index) => ({
+        upstreamId: `u-${index}` as UpstreamId,
+        availabilityZone: `zone-${index % zones}` as AvailabilityZone,
+        address: { ip: "10.0.0.1", port: index },
+        state: "up",
+    }));
+
+/** Runs a host that sends requests to random upstreams, half of them over kept-alive connections. */
+const createModel = (seed: number, upstreams: readonly Upstream[], requestsPerS: number, answerMs: number) => {
+    const clock = createFakeClock();
+    const random = createRandom(seed);
+    const changes: { readonly reaches: boolean; readonly atMs: number; }[] = [];
+    const abandoned: { readonly sentAtMs: number; readonly atMs: number; }[] = [];
+    const monitor = createReachabilityMonitor({
+        clock,
+        targets: () => upstreams,
+        probe: async ({ port }) => {
+            const { state } = upstreams[port] as Upstream;
+            await clock.sleep(state === "hanging" ? PROBE_TIMEOUT_MS : ROUND_TRIP_MS);
+            return state === "up" ? "listening" : state === "down" ? "refused" : "unknown";
+        },
+        onChange: reaches => void changes.push({ reaches, atMs: clock.monotonicMs() }),
+    });
+    const send = async (): Promise<void> => {
+        const { upstreamId, address } = upstreams[random.nextInt(upstreams.length)] as Upstream;
+        const stateNow = (): Upstream["state"] => (upstreams[address.port] as Upstream).state;
+        const sentAtMs = clock.monotonicMs();
+        const watch = monitor.watchSend({
+            upstreamId,
+            objectiveMs: 1_000,
+            remainingMs: 3_000,
+            signal: new AbortController().signal,
+        });
+        watch.signal.addEventListener("abort", () => void abandoned.push({ sentAtMs, atMs: clock.monotonicMs() }));
+        const isKeptAlive = random.nextFloat() < 0.5;
+        if (!isKeptAlive && stateNow() !== "up") {
+            await clock.sleep(stateNow() === "down" ? ROUND_TRIP_MS : PROBE_TIMEOUT_MS);
+            monitor.recordFailure(upstreamId);
+            watch.end();
+            return;
+        }
+        if (!isKeptAlive) {
+            monitor.recordConnection();
+        }
+        await clock.sleep(answerMs * (0.5 + random.nextFloat()));
+        if (stateNow() === "up") {
+            watch.recordProgress();
+        }
+        else {
+            await clock.sleep(3_000);
+        }
+        watch.end();
+    };
+    return {
+        clock,
+        monitor,
+        changes,
+        abandoned,
+        set: (state: Upstream["state"], affects: (index: number) => boolean = () => true): void =>
+            upstreams.filter((_, index) => affects(index)).forEach(upstream => Object.assign(upstream, { state })),
+        runMs: async (durationMs: number): Promise<void> => {
+            const endMs = clock.monotonicMs() + durationMs;
+            while (clock.monotonicMs() < endMs) {
+                void send();
+                await clock.advance(Math.max(1, 2_000 * random.nextFloat() / requestsPerS));
+            }
+        },
+    };
+};
+
+const SEEDS = Array.from({ length: 20 }, (_, seed) => seed + 1);
+
+/** Load of hosts with 6 to 63 upstreams, of which the answers take up to 1.5 s. */
+const LOADS = SEEDS.map(seed => {
+    const random = createRandom(seed * 7_919);
+    return {
+        seed,
+        count: 6 + random.nextInt(58),
+        requestsPerS: 5 + random.nextInt(60),
+        answerMs: 20 + random.nextInt(1_000),
+    };
+});
+
+test.each(["hanging", "down"] as const)(
+    "a cut from all upstreams (%s) is noticed in a second, and so is its end",
+    async state => {
+        for (const { seed, count, requestsPerS, answerMs } of LOADS) {
+            const model = createModel(seed, createUpstreams(count, 3), requestsPerS, answerMs);
+            await model.runMs(3_000);
+            expect(model.changes).toEqual([]);
+            const cutAtMs = model.clock.monotonicMs();
+            model.set(state);
+            await model.runMs(4_000);
+            expect(model.changes.map(({ reaches }) => reaches)).toEqual([false]);
+            expect((model.changes[0]?.atMs ?? Infinity) - cutAtMs).toBeLessThanOrEqual(1_000 + 1_000 / requestsPerS);
+            const hungMs = model.abandoned.map(({ sentAtMs, atMs }) => atMs - Math.max(sentAtMs, cutAtMs));
+            expect(Math.max(0, ...hungMs)).toBeLessThanOrEqual(1_200);
+            const endAtMs = model.clock.monotonicMs();
+            model.set("up");
+            await model.runMs(2_000);
+            expect(model.changes.map(({ reaches }) => reaches)).toEqual([false, true]);
+            expect((model.changes[1]?.atMs ?? Infinity) - endAtMs).toBeLessThanOrEqual(1_000);
+        }
+    },
+);
+
+test("a host with upstreams that are down, or without those of a zone, is not cut off", async () => {
+    const falseCuts: number[] = [];
+    for (const { seed, count, requestsPerS, answerMs } of LOADS) {
+        const random = createRandom(seed);
+        const model = createModel(seed, createUpstreams(count, 3), requestsPerS, answerMs);
+        model.set("hanging", index => index % 3 === 0);
+        await model.runMs(2_000);
+        expect(model.changes).toEqual([]);
+        // A crash of more than half of the others at the same time.
+        const down = new Set(Array.from({ length: count }, (_, index) => index).filter(() => random.nextFloat() < 0.6));
+        model.set("down", index => index % 3 !== 0 && index > 2 && down.has(index));
+        await model.runMs(3_000);
+        const falseCutMs = model.changes.reduce((sum, { reaches, atMs }) => sum + (reaches ? atMs : -atMs), 0);
+        expect(model.monitor.reachesUpstreams()).toBe(true);
+        expect(falseCutMs).toBeLessThanOrEqual(900);
+        falseCuts.push(falseCutMs);
+    }
+    // With many upstreams, a check may meet only those that are down; the next one probes others.
+    expect(falseCuts.filter(durationMs => durationMs > 0).length).toBeLessThanOrEqual(SEEDS.length / 10);
+});
+
+test("a process that was stalled during a check does not take itself for cut off", async () => {
+    const clock = createFakeClock();
+    const changes: boolean[] = [];
+    const [upstream] = createUpstreams(1, 1) as [Upstream];
+    const monitor = createReachabilityMonitor({
+        clock,
+        targets: () => [upstream],
+        probe: async () => {
+            await clock.sleep(2_000);
+            return "unknown";
+        },
+        onChange: reaches => void changes.push(reaches),
+    });
+    monitor.recordFailure(upstream.upstreamId);
+    await clock.advance(2_500);
+    expect(changes).toEqual([]);
+});
+
+test("nobody is cut off when no host reaches an upstream, or when there is no other host", () => {
+    const known = { ownAddress: "a", registered: ["a", "b", "c"], live: ["a", "b", "c"] };
+    expect(judgeCutOff({ ...known, unreaching: new Set(["a", "b"]) })).toBe(true);
+    expect(judgeCutOff({ ...known, unreaching: new Set(["a", "b", "c"]) })).toBe(false);
+    expect(judgeCutOff({ ...known, live: ["a"], unreaching: new Set() })).toBe(true);
+    expect(judgeCutOff({ ownAddress: "a", registered: ["a"], live: ["a"], unreaching: new Set() })).toBe(false);
+});
--- /dev/null
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -0,0 +1,189 @@
+// Guards against relayed requests that run twice, or that are refused as not run although they may have: the peer dies before,
+// while and after it reads the request. Also against requests that are relayed round, or come from unknown senders or too late.
+import { type AvailabilityZone, createDeferred, createRandom, createSystemClock } from "@ibislanding/core";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, request as sendRequest, type ServerResponse } from "node:http";
+import { createServer as createTcpServer, type Socket } from "node:net";
+import { createRelayClient, relayHeaders, type RelayPeer, startRelayListener } from "../src";
+import { encodeRelayHead } from "../src/messages/encodeRelayHead";
+
+const zone = "zone-a" as AvailabilityZone;
+const BODY = Buffer.from("x".repeat(500));
+const LAST_CHUNK = "\r\n0\r\n\r\n";
+
+const toPeer = (port: number, cores = 1): RelayPeer => ({
+    address: `127.0.0.1:${port}`,
+    availabilityZone: zone,
+    cores,
+});
+
+const portOf = (server: { readonly address: () => unknown; }): number => (server.address() as { port: number; }).port;
+
+/** Starts a peer that acts on the bytes that it has received so far. */
+const startRawPeer = async (act: (received: string, socket: Socket) => void) => {
+    let received = "";
+    const server = createTcpServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            received += chunk.toString();
+            act(received, socket);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    return {
+        port: portOf(server),
+        hasRun: () => received.endsWith(LAST_CHUNK),
+        [Symbol.asyncDispose]: async () => void server.close(),
+    };
+};
+
+/** Starts a peer with a real listener that answers requests with their bodies' lengths. */
+const startPeer = async (
+    reachesUpstreams = true,
+    answer: (response: ServerResponse) => void = response => response.end("done"),
+) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const port = portOf(probe);
+    await new Promise(resolve => probe.close(resolve));
+    const refusals: string[] = [];
+    const seen: IncomingMessage[] = [];
+    const listener = await startRelayListener({
+        address: `127.0.0.1:${port}`,
+        isKnownSender: address => address === "sender:1",
+        reachesUpstreams: () => reachesUpstreams,
+        requestsInFlight: () => 3,
+        handle: (request, response, relay) => {
+            let bytes = 0;
+            relay.onBodyBytes(0);
+            request.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                relay.onBodyBytes(bytes);
+            });
+            request.on("end", () => {
+                seen.push(request);
+                relay.onAnswer("v1");
+                response.writeHead(200, ["X-Bytes", String(bytes)]);
+                answer(response);
+            });
+        },
+        onAccepted: () => undefined,
+        onRefused: ({ reason }) => void refusals.push(reason),
+    });
+    return { port, refusals, seen, [Symbol.asyncDispose]: () => listener[Symbol.asyncDispose]() };
+};
+
+const relay = async (peers: readonly RelayPeer[], body = BODY, signal = new AbortController().signal) => {
+    const client = createRelayClient({
+        clock: createSystemClock(),
+        random: createRandom(1),
+        ownAddress: "sender:1",
+        ownZone: zone,
+        peers: () => peers,
+        onEnd: () => undefined,
+    });
+    return client.send({
+        method: "POST",
+        target: "/orders/1",
+        rawHeaders: ["Host", "shop.example", "Content-Length", String(body.length), "X-Own", "1"],
+        body,
+        head: { isFirstSend: true },
+        dueAtMs: createSystemClock().monotonicMs() + 3_000,
+        requestId: "r1",
+        signal,
+    });
+};
+
+test("a peer that dies before or while it reads the request has not run it, and another peer serves it", async () => {
+    await using deadAtOnce = await startRawPeer((_, socket) => socket.resetAndDestroy());
+    await using deadAfterRead = await startRawPeer((received, socket) => {
+        if (received.includes(BODY.toString())) {
+            socket.destroy();
+        }
+    });
+    await using silent = await startRawPeer(() => undefined);
+    await using peer = await startPeer();
+    for (const first of [deadAtOnce, deadAfterRead, silent]) {
+        expect(await relay([toPeer(first.port, 100), toPeer(peer.port)])).toMatchObject({
+            kind: "answered",
+            softwareVersion: "v1",
+        });
+        expect(first.hasRun()).toBe(false);
+    }
+    expect(peer.seen.length).toBe(3);
+    expect(peer.seen[0]?.rawHeaders.join(" ")).toContain("X-Own 1");
+    expect(peer.seen[0]?.rawHeaders.join(" ")).not.toContain("ibis-relay");
+    expect(await relay([toPeer(silent.port)])).toMatchObject({ kind: "not-run", reason: "confirm-timeout" });
+});
+
+test("a peer that dies after it was told to run the request may have run it, and no other peer gets it", async () => {
+    await using peer = await startPeer();
+    await using deadAfterRun = await startRawPeer((received, socket) => {
+        if (received.endsWith(LAST_CHUNK)) {
+            socket.destroy();
+        }
+        else if (received.includes(BODY.toString())) {
+            socket.write("HTTP/1.1 102 Processing\r\n\r\n");
+        }
+    });
+    expect(await relay([toPeer(deadAfterRun.port, 100), toPeer(peer.port)])).toMatchObject({ kind: "unknown" });
+    expect(deadAfterRun.hasRun()).toBe(true);
+    expect(peer.seen).toEqual([]);
+});
+
+test("a peer that is cut off itself is passed over, and a request without body is relayed", async () => {
+    await using cutOff = await startPeer(false);
+    await using peer = await startPeer();
+    expect(await relay([toPeer(cutOff.port, 100), toPeer(peer.port)], Buffer.alloc(0))).toMatchObject({
+        kind: "answered",
+    });
+    expect(cutOff.refusals).toEqual(["cut_off"]);
+    expect(await relay([toPeer(cutOff.port)])).toMatchObject({ kind: "refused", reason: "cut_off", hasRun: false });
+});
+
+test("parts of an answer are passed on as they come, and the peer learns when the caller leaves", async () => {
+    const closed = createDeferred<boolean>();
+    await using peer = await startPeer(true, response => {
+        response.write("first");
+        response.once("close", () => closed.resolve(response.writableFinished));
+    });
+    const caller = new AbortController();
+    const result = await relay([toPeer(peer.port)], BODY, caller.signal);
+    if (result.kind !== "answered") {
+        throw new Error(result.reason);
+    }
+    const [chunk] = await once(result.body, "data") as [Buffer];
+    expect(chunk.toString()).toBe("first");
+    result.body.on("error", () => undefined);
+    caller.abort();
+    expect(await closed.promise).toBe(false);
+    expect(result.hasFailed()).toBe(true);
+});
+
+const HEAD = { sender: "sender:1", remainingMs: 1_000, isFirstSend: true, bodyBytes: 0 };
+
+test.each([
+    ["a second mark", ["a", "b"], HEAD, "relayed_twice"],
+    ["no mark", [], HEAD, "relay_head_invalid"],
+    ["an unknown sender", ["a"], { ...HEAD, sender: "stranger:1" }, "unknown_sender"],
+    ["a deadline that has passed", ["a"], { ...HEAD, remainingMs: 0 }, "relay_deadline_passed"],
+])("refuses %s with 503", async (_, marks, head, reason) => {
+    await using peer = await startPeer();
+    const status = await new Promise<number | undefined>((resolve, reject) => {
+        const headers = [
+            "Host",
+            "shop.example",
+            ...marks.flatMap(mark => [relayHeaders.mark, mark]),
+            relayHeaders.head,
+            encodeRelayHead(head),
+        ];
+        sendRequest({ agent: false, port: peer.port, host: "127.0.0.1", headers }, response => {
+            response.resume();
+            resolve(response.statusCode);
+        }).on("error", reject).end();
+    });
+    expect(status).toBe(503);
+    expect(peer.refusals).toEqual([reason]);
+    expect(peer.seen).toEqual([]);
+});
