relay: a peer whose connection was lost is used again if there is no other one

Cause: with one peer left, a single lost connection led to refusals for a second. Change: only peers that refuse for a reason of their own are passed over in any case.

--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -4,7 +4,7 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, request as sendRequest, type ServerResponse } from "node:http";
 import { createServer as createTcpServer, type Socket } from "node:net";
-import { createRelayClient, relayHeaders, type RelayPeer, startRelayListener } from "../src";
+import { createRelayClient, type RelayClient, relayHeaders, type RelayPeer, startRelayListener } from "../src";
 import { encodeRelayHead } from "../src/messages/encodeRelayHead";
 
 const zone = "zone-a" as AvailabilityZone;
@@ -74,8 +74,8 @@
     return { port, refusals, seen, [Symbol.asyncDispose]: () => listener[Symbol.asyncDispose]() };
 };
 
-const relay = async (peers: readonly RelayPeer[], body = BODY, signal = new AbortController().signal) => {
-    const client = createRelayClient({
+const createTestClient = (peers: readonly RelayPeer[]) =>
+    createRelayClient({
         clock: createSystemClock(),
         random: createRandom(1),
         ownAddress: "sender:1",
@@ -83,7 +83,9 @@
         peers: () => peers,
         onEnd: () => undefined,
     });
-    return client.send({
+
+const sendWith = (client: RelayClient, body = BODY, signal = new AbortController().signal) =>
+    client.send({
         method: "POST",
         target: "/orders/1",
         rawHeaders: ["Host", "shop.example", "Content-Length", String(body.length), "X-Own", "1"],
@@ -93,7 +95,9 @@
         requestId: "r1",
         signal,
     });
-};
+
+const relay = (peers: readonly RelayPeer[], body = BODY, signal = new AbortController().signal) =>
+    sendWith(createTestClient(peers), body, signal);
 
 test("a peer that dies before or while it reads the request has not run it, and another peer serves it", async () => {
     await using deadAtOnce = await startRawPeer((_, socket) => socket.resetAndDestroy());
@@ -117,6 +121,19 @@
     expect(await relay([toPeer(silent.port)])).toMatchObject({ kind: "not-run", reason: "confirm-timeout" });
 });
 
+test("a peer whose connection was lost is used again at once if there is no other one", async () => {
+    let connections = 0;
+    await using flaky = await startRawPeer((received, socket) => {
+        connections += received.includes(BODY.toString()) ? 1 : 0;
+        socket.destroy();
+    });
+    const client = createTestClient([toPeer(flaky.port)]);
+    await sendWith(client);
+    expect(client.hasPeer()).toBe(false);
+    await sendWith(client);
+    expect(connections).toBe(2);
+});
+
 test("a peer that dies after it was told to run the request may have run it, and no other peer gets it", async () => {
     await using peer = await startPeer();
     await using deadAfterRun = await startRawPeer((received, socket) => {
--- a/packages/relay/src/client/createRelayClient.ts
+++ b/packages/relay/src/client/createRelayClient.ts
@@ -34,7 +34,9 @@
 
 interface PeerState {
     inFlight: number;
-    passedOverUntilMs: number;
+    /** Monotonic times until which the peer is passed over, as it refused or as its connection was lost. */
+    refusesUntilMs: number;
+    lostUntilMs: number;
     stated: { readonly load: number; readonly atMs: number; } | undefined;
 }
 
@@ -50,7 +52,8 @@
     const states = new Map<string, PeerState>();
 
     const stateOf = (address: string): PeerState => {
-        const state = states.get(address) ?? { inFlight: 0, passedOverUntilMs: -Infinity, stated: undefined };
+        const state = states.get(address)
+            ?? { inFlight: 0, refusesUntilMs: -Infinity, lostUntilMs: -Infinity, stated: undefined };
         states.set(address, state);
         return state;
     };
@@ -58,8 +61,11 @@
     const loadOf = ({ inFlight, stated }: PeerState): number =>
         inFlight + (stated !== undefined && clock.monotonicMs() - stated.atMs < LOAD_VALID_MS ? stated.load : 0);
 
-    const available = (): readonly RelayPeer[] =>
-        peers().filter(({ address }) => stateOf(address).passedOverUntilMs <= clock.monotonicMs());
+    const accepting = (): readonly RelayPeer[] =>
+        peers().filter(({ address }) => stateOf(address).refusesUntilMs <= clock.monotonicMs());
+
+    const responding = (): readonly RelayPeer[] =>
+        accepting().filter(({ address }) => stateOf(address).lostUntilMs <= clock.monotonicMs());
 
     const trackBody = (state: PeerState, result: RelaySendResult): void => {
         if (result.kind === "answered" && !result.body.closed) {
@@ -70,12 +76,14 @@
     };
 
     return {
-        hasPeer: () => available().length > 0,
+        hasPeer: () => responding().length > 0,
         send: async request => {
             const tried = new Set<string>();
             let last: RelaySendResult = { kind: "not-run", reason: "no_peer" };
             while (tried.size < MAXIMUM_PEERS && !request.signal.aborted) {
-                const candidates = available()
+                const untried = responding().filter(({ address }) => !tried.has(address));
+                // A lost connection says little about a peer if there is no other one.
+                const candidates = (untried.length > 0 ? untried : accepting())
                     .filter(({ address }) => !tried.has(address))
                     .map(peer => ({ ...peer, load: loadOf(stateOf(peer.address)) }));
                 const peer = chooseRelayPeer(candidates, ownZone, random);
@@ -111,7 +119,11 @@
                     return last;
                 }
                 if (!request.signal.aborted) {
-                    state.passedOverUntilMs = clock.monotonicMs() + PASS_OVER_MS;
+                    const untilMs = clock.monotonicMs() + PASS_OVER_MS;
+                    Object.assign(
+                        state,
+                        last.kind === "refused" ? { refusesUntilMs: untilMs } : { lostUntilMs: untilMs },
+                    );
                 }
             }
             return last;
