relay: a check begins with one probe, and silence leads to a check once a second at most

Checks end after 400 ms, and the bounds of the tests of cuts are unchanged. A host that only uses kept-alive connections may notice a cut 1.5 s after it, which is tested too. The test of a stalled process delays the timers instead of the probe, as a check doesn't wait for the probe's own timeout any more. Failed and progressing upstreams that are replaced no longer accumulate.

--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -36,6 +36,7 @@
 
     const monitor = resources.use(createReachabilityMonitor({
         clock,
+        random,
         targets: upstreams.records,
         probe: probeAddress,
         onChange: reachesUpstreams => {
--- a/packages/relay/__tests__/reachability.spec.ts
+++ b/packages/relay/__tests__/reachability.spec.ts
@@ -18,16 +18,25 @@
         state: "up",
     }));
 
-/** Runs a host that sends requests to random upstreams, half of them over kept-alive connections. */
-const createModel = (seed: number, upstreams: readonly Upstream[], requestsPerS: number, answerMs: number) => {
+/** Runs a host that sends requests to random upstreams, by default half of them over kept-alive connections. */
+const createModel = (
+    seed: number,
+    upstreams: readonly Upstream[],
+    requestsPerS: number,
+    answerMs: number,
+    keptAliveShare = 0.5,
+) => {
     const clock = createFakeClock();
     const random = createRandom(seed);
     const changes: { readonly reaches: boolean; readonly atMs: number; }[] = [];
     const abandoned: { readonly sentAtMs: number; readonly atMs: number; }[] = [];
+    const probes: { readonly port: number; readonly atMs: number; }[] = [];
     const monitor = createReachabilityMonitor({
         clock,
+        random: createRandom(seed),
         targets: () => upstreams,
         probe: async ({ port }) => {
+            probes.push({ port, atMs: clock.monotonicMs() });
             const { state } = upstreams[port] as Upstream;
             await clock.sleep(state === "hanging" ? PROBE_TIMEOUT_MS : ROUND_TRIP_MS);
             return state === "up" ? "listening" : state === "down" ? "refused" : "unknown";
@@ -45,7 +54,7 @@
             signal: new AbortController().signal,
         });
         watch.signal.addEventListener("abort", () => void abandoned.push({ sentAtMs, atMs: clock.monotonicMs() }));
-        const isKeptAlive = random.nextFloat() < 0.5;
+        const isKeptAlive = random.nextFloat() < keptAliveShare;
         if (!isKeptAlive && stateNow() !== "up") {
             await clock.sleep(stateNow() === "down" ? ROUND_TRIP_MS : PROBE_TIMEOUT_MS);
             monitor.recordFailure(upstreamId);
@@ -68,6 +77,7 @@
         clock,
         monitor,
         changes,
+        probes,
         abandoned,
         set: (state: Upstream["state"], affects: (index: number) => boolean = () => true): void =>
             upstreams.filter((_, index) => affects(index)).forEach(upstream => Object.assign(upstream, { state })),
@@ -138,22 +148,104 @@
     expect(falseCuts.filter(durationMs => durationMs > 0).length).toBeLessThanOrEqual(SEEDS.length / 10);
 });
 
-test("a process that was stalled during a check does not take itself for cut off", async () => {
-    const clock = createFakeClock();
-    const changes: boolean[] = [];
-    const [upstream] = createUpstreams(1, 1) as [Upstream];
-    const monitor = createReachabilityMonitor({
-        clock,
-        targets: () => [upstream],
-        probe: async () => {
-            await clock.sleep(2_000);
-            return "unknown";
-        },
-        onChange: reaches => void changes.push(reaches),
+test.each([0, 1])(
+    "a process that was stalled during a check (after %d timers) does not take itself for cut off",
+    async onTime => {
+        const clock = createFakeClock();
+        const changes: boolean[] = [];
+        const [upstream] = createUpstreams(1, 1) as [Upstream];
+        let timers = 0;
+        const monitor = createReachabilityMonitor({
+            clock: {
+                ...clock,
+                setTimer: (delayMs, callback) => clock.setTimer(delayMs + (timers++ < onTime ? 0 : 2_000), callback),
+            },
+            random: createRandom(1),
+            targets: () => [upstream],
+            probe: async () => {
+                await clock.sleep(5_000);
+                return "unknown";
+            },
+            onChange: reaches => void changes.push(reaches),
+        });
+        monitor.recordFailure(upstream.upstreamId);
+        await clock.advance(4_900);
+        await monitor.checked();
+        expect(changes).toEqual([]);
+    },
+);
+
+// Guards against connections that cost upstreams and hosts more than their requests do.
+test("silence leads to one probe a second, and the probes are spread over the upstreams", async () => {
+    const model = createModel(3, createUpstreams(12, 3), 1, 20_000);
+    await model.runMs(60_000);
+    expect(model.changes).toEqual([]);
+    expect(model.probes.length).toBeGreaterThan(20);
+    const gapsMs = model.probes.slice(1).map(({ atMs }, index) => atMs - (model.probes[index]?.atMs ?? 0));
+    expect(Math.min(...gapsMs)).toBeGreaterThanOrEqual(1_000);
+    expect(new Set(model.probes.map(({ port }) => port)).size).toBeGreaterThanOrEqual(6);
+});
+
+test("a cut is noticed from sends on kept-alive connections alone", async () => {
+    for (const { seed, count, requestsPerS, answerMs } of LOADS) {
+        const model = createModel(seed, createUpstreams(count, 3), requestsPerS, answerMs, 1);
+        await model.runMs(3_000);
+        expect(model.changes).toEqual([]);
+        const cutAtMs = model.clock.monotonicMs();
+        model.set("hanging");
+        await model.runMs(3_000);
+        expect(model.changes.map(({ reaches }) => reaches)).toEqual([false]);
+        // A check that succeeded just before the cut delays the next one, of 400 ms, by a second.
+        expect((model.changes[0]?.atMs ?? Infinity) - cutAtMs).toBeLessThanOrEqual(1_500);
+    }
+});
+
+test("a send without an answer leads to no check before 500 ms", async () => {
+    const model = createModel(1, createUpstreams(6, 3), 1, 20_000);
+    model.monitor.watchSend({
+        upstreamId: "u-0" as UpstreamId,
+        objectiveMs: 1_000,
+        remainingMs: 3_000,
+        signal: new AbortController().signal,
     });
-    monitor.recordFailure(upstream.upstreamId);
-    await clock.advance(2_500);
-    expect(changes).toEqual([]);
+    await model.clock.advance(499);
+    expect(model.probes).toEqual([]);
+    await model.clock.advance(200);
+    expect(model.probes.length).toBe(1);
+});
+
+test.each(
+    [
+        ["is refused", "down", 2 * ROUND_TRIP_MS],
+        ["does not connect within 200 ms", "hanging", 200 + ROUND_TRIP_MS],
+    ] as const,
+)("the other upstreams are probed if the first probe %s", async (_, state, endMs) => {
+    const upstreams = createUpstreams(6, 1);
+    const model = createModel(1, upstreams, 1, 20);
+    model.set(state);
+    model.monitor.recordFailure("u-0" as UpstreamId);
+    expect(model.probes.length).toBe(1);
+    const first = model.probes[0]?.port;
+    model.set("up", index => index !== first);
+    let endedAtMs = 0;
+    void model.monitor.checked().then(() => endedAtMs = model.clock.monotonicMs());
+    await model.clock.advance(1_000);
+    expect(endedAtMs).toBe(endMs);
+    expect(model.probes.length).toBe(6);
+    expect(model.changes).toEqual([]);
+});
+
+test("the first probe goes to an upstream that has not failed lately, also if a whole zone is lost", async () => {
+    const model = createModel(1, createUpstreams(9, 3), 1, 20);
+    model.set("hanging", index => index % 3 !== 2);
+    for (const index of [0, 1, 3, 4, 6, 7]) {
+        model.monitor.recordFailure(`u-${index}` as UpstreamId);
+    }
+    await model.clock.advance(1_000);
+    model.probes.length = 0;
+    model.monitor.recordFailure("u-0" as UpstreamId);
+    await model.clock.advance(100);
+    expect(model.probes.map(({ port }) => port % 3)).toEqual([2]);
 });
 
 test("nobody is cut off when no host reaches an upstream, or when there is no other host", () => {
--- a/packages/relay/src/decisions/createUpstreamReachability.ts
+++ b/packages/relay/src/decisions/createUpstreamReachability.ts
@@ -2,20 +2,29 @@
 import type { UpstreamReachability } from "./upstreamReachability";
 
 /** Time without any byte of any upstream while a send waits, after which the upstreams are probed. */
-const SILENCE_MS = 250;
+const SILENCE_MS = 500;
 
-/** Minimum time between checks while upstreams are reached: a check that just succeeded answers later suspicions too. */
-const CHECK_INTERVAL_MS = 300;
+/**
+ * Minimum time from one check to the next one that is due to silence, which is normal at a host with few requests and long
+ * prompts: a check opens connections.
+ */
+const SILENCE_CHECK_INTERVAL_MS = 1_000;
+
+/** Minimum time between checks after failures: a check that just succeeded answers later suspicions too. */
+const FAILURE_CHECK_INTERVAL_MS = 300;
 
 /** Time between checks while no upstream is reached; callers wait for the end of the cut. */
 const RECOVERY_INTERVAL_MS = 250;
 
 /**
- * Longest duration of a check that counts. Probes end after 500 ms; a longer check shows that this process was stalled, so
+ * Longest duration of a check that counts. Checks end after 400 ms; a longer one shows that this process was stalled, so
  * that its timers ran before the connections that had been opened in time.
  */
 const MAXIMUM_CHECK_MS = 700;
 
+/** Number of failed upstreams that are remembered, so that replaced upstreams do not accumulate. */
+const REMEMBERED_FAILURES = 1_000;
+
 /**
  * Creates the decision with all upstreams presumed reachable; `nowMs` is monotonic.
  *
@@ -26,7 +35,8 @@
  */
 export const createUpstreamReachability = (nowMs: () => number): UpstreamReachability => {
     const failedAtMs = new Map<UpstreamId, number>();
-    const progressedAtMs = new Map<UpstreamId, number>();
+    /** Upstreams of which bytes have arrived since none is reached. */
+    const progressedUpstreams = new Set<UpstreamId>();
     let connectedAtMs = -Infinity;
     let anyFailureAtMs = -Infinity;
     let anyProgressAtMs = -Infinity;
@@ -37,13 +47,11 @@
         const hasChanged = isReachable === (unreachableSinceMs !== undefined);
         if (hasChanged) {
             unreachableSinceMs = isReachable ? undefined : nowMs();
+            progressedUpstreams.clear();
         }
         return hasChanged;
     };
 
-    const hasProgressedSinceCut = (upstreamId: UpstreamId): boolean =>
-        unreachableSinceMs !== undefined && (progressedAtMs.get(upstreamId) ?? -Infinity) >= unreachableSinceMs;
-
     const recordConnection = (): boolean => {
         connectedAtMs = nowMs();
         return setReachable(true);
@@ -51,7 +59,12 @@
 
     const recordFailure = (upstreamId: UpstreamId): void => {
         anyFailureAtMs = nowMs();
+        failedAtMs.delete(upstreamId);
         failedAtMs.set(upstreamId, anyFailureAtMs);
+        const [oldest] = failedAtMs.keys();
+        if (failedAtMs.size > REMEMBERED_FAILURES && oldest !== undefined) {
+            failedAtMs.delete(oldest);
+        }
     };
 
     return {
@@ -59,7 +72,9 @@
         recordFailure,
         recordProgress: upstreamId => {
             anyProgressAtMs = nowMs();
-            progressedAtMs.set(upstreamId, anyProgressAtMs);
+            if (unreachableSinceMs !== undefined) {
+                progressedUpstreams.add(upstreamId);
+            }
         },
         isCheckDue: waitingSinceMs => {
             const sinceCheckMs = nowMs() - checkedAtMs;
@@ -69,7 +84,8 @@
             const contactAtMs = Math.max(connectedAtMs, anyProgressAtMs);
             const isSilent = waitingSinceMs !== undefined
                 && nowMs() - Math.max(waitingSinceMs, contactAtMs) >= SILENCE_MS;
-            return sinceCheckMs >= CHECK_INTERVAL_MS && (isSilent || anyFailureAtMs > connectedAtMs);
+            return isSilent && sinceCheckMs >= SILENCE_CHECK_INTERVAL_MS
+                || anyFailureAtMs > connectedAtMs && sinceCheckMs >= FAILURE_CHECK_INTERVAL_MS;
         },
         recordCheck: ({ startedAtMs, probes }) => {
             const isStalled = nowMs() - startedAtMs > MAXIMUM_CHECK_MS;
@@ -82,7 +98,7 @@
         },
         reachesUpstreams: () => unreachableSinceMs === undefined,
         isHung: ({ upstreamId, silentForMs, patienceMs }) =>
-            unreachableSinceMs !== undefined && silentForMs >= patienceMs && !hasProgressedSinceCut(upstreamId),
+            unreachableSinceMs !== undefined && silentForMs >= patienceMs && !progressedUpstreams.has(upstreamId),
         hasLiveConnections: () => unreachableSinceMs !== undefined && anyProgressAtMs >= unreachableSinceMs,
         lastConnectionAtMs: () => connectedAtMs,
         lastFailureAtMs: upstreamId => failedAtMs.get(upstreamId) ?? -Infinity,
--- a/packages/relay/src/monitor/createReachabilityMonitor.ts
+++ b/packages/relay/src/monitor/createReachabilityMonitor.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId } from "@ibislanding/core";
+import type { Timer, UpstreamId } from "@ibislanding/core";
 import { createUpstreamReachability } from "../decisions/createUpstreamReachability";
 import type { ProbeTarget } from "../decisions/probeTarget";
 import { selectProbeTargets } from "../decisions/selectProbeTargets";
@@ -9,6 +9,17 @@
 /** Interval at which waiting sends are examined. */
 const TICK_MS = 100;
 
+/** Time after which the other upstreams are probed if the first one has not accepted the connection. */
+const FIRST_PROBE_MS = 200;
+
+/** Time that the other probes have; it covers a round trip between regions, and cuts are noticed within a second. */
+const OTHER_PROBES_MS = 200;
+
+interface ProbeEnd {
+    readonly upstreamId: UpstreamId;
+    readonly isListening: boolean;
+}
+
 interface WaitingSend {
     readonly upstreamId: UpstreamId;
     readonly patienceMs: number;
@@ -19,7 +30,7 @@
 
 /** Starts with all upstreams presumed reachable; has no timer while no send waits and upstreams are reached. */
 export const createReachabilityMonitor = (
-    { clock, targets, probe, onChange }: ReachabilityMonitorOptions,
+    { clock, random, targets, probe, onChange }: ReachabilityMonitorOptions,
 ): ReachabilityMonitor => {
     const reachability = createUpstreamReachability(clock.monotonicMs);
     const waiting = new Set<WaitingSend>();
@@ -34,27 +45,59 @@
         }
     };
 
-    /** Probes upstreams; resolves early with the first one that listens. */
-    const probeAll = (selected: readonly ProbeTarget[]) =>
-        new Promise<readonly { readonly upstreamId: UpstreamId; readonly isListening: boolean; }[]>(resolve => {
-            const ended: { readonly upstreamId: UpstreamId; readonly isListening: boolean; }[] = [];
-            if (selected.length === 0) {
-                resolve([]);
-            }
-            selected.forEach(({ upstreamId, address }) =>
+    /** The upstreams to probe; equal ones are in random order, so that hosts do not all probe the same one first. */
+    const chooseTargets = (except?: UpstreamId): readonly ProbeTarget[] => {
+        const all = targets().filter(({ upstreamId }) => upstreamId !== except);
+        const offset = all.length === 0 ? 0 : random.nextInt(all.length);
+        return selectProbeTargets([...all.slice(offset), ...all.slice(0, offset)], reachability.lastFailureAtMs);
+    };
+
+    /**
+     * Probes the first upstream, and the others only if it does not accept the connection; resolves early with the first one
+     * that does. The others have their full time also if the process was stalled during the first probe.
+     */
+    const probeInTurn = (selected: readonly ProbeTarget[]): Promise<readonly ProbeEnd[]> =>
+        new Promise(resolve => {
+            const ended = new Map<UpstreamId, boolean>();
+            const [first, ...others] = selected;
+            let timer: Timer | undefined;
+            let areOthersStarted = false;
+            const finish = (): void => {
+                timer?.cancel();
+                areOthersStarted = true;
+                const started = [...ended.values()].includes(true)
+                    ? selected.filter(({ upstreamId }) => ended.has(upstreamId))
+                    : selected;
+                resolve(started.map(({ upstreamId }) => ({ upstreamId, isListening: ended.get(upstreamId) === true })));
+            };
+            const start = ({ upstreamId, address }: ProbeTarget): void =>
                 void probe(address).then(result => {
-                    const isListening = result === "listening";
-                    ended.push({ upstreamId, isListening });
-                    if (isListening || ended.length === selected.length) {
-                        resolve([...ended]);
+                    ended.set(upstreamId, result === "listening");
+                    if (result === "listening" || ended.size === selected.length) {
+                        finish();
+                        return;
                     }
-                })
-            );
+                    startOthers();
+                });
+            const startOthers = (): void => {
+                if (!areOthersStarted) {
+                    areOthersStarted = true;
+                    timer?.cancel();
+                    timer = clock.setTimer(OTHER_PROBES_MS, finish);
+                    others.forEach(start);
+                }
+            };
+            if (first === undefined) {
+                resolve([]);
+                return;
+            }
+            timer = clock.setTimer(FIRST_PROBE_MS, startOthers);
+            start(first);
         });
 
     const runCheck = async (): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
-        const probes = await probeAll(selectProbeTargets(targets(), reachability.lastFailureAtMs));
+        const probes = await probeInTurn(chooseTargets());
         check = undefined;
         reportChange(reachability.recordCheck({ startedAtMs, probes }));
     };
@@ -132,9 +175,8 @@
             if (reachability.lastConnectionAtMs() > sinceMs) {
                 return true;
             }
-            const others = targets().filter(({ upstreamId }) => upstreamId !== except);
             const startedAtMs = clock.monotonicMs();
-            const probes = await probeAll(selectProbeTargets(others, reachability.lastFailureAtMs));
+            const probes = await probeInTurn(chooseTargets(except));
             reportChange(reachability.recordCheck({ startedAtMs, probes }));
             return probes.some(({ isListening }) => isListening);
         },
