--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -77,12 +77,15 @@
         if (quarantined !== undefined) {
             return Err(context.runs > 0 ? { status: 502, reason: quarantined.reason } : quarantined);
         }
-        const relayed = await relayRequest(context);
+        // A run that an engine moved goes on at another one; a peer would run the request again.
+        const relayed = continuation === undefined || context.mayRepeat ? await relayRequest(context) : undefined;
         if (relayed?.kind === "final") {
             return relayed.result;
         }
         if (relayed !== undefined) {
             if (mayRetry(context, relayed.outcome)) {
+                // The caller may have later events from the peer than those at which the moved run goes on.
+                continuation = undefined;
                 continue;
             }
             return Err(finalRefusal(context, relayed.outcome.reason, REFUSED_RETRY_MS));
