--- a/packages/relay/__tests__/reachability.spec.ts
+++ b/packages/relay/__tests__/reachability.spec.ts
@@ -2,6 +2,7 @@
 // stalled process for one: their requests would be relayed, and what they see of the upstreams would be ignored.
 import { type AvailabilityZone, createFakeClock, createRandom, type UpstreamId } from "@ibislanding/core";
 import { createReachabilityMonitor, judgeCutOff, type ProbeTarget } from "../src";
+import { createUpstreamReachability } from "../src/decisions/createUpstreamReachability";
 
 const PROBE_TIMEOUT_MS = 500;
 const ROUND_TRIP_MS = 5;
@@ -255,3 +256,11 @@
     expect(judgeCutOff({ ...known, live: ["a"], unreaching: new Set() })).toBe(true);
     expect(judgeCutOff({ ownAddress: "a", registered: ["a"], live: ["a"], unreaching: new Set() })).toBe(false);
 });
+
+// Guards against state that grows with each upstream that is replaced.
+test("failures of upstreams that were replaced long ago are forgotten", () => {
+    const reachability = createUpstreamReachability(() => 5);
+    const ids = Array.from({ length: 1_200 }, (_, index) => `u-${index}` as UpstreamId);
+    ids.forEach(reachability.recordFailure);
+    expect(ids.filter(id => reachability.lastFailureAtMs(id) === 5)).toEqual(ids.slice(200));
+});
--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -1,6 +1,12 @@
 // Guards against relayed requests that run twice, or that are refused as not run although they may have: the peer dies before,
 // while and after it reads the request. Also against requests that are relayed round, or come from unknown senders or too late.
-import { type AvailabilityZone, createDeferred, createRandom, createSystemClock } from "@ibislanding/core";
+import {
+    type AvailabilityZone,
+    createDeferred,
+    createFakeClock,
+    createRandom,
+    createSystemClock,
+} from "@ibislanding/core";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, request as sendRequest, type ServerResponse } from "node:http";
 import { createServer as createTcpServer, type Socket } from "node:net";
@@ -204,3 +210,25 @@
     expect(peer.refusals).toEqual([reason]);
     expect(peer.seen).toEqual([]);
 });
+
+// Guards against state that grows with each host that is replaced.
+test("peers that are gone are forgotten", async () => {
+    let peers = [toPeer(1)];
+    await using client = createRelayClient({
+        clock: createFakeClock(),
+        random: createRandom(1),
+        ownAddress: "sender:1",
+        ownZone: zone,
+        peers: () => peers,
+        onEnd: () => undefined,
+    });
+    await sendWith(client);
+    // The peer is passed over while its lost connection is remembered.
+    expect(client.hasPeer()).toBe(false);
+    for (const index of Array.from({ length: 150 }, (_, number) => number + 2)) {
+        peers = [{ ...toPeer(1), address: `127.0.0.${index}:1` }];
+        await sendWith(client);
+    }
+    peers = [toPeer(1)];
+    expect(client.hasPeer()).toBe(true);
+});
--- a/packages/relay/src/client/createRelayClient.ts
+++ b/packages/relay/src/client/createRelayClient.ts
@@ -32,6 +32,9 @@
     "unconfirmed-answer",
 ]);
 
+/** Number of states up to which those of peers that are gone are kept. */
+const MINIMUM_STATES = 100;
+
 interface PeerState {
     inFlight: number;
     /** Monotonic times until which the peer is passed over, as it refused or as its connection was lost. */
@@ -58,6 +61,17 @@
         return state;
     };
 
+    /** Drops the states of peers that are gone, so that replaced hosts do not accumulate. */
+    const forgetGonePeers = (): void => {
+        const current = peers();
+        if (states.size > 2 * current.length + MINIMUM_STATES) {
+            const addresses = new Set(current.map(({ address }) => address));
+            [...states]
+                .filter(([address, { inFlight }]) => inFlight === 0 && !addresses.has(address))
+                .forEach(([address]) => states.delete(address));
+        }
+    };
+
     const loadOf = ({ inFlight, stated }: PeerState): number =>
         inFlight + (stated !== undefined && clock.monotonicMs() - stated.atMs < LOAD_VALID_MS ? stated.load : 0);
 
@@ -78,6 +92,7 @@
     return {
         hasPeer: () => responding().length > 0,
         send: async request => {
+            forgetGonePeers();
             const tried = new Set<string>();
             let last: RelaySendResult = { kind: "not-run", reason: "no_peer" };
             while (tried.size < MAXIMUM_PEERS && !request.signal.aborted) {
