--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -93,7 +93,15 @@
     store: ReturnType<typeof createTestStore>,
     hostName: string,
     seedAddresses: readonly string[] = [],
-    { ports: knownPorts, rollouts }: { readonly ports?: HostPorts; readonly rollouts?: RolloutBounds; } = {},
+    { ports: knownPorts, rollouts, relays = false, mapUpstream = record => record }: {
+        /** Ports of an earlier start of the host. */
+        readonly ports?: HostPorts;
+        readonly rollouts?: RolloutBounds;
+        /** Whether the host takes and sends relayed requests. */
+        readonly relays?: boolean;
+        /** Changes the records of upstreams as this host sees them. */
+        readonly mapUpstream?: (record: UpstreamRecord) => UpstreamRecord;
+    } = {},
 ) => {
     const ports = knownPorts ?? await findHostPorts();
     const { callers, readiness, peers } = ports;
@@ -110,6 +118,7 @@
                 callers: `127.0.0.1:${callers}`,
                 readiness: `127.0.0.1:${readiness}`,
                 peers: `127.0.0.1:${peers}`,
+                relay: relays ? `127.0.0.1:${await findFreePort()}` : undefined,
             },
             seedAddresses,
             graceMs: 4_000,
@@ -141,7 +150,7 @@
             configurationPrefix: "configuration",
             decodeConfiguration: value => Ok(JSON.parse(value) as GatewayConfiguration),
             upstreamsPrefix: "upstreams/",
-            decodeUpstream: (_key, value) => Ok(JSON.parse(value) as UpstreamRecord),
+            decodeUpstream: (_key, value) => Ok(mapUpstream(JSON.parse(value) as UpstreamRecord)),
             rollouts: {
                 ordersPrefix: "orders/",
                 decodeOrder: (_key, value) => {
--- a/packages/edge/src/createReportAggregation.ts
+++ b/packages/edge/src/createReportAggregation.ts
@@ -3,6 +3,7 @@
 import { countRows } from "./countRows";
 import type { HostReport } from "./hostReport";
 import { mergeBrittleRows } from "./mergeBrittleRows";
+import { mergeCutOff } from "./mergeCutOff";
 import { mergeQuarantineRows } from "./mergeQuarantineRows";
 
 /** Counters that only grow; each increment of them is contributed once. */
@@ -175,6 +176,7 @@
                 usageRecords: countRows.distinct(2, parts.map(({ usageRecords }) => usageRecords)),
                 limits: countRows.distinct(2, [newestLimitsFirst([own, ...parts].flatMap(({ limits }) => limits))]),
                 brittle: brittle.length === 0 ? undefined : brittle,
+                cutOff: mergeCutOff([own, ...parts]),
                 quarantine: mergeQuarantineRows([own, ...parts].map(({ quarantine }) => quarantine)),
             };
         },
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -12,12 +12,13 @@
         [...counts].map(([accountId, count]) => [window, accountId, count] as const)
     );
 
-/** Returns a function that creates the next report of this host. */
+/** Returns a function that creates the next report of this host; `reachesUpstreams` tells whether it reaches any. */
 export const createReportFactory = (
     { documentCache, upstreams, accounts, usage, usageRecords, workMeter, clusterClock, quarantine, rollouts }:
         HostComponents,
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
+    reachesUpstreams: () => boolean = () => true,
 ): () => HostReport => {
     let sequence = 0;
 
@@ -50,6 +51,7 @@
             versions: rollouts?.counts() ?? [],
             brittle: brittle.length === 0 ? undefined : brittle,
             usageRecords: toRows(usageRecords.own()),
+            cutOff: reachesUpstreams() ? undefined : [listen.peers],
         };
     };
 };
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -24,6 +24,7 @@
             report.limits,
             report.versions,
             report.brittle ?? [],
+            report.cutOff ?? [],
             report.quarantine?.suspects,
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -49,6 +49,11 @@
     ])[];
     /** Newest statements of brittle upstreams; left out if there are none, so that it adds no bytes. */
     readonly brittle?: readonly BrittleRow[] | undefined;
+    /**
+     * `address` of each host that reaches no upstream; absent if there is none, so that the report is no longer than without
+     * it.
+     */
+    readonly cutOff?: readonly string[] | undefined;
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Requests of the services with a rollout order by version and route, since each process began to count; they only grow. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -18,6 +18,7 @@
 import { createDocumentCache } from "./createDocumentCache";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
+import { createHostRelay } from "./createHostRelay";
 import { createQuarantineEvents } from "./createQuarantineEvents";
 import { createQuarantineHandler } from "./createQuarantineHandler";
 import { createQuarantineStore } from "./createQuarantineStore";
@@ -213,12 +214,33 @@
         isRepresentative,
     }, upstreams));
     const retries = createRetryBudget(clock, { ...settings.retryBudget, hostCount: upstreams.hostCount });
+    const { relay: relayAddress } = settings.listen;
+    const relay = relayAddress === undefined ? undefined : resources.use(createHostRelay(relayAddress, {
+        ...options,
+        upstreams,
+        sharedNowMs: clusterClock.nowMs,
+        registeredHosts: () => registeredHosts,
+        liveHostAddresses,
+        reportedCutOff: () => new Set(liveReports().flatMap(({ report }) => report.cutOff ?? [])),
+        announce: () => peers.exchange?.announce(),
+    }));
     // A store that was restored from a copy may have older documents than the peers.
     const hasInitialState = (): boolean =>
         documentCache.configuration() !== undefined && upstreams.records().length > 0
         && peers.exchange?.hasContactedPeers() === true && quarantineStore.isLoaded()
         && versions.store?.isLoaded() === true;
 
+    const crashes = createCrashDetector({
+        clock,
+        sharedNowMs: clusterClock.nowMs,
+        upstreams,
+        probe: probeAddress,
+        onCrash: suspect =>
+            relay === undefined
+                ? quarantine.accuse(suspect)
+                : relay.verifyCrash(suspect, () => quarantine.accuse(suspect)),
+    });
+
     const gateway = resources.use(createGateway({
         clock,
         random,
@@ -226,20 +248,15 @@
         engines: options.engines,
         configuration: documentCache.configuration,
         isInitialized: hasInitialState,
-        upstreams,
+        upstreams: relay?.observeSends(upstreams) ?? upstreams,
+        relay: relay?.port,
         accounts,
         retryBudget: retries,
         quarantine,
         recentAnswers,
         streamOrigins,
         versions: rollouts?.policy,
-        crashes: createCrashDetector({
-            clock,
-            sharedNowMs: clusterClock.nowMs,
-            upstreams,
-            probe: probeAddress,
-            onCrash: quarantine.accuse,
-        }),
+        crashes: relay?.observeLosses(crashes) ?? crashes,
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
         stopAcceptMs: STOP_ACCEPT_MS,
@@ -251,11 +268,13 @@
         await startHostListeners(
             settings.listen,
             gateway.handle,
-            () => !isStopping && hasInitialState(),
+            () => !isStopping && hasInitialState() && relay?.canServe() !== false,
             () => documentCache.configuration()?.source.limits.idleTimeoutMs,
         ),
     );
 
+    await relay?.listen(gateway);
+
     const components: HostComponents = {
         documentCache,
         upstreams,
@@ -267,7 +286,7 @@
         quarantine,
         rollouts,
     };
-    const createReport = createReportFactory(components, settings, clock);
+    const createReport = createReportFactory(components, settings, clock, relay?.reachesUpstreams);
 
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -416,6 +416,12 @@
             const state = upstreams.get(upstreamId);
             return state !== undefined && state.record.startedAtMs === startedAtMs && state.crashedAtMs !== undefined;
         },
+        forgetCrash: ({ upstreamId, startedAtMs }) =>
+            update(upstreamId, state => {
+                if (state.record.startedAtMs === startedAtMs) {
+                    state.crashedAtMs = undefined;
+                }
+            }),
         observeLimit: limits.observe,
         limits: limits.rows,
         brittle,
@@ -428,6 +434,7 @@
         reportSuccess: (upstreamId, responseMs) => update(upstreamId, state => health.recordSuccess(state, responseMs)),
         reportFailure: (upstreamId, kind) =>
             update(upstreamId, state => health.recordFailure(state, siblingsOf(state), kind)),
+        forgetFailures: () => upstreams.forEach(health.reset),
         reportRoundTrip: (upstreamId, roundTripMs) =>
             update(upstreamId, state => {
                 state.roundTripMs = movingAverage(state.roundTripMs, roundTripMs);
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -65,10 +65,14 @@
     readonly observeCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Whether this start of an upstream was found to have crashed. */
     readonly hasCrashed: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
+    /** Takes `observeCrash` back. */
+    readonly forgetCrash: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Excludes an upstream from placement for a time, as it asked for. */
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
     readonly reportFailure: (upstreamId: UpstreamId, kind: "unreachable" | "failed") => void;
+    /** Forgets failures, ejections and lateness of all upstreams, as after a cut of this host from them. */
+    readonly forgetFailures: () => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
     /** Counts a connection to this start of an upstream as open until the returned function is called. */
     readonly trackConnection: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => () => void;
