feat(placement): many hosts with old loads draw among the best engines

Cause: hosts of a large group choose by the same loads, up to 2 s old; all choose the engine of the lowest one, and engines are overloaded in turns.

--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -52,8 +52,10 @@
         const { upstream } = continuation;
         return { kind: "send", upstream, predictedMs: 0, backlogMs: 0, promptMs: 0, running: 0 };
     }
+    const { random, upstreams } = context.options;
     const request = toPlacementRequest(context, false);
-    return chooseUpstream(context.options.upstreams.candidates(context.admitted.service, request), request);
+    const fraction = upstreams.areLoadsOld() ? random.nextFloat() : undefined;
+    return chooseUpstream(upstreams.candidates(context.admitted.service, request), request, fraction);
 };
 
 const attemptUntilAnswered = async (context: ForwardContext): Promise<Result<number, Refusal>> => {
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,3 +1,4 @@
+import { drawCandidate } from "./drawCandidate";
 import type { PlacementCandidate } from "./placementCandidate";
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
@@ -71,9 +72,10 @@
 const selectCandidate = (
     candidates: readonly PlacementCandidate[],
     objectiveMs: number,
+    fraction: number | undefined,
 ): PlacementCandidate | undefined => {
     const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR);
-    return minimumBy(safe, costMs)
+    return (fraction === undefined ? minimumBy(safe, costMs) : drawCandidate(safe, costMs, fraction))
         ?? minimumBy(candidates, candidate => predictMs(candidate) + missingPenaltyMs(candidate));
 };
 
@@ -84,11 +86,13 @@
  * its prefix cached until the backlog there costs more than recomputing the prefix or puts the objective at risk. A
  * request whose first event would come too late for the rest of its response is refused on arrival instead of being
  * queued. An upstream that asked this host for a pause, or whose stated limit leaves no room for it, receives nothing until
- * then, also as a last resort.
+ * then, also as a last resort. `fraction` is a random number from 0 to below 1 if many hosts choose from old loads; see
+ * `drawCandidate`.
  */
 export const chooseUpstream = (
     candidates: readonly PlacementCandidate[],
     request: PlacementRequest,
+    fraction?: number,
 ): PlacementDecision => {
     const eligible = candidates.filter(candidate => isEligible(candidate, request));
     if (eligible.length === 0) {
@@ -105,7 +109,7 @@
     }
     const healthy = available.filter(({ isEjected }) => !isEjected);
     const considered = healthy.length > 0 ? healthy : available;
-    const chosen = selectCandidate(considered.filter(hasCapacity), request.objectiveMs);
+    const chosen = selectCandidate(considered.filter(hasCapacity), request.objectiveMs, fraction);
     const latestFirstEventMs = Math.min(
         request.remainingMs * MAXIMUM_FIRST_EVENT_SHARE,
         request.objectiveMs * (request.requiresSpareCapacity ? SPARE_OBJECTIVE_FACTOR : MAXIMUM_OBJECTIVE_FACTOR),
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -280,6 +280,7 @@
                 .filter(state => !request.requiresKnownVersion || !hasUnknownVersion(state))
                 .map(state => evaluate(state, request, view).candidate);
         },
+        areLoadsOld: () => unobservedShare() > 0,
         trackRequest: (upstreamId, request) => {
             const state = upstreams.get(upstreamId);
             if (state === undefined) {
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -25,6 +25,8 @@
      */
     readonly onDeparture: (upstreamId: UpstreamId, callback: () => void) => () => void;
     readonly candidates: (service: ServiceName, request: PlacementRequest) => readonly PlacementCandidate[];
+    /** Whether many hosts choose from loads that reports bring late, without notices of each other's placements. */
+    readonly areLoadsOld: () => boolean;
     /** Counts a request as in flight until `end` is called on the returned object. */
     readonly trackRequest: (upstreamId: UpstreamId, request: PlacementRequest) => {
         readonly recordFirstEvent: () => void;
