--- a/packages/gateway/src/forwarding/placeRequest.ts
+++ b/packages/gateway/src/forwarding/placeRequest.ts
@@ -27,9 +27,10 @@
     context.versionRule ??= options.versions?.ruleFor(toGateRequest(context)) ?? ANY_VERSION;
     const request = toPlacementRequest(context, false, context.versionRule, additionallyExcluded);
     const candidates = options.upstreams.candidates(admitted.service, request);
-    const decision = chooseUpstream(candidates, request);
+    const fraction = options.upstreams.areLoadsOld() ? options.random.nextFloat() : undefined;
+    const decision = chooseUpstream(candidates, request, fraction);
     const fallback = fallbackOf(context.versionRule);
     return decision.kind === "send" || fallback === undefined
         ? decision
-        : chooseUpstream(candidates, { ...request, versionRule: fallback });
+        : chooseUpstream(candidates, { ...request, versionRule: fallback }, fraction);
 };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -1,4 +1,5 @@
 import { isVersionAllowed } from "../versions/isVersionAllowed";
+import { drawCandidate } from "./drawCandidate";
 import type { PlacementCandidate } from "./placementCandidate";
 import type { PlacementDecision } from "./placementDecision";
 import type { PlacementRequest } from "./placementRequest";
@@ -77,9 +78,10 @@
 const selectCandidate = (
     candidates: readonly PlacementCandidate[],
     objectiveMs: number,
+    fraction: number | undefined,
 ): PlacementCandidate | undefined => {
     const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR);
-    return minimumBy(safe, costMs)
+    return (fraction === undefined ? minimumBy(safe, costMs) : drawCandidate(safe, costMs, fraction))
         ?? minimumBy(candidates, candidate => predictMs(candidate) + missingPenaltyMs(candidate));
 };
 
@@ -101,11 +103,13 @@
  * its prefix cached until the backlog there costs more than recomputing the prefix or puts the objective at risk. A
  * request whose first event would come too late for the rest of its response is refused on arrival instead of being
  * queued. An upstream that asked this host for a pause, or whose stated limit leaves no room for it, receives nothing until
- * then, also as a last resort.
+ * then, also as a last resort. `fraction` is a random number from 0 to below 1 if many hosts choose from old loads; see
+ * `drawCandidate`.
  */
 export const chooseUpstream = (
     candidates: readonly PlacementCandidate[],
     request: PlacementRequest,
+    fraction?: number,
 ): PlacementDecision => {
     const eligible = candidates.filter(candidate => isEligible(candidate, request));
     if (eligible.length === 0) {
@@ -132,6 +136,7 @@
     const chosen = selectCandidate(
         request.softwareVersion === undefined || timely.length === 0 ? withCapacity : selectContinuing(timely),
         request.objectiveMs,
+        fraction,
     );
     if (chosen === undefined || predictMs(chosen) > latestFirstEventMs) {
         const excessMs = chosen === undefined ? request.objectiveMs / 2 : predictMs(chosen) - latestFirstEventMs / 2;
