--- a/packages/edge/__tests__/accountEntitlement.spec.ts
+++ b/packages/edge/__tests__/accountEntitlement.spec.ts
@@ -1,6 +1,8 @@
 import type { AccountId } from "@ibislanding/core";
 import { replayAccountLoad, type ReplayedRequest, type ReplayOptions } from "./support/replayAccountLoad";
 
+const SEED = Number(process.env["ACCOUNT_SEED"] ?? 1);
+
 const WINDOW_MS = 8_000;
 const SLACK_UNITS = 110_000;
 /** Period in which the account must get its rate, a quarter of the window. */
@@ -56,7 +58,7 @@
         })),
         durationMs: 26_000,
         leadMs: 16_000,
-        seed: 1,
+        seed: SEED,
         isRegistered: (host, atMs) => host % 17 < 11 || atMs > 11_500 + host * 6,
         restarts: [],
         summaryDelayMs: [20, 500],
