test: relays beside the paced account limits and brittle upstreams

Two tests use a fake upstream table without the members that the other parts added. The third sent 25 requests a second with a rate of 10 and no burst, which the former meter let pass for lack of a lower bound. Change: the fake has the members; the account of the third test has a rate of 26 and a burst of 30, so one charge permits all.

--- a/packages/edge/__tests__/cutOffHost.spec.ts
+++ b/packages/edge/__tests__/cutOffHost.spec.ts
@@ -125,8 +125,8 @@
 }, 30_000);
 
 test("a relayed request is charged to its account once", async () => {
-    // The limit in the window of 8 s is 80 requests. A second charge at the peers would refuse a third of the requests.
-    await using group = await startRelayGroup({ hosts: 3, behindForwarders: 1, route: ROUTE, ratePerS: 10 });
+    // The rate permits the 25 requests a second once. A second charge at the peers would refuse a fourth of the 60 requests.
+    await using group = await startRelayGroup({ hosts: 3, behindForwarders: 1, route: ROUTE, ratePerS: 26, burst: 30 });
     group.forwarders[0]?.reset();
     const { callers = 0 } = group.hosts[0] ?? {};
     const sent: Promise<number>[] = [];
--- a/packages/edge/__tests__/support/startRelayGroup.ts
+++ b/packages/edge/__tests__/support/startRelayGroup.ts
@@ -19,12 +19,13 @@
 
 /** Starts hosts that relay, of which the first ones reach the upstreams through a forwarder that can be switched off. */
 export const startRelayGroup = async (
-    { hosts: hostCount, behindForwarders, route, ratePerS = 0, startUpstream }: {
+    { hosts: hostCount, behindForwarders, route, ratePerS = 0, burst = 0, startUpstream }: {
         readonly hosts: number;
         readonly behindForwarders: number;
         readonly route: Partial<Route>;
         /** Rate of the account; 0 for none. */
         readonly ratePerS?: number;
+        readonly burst?: number;
         /** Starts and registers an upstream; by default, one that answers plain requests. */
         readonly startUpstream?: (
             store: ReturnType<typeof createTestStore>,
@@ -39,7 +40,7 @@
         "configuration",
         JSON.stringify({
             ...configuration,
-            accounts: configuration.accounts.map(known => ({ ...known, ratePerS })),
+            accounts: configuration.accounts.map(known => ({ ...known, ratePerS, burst })),
             routes: configuration.routes.map(known => ({ ...known, ...route })),
         }),
     );
--- a/packages/gateway/__tests__/movedRelays.spec.ts
+++ b/packages/gateway/__tests__/movedRelays.spec.ts
@@ -35,7 +35,7 @@
             clientResponse: { isStarted: () => true },
             retryBudget: { recordRequest: () => undefined, tryAcquire: () => true },
             quarantine: { find: () => undefined, mayRepeat: () => true },
-            upstreams: { candidates: () => [] },
+            upstreams: { candidates: () => [], areLoadsOld: () => false, brittle: { isRestricted: () => false } },
             relay: {
                 isCutOff: () => state.isCutOff,
                 checked: async () => undefined,
