--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -158,7 +158,7 @@
         {
             name: "users-platform-soak-imports",
             severity: "error",
-            from: { path: "^platform/soak" },
+            from: { path: "^platform/(soak|cost)" },
             to: { path: "^packages/", pathNot: "^packages/(core|soak)/src/index\\.ts$" },
         },
         {
--- a/scripts/checkExports.mjs
+++ b/scripts/checkExports.mjs
@@ -11,6 +11,7 @@
     "packages/*/src/*.ts",
     "platform/src/*.ts",
     "platform/soak/*.ts",
+    "platform/cost/*.ts",
 ], {
     encoding: "utf8",
 });
