gateway: medians, presumed prefixes and penalties are kept until their inputs change

Each request evaluates 63 engines, and again one of them when it is sent. Every time, the table computed the medians of the service and of each of its zones, ranked all engines for the prefix, and hashed the id of each engine with it: 12% of the time of a host was placement. The medians are now computed after a measurement or a change of the list, the ranks once for a prompt, and the penalties once for a prefix and engine (the 32 latest prefixes). Loads, statements, lateness and connections of an upstream that has none cost no look-ups and no reads of the clock.

--- a/packages/gateway/src/limits/createStatements.ts
+++ b/packages/gateway/src/limits/createStatements.ts
@@ -32,7 +32,7 @@
             statements.set(key, { upstreamId, startedAtMs, perS, statedAtMs: atMs, liftedAtMs: undefined });
             return known?.perS !== perS || known.liftedAtMs !== undefined;
         },
-        find: start => statements.get(keyOf(start)),
+        find: start => statements.size === 0 ? undefined : statements.get(keyOf(start)),
         list: () => [...statements.values()],
         rows: () =>
             [...statements.values()].map(({ upstreamId, startedAtMs, statedAtMs, perS, liftedAtMs }) =>
--- a/packages/gateway/src/upstreams/createPeerLoadTable.ts
+++ b/packages/gateway/src/upstreams/createPeerLoadTable.ts
@@ -10,6 +10,13 @@
     hostCount: number;
 }
 
+/** A load with the peer that reported it. */
+interface PeerLoad extends ReportedLoad {
+    readonly peer: Peer;
+}
+
+const NO_LOADS: readonly ReportedLoad[] = [];
+
 /** Time after its last report for which a peer still counts as a host in the division of shared limits. */
 const PEER_EXPIRY_MS = 10_000;
 
@@ -20,7 +27,7 @@
 export const createPeerLoadTable = (clock: Clock, peerTimeoutMs: () => number): PeerLoadTable => {
     const peers = new Map<string, Peer>();
     // Indexed by upstream, as each request reads the loads of all upstreams and only a few peers use any one of them.
-    const loadsByUpstream = new Map<UpstreamId, Map<string, ReportedLoad>>();
+    const loadsByUpstream = new Map<UpstreamId, Map<string, PeerLoad>>();
 
     const hasReportedWithin = (hostName: string, durationMs: number): boolean =>
         clock.monotonicMs() - (peers.get(hostName)?.lastReportAtMs ?? -Infinity) < durationMs;
@@ -52,8 +59,9 @@
 
     const observeLoad: PeerLoadTable["observeLoad"] = (hostName, upstreamId, load) => {
         const peer = recordReport(hostName);
-        const loads = loadsByUpstream.get(upstreamId) ?? new Map<string, ReportedLoad>();
-        loads.set(hostName, { ...load, receivedAtMs: peer.lastReportAtMs });
+        const loads = loadsByUpstream.get(upstreamId) ?? new Map<string, PeerLoad>();
+        const { running, backlogTokens } = load;
+        loads.set(hostName, { running, backlogTokens, receivedAtMs: peer.lastReportAtMs, peer });
         loadsByUpstream.set(upstreamId, loads);
         peer.upstreamIds.add(upstreamId);
     };
@@ -69,10 +77,15 @@
             loads.forEach((load, upstreamId) => observeLoad(hostName, upstreamId, load));
         },
         observeLoad,
-        loadsOf: upstreamId =>
-            [...loadsByUpstream.get(upstreamId) ?? []]
-                .filter(([hostName]) => hasReportedWithin(hostName, peerTimeoutMs()))
-                .map(([, load]) => load),
+        loadsOf: upstreamId => {
+            const loads = loadsByUpstream.get(upstreamId);
+            if (loads === undefined) {
+                return NO_LOADS;
+            }
+            // A peer without a report since then has expired.
+            const oldestMs = clock.monotonicMs() - peerTimeoutMs();
+            return [...loads.values()].filter(({ peer }) => peer.lastReportAtMs > oldestMs);
+        },
         hostCount: () =>
             [...peers]
                 .filter(([hostName]) => hasReportedWithin(hostName, PEER_EXPIRY_MS))
--- a/packages/gateway/src/upstreams/createPrefixDirectory.ts
+++ b/packages/gateway/src/upstreams/createPrefixDirectory.ts
@@ -27,8 +27,11 @@
     const upstreams = new Map<UpstreamId, UpstreamPrefixes>();
 
     const prefixesOf = (upstreamId: UpstreamId): UpstreamPrefixes => {
-        const prefixes = upstreams.get(upstreamId)
-            ?? { usedAtMs: new Map<string, number>(), tokensPerMs: 0, rateUpdatedAtMs: clock.monotonicMs() };
+        const known = upstreams.get(upstreamId);
+        if (known !== undefined) {
+            return known;
+        }
+        const prefixes = { usedAtMs: new Map<string, number>(), tokensPerMs: 0, rateUpdatedAtMs: clock.monotonicMs() };
         upstreams.set(upstreamId, prefixes);
         return prefixes;
     };
@@ -59,6 +62,11 @@
     return {
         cachedTokens: ({ upstreamId }, parts, cacheTokens) => {
             const prefixes = prefixesOf(upstreamId);
+            const [first] = parts;
+            // Most engines have never received the first part.
+            if (first === undefined || !prefixes.usedAtMs.has(first.partId)) {
+                return 0;
+            }
             const oldestMs = clock.monotonicMs() - retentionMs(prefixes, cacheTokens);
             const firstMissing = parts.findIndex(({ partId }) =>
                 !((prefixes.usedAtMs.get(partId) ?? -Infinity) >= oldestMs)
--- a/packages/gateway/src/upstreams/createUpstreamHealth.ts
+++ b/packages/gateway/src/upstreams/createUpstreamHealth.ts
@@ -44,7 +44,9 @@
     };
 
     const decayedLatenessMs = ({ latenessMs, latenessUpdatedAtMs }: UpstreamState): number =>
-        latenessMs * 0.5 ** ((clock.monotonicMs() - latenessUpdatedAtMs) / LATENESS_HALF_LIFE_MS);
+        latenessMs === 0
+            ? 0
+            : latenessMs * 0.5 ** ((clock.monotonicMs() - latenessUpdatedAtMs) / LATENESS_HALF_LIFE_MS);
 
     return {
         recordSuccess: (state, responseMs) => {
@@ -75,7 +77,7 @@
             }),
         isEjected: ({ ejectedUntilMs }) => clock.monotonicMs() < ejectedUntilMs,
         unexplainedDelayMs: state =>
-            [...state.pendingFirstBytes].reduce(
+            state.pendingFirstBytes.size === 0 ? decayedLatenessMs(state) : [...state.pendingFirstBytes].reduce(
                 (most, { predictedAtMs }) => Math.max(most, clock.monotonicMs() - predictedAtMs),
                 decayedLatenessMs(state),
             ),
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -8,7 +8,7 @@
 import { createBrittleUpstreams } from "../brittle/createBrittleUpstreams";
 import type { EngineSpec } from "../configuration/engineSpec";
 import { createStatedLimits } from "../limits/createStatedLimits";
-import { affinityPenaltyMs } from "../placement/affinityPenaltyMs";
+import { createAffinityPenalties } from "../placement/createAffinityPenalties";
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
 import { predictMs } from "../placement/predictMs";
@@ -19,6 +19,7 @@
 import { createLeavingRegister } from "./createLeavingRegister";
 import { createPeerLoadTable } from "./createPeerLoadTable";
 import { createPrefixDirectory } from "./createPrefixDirectory";
+import { createServiceStatistics } from "./createServiceStatistics";
 import { createUpstreamHealth } from "./createUpstreamHealth";
 import { createUpstreamState } from "./createUpstreamState";
 import { movingAverage } from "./movingAverage";
@@ -63,6 +64,16 @@
     readonly connectionLimit: number;
 }
 
+/** Presumed tokens with what they were computed from. */
+interface PresumedTokens {
+    readonly service: ServiceName;
+    readonly promptParts: PlacementRequest["promptParts"];
+    readonly unobservedShare: number;
+    readonly tokens: ReadonlyMap<UpstreamId, number>;
+}
+
+const NO_TOKENS: ReadonlyMap<UpstreamId, number> = new Map();
+
 /** Evaluation of one upstream for one request. */
 interface Evaluation {
     readonly candidate: PlacementCandidate;
@@ -82,6 +93,7 @@
     const health = createUpstreamHealth(clock);
     const speeds = createEngineSpeedEstimator();
     const prefixes = createPrefixDirectory(clock);
+    const affinityPenalties = createAffinityPenalties(hasher);
     const departureNotifier = createDepartureNotifier();
     const leavingRegister = createLeavingRegister(clock);
     const limits = createStatedLimits(options);
@@ -101,32 +113,36 @@
     const statesOf = (service: ServiceName): readonly UpstreamState[] =>
         [...upstreams.values()].filter(({ record }) => record.service === service);
 
+    const statistics = createServiceStatistics(statesOf);
+    /** Presumed tokens of the latest prompt: a request needs them again when it is sent. */
+    let presumed: PresumedTokens | undefined;
+
+    /** Must be called after every change of the measurements and of the list of upstreams. */
+    const invalidateViews = (): void => {
+        statistics.invalidate();
+        presumed = undefined;
+    };
+
     const brittle = createBrittleUpstreams({
         ...options,
         upstreamsOf: service => statesOf(service).map(({ record }) => record),
     });
 
-    const medianRoundTripMs = (states: readonly UpstreamState[]): number | undefined =>
-        median(states.flatMap(({ roundTripMs }) => roundTripMs ?? []));
-
-    const roundTripsByZone = (states: readonly UpstreamState[]): ServiceView["roundTripMsByZone"] =>
-        new Map([...new Set(states.map(({ record }) => record.availabilityZone))].flatMap(zone => {
-            const typicalMs = medianRoundTripMs(states.filter(({ record }) => record.availabilityZone === zone));
-            return typicalMs === undefined ? [] : [[zone, typicalMs] as const];
-        }));
-
-    const presumedTokens = (
-        states: readonly UpstreamState[],
-        { promptParts }: PlacementRequest,
+    const computePresumedTokens = (
+        service: ServiceName,
+        promptParts: PlacementRequest["promptParts"],
+        share: number,
     ): ReadonlyMap<UpstreamId, number> => {
-        const share = unobservedShare();
         // The last part of a prompt is not shared with other prompts.
         const sharedParts = promptParts.slice(0, -1);
         if (share === 0 || sharedParts.length === 0) {
-            return new Map();
+            return NO_TOKENS;
         }
         const hashes = new Map(
-            states.filter(({ record }) => !record.isLeaving).map(({ record, idHash }) => [record.upstreamId, idHash]),
+            statesOf(service).filter(({ record }) => !record.isLeaving).map(({ record, idHash }) => [
+                record.upstreamId,
+                idHash,
+            ]),
         );
         const prefixHash = hasher.hash32(sharedParts.map(({ partId }) => partId).join(" "));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
@@ -135,21 +151,36 @@
         );
     };
 
+    const presumedTokens = (
+        service: ServiceName,
+        { promptParts }: PlacementRequest,
+    ): ReadonlyMap<UpstreamId, number> => {
+        const share = unobservedShare();
+        if (
+            presumed === undefined || presumed.service !== service || presumed.promptParts !== promptParts
+            || presumed.unobservedShare !== share
+        ) {
+            const tokens = computePresumedTokens(service, promptParts, share);
+            presumed = { service, promptParts, unobservedShare: share, tokens };
+        }
+        return presumed.tokens;
+    };
+
     const viewOf = (service: ServiceName, request?: PlacementRequest): ServiceView => {
-        const states = statesOf(service);
+        const { slowdown, responseMs = INITIAL_RESPONSE_MS, roundTripMs, roundTripMsByZone } = statistics.of(service);
         const spec = serviceOf(service);
         const share = spec === undefined
             ? 0
             : Math.floor(spec.maximumConnections * CONNECTION_SHARE / peers.hostCount());
         return {
             engine: spec?.engine,
-            slowdown: median(states.map(({ slowdown }) => slowdown)) ?? 1,
-            responseMs: median(states.flatMap(({ responseMs }) => responseMs ?? [])) ?? INITIAL_RESPONSE_MS,
-            roundTripMs: medianRoundTripMs(states) ?? 0,
-            roundTripMsByZone: roundTripsByZone(states),
+            slowdown,
+            responseMs,
+            roundTripMs,
+            roundTripMsByZone,
             presumedTokens: request === undefined || spec?.engine === undefined
-                ? new Map()
-                : presumedTokens(states, request),
+                ? NO_TOKENS
+                : presumedTokens(service, request),
             connectionLimit: Math.max(MINIMUM_CONNECTIONS, share),
         };
     };
@@ -170,6 +201,9 @@
         rate: number,
     ) => {
         const totalTokens = peerLoads.reduce((sum, load) => sum + load.backlogTokens, backlogTokens);
+        if (totalTokens === 0) {
+            return { ownTokens: 0, allTokens: 0 };
+        }
         const ownTokens = remainingTokens(backlogTokens, totalTokens, lastProgressAtMs, rate);
         const allTokens = peerLoads.reduce(
             (sum, load) => sum + remainingTokens(load.backlogTokens, totalTokens, load.receivedAtMs, rate),
@@ -185,6 +219,9 @@
     };
 
     const connectedForMs = ({ openConnections }: UpstreamState): number => {
+        if (openConnections.size === 0) {
+            return 0;
+        }
         const nowMs = clock.monotonicMs();
         return nowMs - Math.min(nowMs, ...[...openConnections].map(({ openedAtMs }) => openedAtMs));
     };
@@ -214,7 +251,7 @@
             promptMs: engine === undefined ? state.responseMs ?? view.responseMs : tokens / rate,
             affinityPenaltyMs: engine === undefined
                 ? 0
-                : affinityPenaltyMs(hasher, record.upstreamId, request.promptParts),
+                : affinityPenalties.of(record.upstreamId, request.promptParts),
             unexplainedDelayMs: health.unexplainedDelayMs(state),
             overheadMs: engine === undefined ? 0 : speeds.overheadMs(record.service),
             roundTripMs,
@@ -269,7 +306,10 @@
         const oldestMs = clock.monotonicMs() - MISSING_RETENTION_MS;
         [...upstreams.values()]
             .filter(({ missingSinceMs }) => missingSinceMs !== undefined && missingSinceMs < oldestMs)
-            .forEach(({ record }) => upstreams.delete(record.upstreamId));
+            .forEach(({ record }) => {
+                upstreams.delete(record.upstreamId);
+                invalidateViews();
+            });
     };
 
     /** Marks a record as leaving if the upstream is known to be, whatever the registry says. */
@@ -312,6 +352,7 @@
             records.forEach(register);
             versions.observe(records);
             [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(markMissing);
+            invalidateViews();
             limits.retain(({ upstreamId }) => upstreams.has(upstreamId));
             brittle.retain(({ upstreamId }) => upstreams.has(upstreamId));
             departureNotifier.notifyDepartures(isDepartingOrRemoved);
@@ -384,6 +425,7 @@
                     if (isQueued && isEngine && maximumTokens === tokens) {
                         const durationMs = clock.monotonicMs() - startedAtMs - (state.roundTripMs ?? 0);
                         speeds.observe(state, tokens + backlogTokens, durationMs);
+                        invalidateViews();
                     }
                     leaveBacklog();
                 },
@@ -402,6 +444,7 @@
                 update(start.upstreamId, state => {
                     state.record = withNotice(state.record);
                 });
+                invalidateViews();
                 departureNotifier.notifyDepartures(isDepartingOrRemoved);
             }
             return isNew;
@@ -432,13 +475,18 @@
                     state.pausedUntilMs = Math.max(state.pausedUntilMs, clock.monotonicMs() + durationMs);
                 }
             }),
-        reportSuccess: (upstreamId, responseMs) => update(upstreamId, state => health.recordSuccess(state, responseMs)),
+        reportSuccess: (upstreamId, responseMs) =>
+            update(upstreamId, state => {
+                health.recordSuccess(state, responseMs);
+                invalidateViews();
+            }),
         reportFailure: (upstreamId, kind) =>
             update(upstreamId, state => health.recordFailure(state, siblingsOf(state), kind)),
         forgetFailures: () => upstreams.forEach(health.reset),
         reportRoundTrip: (upstreamId, roundTripMs) =>
             update(upstreamId, state => {
                 state.roundTripMs = movingAverage(state.roundTripMs, roundTripMs);
+                invalidateViews();
             }),
         trackConnection: ({ upstreamId, startedAtMs }) => {
             const state = upstreams.get(upstreamId);
