gateway: a controller for the move of a run is created when the run is moved

Each stream created an AbortController and aborted it at its end, which creates an exception with its stack: 1% of the time of a host. It is now created with the first move. A move that has begun is still ended by the end of the delivery.

--- a/packages/gateway/src/forwarding/watchEvacuation.ts
+++ b/packages/gateway/src/forwarding/watchEvacuation.ts
@@ -23,10 +23,15 @@
     if (engines === undefined || requestId === undefined) {
         return { end: async () => NOT_MOVED };
     }
-    const delivered = new AbortController();
+    // Created with the first move only: few runs are moved, and creating and aborting one for each run takes a while.
+    let delivered: AbortController | undefined;
     let evacuating: Promise<EvacuationResult> | undefined;
     const evacuate = (): void => {
-        evacuating ??= evacuateRun({
+        if (evacuating !== undefined) {
+            return;
+        }
+        delivered = new AbortController();
+        evacuating = evacuateRun({
             clock,
             engines,
             upstreams,
@@ -45,7 +50,7 @@
     return {
         end: async () => {
             unsubscribe();
-            delivered.abort();
+            delivered?.abort();
             return evacuating ?? NOT_MOVED;
         },
     };
