gateway: reports of accounts without new units cost no rates and windows

Units are added only if there are any, and the share is computed once for a report. A rate to which nothing is added is the same before and after.

--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -279,8 +279,12 @@
                 entitled: total.entitled - (peer?.entitled ?? 0),
                 spare: total.spare - (peer?.spare ?? 0),
             };
-            state.demand.addPeers(added.entitled + added.spare, total.refused - (peer?.refused ?? 0), ageMs);
-            applyUnits(state, added);
+            const addedRefused = total.refused - (peer?.refused ?? 0);
+            // Most accounts of a report are as in the previous one, and adding nothing changes no rate and no window.
+            if (added.entitled > 0 || added.spare > 0 || addedRefused > 0) {
+                state.demand.addPeers(added.entitled + added.spare, addedRefused, ageMs);
+                applyUnits(state, added);
+            }
         }
         state.peers.set(hostId, { ...total, receivedAtMs: nowMs, ageMs });
     };
@@ -289,13 +293,16 @@
      * Units that are available now, for a peer that starts. Those of the state are as of this host's last request of the
      * account, and in a large group a host may have had none for seconds.
      */
-    const currentLevel = ({ account, availableUnits, refilledAtMs }: AccountState): number | undefined => {
-        const nowMs = clock.monotonicMs();
+    const currentLevel = (
+        { account, availableUnits, refilledAtMs }: AccountState,
+        nowMs: number,
+        share: number,
+    ): number | undefined => {
         return account === undefined || isWarmingUp(nowMs)
             ? undefined
             : Math.min(
                 account.burst,
-                availableUnits + account.ratePerS / MS_PER_S * (nowMs - refilledAtMs) * reachable.share(),
+                availableUnits + account.ratePerS / MS_PER_S * (nowMs - refilledAtMs) * share,
             );
     };
 
@@ -345,12 +352,14 @@
                 consume(stateOf(accountId), unitsOf(admission.kind, -units));
             }
         },
-        usages: () =>
-            new Map(
-                [...accounts].map(([accountId, state]) =>
-                    [accountId, { ...state.total, refused: state.refused, level: currentLevel(state) }] as const
-                ),
-            ),
+        usages: () => {
+            const nowMs = clock.monotonicMs();
+            const share = reachable.share();
+            return new Map([...accounts].map(([accountId, state]) => {
+                const level = currentLevel(state, nowMs, share);
+                return [accountId, { ...state.total, refused: state.refused, level }] as const;
+            }));
+        },
         observePeer: (hostName, hostId, usages, hostCount = 1, ageMs = 0) => {
             const nowMs = clock.monotonicMs();
             reachable.observe(hostName, hostCount);
