placement: engines are not sorted to find the first two for a prefix

All 63 engines were sorted by rank for each prompt, of which the first two are used. One pass keeps those.

--- a/packages/gateway/src/placement/presumedCacheShares.ts
+++ b/packages/gateway/src/placement/presumedCacheShares.ts
@@ -15,9 +15,14 @@
     upstreamHashes: ReadonlyMap<UpstreamId, number>,
     prefixHash: number,
 ): ReadonlyMap<UpstreamId, number> => {
-    const ranked = [...upstreamHashes]
-        .map(([upstreamId, hash]) => ({ upstreamId, rankHash: combineHashes(hash, prefixHash) }))
-        .sort((left, right) => left.rankHash - right.rankHash);
+    const ranked: { readonly upstreamId: UpstreamId; readonly rankHash: number; }[] = [];
+    // Only the first ranks are kept: sorting all engines takes longer than the rest of the function.
+    upstreamHashes.forEach((hash, upstreamId) => {
+        const rankHash = combineHashes(hash, prefixHash);
+        const next = ranked.findIndex(other => rankHash < other.rankHash);
+        ranked.splice(next === -1 ? ranked.length : next, 0, { upstreamId, rankHash });
+        ranked.splice(SHARES_BY_RANK.length);
+    });
     return new Map(SHARES_BY_RANK.flatMap((share, rank) => {
         const upstreamId = ranked[rank]?.upstreamId;
         return upstreamId === undefined ? [] : [[upstreamId, share] as const];
