--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -132,7 +132,7 @@
             );
 
     const startedAtMs = clock.monotonicMs();
-    const liveHostAddresses = (): readonly string[] =>
+    const listHosts = (keepsSilentMajority: boolean): readonly string[] =>
         listLiveHosts({
             ownAddress: settings.listen.peers,
             registered: registeredHosts.map(({ address }) => address),
@@ -143,7 +143,9 @@
             isLargeGroup: (peers.exchange?.unnotifiedShare() ?? 0) > 0,
             uptimeMs: clock.monotonicMs() - startedAtMs,
             nowMs: clock.monotonicMs(),
+            keepsSilentMajority,
         });
+    const liveHostAddresses = (): readonly string[] => listHosts(false);
     const upstreams = createUpstreamTable({
         clock,
         hasher,
@@ -151,7 +153,7 @@
         unobservedShare: () => peers.exchange?.unnotifiedShare() ?? 0,
         sharedNowMs: clusterClock.nowMs,
         ownAddress: settings.listen.peers,
-        hostAddresses: liveHostAddresses,
+        hostAddresses: () => listHosts(true),
         serviceOf: service => documentCache.configuration()?.servicesByName.get(service),
         onPlaced: ({ service, upstreamId, isEngine, load, workMs, partIds }) => {
             workMeter.add(service, workMs);
