test(edge): the tests of cut-off hosts pace their time and end without an answer

Cause: streams of before the cut take longer on a busy machine, where turns of the shared event loop last 0.1 to 0.7 s, so more of them run at the cut than the retry budget of the host covers. In two traced runs beside 5 busy processes, 8 and 6 of 9 streams lost their connection, and the budget allowed 4.1 retries (9 requests x 0.2 + a third of a slack of 10, of which 0.8 is used); the others ended with "connection-lost" without a second attempt. Beside that, in one of these runs the cut was noticed so late that the retries went to upstreams and met it too, and in a third run the check of the upstreams did not count in time, so the losses counted as crashes and the requests, which are equal, were quarantined. Ruled out: that retried streams are not joined, or go on at another version: neither was seen. A test request without an end is given up after 30 s, so that a test closes its hosts instead of waiting forever, and a forwarder ends when its parent does. The hang is not reproduced.

--- a/packages/edge/__tests__/support/actEveryMs.ts
+++ b/packages/edge/__tests__/support/actEveryMs.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from "node:timers/promises";
+import { pauseMs } from "./pauseMs";
 
 /** Calls a function at an interval for a time. */
 export const actEveryMs = async (
@@ -9,6 +9,6 @@
     const startedAtMs = performance.now();
     for (let index = 0; performance.now() - startedAtMs < durationMs; index++) {
         act(index);
-        await sleep(intervalMs);
+        await pauseMs(intervalMs);
     }
 };
--- a/packages/edge/__tests__/support/readStream.ts
+++ b/packages/edge/__tests__/support/readStream.ts
@@ -8,6 +8,9 @@
     readonly versions: ReadonlySet<string>;
 }
 
+/** Time after which a stream without an end is given up; a test that waits for it forever would also never close its hosts. */
+const MAXIMUM_WAIT_MS = 30_000;
+
 /** Reads a stream to its end, or until the client leaves after a number of events. */
 export const readStream = (
     port: number,
@@ -41,11 +44,14 @@
             response.on("error", () => undefined);
         });
         outgoing.on("error", () => undefined);
-        outgoing.on("close", () =>
+        const timer = setTimeout(() => outgoing.destroy(), MAXIMUM_WAIT_MS);
+        outgoing.on("close", () => {
+            clearTimeout(timer);
             resolve({
                 status,
                 lastEventId: Math.max(0, ...ids()),
                 versions: new Set([...text.matchAll(/data: (\S+)\n/g)].map(([, version = ""]) => version)),
-            }));
+            });
+        });
         outgoing.end("{}");
     });
--- a/packages/edge/__tests__/support/sendTestRequest.ts
+++ b/packages/edge/__tests__/support/sendTestRequest.ts
@@ -1,5 +1,8 @@
 import { request as sendRequest } from "node:http";
 
+/** Time after which a request without an end is given up; a test that waits for it forever would also never close its hosts. */
+const MAXIMUM_WAIT_MS = 30_000;
+
 /** Sends a request to a host over a new connection; returns the status, or 0 if the response is not complete. */
 export const sendTestRequest = (
     port: number,
@@ -27,6 +30,8 @@
             response.on("error", () => undefined);
             response.on("close", () => resolve(response.complete ? response.statusCode ?? 0 : 0));
         });
+        const timer = setTimeout(() => outgoing.destroy(), MAXIMUM_WAIT_MS);
         outgoing.on("error", () => resolve(0));
+        outgoing.on("close", () => clearTimeout(timer));
         outgoing.end(body);
     });
--- a/packages/edge/__tests__/support/startForwarder.ts
+++ b/packages/edge/__tests__/support/startForwarder.ts
@@ -14,6 +14,7 @@
     outer.pipe(inner);
 }));
 process.stdin.on("data", () => servers.forEach(server => server.close()));
+process.stdin.on("end", () => process.exit());
 Promise.all(servers.map(server =>
     new Promise(resolve => server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, resolve))
 )).then(() => process.stdout.write(JSON.stringify(servers.map(server => server.address().port))));
--- a/packages/edge/__tests__/support/startRelayGroup.ts
+++ b/packages/edge/__tests__/support/startRelayGroup.ts
@@ -1,8 +1,8 @@
 import { type AvailabilityZone, createResourceStack } from "@ibislanding/core";
 import type { Route } from "@ibislanding/gateway";
 import { createServer } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import { createTestStore } from "./createTestStore";
+import { pauseMs } from "./pauseMs";
 import { startForwarder } from "./startForwarder";
 import { createStoredUpstream, createTestConfiguration, startTestHost } from "./startTestHost";
 
@@ -100,7 +100,7 @@
         resources.use(started.host);
         hosts.push(started);
     }
-    await sleep(INTRODUCTION_MS);
+    await pauseMs(INTRODUCTION_MS);
     return {
         hosts,
         forwarders,
--- a/packages/edge/__tests__/support/startVersionedUpstream.ts
+++ b/packages/edge/__tests__/support/startVersionedUpstream.ts
@@ -1,7 +1,7 @@
 import type { ServiceName, SoftwareVersion } from "@ibislanding/core";
 import { createServer, type Server } from "node:http";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { createTestStore } from "./createTestStore";
+import { pauseMs } from "./pauseMs";
 import { createStoredUpstream } from "./startTestHost";
 
 const EVENT_INTERVAL_MS = 30;
@@ -96,12 +96,12 @@
         ): Promise<void> => {
             server.closeAllConnections();
             server.close();
-            await sleep(listenAfterMs);
+            await pauseMs(listenAfterMs);
             runningVersion = nextVersion;
             startedAtMs++;
             server = createStart();
             await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
-            await sleep(entryAfterMs);
+            await pauseMs(entryAfterMs);
             register();
         },
         [Symbol.asyncDispose]: async () => {
