fix(edge): headers for hosts that callers send are removed on the public listener

Cause: the listener for callers passed headers with the prefix ibis-relay- on to upstreams. At a cut-off host, a caller's ibis-relay-mark counted as a second one, so that every peer refused the request as relayed twice. Change: both listeners remove these headers, from the raw and the parsed ones, before anything reads them.

--- a/packages/edge/src/startHostListeners.ts
+++ b/packages/edge/src/startHostListeners.ts
@@ -1,3 +1,4 @@
+import { removeRelayHeaders } from "@ibislanding/relay";
 import { listen } from "@ibislanding/runtime";
 import { createServer, type RequestListener } from "node:http";
 import type { EdgeSettings } from "./edgeSettings";
@@ -27,6 +28,7 @@
         noDelay: true,
     }, (request, response) => {
         callers.keepAliveTimeout = idleTimeoutMs() ?? IDLE_TIMEOUT_MS;
+        removeRelayHeaders(request);
         handle(request, response);
     });
     const readiness = createServer((_request, response) => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,6 +11,7 @@
 // Messages
 export type { RelayHead } from "./messages/relayHead";
 export { relayHeaders } from "./messages/relayHeaders";
+export { removeRelayHeaders } from "./messages/removeRelayHeaders";
 
 // Monitor
 export { createReachabilityMonitor } from "./monitor/createReachabilityMonitor";
--- a/packages/relay/src/listener/startRelayListener.ts
+++ b/packages/relay/src/listener/startRelayListener.ts
@@ -3,7 +3,7 @@
 import { checkRelayedRequest } from "../decisions/checkRelayedRequest";
 import { decodeRelayHead } from "../messages/decodeRelayHead";
 import { relayHeaders } from "../messages/relayHeaders";
-import { withoutRelayHeaders } from "../messages/withoutRelayHeaders";
+import { removeRelayHeaders } from "../messages/removeRelayHeaders";
 import type { RelayListenerOptions } from "./relayListenerOptions";
 
 /** Maximum size of a header block: that of callers' listener, and room for the headers between hosts. */
@@ -51,7 +51,7 @@
         }
         options.onAccepted();
         const { bodyBytes, ...rest } = checked.val;
-        request.rawHeaders = [...withoutRelayHeaders(request.rawHeaders)];
+        removeRelayHeaders(request);
         let isConfirmed = false;
         options.handle(request, response, {
             ...rest,
