fix(gateway): a host whose event loop is delayed does not send for clients that have left

What arrives during a long turn of the event loop is read after it, and the close of a connection one turn later than the request on it, so the request was sent although the close had arrived too. Ruled out: the deadline, which is checked at the send; here clients left because their requests were not read for a second. Change: a meter of the event loop's delay; from 200 ms on, a request waits three turns until closes are reported, before the account is charged, and ends as event_loop_delayed if its client has left. Measured: delayedEventLoop.spec.ts (a turn of 0.9 s) sends 8 of 8 such requests before, none after, on kept and new connections; requests whose clients wait are all sent.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,8 +29,10 @@
 export type { Clock } from "./time/clock";
 export { createClockDriftMeter } from "./time/createClockDriftMeter";
 export { createFakeClock } from "./time/createFakeClock";
+export { createLoopDelayMeter } from "./time/createLoopDelayMeter";
 export { createSystemClock } from "./time/createSystemClock";
 export type { FakeClock } from "./time/fakeClock";
+export type { LoopDelayMeter } from "./time/loopDelayMeter";
 export type { Timer } from "./time/timer";
 
 // Random numbers
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,4 +1,4 @@
-import { breakOffResponse } from "@ibislanding/core";
+import { breakOffResponse, createLoopDelayMeter } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCapacityQueue } from "../brittle/createCapacityQueue";
 import { createClientResponse } from "./createClientResponse";
@@ -19,6 +19,7 @@
     const { clock } = options;
     const pool = createConnectionPool(options.upstreams);
     const capacityQueue = createCapacityQueue(clock);
+    const loopDelay = createLoopDelayMeter(clock);
     const stop = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
@@ -44,6 +45,7 @@
                 ...options,
                 pool,
                 capacityQueue,
+                loopDelay,
                 request,
                 response,
                 clientResponse,
@@ -73,6 +75,7 @@
         requestsInFlight: () => unfinished.size,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
+            loopDelay[Symbol.dispose]();
             await retirementLoop;
             unfinished.forEach(breakOffResponse);
             await pool[Symbol.asyncDispose]();
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -1,3 +1,4 @@
+import type { LoopDelayMeter } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CapacityQueue } from "../brittle/capacityQueue";
 import type { ClientResponse } from "./clientResponse";
@@ -9,6 +10,7 @@
 export interface ServeOptions extends GatewayOptions {
     readonly pool: ConnectionPool;
     readonly capacityQueue: CapacityQueue;
+    readonly loopDelay: LoopDelayMeter;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -16,6 +16,7 @@
 import type { Refusal } from "./refusal";
 import type { RequestProgress } from "./requestProgress";
 import type { ServeOptions } from "./serveOptions";
+import { settleClosedConnections } from "./settleClosedConnections";
 
 /** Maximum relative jitter of `Retry-After`, so that clients refused at the same time do not retry at the same time. */
 const RETRY_JITTER = 0.5;
@@ -30,6 +31,9 @@
 /** `Retry-After` of a relayed request whose account differs here: another configuration is in force for a moment. */
 const RELAY_RETRY_MS = 300;
 
+/** Delay of the event loop from which on clients may have left before their requests were read. */
+const DELAYED_LOOP_MS = 200;
+
 const ENTITLED: AccountAdmission = { kind: "entitled" };
 
 /** Logged outcome by status for requests that were refused without a run; other statuses are logged as failed. */
@@ -207,6 +211,13 @@
         report(identifiedRequest, "refused", refusal.reason, refusal.status);
         return;
     }
+    if (options.loopDelay.delayMs() >= DELAYED_LOOP_MS) {
+        await settleClosedConnections();
+        if (ended.signal.reason === "caller-left") {
+            report(identifiedRequest, "left", "event_loop_delayed", 504);
+            return;
+        }
+    }
     const { account, units } = identifiedRequest;
     const features = createRequestFeatures(
         {
