test(edge): the tests of rollouts pace their time

Cause: on a busy machine, all hosts and upstreams share one delayed event loop, so all versions are slow. In a traced run of the first test beside 5 busy processes, 110 of about 830 requests were sent in 10 s, 88 of 110 requests of one service were refused with 503 or failed since no upstream was predicted to answer in time, and the slow version was completed, as good as the others. Ruled out: a wrong verdict on what the hosts saw: "failures on all routes" rolled the failing version back in the same run. Change: timers advance by at most 5 ms in a turn of the event loop; bounds, load and durations are unchanged. The first test failed in the traced run without pacing.

--- a/packages/edge/__tests__/support/startRolloutGroup.ts
+++ b/packages/edge/__tests__/support/startRolloutGroup.ts
@@ -1,7 +1,7 @@
 import { createResourceStack, type ServiceName } from "@ibislanding/core";
-import { setTimeout as sleep } from "node:timers/promises";
 import { actEveryMs } from "./actEveryMs";
 import { createTestStore } from "./createTestStore";
+import { pauseMs } from "./pauseMs";
 import { readStream } from "./readStream";
 import { createTestConfiguration, startTestHost } from "./startTestHost";
 import { startVersionedUpstream } from "./startVersionedUpstream";
@@ -82,7 +82,7 @@
         resources.use(started.host);
         hosts.push(started);
     }
-    await sleep(INTRODUCTION_MS);
+    await pauseMs(INTRODUCTION_MS);
 
     const order = async (service: string, durationMs: number): Promise<void> => {
         store.write(`orders/${service}`, JSON.stringify({ service, target: "v2", durationMs }));
