--- a/packages/gateway/__tests__/tableViews.spec.ts
+++ b/packages/gateway/__tests__/tableViews.spec.ts
@@ -116,3 +116,29 @@
     expect(penalties("p", "x")).toEqual(before);
     expect(penalties("q", "x")).not.toEqual(before);
 });
+
+test("loads of peers are those of their newest reports, until the reports have expired or no longer list them", async () => {
+    const { table, clock } = createTable(true);
+    table.replace([record("a"), record("b")]);
+    const running = () => ["a", "b"].map(each => read(table).get(each)?.running);
+    const report = (host: string, loads: Readonly<Record<string, number>>) =>
+        table.observePeer(
+            host,
+            new Map(Object.entries(loads).map(([each, count]) => [id(each), { running: count, backlogTokens: 0 }])),
+            1,
+        );
+    report("host-1", { a: 2, b: 3 });
+    expect(running()).toEqual([2, 3]);
+    await clock.advance(1_000);
+    report("host-2", { a: 10 });
+    expect(running()).toEqual([12, 3]);
+    // The first host's report expires, the second one's is still current.
+    await clock.advance(600);
+    expect(running()).toEqual([10, 0]);
+    report("host-1", { b: 4 });
+    expect(running()).toEqual([10, 4]);
+    report("host-2", { a: 11, b: 1 });
+    expect(running()).toEqual([11, 5]);
+    table.observePlacement("host-1", id("a"), { running: 7, backlogTokens: 0 }, []);
+    expect(running()).toEqual([18, 5]);
+});
