duties: new engines are ordered where demand will be when they have started

Cause: new reclaimable engines are spread evenly over the zones. With waves of demand that pass from zone to zone, half of them start where demand is below the mean. Ruled out: continuing the trend of the reported demand, which is an average over 5 s. With reports 2 s old it was no better than the even spread. Planning from what runs alone would order engines again in the next zone while the first ones start. Change: in groups of more than 16 hosts, the holder of the duties sums the work that reports state by zone (busyUpstreamsByZone); createZoneForecast removes the averaging and continues the trend; moveTowardsDemand adds engines by the expected demand, none where a wave is leaving, and the cheapest zone first among about equal ones. Ordered engines count while they start. The size of the fleet is planned as before. While the demand of a zone is not known, the fleet is planned as today. fleet_ordered states zoneBusy and expectedZoneBusy; ibis_zone_expected_busy shows the forecast.

--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -13,11 +13,14 @@
 
 // Scaling
 export { createScaler } from "./scaling/createScaler";
+export { createZoneForecast } from "./scaling/createZoneForecast";
 export { fleetSizing } from "./scaling/fleetSizing";
 export type { FleetState } from "./scaling/fleetState";
 export type { FleetZone } from "./scaling/fleetZone";
 export { planFleet } from "./scaling/planFleet";
 export type { Scaler } from "./scaling/scaler";
+export type { ZoneDemand } from "./scaling/zoneDemand";
+export type { ZoneForecast } from "./scaling/zoneForecast";
 export type { ZoneTarget } from "./scaling/zoneTarget";
 
 // Lease and execution
--- a/packages/duties/src/scaling/createScaler.ts
+++ b/packages/duties/src/scaling/createScaler.ts
@@ -45,6 +45,13 @@
     const isRefused = (key: string, durationMs: number): boolean =>
         clock.monotonicMs() - (refusedAtMs.get(key) ?? -Infinity) < durationMs;
 
+    /** Upstreams that run, or that have been ordered and may be starting; without them, they would be ordered elsewhere again. */
+    const orderedCount = (key: string, running: number): number => {
+        const lastSent = sent.get(key);
+        const isStarting = lastSent !== undefined && clock.monotonicMs() - lastSent.sentAtMs < RESEND_AFTER_MS;
+        return isStarting ? Math.max(running, lastSent.count) : running;
+    };
+
     const toScaleRequests = (service: ServiceName, target: ZoneTarget): readonly ScaleRequest[] => [
         { service, availabilityZone: target.availabilityZone, isReclaimable: false, count: target.onDemand },
         { service, availabilityZone: target.availabilityZone, isReclaimable: true, count: target.reclaimable },
@@ -117,13 +124,15 @@
 
     return {
         step: async (service, state, fencingNumber) => {
-            const zones = state.zones.map(zone => ({
-                ...zone,
-                isReclaimableRefused: isRefused(
-                    keyOf({ service, availabilityZone: zone.availabilityZone, isReclaimable: true, count: 0 }),
-                    REFUSAL_RETENTION_MS,
-                ),
-            }));
+            const zones = state.zones.map(zone => {
+                const { availabilityZone } = zone;
+                const key = keyOf({ service, availabilityZone, isReclaimable: true, count: 0 });
+                return {
+                    ...zone,
+                    isReclaimableRefused: isRefused(key, REFUSAL_RETENTION_MS),
+                    orderedReclaimable: orderedCount(key, zone.reclaimable),
+                };
+            });
             const planned: FleetState = { ...state, zones };
             const requests = planFleet(planned).flatMap(target => toScaleRequests(service, target));
             requests.forEach(request => recordRunning(keyOf(request), runningOf(zones, request)));
--- a/packages/duties/src/scaling/planFleet.ts
+++ b/packages/duties/src/scaling/planFleet.ts
@@ -1,6 +1,7 @@
 import { fleetSizing } from "./fleetSizing";
 import type { FleetState } from "./fleetState";
 import type { FleetZone } from "./fleetZone";
+import { moveTowardsDemand } from "./moveTowardsDemand";
 import type { ZoneTarget } from "./zoneTarget";
 
 /**
@@ -15,6 +16,10 @@
 const sortByPrice = (zones: readonly FleetZone[]): readonly FleetZone[] =>
     [...zones].sort((left, right) => left.price - right.price);
 
+/** Whether the demand of each zone is known. */
+const isDemandKnown = (zones: readonly FleetZone[]): boolean =>
+    zones.length > 0 && zones.every(({ demand }) => demand !== undefined);
+
 /** Distributes upstreams one at a time to the zone with the fewest of them, the cheapest first among equals. */
 const distribute = (
     zones: readonly FleetZone[],
@@ -62,7 +67,8 @@
  * Designed for sudden load changes while the platform reclaims all reclaimable upstreams of one zone after the other
  * and offers no new ones. Reclaimable upstreams, spread over all zones, keep prompts from queueing at peaks. On-demand
  * ones, in the cheapest zones, carry the average load together with the reclaimable ones that remain after a wave of
- * reclaims. While requests for reclaimable upstreams are refused, on-demand ones replace them.
+ * reclaims. Where the demand of zones is known, new reclaimable ones are added where it will be when they have started. While
+ * requests for reclaimable upstreams are refused, on-demand ones replace them.
  */
 export const planFleet = (state: FleetState): readonly ZoneTarget[] => {
     const { zones, averageBusy, peakBusy, minimum, maximum } = state;
@@ -70,7 +76,10 @@
     const onDemandBase = onDemandBaseOf(totalAtPeak, averageBusy);
     const onDemand = distribute(zones, onDemandBase + onDemandFallback(state, onDemandBase), () => maximum);
     const total = Math.max(totalAtPeak, onDemandBase + zones.length);
-    const reclaimable = distribute(zones, total - onDemandBase, zone => maximum - (onDemand.get(zone) ?? 0));
+    const capacity = (zone: FleetZone): number => maximum - (onDemand.get(zone) ?? 0);
+    const reclaimable = isDemandKnown(zones)
+        ? moveTowardsDemand(zones, total - onDemandBase, zone => zone.orderedReclaimable ?? zone.reclaimable, capacity)
+        : distribute(zones, total - onDemandBase, capacity);
     return zones.map(zone => {
         const counts = { onDemand: onDemand.get(zone) ?? 0, reclaimable: reclaimable.get(zone) ?? 0 };
         const missing = Math.max(0, minimum - counts.onDemand - counts.reclaimable);
--- a/packages/edge/src/createEdgeDuties.ts
+++ b/packages/edge/src/createEdgeDuties.ts
@@ -1,5 +1,12 @@
 import { ErrorCode, type Failure, type ServiceName } from "@ibislanding/core";
-import { createDutyRunner, createScaler, createUsageReporter, type DutyRunner } from "@ibislanding/duties";
+import {
+    createDutyRunner,
+    createScaler,
+    createUsageReporter,
+    createZoneForecast,
+    type DutyRunner,
+    type ZoneDemand,
+} from "@ibislanding/duties";
 import { createDemandMeter } from "./createDemandMeter";
 import type { EdgeDutiesOptions } from "./edgeDutiesOptions";
 import { createRolloutDuty } from "./rollouts/createRolloutDuty";
@@ -7,10 +14,22 @@
 /** Time within which upstreams that started together have registered. */
 const REGISTRATION_PERIOD_MS = 4_000;
 
+const NO_DEMAND: ZoneDemand = { currentBusy: 0, expectedBusy: 0 };
+
 /** Creates the duties for usage, scaling and rollouts and starts contending for their lease. */
 export const createEdgeDuties = (options: EdgeDutiesOptions): DutyRunner => {
     const { clock, random, log, store, storeEpoch, duties, settings, documents, usage, nowMs } = options;
     const demand = createDemandMeter(clock);
+    const zoneForecast = createZoneForecast(clock);
+    const expectedByService = new Map<ServiceName, ReturnType<typeof zoneForecast.observe>>();
+    options.metrics.labelledGauge(
+        "ibis_zone_expected_busy",
+        "Engines that the demand of a zone's hosts is expected to keep busy when an engine ordered now has started.",
+        () =>
+            [...expectedByService].flatMap(([service, zones]) =>
+                [...zones].map(([zone, { expectedBusy }]) => ({ labels: { service, zone }, value: expectedBusy }))
+            ),
+    );
 
     const handleFailure = (failure: Failure): void => {
         const currentFencingNumber = runner.fencingNumber();
@@ -41,12 +60,17 @@
     const scaler = createScaler({
         api: duties,
         clock,
-        onRequested: (request, { averageBusy, peakBusy }) =>
+        onRequested: (request, { averageBusy, peakBusy, zones }) => {
+            const expected = zones.find(({ availabilityZone }) => availabilityZone === request.availabilityZone)
+                ?.demand;
             log.write("fleet_ordered", {
                 ...request,
+                zoneBusy: expected === undefined ? undefined : Number(expected.currentBusy.toFixed(2)),
+                expectedZoneBusy: expected === undefined ? undefined : Number(expected.expectedBusy.toFixed(2)),
                 averageBusy: Number(averageBusy.toFixed(2)),
                 peakBusy: Number(peakBusy.toFixed(2)),
-            }),
+            });
+        },
         onFailure: (request, failure) => {
             handleFailure(failure);
             log.write("fleet_order_failed", { ...request, reason: failure.code, details: failure.message });
@@ -66,12 +90,24 @@
             if (!isRegistrationComplete(name)) {
                 continue;
             }
+            const busyByZone = options.busyUpstreamsByZone(name);
+            const expected = busyByZone === undefined
+                ? undefined
+                : zoneForecast.observe(name, busyByZone, scaling.bootMs);
+            const isExpectationKnown = expected !== undefined && expected.size > 0;
+            expectedByService.set(name, expected ?? new Map());
             const zones = [...scaling.zonePrices]
                 .filter(([zone]) => options.deployedZones.has(zone))
                 .map(([availabilityZone, price]) => {
                     const zoneRecords = records.filter(record => record.availabilityZone === availabilityZone);
                     const reclaimable = zoneRecords.filter(record => record.isReclaimable).length;
-                    return { availabilityZone, price, onDemand: zoneRecords.length - reclaimable, reclaimable };
+                    return {
+                        availabilityZone,
+                        price,
+                        onDemand: zoneRecords.length - reclaimable,
+                        reclaimable,
+                        demand: isExpectationKnown ? expected.get(availabilityZone) ?? NO_DEMAND : undefined,
+                    };
                 });
             await scaler.step(name, {
                 zones,
@@ -107,7 +143,10 @@
             ...(settings.duties.scaling ? [scale] : []),
             ...rolloutDuties,
         ],
-        onChange: (held, fencingNumber) => log.write(held ? "duties_taken" : "duties_lost", { fencingNumber }),
+        onChange: (held, fencingNumber) => {
+            expectedByService.clear();
+            log.write(held ? "duties_taken" : "duties_lost", { fencingNumber });
+        },
         onError: error => log.write("duty_error", { reason: error instanceof Error ? error.stack : typeof error }),
     });
     return runner;
--- a/packages/edge/src/edgeDutiesOptions.ts
+++ b/packages/edge/src/edgeDutiesOptions.ts
@@ -18,6 +18,8 @@
     readonly firstSeenAtMs: (service: ServiceName) => number | undefined;
     /** Number of a service's engines that all hosts together keep busy. */
     readonly busyUpstreams: (service: ServiceName) => number;
+    /** The same by availability zone of the hosts; undefined in groups of up to 16 hosts, or while that of a zone is unknown. */
+    readonly busyUpstreamsByZone: (service: ServiceName) => ReadonlyMap<AvailabilityZone, number> | undefined;
     /** Availability zones in which upstreams may run. */
     readonly deployedZones: ReadonlySet<AvailabilityZone>;
     /** Cluster time. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,4 +1,4 @@
-import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import type { AvailabilityZone, ServiceName, UpstreamId } from "@ibislanding/core";
 import { createHasher, createResourceStack, FailureError } from "@ibislanding/core";
 import { createClusterClock, createReportExchange, type ReportExchange } from "@ibislanding/discovery";
 import { createUsageCounts, createUsageRecords } from "@ibislanding/duties";
@@ -59,6 +59,9 @@
 /** Maximum number of hosts that contend for the duties. */
 const MAXIMUM_CONTENDERS = 4;
 
+/** Hosts up to which the fleet does not follow the demand of zones. */
+const MAXIMUM_SMALL_GROUP = 16;
+
 /** Fraction of the permitted excess that is granted deliberately; the rest is reserved for delayed reports. */
 const ACCOUNT_SLACK_SHARE = 0.5;
 
@@ -350,6 +353,25 @@
             workMeter.busyUpstreams().get(service) ?? 0,
         );
 
+    const busyUpstreamsByZone = (service: ServiceName): ReadonlyMap<AvailabilityZone, number> | undefined => {
+        const zones = new Map(registeredHosts.map(({ address, availabilityZone }) => [address, availabilityZone]));
+        const own = { address: settings.listen.peers, busy: workMeter.busyUpstreams().get(service) ?? 0 };
+        const parts = liveReports().map(({ report: { address, work } }) => ({
+            address,
+            busy: work.find(([name]) => name === service)?.[1] ?? 0,
+        }));
+        if (upstreams.hostCount() <= MAXIMUM_SMALL_GROUP || parts.some(({ address }) => !zones.has(address))) {
+            return undefined;
+        }
+        const busyByZone = new Map<AvailabilityZone, number>();
+        [own, ...parts].forEach(({ address, busy }) => {
+            const zone = (zones.get(address) ?? settings.availabilityZone) as AvailabilityZone;
+            busyByZone.set(zone, (busyByZone.get(zone) ?? 0) + busy);
+        });
+        // A zone whose collector has just ended has demand that is not known.
+        return [...zones.values()].every(zone => busyByZone.has(zone as AvailabilityZone)) ? busyByZone : undefined;
+    };
+
     resources.use(createEdgeDuties({
         ...options,
         usage,
@@ -364,6 +386,7 @@
                 < MAXIMUM_CONTENDERS,
         firstSeenAtMs: service => firstSeenAtMs.get(service),
         busyUpstreams,
+        busyUpstreamsByZone,
         deployedZones: new Set(settings.availabilityZones),
         nowMs: clusterClock.nowMs,
         haveAllPeersReportedSince: timeMs => {
