gateway: a stream of a silent engine goes on at another one

Cause: a stream that falls silent at a host that still reaches other upstreams ended only at its client's deadline. Ruled out: giving up a stream by its own silence, which also has engines that pause, clients that read slowly and delays of the host as causes. Change: on routes that are resumable and state GapTargetMs, which is now decoded, in groups of more than 16 hosts: a stream that has received nothing for 2 s, five targets and five times its longest gap goes on at another engine of the same version, if all other streams of its engine (at least one) have been silent for a second or were given up, and a stream of another engine has not. Retry budget and maximum attempts apply. The given-up run is no evidence of a crash. stream_silent, ibis_silent_streams_total.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -24,6 +24,10 @@
     const sends = metrics.counter("ibis_upstream_sends_total", "Sends to upstreams by outcome.");
     const moves = metrics.counter("ibis_run_moves_total", "Runs moved away from leaving upstreams by outcome.");
 
+    const silentStreams = metrics.counter(
+        "ibis_silent_streams_total",
+        "Streams that went on elsewhere after their engine had fallen silent.",
+    );
     const rejections = metrics.counter("ibis_brittle_rejections_total", "Rejections by brittle upstreams.");
 
     return {
@@ -55,6 +59,14 @@
             moves.add(1, { outcome: move.outcome });
             log.write("run_moved", move);
         },
+        onStreamSilent: ({ silentMs, longestGapMs, ...stream }) => {
+            silentStreams.add(1, {});
+            log.write("stream_silent", {
+                ...stream,
+                silentMs: Math.round(silentMs),
+                longestGapMs: Math.round(longestGapMs),
+            });
+        },
         onUpstreamLeaving: notice => log.write("upstream_leaving", { ...notice, source: "answer" }),
         onUpstreamPaused: pause => log.write("upstream_paused", pause),
         onUpstreamLimited: limit => {
--- a/packages/gateway/src/configuration/route.ts
+++ b/packages/gateway/src/configuration/route.ts
@@ -14,6 +14,8 @@
     readonly timeoutMs: number;
     /** Target time to the complete response, or to the first event of a stream. */
     readonly objectiveMs: number;
+    /** Largest useful gap between events of a stream; undefined if none is stated. */
+    readonly gapTargetMs?: number | undefined;
     /** Maximum number of upstreams on which one request may run. */
     readonly maximumAttempts: number;
     /** 0 is the most urgent. */
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,6 +1,7 @@
 import { breakOffResponse } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCapacityQueue } from "../brittle/createCapacityQueue";
+import { createStreamActivity } from "../streams/createStreamActivity";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
 import type { Gateway } from "./gateway";
@@ -19,6 +20,7 @@
     const { clock } = options;
     const pool = createConnectionPool(options.upstreams);
     const capacityQueue = createCapacityQueue(clock);
+    const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
@@ -44,6 +46,7 @@
                 ...options,
                 pool,
                 capacityQueue,
+                streamActivity,
                 request,
                 response,
                 clientResponse,
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -30,6 +30,16 @@
         readonly target: UpstreamId;
         readonly outcome: string;
     }) => void;
+    /** A stream was given up because its engine had fallen silent; it goes on at another one. */
+    readonly onStreamSilent?:
+        | ((stream: {
+            readonly requestId: RequestId | undefined;
+            readonly upstreamId: UpstreamId;
+            readonly attempt: number;
+            readonly silentMs: number;
+            readonly longestGapMs: number;
+        }) => void)
+        | undefined;
     /** An upstream stated in a response that it is leaving. */
     readonly onUpstreamLeaving: (notice: {
         readonly upstreamId: UpstreamId;
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -9,7 +9,10 @@
     /** Whether the body consists of events; only complete ones are relayed, so that another run can resume after them. */
     readonly hasEvents: boolean;
     readonly clientResponse: ClientResponse;
-    /** Called with the number of events that were completed together, and whether the client delayed their reading. */
-    readonly onEvents?: ((events: number, isDelayed: boolean) => void) | undefined;
+    /**
+     * Called for each part of a body of events, with the number of events that it completed, whether the client delayed its
+     * reading, and the id of the last event.
+     */
+    readonly onEvents?: ((events: number, isDelayed: boolean, lastEventId: string | undefined) => void) | undefined;
     readonly onFirstByte: () => void;
 }
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -68,7 +68,7 @@
             const isDelayed = wasPaused;
             wasPaused = false;
             write(splitter.push(chunk));
-            onEvents?.(splitter.completedEvents(), isDelayed);
+            onEvents?.(splitter.completedEvents(), isDelayed, splitter.lastEventId());
             if (splitter.pendingBytes() > MAXIMUM_EVENT_BYTES) {
                 fail("event-too-large");
             }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -19,6 +19,7 @@
 import { toPlacementRequest } from "./toPlacementRequest";
 import type { UpstreamResponse } from "./upstreamResponse";
 import { watchEvacuation } from "./watchEvacuation";
+import { watchSilence } from "./watchSilence";
 
 /** State of one attempt at an upstream. */
 interface Attempt {
@@ -33,6 +34,8 @@
     headAtMs: number | undefined;
     /** Undefined until the first byte of the body. */
     firstByteAtMs: number | undefined;
+    /** Whether the upstream may not know that its stream was given up. */
+    isBrokenOff: boolean;
 }
 
 /** An answer that is lost within this time after its head may be due to a prompt part that crashes upstreams. */
@@ -123,6 +126,33 @@
     return headAtMs === undefined ? [features.request()] : featureIds;
 };
 
+/** Whether placement would currently select another upstream for the request. */
+const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean =>
+    placeRequest(context, upstream).kind === "send";
+
+/**
+ * Whether a stream can go on after the given event at another upstream of the version that began it; charges the retry budget if
+ * so.
+ */
+const acquireContinuation = (
+    context: ForwardContext,
+    upstream: UpstreamRecord,
+    lastEventId: string | undefined,
+): boolean => {
+    const { options, admitted } = context;
+    const { route, service } = admitted;
+    if (!context.mayRepeat || context.runs >= route.maximumAttempts) {
+        return false;
+    }
+    if (options.clientResponse.isStarted()) {
+        if ((lastEventId ?? context.lastEventId) === undefined) {
+            return false;
+        }
+        context.softwareVersion ??= upstream.softwareVersion;
+    }
+    return hasAlternative(context, upstream) && options.retryBudget.tryAcquire(service);
+};
+
 const relay = async (attempt: Attempt, response: UpstreamResponse): Promise<AttemptOutcome> => {
     const { context, upstream } = attempt;
     const { options, admitted, engine, progress, ended } = context;
@@ -148,12 +178,26 @@
             }
         })
         : undefined;
+    let lastEventId: string | undefined;
+    const silence = hasEvents
+        ? watchSilence(
+            context,
+            upstream,
+            () => response.body.isPaused(),
+            () => acquireContinuation(context, upstream, lastEventId),
+            response.closeConnection,
+        )
+        : undefined;
     const delivery = await relayResponse({
         response,
         isStream,
         hasEvents,
         clientResponse: options.clientResponse,
-        onEvents: attempt.onEvents,
+        onEvents: (events, isDelayed, eventId) => {
+            lastEventId = eventId;
+            silence?.recordProgress();
+            attempt.onEvents(events, isDelayed);
+        },
         onFirstByte: () => {
             attempt.onFirstEvent();
             attempt.firstByteAtMs = options.clock.monotonicMs();
@@ -161,6 +205,7 @@
             progress.firstByteAtMs ??= options.clock.monotonicMs();
         },
     });
+    const silentMs = silence?.end();
     clearing?.cancel();
     progress.received = delivery.received;
     const complete = (): AttemptOutcome => {
@@ -191,6 +236,12 @@
         return { kind: "moved", reason: "moved", continuation: move.continuation };
     }
     reportFailure(attempt, "failed");
+    if (silentMs !== undefined && !ended.aborted) {
+        // The run may still go on at the engine, so its loss says nothing about a crash.
+        endVersionRun(attempt, "failed");
+        attempt.isBrokenOff = true;
+        return { kind: "elsewhere", reason: `silent for ${Math.round(silentMs)} ms`, isCharged: true };
+    }
     endVersionRun(attempt, "lost");
     const suspectedIds = recordLoss(attempt);
     const deliveredMs = Math.round(options.clock.monotonicMs() - headAtMs);
@@ -201,10 +252,6 @@
     };
 };
 
-/** Whether placement would currently select another upstream for the request. */
-const hasAlternative = (context: ForwardContext, upstream: UpstreamRecord): boolean =>
-    placeRequest(context, upstream).kind === "send";
-
 /**
  * Returns the time that placement compares with the objective: to the first event of a stream, or to the end of a plain
  * response. Undefined for engines, whose times are estimated from their prompts.
@@ -307,6 +354,7 @@
         versionRun,
         headAtMs: undefined,
         firstByteAtMs: undefined,
+        isBrokenOff: false,
     };
     const countRun = (): void => {
         context.runs += continuation === undefined ? 1 : 0;
@@ -359,7 +407,7 @@
         })
         .exhaustive();
     watch?.end();
-    load.end(ended.aborted || result.kind === "unknown");
+    load.end(ended.aborted || attempt.isBrokenOff || result.kind === "unknown");
     endVersionRun(attempt, outcome.kind === "done" ? "answered" : "not-run");
     events.onAttemptEnded({
         requestId: admitted.head.requestId,
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CapacityQueue } from "../brittle/capacityQueue";
+import type { StreamActivity } from "../streams/streamActivity";
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
@@ -9,6 +10,7 @@
 export interface ServeOptions extends GatewayOptions {
     readonly pool: ConnectionPool;
     readonly capacityQueue: CapacityQueue;
+    readonly streamActivity: StreamActivity;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
