--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -24,6 +24,10 @@
     const sends = metrics.counter("ibis_upstream_sends_total", "Sends to upstreams by outcome.");
     const moves = metrics.counter("ibis_run_moves_total", "Runs moved away from leaving upstreams by outcome.");
 
+    const silentStreams = metrics.counter(
+        "ibis_silent_streams_total",
+        "Streams that went on elsewhere after their engine had fallen silent.",
+    );
     const rejections = metrics.counter("ibis_brittle_rejections_total", "Rejections by brittle upstreams.");
 
     return {
@@ -55,6 +59,14 @@
             moves.add(1, { outcome: move.outcome });
             log.write("run_moved", move);
         },
+        onStreamSilent: ({ silentMs, longestGapMs, ...stream }) => {
+            silentStreams.add(1, {});
+            log.write("stream_silent", {
+                ...stream,
+                silentMs: Math.round(silentMs),
+                longestGapMs: Math.round(longestGapMs),
+            });
+        },
         onUpstreamLeaving: notice => log.write("upstream_leaving", { ...notice, source: "answer" }),
         onUpstreamPaused: pause => log.write("upstream_paused", pause),
         onUpstreamLimited: limit => {
@@ -73,7 +85,7 @@
         onInvalidHeaders: ({ upstreamId, headers }) =>
             log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
         onRequestEnded: (
-            { firstByteMs, durationMs, predictedMs, backlogMs, promptMs, quarantinedFeature, ...request },
+            { firstByteMs, durationMs, predictedMs, backlogMs, promptMs, delayFactor, quarantinedFeature, ...request },
         ) => {
             const service = request.service ?? "none";
             requests.add(1, { service, outcome: request.outcome, status: String(request.status) });
@@ -86,6 +98,7 @@
                 ...request,
                 quarantinedPart: quarantined?.kind === "part" ? quarantined.value : undefined,
                 fingerprint: quarantined?.kind === "request" ? quarantined.value : undefined,
+                delayFactor: delayFactor === undefined ? undefined : Number(delayFactor.toFixed(2)),
                 predictedMs: round(predictedMs),
                 backlogMs: round(backlogMs),
                 promptMs: round(promptMs),
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -1,4 +1,4 @@
-import type { ServiceName, UpstreamId } from "@ibislanding/core";
+import type { AvailabilityZone, ServiceName, UpstreamId } from "@ibislanding/core";
 import { createHasher, createResourceStack, FailureError } from "@ibislanding/core";
 import { createClusterClock, createReportExchange, type ReportExchange } from "@ibislanding/discovery";
 import { createUsageCounts, createUsageRecords } from "@ibislanding/duties";
@@ -59,6 +59,9 @@
 /** Maximum number of hosts that contend for the duties. */
 const MAXIMUM_CONTENDERS = 4;
 
+/** Hosts up to which the fleet does not follow the demand of zones. */
+const MAXIMUM_SMALL_GROUP = 16;
+
 /** Fraction of the permitted excess that is granted deliberately; the rest is reserved for delayed reports. */
 const ACCOUNT_SLACK_SHARE = 0.5;
 
@@ -151,6 +154,7 @@
         hasher,
         peerTimeoutMs,
         unobservedShare: () => peers.exchange?.unnotifiedShare() ?? 0,
+        busyMs: () => performance.eventLoopUtilization().active,
         sharedNowMs: clusterClock.nowMs,
         ownAddress: settings.listen.peers,
         hostAddresses: () => listHosts(true),
@@ -162,6 +166,11 @@
             }
         },
     });
+    metrics.labelledGauge(
+        "ibis_engine_delay_factor",
+        "Factor by which streams of an engine are slower than predicted at this host, unless it is near 1.",
+        () => [...upstreams.delayFactors()].map(([upstream, value]) => ({ labels: { upstream }, value })),
+    );
     const rollouts = settings.rollouts === undefined ? undefined : resources.use(createRollouts({
         ...options,
         bounds: settings.rollouts,
@@ -346,6 +355,25 @@
             workMeter.busyUpstreams().get(service) ?? 0,
         );
 
+    const busyUpstreamsByZone = (service: ServiceName): ReadonlyMap<AvailabilityZone, number> | undefined => {
+        const zones = new Map(registeredHosts.map(({ address, availabilityZone }) => [address, availabilityZone]));
+        const own = { address: settings.listen.peers, busy: workMeter.busyUpstreams().get(service) ?? 0 };
+        const parts = liveReports().map(({ report: { address, work } }) => ({
+            address,
+            busy: work.find(([name]) => name === service)?.[1] ?? 0,
+        }));
+        if (upstreams.hostCount() <= MAXIMUM_SMALL_GROUP || parts.some(({ address }) => !zones.has(address))) {
+            return undefined;
+        }
+        const busyByZone = new Map<AvailabilityZone, number>();
+        [own, ...parts].forEach(({ address, busy }) => {
+            const zone = (zones.get(address) ?? settings.availabilityZone) as AvailabilityZone;
+            busyByZone.set(zone, (busyByZone.get(zone) ?? 0) + busy);
+        });
+        // A zone whose collector has just ended has demand that is not known.
+        return [...zones.values()].every(zone => busyByZone.has(zone as AvailabilityZone)) ? busyByZone : undefined;
+    };
+
     resources.use(createEdgeDuties({
         ...options,
         usage,
@@ -360,6 +388,7 @@
                 < MAXIMUM_CONTENDERS,
         firstSeenAtMs: service => firstSeenAtMs.get(service),
         busyUpstreams,
+        busyUpstreamsByZone,
         deployedZones: new Set(settings.availabilityZones),
         nowMs: clusterClock.nowMs,
         haveAllPeersReportedSince: timeMs => {
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,6 +1,7 @@
 import { breakOffResponse, createLoopDelayMeter } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCapacityQueue } from "../brittle/createCapacityQueue";
+import { createStreamActivity } from "../streams/createStreamActivity";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
 import type { Gateway } from "./gateway";
@@ -20,6 +21,7 @@
     const pool = createConnectionPool(options.upstreams);
     const capacityQueue = createCapacityQueue(clock);
     const loopDelay = createLoopDelayMeter(clock);
+    const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
@@ -46,6 +48,7 @@
                 pool,
                 capacityQueue,
                 loopDelay,
+                streamActivity,
                 request,
                 response,
                 clientResponse,
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -30,6 +30,16 @@
         readonly target: UpstreamId;
         readonly outcome: string;
     }) => void;
+    /** A stream was given up because its engine had fallen silent; it goes on at another one. */
+    readonly onStreamSilent?:
+        | ((stream: {
+            readonly requestId: RequestId | undefined;
+            readonly upstreamId: UpstreamId;
+            readonly attempt: number;
+            readonly silentMs: number;
+            readonly longestGapMs: number;
+        }) => void)
+        | undefined;
     /** An upstream stated in a response that it is leaving. */
     readonly onUpstreamLeaving: (notice: {
         readonly upstreamId: UpstreamId;
@@ -86,6 +96,8 @@
         readonly backlogMs: number | undefined;
         readonly promptMs: number | undefined;
         readonly runningAtUpstream: number | undefined;
+        /** Factor by which recent gaps of streams lengthened the prediction. */
+        readonly delayFactor: number | undefined;
         /** Quarantined feature for which the request was refused. */
         readonly quarantinedFeature: FeatureId | undefined;
         /** Address of the host that relayed the request to this one. */
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -1,6 +1,7 @@
 import type { LoopDelayMeter } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CapacityQueue } from "../brittle/capacityQueue";
+import type { StreamActivity } from "../streams/streamActivity";
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
@@ -11,6 +12,7 @@
     readonly pool: ConnectionPool;
     readonly capacityQueue: CapacityQueue;
     readonly loopDelay: LoopDelayMeter;
+    readonly streamActivity: StreamActivity;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
