fix(limits): accounts get what their window has left, and refusals state when there is room

After the burst, requests were refused while the window was at 0.6 to 0.9 of its limit. - What peers were asked for, not what they admitted, was deducted from the bucket, so that it seemed empty for seconds after hosts had stopped to admit. - The paced rate did not depend on when past usage leaves the window: too much at first, and then nothing. - The growth of demand was compared with an average that contains it, so that a sudden load showed late. - The admitted fraction was one of units with a credit that small requests used up. - Retry-After was the time of the bucket alone: all that were refused together were told the same time.

Change: usage is counted at the time of the requests; the paced rate is the highest constant one that the window permits from now on, with a part of it per host by its share over some seconds; demand counts as above it only beyond what chance explains; growth is compared with the time of which relayed reports tell. Retry-After states when bucket and window have room, spread over 2 s by what the host's part of the rate serves.

--- a/packages/edge/__tests__/support/replayAccountLoad.ts
+++ b/packages/edge/__tests__/support/replayAccountLoad.ts
@@ -22,6 +22,15 @@
     /** Additional delay of a summary on its way to another zone. */
     readonly summaryDelayMs: readonly [minimum: number, maximum: number];
     readonly seed: number;
+    /** Sizes of requests, each as frequent as the others. */
+    readonly sizes?: readonly number[];
+    /** Load of a zone relative to its usual one. */
+    readonly zoneFactor?: (zone: number, atMs: number) => number;
+    /**
+     * Units that upstreams serve per second; undefined if they serve everything. Above it, requests that an account is
+     * entitled to reach no upstream and are refunded, and tolerated ones are refused as above the limit.
+     */
+    readonly capacityPerS?: number;
 }
 
 export interface ReplayedRequest {
@@ -29,7 +38,9 @@
     readonly accountId: AccountId;
     readonly host: number;
     readonly units: number;
-    readonly kind: "entitled" | "spare" | "over";
+    readonly kind: "entitled" | "spare" | "over" | "refunded";
+    /** Time after which the client may return, if the request is refused as above the limit. */
+    readonly waitMs: number;
 }
 
 const WINDOW_MS = 8_000;
@@ -41,7 +52,8 @@
 const MAXIMUM_SUMMARY_AGE_MS = 2_000;
 const STEP_MS = 5;
 const UNITS = [600, 600, 1_200, 2_400, 4_800, 9_300];
-const MEAN_UNITS = UNITS.reduce((sum, units) => sum + units, 0) / UNITS.length;
+/** Time for which upstreams may be behind before they refuse requests. */
+const UPSTREAM_QUEUE_MS = 300;
 
 type Meter = ReturnType<typeof createAccountMeter>;
 
@@ -99,9 +111,12 @@
             }
             return summary;
         },
-        receive: (envelope: { readonly report: HostReport; readonly createdAtMs: number; }): void => {
+        receive: (envelope: { readonly report: HostReport; readonly createdAtMs: number; }, isOwn = false): void => {
             const { report } = envelope;
-            if (report.hostId === hostId || (received.get(report.hostId)?.report.sequence ?? 0) >= report.sequence) {
+            if (
+                report.hostId === hostId !== isOwn
+                || (received.get(report.hostId)?.report.sequence ?? 0) >= report.sequence
+            ) {
                 return;
             }
             received.set(report.hostId, envelope);
@@ -119,8 +134,8 @@
             );
         },
         recent: () =>
-            [...received.values()].filter(({ createdAtMs }) =>
-                clock.monotonicMs() - createdAtMs < MAXIMUM_SUMMARY_AGE_MS
+            [...received.values()].filter(({ report, createdAtMs }) =>
+                report.hostId !== hostId && clock.monotonicMs() - createdAtMs < MAXIMUM_SUMMARY_AGE_MS
             ),
     };
 };
@@ -146,7 +161,9 @@
         process: createProcess(clock, `host-${index}`, `host-${index}.0` as HostId, timeoutMs),
     }));
     type Host = (typeof hosts)[number];
-    const totalWeight = hosts.reduce((sum, { weight }) => sum + weight, 0);
+    const { sizes = UNITS, zoneFactor = () => 1, capacityPerS = Infinity } = options;
+    const meanUnits = sizes.reduce((sum, units) => sum + units, 0) / sizes.length;
+    let queuedUnits = 0;
     const zones = Array.from(
         { length: ZONES },
         (_, zone) => hosts.filter(host => host.zone === zone).sort((left, right) => left.order - right.order),
@@ -159,8 +176,24 @@
         zones[zone]?.find(({ index }) => options.isRegistered(index, nowMs - options.leadMs)) ?? zones[zone]?.[0];
 
     const pickHost = (): Host => {
-        let rest = random.nextFloat() * totalWeight;
-        return hosts.find(({ weight }) => (rest -= weight) < 0) ?? hosts[0] as Host;
+        const factors = zones.map((_, zone) => zoneFactor(zone, nowMs - options.leadMs));
+        const weightOf = ({ weight, zone }: Host): number => weight * (factors[zone] ?? 1);
+        let rest = random.nextFloat() * hosts.reduce((sum, host) => sum + weightOf(host), 0);
+        return hosts.find(host => (rest -= weightOf(host)) < 0) ?? hosts[0] as Host;
+    };
+
+    /** Admits a request and serves it if the upstreams have room. */
+    const serve = (host: Host, account: ClientAccount, units: number): Pick<ReplayedRequest, "kind" | "waitMs"> => {
+        const { meter } = host.process;
+        const admission = meter.admit(account, units);
+        const { kind } = admission;
+        const waitMs = kind === "entitled" ? 0 : admission.waitMs;
+        if (kind === "over" || queuedUnits + units <= capacityPerS * UPSTREAM_QUEUE_MS / 1_000) {
+            queuedUnits += kind === "over" ? 0 : units;
+            return { kind, waitMs };
+        }
+        meter.refund(account.accountId, units, admission);
+        return { kind: kind === "spare" ? "over" : "refunded", waitMs };
     };
 
     const collect = (collector: Host, member: Host): void => {
@@ -168,7 +201,13 @@
         collector.lastCollectedAtMs = nowMs;
         collector.process.aggregation.collect(member.process.aggregation.nextContribution(address));
         member.process.aggregation.acknowledge(address, collector.process.hostId);
-        [collector.process.summarize(), ...collector.process.recent()].forEach(member.process.receive);
+        if (member === collector) {
+            member.process.receive(member.process.summarize(), true);
+            return;
+        }
+        [collector.process.summarize(), ...collector.process.recent()].forEach(envelope =>
+            member.process.receive(envelope)
+        );
     };
 
     const runDirectRound = (host: Host): void =>
@@ -202,12 +241,17 @@
 
     const offer = ({ account, unitsPerS }: AccountLoad): void => {
         const atMs = nowMs - options.leadMs;
-        const expected = unitsPerS(atMs) / MEAN_UNITS * STEP_MS / 1_000;
+        const expected = unitsPerS(atMs) / meanUnits * STEP_MS / 1_000;
         for (let rest = -Math.log(1 - random.nextFloat()); rest < expected; rest -= Math.log(1 - random.nextFloat())) {
-            const units = UNITS[random.nextInt(UNITS.length)] ?? 0;
+            const units = sizes[random.nextInt(sizes.length)] ?? 0;
             const host = pickHost();
-            const { kind } = host.process.meter.admit(account, units);
-            requests.push({ atMs, accountId: account.accountId, host: host.index, units, kind });
+            requests.push({
+                atMs,
+                accountId: account.accountId,
+                host: host.index,
+                units,
+                ...serve(host, account, units),
+            });
         }
     };
 
@@ -231,6 +275,7 @@
             runRound(host);
             host.dueAtMs = nowMs + roundMs * (0.75 + random.nextFloat() / 2);
         });
+        queuedUnits = Math.max(0, queuedUnits - capacityPerS * STEP_MS / 1_000);
         if (nowMs >= options.leadMs) {
             options.loads.forEach(offer);
         }
--- a/packages/gateway/__tests__/limits.spec.ts
+++ b/packages/gateway/__tests__/limits.spec.ts
@@ -127,6 +127,25 @@
     expect(Math.min(...halfWindows)).toBeGreaterThan(account.ratePerS * 4 * 0.7);
 });
 
+// Guards against clients that were refused together and return together, or before the account has room.
+test("a refusal states when the account has room, and refusals at the same time state different times", async () => {
+    const clock = createFakeClock();
+    const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerTimeoutMs: () => 1_500 });
+    await clock.advance(windowMs * 2);
+    const refuse = (units: number): number => {
+        const admission = meter.admit(account, units);
+        return admission.kind === "over" ? admission.waitMs : 0;
+    };
+    expect(meter.admit(account, 10_000).kind).toBe("entitled");
+    const waits = Array.from({ length: 8 }, () => refuse(2_000));
+    // The bucket has 2,000 units again after 0.2 s.
+    expect(Math.min(...waits)).toBeGreaterThanOrEqual(200);
+    expect(new Set(waits.map(Math.round)).size).toBe(waits.length);
+    expect(Math.max(...waits) - Math.min(...waits)).toBeGreaterThan(1_000);
+    await clock.advance(Math.min(...waits));
+    expect(meter.admit(account, 2_000).kind).toBe("entitled");
+});
+
 test("a host starts with an empty bucket, as other hosts may have used up the limit", () => {
     const clock = createFakeClock();
     const meter = createAccountMeter(clock, { windowMs, toleratedUnits: 0, peerTimeoutMs: () => 1_500 });
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -5,8 +5,10 @@
 import type { AccountUsage } from "./accountUsage";
 import { createDemandEstimator } from "./createDemandEstimator";
 import { createReachableShare } from "./createReachableShare";
+import { createSizeDispersion } from "./createSizeDispersion";
 import { createUsageWindow } from "./createUsageWindow";
 import type { DemandEstimator } from "./demandEstimator";
+import type { SizeDispersion } from "./sizeDispersion";
 import type { UsageWindow } from "./usageWindow";
 
 type AdmittedUnits = Pick<AccountUsage, "entitled" | "spare">;
@@ -16,8 +18,11 @@
 interface PeerTotal extends AdmittedUnits {
     readonly refused: number;
     readonly receivedAtMs: number;
-    /** Age of the report when it was received. */
-    readonly ageMs: number;
+    readonly createdAtMs: number;
+    /** Mean age of the reports of the peer when they were received. */
+    readonly meanAgeMs: number;
+    /** Mean time from a request to the report that contains it, if a collector has created it. */
+    readonly collectionMs: number;
 }
 
 interface AccountState {
@@ -37,20 +42,24 @@
     refused: number;
     readonly peers: Map<HostId, PeerTotal>;
     readonly demand: DemandEstimator;
-    /** Units that the admitted fraction has earned this host, less those of the requests that used them. */
-    creditUnits: number;
+    /** Requests that the admitted fraction has earned this host, less those that used them. */
+    credit: number;
+    /** Fraction of the requests that was admitted lately, and when it was determined. */
+    fraction: number;
+    fractionAtMs: number;
     /** Units of the rate since the account began to exceed it: the most that this host admits as its fraction. */
     pacedUnits: number;
+    pacedAtMs: number;
+    /** Monotonic time that was stated to the client that was refused last. */
+    promisedAtMs: number;
     /** Whether the available units were adopted from a peer. */
     isSynchronized: boolean;
 }
 
 /** Consumption that is not yet reported, as presumed. */
 interface UnreportedUnits {
-    /** What peers would consume at the rate of their reports. */
+    /** What peers consume if they admit the same fraction of their requests as this host. */
     readonly consumed: number;
-    /** What they would consume if they admitted all that is asked for. */
-    readonly asked: number;
     /** What the window has more than the one that ended with the reports. */
     readonly aboveWindow: number;
 }
@@ -59,31 +68,58 @@
 const MINIMUM_WAIT_MS = 250;
 
 /**
- * Part of a window's limit, above the limit and the tolerated units, within which the paced rate falls to zero. The
- * remaining permitted excess is for what hosts admit at the same moment without knowing of each other.
+ * Greatest growth of the demand that is presumed in the window of an account whose bucket has room: a higher one would
+ * refuse its requests for a wave of demand in one zone.
  */
-const EXCESS_SHARE = 0.07;
+const MAXIMUM_WINDOW_GROWTH = 2;
 
-/**
- * Reduction of the paced rate for each unit of deficit, relative to a window's limit, and its maximum. What was admitted
- * before the hosts knew of an account's load is deducted over some seconds: otherwise the window would be exhausted just
- * before that usage leaves it, and nothing would be admitted for a second or two.
- */
-const DEFICIT_FACTOR = 2.5;
-const MAXIMUM_DEFICIT_SHARE = 0.3;
+/** Time over which the returns of refused clients are spread; a longer one exceeds what clients wait for. */
+const MAXIMUM_RETRY_SPREAD_MS = 2_000;
+
+/** Fraction of a window's limit up to which the paced rate fills the window; the excess absorbs errors of estimation. */
+const TARGET_SHARE = 1.02;
+
+/** Part of the rate that is admitted until the window is full up to a higher fraction, so that no account stops entirely. */
+const MINIMUM_RATE_SHARE = 0.75;
+const MAXIMUM_SHARE = 1.05;
+
+/** Part of the unreported usage that is reserved for the error of its estimation. */
+const UNREPORTED_ERROR = 0.1;
 
 /**
- * Demand, as a multiple of the rate, up to which an account with available units and a window below its rate is not
- * paced: a few large requests at one moment look like this.
+ * Rate of one host, relative to its share of the paced rate, and the time for which it may save units of it. The share is
+ * known before a burst, which shows in the demand of others a second or two late.
  */
-const DOUBTFUL_DEMAND = 1.5;
-const DOUBTFUL_WINDOW_SHARE = 0.95;
+const OWN_RATE_FACTOR = 1.1;
+const OWN_RATE_SPAN_MS = 300;
+
+/** Multiple of the burst, or of the units of a second, by which the bucket may be overdrawn; the window bounds what is admitted beyond it. */
+const MAXIMUM_OVERDRAFT_SHARE = 2;
+
+/** Standard deviations by which the estimated demand must exceed the paced rate to count as above it. */
+const SIGNIFICANT_DEVIATIONS = 1.5;
+
+/** Time over which the admitted fraction is averaged: about the age of reports. */
+const FRACTION_AVERAGE_MS = 1_000;
 
 /** Time after the start of a process from which it knows the demand at its peers. */
 const DEMAND_KNOWN_MS = 2_500;
 
-/** Fraction of a request's units that the credit must exceed, so that credits are on average neither used early nor late. */
+/** Part of a request that the credit must exceed, so that credits are on average neither used early nor late. */
 const CREDIT_SHARE = 0.5;
+const MAXIMUM_CREDIT = 1.5;
+
+/** Mean time from a request at a member of a group to the collector's summary that contains it. */
+const COLLECTION_DELAY_MS = 325;
+
+/** Peers whose reports are younger report to this host themselves, or are its collector; others are relayed. */
+const EARLY_REPORT_MS = 150;
+
+/** Weight of the latest report in the mean age of a peer's reports. */
+const AGE_WEIGHT = 0.2;
+
+/** Longest time between two reports over which the usage that the second one adds is presumed to be spread. */
+const MAXIMUM_INTERVAL_MS = 1_000;
 
 const MS_PER_S = 1_000;
 
@@ -108,6 +144,15 @@
     const accounts = new Map<AccountId, AccountState>();
     const reachable = createReachableShare(clock, peerTimeoutMs);
     const startedAtMs = clock.monotonicMs();
+    /** Of all accounts that are charged in the same unit, as a host may see few requests of one account. */
+    const sizes = new Map<ClientAccount["unit"], SizeDispersion>();
+
+    const addSize = ({ unit }: ClientAccount, units: number): number => {
+        const size = sizes.get(unit) ?? createSizeDispersion();
+        sizes.set(unit, size);
+        size.add(units);
+        return size.units();
+    };
 
     const stateOf = (accountId: AccountId): AccountState => {
         const state: AccountState = accounts.get(accountId) ?? {
@@ -122,8 +167,12 @@
             refused: 0,
             peers: new Map<HostId, PeerTotal>(),
             demand: createDemandEstimator(clock),
-            creditUnits: 0,
+            credit: 0,
+            fraction: 1,
+            fractionAtMs: startedAtMs,
             pacedUnits: 0,
+            pacedAtMs: startedAtMs,
+            promisedAtMs: startedAtMs,
             isSynchronized: false,
         };
         accounts.set(accountId, state);
@@ -140,15 +189,20 @@
      * Estimates what peers have consumed since their last reports. Peers past the time-out are left out: they are limited
      * to their own share of the rate, or have terminated.
      */
-    const estimateUnreported = ({ peers, demand, window }: AccountState, nowMs: number): UnreportedUnits => {
+    const estimateUnreported = ({ peers, demand, window, fraction }: AccountState, nowMs: number): UnreportedUnits => {
         const timeoutMs = peerTimeoutMs();
         const current = [...peers.values()].filter(({ receivedAtMs }) => nowMs - receivedAtMs < timeoutMs);
-        const meanAgeMs = current.reduce((sum, { receivedAtMs, ageMs }) => sum + nowMs - receivedAtMs + ageMs, 0)
+        const meanAgeMs =
+            current.reduce((sum, { createdAtMs, collectionMs }) => sum + nowMs - createdAtMs + collectionMs, 0)
             / Math.max(1, current.length);
+        const admittedPerMs = demand.peersPerMs() * fraction;
         return {
-            consumed: meanAgeMs * demand.admittedPerMs(),
-            asked: meanAgeMs * demand.peersPerMs(),
-            aboveWindow: meanAgeMs * Math.max(0, demand.admittedPerMs() - window.sum() / windowMs),
+            consumed: meanAgeMs * admittedPerMs,
+            aboveWindow: meanAgeMs
+                * Math.max(
+                    0,
+                    admittedPerMs * Math.min(MAXIMUM_WINDOW_GROWTH, demand.growth()) - window.sum() / windowMs,
+                ),
         };
     };
 
@@ -166,10 +220,9 @@
     ): void => {
         const refillUnits = account.ratePerS / MS_PER_S * (nowMs - state.refilledAtMs) * share;
         state.availableUnits = Math.max(
-            -account.ratePerS * windowMs / MS_PER_S - account.burst,
+            -Math.max(account.burst, account.ratePerS) * MAXIMUM_OVERDRAFT_SHARE,
             Math.min(account.burst + unreportedUnits, state.availableUnits + refillUnits),
         );
-        state.pacedUnits = Math.min(Math.max(account.ratePerS, account.burst), state.pacedUnits + refillUnits);
         state.refilledAtMs = nowMs;
     };
 
@@ -179,59 +232,105 @@
             ? state.availableUnits
             : windowUnits(account, share) + toleratedUnits * share - state.window.sum();
 
-    /** Rate for all hosts together; lower than the account's rate after it was exceeded. */
+    /**
+     * Rate for all hosts together at which the window fills up to the limit and not beyond it, however the usage of the
+     * past is distributed in it.
+     */
     const pacedPerMs = (
-        state: AccountState,
+        { window }: AccountState,
         account: ClientAccount,
         share: number,
         unreported: UnreportedUnits,
     ): number => {
-        const limitUnits = windowUnits(account, share);
-        const usedUnits = state.window.sum() + unreported.aboveWindow;
-        const leftShare = 1 - (usedUnits - limitUnits - toleratedUnits * share) / (limitUnits * EXCESS_SHARE);
-        const deficitShare = Math.min(
-            MAXIMUM_DEFICIT_SHARE,
-            DEFICIT_FACTOR * Math.max(0, -state.availableUnits / limitUnits),
+        const limitUnits = windowUnits(account, 1);
+        const reservedUnits = unreported.aboveWindow + UNREPORTED_ERROR * unreported.consumed - toleratedUnits;
+        return share * Math.max(
+            window.sustainablePerMs(limitUnits * TARGET_SHARE - reservedUnits),
+            Math.min(
+                account.ratePerS / MS_PER_S * MINIMUM_RATE_SHARE,
+                window.sustainablePerMs(limitUnits * MAXIMUM_SHARE - reservedUnits),
+            ),
         );
-        return account.ratePerS / MS_PER_S * share * Math.max(0, Math.min(1 - deficitShare, leftShare));
     };
 
-    /** Whether the account only appears to exceed its rate. */
-    const isDoubtful = (
-        state: AccountState,
-        account: ClientAccount,
-        units: number,
-        share: number,
+    const computeAdmittedShare = (
+        demand: DemandEstimator,
         demandPerMs: number,
-    ): boolean =>
-        state.availableUnits >= Math.min(units, account.burst)
-        && demandPerMs <= account.ratePerS / MS_PER_S * share * DOUBTFUL_DEMAND
-        && state.window.sum() <= account.ratePerS * windowMs / MS_PER_S * share * DOUBTFUL_WINDOW_SHARE;
+        pacedPerMs: number,
+        fitsWindow: boolean,
+    ): number =>
+        fitsWindow
+            && demandPerMs - SIGNIFICANT_DEVIATIONS * demand.deviationPerMs(demandPerMs - demand.ownPerMs())
+                <= pacedPerMs
+            ? 1
+            : Math.min(1, pacedPerMs / demandPerMs);
+
+    const updateFraction = (state: AccountState, admittedShare: number, nowMs: number): void => {
+        const weight = 1 - Math.exp(-(nowMs - state.fractionAtMs) / FRACTION_AVERAGE_MS);
+        state.fraction += (admittedShare - state.fraction) * weight;
+        state.fractionAtMs = nowMs;
+    };
 
     /**
      * Whether this host knows enough to admit a fraction. Shortly after its start it does not know the demand at its
      * peers, which matters if the adopted units show that the account is well above its rate.
      */
     const mayPace = (state: AccountState, { burst }: ClientAccount, nowMs: number): boolean =>
-        !isWarmingUp(nowMs)
-        || state.isSynchronized && (nowMs - startedAtMs >= DEMAND_KNOWN_MS || state.availableUnits >= -burst / 2);
-
-    /** Whether a request belongs to the fraction that is admitted of an account above its rate. */
-    const isPaced = (state: AccountState, units: number, ratePerMs: number, demandPerMs: number): boolean => {
-        const admittedShare = Math.min(1, ratePerMs / demandPerMs);
-        state.creditUnits = Math.min(2 * units, state.creditUnits + units * admittedShare);
-        if (state.creditUnits <= units * CREDIT_SHARE || state.pacedUnits < units) {
+        nowMs - startedAtMs >= DEMAND_KNOWN_MS || state.isSynchronized && state.availableUnits >= -burst / 2;
+
+    /**
+     * Whether a request belongs to the fraction that is admitted of an account above its rate. The fraction is one of the
+     * requests, whatever their sizes: otherwise the smaller ones would use the credit that the larger ones need.
+     */
+    const isPaced = (
+        state: AccountState,
+        units: number,
+        admittedShare: number,
+        ratePerMs: number,
+        nowMs: number,
+    ): boolean => {
+        const ownPerMs = ratePerMs * state.demand.ownShare() * OWN_RATE_FACTOR;
+        state.pacedUnits = Math.min(
+            ownPerMs * OWN_RATE_SPAN_MS,
+            state.pacedUnits + ownPerMs * (nowMs - state.pacedAtMs),
+        );
+        state.pacedAtMs = nowMs;
+        state.credit = Math.min(MAXIMUM_CREDIT, state.credit + admittedShare);
+        if (state.credit <= CREDIT_SHARE || state.pacedUnits <= 0) {
             return false;
         }
-        state.creditUnits -= units;
+        state.credit -= 1;
         state.pacedUnits -= units;
         return true;
     };
 
-    const applyUnits = (state: AccountState, units: AdmittedUnits): void => {
+    /**
+     * Time until the account has room for a refused request. Each one that is refused here is told a later time, by what
+     * this host's part of the rate serves of it, so that they do not return at once.
+     */
+    const computeRetryMs = (
+        state: AccountState,
+        account: ClientAccount,
+        units: number,
+        share: number,
+        waitMs: number,
+        nowMs: number,
+    ): number => {
+        const roomInMs = Math.max(
+            MINIMUM_WAIT_MS,
+            waitMs,
+            state.window.fallsInMs(windowUnits(account, share) + toleratedUnits * share - units),
+        );
+        const ownPerMs = account.ratePerS / MS_PER_S * state.demand.ownShare();
+        const nextAtMs = Math.max(nowMs + roomInMs, state.promisedAtMs + units / ownPerMs);
+        state.promisedAtMs = nextAtMs - nowMs - roomInMs > MAXIMUM_RETRY_SPREAD_MS ? nowMs + roomInMs : nextAtMs;
+        return state.promisedAtMs - nowMs;
+    };
+
+    const applyUnits = (state: AccountState, units: AdmittedUnits, ageMs = 0): void => {
         state.availableUnits -= units.entitled;
-        state.window.add(units.entitled + units.spare);
-        state.spareWindow.add(units.spare);
+        state.window.add(units.entitled + units.spare, ageMs);
+        state.spareWindow.add(units.spare, ageMs);
     };
 
     const consume = (state: AccountState, units: AdmittedUnits): void => {
@@ -258,9 +357,12 @@
         hostId: HostId,
         { entitled, spare, refused = 0, level }: AccountUsage,
         ageMs: number,
+        collectionMs: number,
         nowMs: number,
     ): void => {
         const peer = state.peers.get(hostId);
+        const createdAtMs = nowMs - ageMs;
+        const meanAgeMs = peer === undefined ? ageMs : peer.meanAgeMs + (ageMs - peer.meanAgeMs) * AGE_WEIGHT;
         const isBaseline = peer === undefined && isWarmingUp(nowMs) && level !== undefined;
         if (isBaseline && !state.isSynchronized) {
             state.availableUnits = level;
@@ -279,10 +381,17 @@
                 entitled: total.entitled - (peer?.entitled ?? 0),
                 spare: total.spare - (peer?.spare ?? 0),
             };
-            state.demand.addPeers(added.entitled + added.spare, total.refused - (peer?.refused ?? 0), ageMs);
-            applyUnits(state, added);
+            const intervalMs = Math.max(0, createdAtMs - (peer?.createdAtMs ?? createdAtMs));
+            const usageAgeMs = ageMs + collectionMs + Math.min(MAXIMUM_INTERVAL_MS, intervalMs) / 2;
+            const refusedUnits = total.refused - (peer?.refused ?? 0);
+            state.demand.addPeers(
+                added.entitled + added.spare + refusedUnits,
+                usageAgeMs,
+                meanAgeMs < EARLY_REPORT_MS,
+            );
+            applyUnits(state, added, usageAgeMs);
         }
-        state.peers.set(hostId, { ...total, receivedAtMs: nowMs, ageMs });
+        state.peers.set(hostId, { ...total, receivedAtMs: nowMs, createdAtMs, meanAgeMs, collectionMs });
     };
 
     /**
@@ -310,25 +419,29 @@
             state.account = account;
             const { demand } = state;
             const share = reachable.share();
-            demand.addOwn(units);
+            demand.addOwn(units, addSize(account, units));
             const unreported = estimateUnreported(state, nowMs);
             refill(state, account, share, unreported.consumed, nowMs);
-            const demandPerMs = demand.ownPerMs() + demand.peersPerMs();
-            const missingUnits = Math.min(units, account.burst) - (state.availableUnits - unreported.asked);
+            const demandPerMs = demand.ownPerMs() + demand.peersPerMs() * demand.growth();
+            const missingUnits = Math.min(units, account.burst)
+                - (state.availableUnits - unreported.consumed
+                    + Math.min(toleratedUnits * share / 2, unreported.consumed));
             const waitMs = missingUnits / account.ratePerS * MS_PER_S;
             const fitsWindow = units + unreported.aboveWindow <= remainingUnits(state, account, share, nowMs);
-            if (
-                (missingUnits <= 0 || isDoubtful(state, account, units, share, demandPerMs))
-                && (fitsWindow || isWarmingUp(nowMs))
-            ) {
-                state.creditUnits = 0;
-                state.pacedUnits = 0;
+            const hasRoom = missingUnits <= 0 && (fitsWindow || isWarmingUp(nowMs));
+            const ratePerMs = hasRoom ? Infinity : pacedPerMs(state, account, share, unreported);
+            const admittedShare = hasRoom ? 1 : computeAdmittedShare(demand, demandPerMs, ratePerMs, fitsWindow);
+            updateFraction(state, admittedShare, nowMs);
+            if (hasRoom) {
+                state.credit = 0;
+                state.pacedUnits = Math.max(0, state.pacedUnits);
+                state.pacedAtMs = nowMs;
                 consume(state, unitsOf("entitled", units));
                 return { kind: "entitled" };
             }
             if (
                 mayPace(state, account, nowMs)
-                && isPaced(state, units, pacedPerMs(state, account, share, unreported), demandPerMs)
+                && (admittedShare >= 1 || isPaced(state, units, admittedShare, ratePerMs, nowMs))
             ) {
                 consume(state, unitsOf("entitled", units));
                 return { kind: "entitled" };
@@ -338,7 +451,7 @@
                 return { kind: "spare", waitMs };
             }
             state.refused += units;
-            return { kind: "over", waitMs: Math.max(waitMs, MINIMUM_WAIT_MS) };
+            return { kind: "over", waitMs: computeRetryMs(state, account, units, share, waitMs, nowMs) };
         },
         refund: (accountId, units, admission) => {
             if (admission.kind !== "over") {
@@ -354,7 +467,9 @@
         observePeer: (hostName, hostId, usages, hostCount = 1, ageMs = 0) => {
             const nowMs = clock.monotonicMs();
             reachable.observe(hostName, hostCount);
-            usages.forEach((usage, accountId) => observeUsage(stateOf(accountId), hostId, usage, ageMs, nowMs));
+            usages.forEach((usage, accountId) =>
+                observeUsage(stateOf(accountId), hostId, usage, ageMs, hostCount > 1 ? COLLECTION_DELAY_MS : 0, nowMs)
+            );
         },
     };
 };
--- a/packages/gateway/src/limits/createUsageWindow.ts
+++ b/packages/gateway/src/limits/createUsageWindow.ts
@@ -4,6 +4,12 @@
 /** Number of buckets in a window; the oldest bucket expires as a whole. */
 const BUCKET_COUNT = 32;
 
+/**
+ * Minimum time over which the units left in a window are spread. Over less, the estimation error of the sum would change
+ * the rate by more than the rate itself.
+ */
+const MINIMUM_SPREAD_MS = 1_000;
+
 /** Creates a window without usage. */
 export const createUsageWindow = (clock: Clock, windowMs: number): UsageWindow => {
     const bucketMs = windowMs / BUCKET_COUNT;
@@ -18,19 +24,47 @@
         }
     };
 
+    const sum = (): number => {
+        removeExpired();
+        return buckets.reduce((total, { units }) => total + units, 0);
+    };
+
     return {
-        add: units => {
+        add: (units, ageMs = 0) => {
             removeExpired();
-            const last = buckets.at(-1);
-            if (last?.index === currentIndex()) {
-                last.units += units;
+            const index = Math.floor((clock.monotonicMs() - ageMs) / bucketMs);
+            if (index < currentIndex() - BUCKET_COUNT) {
+                return;
+            }
+            const preceding = buckets.findLastIndex(bucket => bucket.index <= index);
+            const known = buckets[preceding];
+            if (known?.index === index) {
+                known.units += units;
                 return;
             }
-            buckets.push({ index: currentIndex(), units });
+            buckets.splice(preceding + 1, 0, { index, units });
         },
-        sum: () => {
-            removeExpired();
-            return buckets.reduce((sum, { units }) => sum + units, 0);
+        sum,
+        fallsInMs: limitUnits => {
+            let kept = sum();
+            if (kept <= limitUnits) {
+                return 0;
+            }
+            const last = buckets.find(({ units }) => (kept -= units) <= limitUnits);
+            return last === undefined ? windowMs : (last.index + BUCKET_COUNT + 1) * bucketMs - clock.monotonicMs();
+        },
+        sustainablePerMs: limitUnits => {
+            const nowMs = clock.monotonicMs();
+            let kept = sum();
+            return Math.max(
+                0,
+                buckets.reduce((least, { index, units }) => {
+                    const expiresInMs = (index + BUCKET_COUNT + 1) * bucketMs - nowMs;
+                    const perMs = (limitUnits - kept) / Math.max(MINIMUM_SPREAD_MS, expiresInMs);
+                    kept -= units;
+                    return Math.min(least, perMs);
+                }, limitUnits / windowMs),
+            );
         },
     };
 };
