docs(limits): account limits at many hosts; the replay keeps only what its tests use

The replay had options of a trial (upstream capacity) that no test uses.

No code of the product changes.

Measured: npx jest packages/edge/__tests__/accountsWithinLimit.spec.ts: 2 passed, before the comment was changed.

--- a/packages/edge/__tests__/support/replayAccountLoad.ts
+++ b/packages/edge/__tests__/support/replayAccountLoad.ts
@@ -26,11 +26,6 @@
     readonly sizes?: readonly number[];
     /** Load of a zone relative to its usual one. */
     readonly zoneFactor?: (zone: number, atMs: number) => number;
-    /**
-     * Units that upstreams serve per second; undefined if they serve everything. Above it, requests that an account is
-     * entitled to reach no upstream and are refunded, and tolerated ones are refused as above the limit.
-     */
-    readonly capacityPerS?: number;
 }
 
 export interface ReplayedRequest {
@@ -38,9 +33,7 @@
     readonly accountId: AccountId;
     readonly host: number;
     readonly units: number;
-    readonly kind: "entitled" | "spare" | "over" | "refunded";
-    /** Time after which the client may return, if the request is refused as above the limit. */
-    readonly waitMs: number;
+    readonly kind: "entitled" | "spare" | "over";
 }
 
 const WINDOW_MS = 8_000;
@@ -52,8 +45,6 @@
 const MAXIMUM_SUMMARY_AGE_MS = 2_000;
 const STEP_MS = 5;
 const UNITS = [600, 600, 1_200, 2_400, 4_800, 9_300];
-/** Time for which upstreams may be behind before they refuse requests. */
-const UPSTREAM_QUEUE_MS = 300;
 
 type Meter = ReturnType<typeof createAccountMeter>;
 
@@ -161,9 +152,8 @@
         process: createProcess(clock, `host-${index}`, `host-${index}.0` as HostId, timeoutMs),
     }));
     type Host = (typeof hosts)[number];
-    const { sizes = UNITS, zoneFactor = () => 1, capacityPerS = Infinity } = options;
+    const { sizes = UNITS, zoneFactor = () => 1 } = options;
     const meanUnits = sizes.reduce((sum, units) => sum + units, 0) / sizes.length;
-    let queuedUnits = 0;
     const zones = Array.from(
         { length: ZONES },
         (_, zone) => hosts.filter(host => host.zone === zone).sort((left, right) => left.order - right.order),
@@ -182,20 +172,6 @@
         return hosts.find(host => (rest -= weightOf(host)) < 0) ?? hosts[0] as Host;
     };
 
-    /** Admits a request and serves it if the upstreams have room. */
-    const serve = (host: Host, account: ClientAccount, units: number): Pick<ReplayedRequest, "kind" | "waitMs"> => {
-        const { meter } = host.process;
-        const admission = meter.admit(account, units);
-        const { kind } = admission;
-        const waitMs = kind === "entitled" ? 0 : admission.waitMs;
-        if (kind === "over" || queuedUnits + units <= capacityPerS * UPSTREAM_QUEUE_MS / 1_000) {
-            queuedUnits += kind === "over" ? 0 : units;
-            return { kind, waitMs };
-        }
-        meter.refund(account.accountId, units, admission);
-        return { kind: kind === "spare" ? "over" : "refunded", waitMs };
-    };
-
     const collect = (collector: Host, member: Host): void => {
         const address = `host-${collector.index}`;
         collector.lastCollectedAtMs = nowMs;
@@ -245,13 +221,8 @@
         for (let rest = -Math.log(1 - random.nextFloat()); rest < expected; rest -= Math.log(1 - random.nextFloat())) {
             const units = sizes[random.nextInt(sizes.length)] ?? 0;
             const host = pickHost();
-            requests.push({
-                atMs,
-                accountId: account.accountId,
-                host: host.index,
-                units,
-                ...serve(host, account, units),
-            });
+            const { kind } = host.process.meter.admit(account, units);
+            requests.push({ atMs, accountId: account.accountId, host: host.index, units, kind });
         }
     };
 
@@ -275,7 +246,6 @@
             runRound(host);
             host.dueAtMs = nowMs + roundMs * (0.75 + random.nextFloat() / 2);
         });
-        queuedUnits = Math.max(0, queuedUnits - capacityPerS * STEP_MS / 1_000);
         if (nowMs >= options.leadMs) {
             options.loads.forEach(offer);
         }
--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -133,8 +133,8 @@
  *
  * Hosts know each other's usage one to two seconds late. If each admitted all that fits what it knows, an account above
  * its rate would get several times its rate and then nothing, in turns. Therefore each host admits the fraction of its
- * own requests that the rate is of the demand at all hosts. The fraction needs no knowledge of how the load is divided
- * among the hosts.
+ * own requests that the rate which the window sustains is of the demand at all hosts, and not more than its usual share of
+ * that rate, which is known before a sudden load shows in reports.
  *
  * A restarted host does not know the previous usage: it adopts the available units of a peer that does. If all hosts
  * restarted at once, each starts with the tolerated units.
