feat(rollouts): read the rule of the next request without a charge

Cause: an explanation for operators needs the version rule that the next new request of a host would get, and `ruleFor` spends the credit of a send.

Ruled out: the rule of a retry, which charges nothing; it differs from that of a first send while a target is promoted.

Change: the rule and the credit of a first send are computed without a change of state; `ruleFor` then sets the credit, and `peekRule` does not.

Result: rolloutRules.spec.ts passes, with `peekRule` read twice before each of 12 sends in three phases.

--- a/packages/rollouts/__tests__/rolloutRules.spec.ts
+++ b/packages/rollouts/__tests__/rolloutRules.spec.ts
@@ -137,6 +137,23 @@
     expect(gate.shareOf(service)).toBe(0);
 });
 
+// Guards against an explanation for operators that spends the credit of a request, or that names another rule than it gets.
+test.each<[RolloutPhase, number]>([["ramp", 0.3], ["promoting", 1], ["rolled-back", 0]])(
+    "the rule of the next request can be read without a charge: %s",
+    (phase, share) => {
+        const [gate, other] = [createGate(), createGate()];
+        [gate, other].forEach(each => each.update({ ...knowledge, state: at(phase, share) }));
+        const expected = Array.from({ length: 12 }, () => other.ruleFor(first));
+        const read = expected.map(() => {
+            const peeked = [gate.peekRule(service), gate.peekRule(service)];
+            const rule = gate.ruleFor(first);
+            expect(peeked).toEqual([rule, rule]);
+            return rule;
+        });
+        expect(read).toEqual(expected);
+    },
+);
+
 test("82 hosts with a few requests each send the share to the same few upstreams", () => {
     const rules = Array.from({ length: 82 }, (_unused, index) => {
         const gate = createGate(`h${index}`);
--- a/packages/rollouts/src/createVersionGate.ts
+++ b/packages/rollouts/src/createVersionGate.ts
@@ -22,6 +22,11 @@
 /** Credit that is kept while the target has no place, so that it does not get a burst afterwards. */
 const MAXIMUM_CREDIT = 1;
 
+interface FirstSend {
+    readonly rule: VersionRule;
+    readonly credit: number;
+}
+
 const ANY: VersionRule = { kind: "any" };
 
 const MODES: Readonly<Record<RolloutPhase, GateMode>> = {
@@ -126,18 +131,24 @@
         upstreamIds?: GateEntry["canaryIds"],
     ): VersionRule => ({ kind: "only", version, upstreamIds, excluded });
 
-    const firstSend: Readonly<Record<GateMode, (service: ServiceName, entry: GateEntry) => VersionRule>> = {
-        share: (service, entry) => {
+    /** Rule of the first send of a request, and the credit that is left after it. */
+    const firstSends: Readonly<Record<GateMode, (entry: GateEntry) => FirstSend>> = {
+        share: entry => {
             const credit = entry.credit + entry.share;
-            if (credit < 1 || entry.share === 0 || entry.canaryIds.size === 0) {
-                setCredit(service, entry, Math.min(MAXIMUM_CREDIT, credit));
-                return except(entry.withoutTarget);
-            }
-            setCredit(service, entry, credit - 1);
-            return only(entry.target, entry, entry.canaryIds);
+            return credit < 1 || entry.share === 0 || entry.canaryIds.size === 0
+                ? { rule: except(entry.withoutTarget), credit: Math.min(MAXIMUM_CREDIT, credit) }
+                : { rule: only(entry.target, entry, entry.canaryIds), credit: credit - 1 };
         },
-        promoted: (_service, entry) => only(entry.target, entry),
-        excluding: (_service, { excluded }) => except(excluded),
+        promoted: entry => ({ rule: only(entry.target, entry), credit: entry.credit }),
+        excluding: ({ excluded, credit }) => ({ rule: except(excluded), credit }),
+    };
+
+    const chargeFirstSend = (service: ServiceName, entry: GateEntry): VersionRule => {
+        const { rule, credit } = firstSends[entry.mode](entry);
+        if (credit !== entry.credit) {
+            setCredit(service, entry, credit);
+        }
+        return rule;
     };
 
     /** After a failure, another version may be tried; while the target is promoted, its answers help to judge the target. */
@@ -158,7 +169,7 @@
     };
 
     const rules = {
-        first: ({ service }: GateRequest, entry: GateEntry) => firstSend[entry.mode](service, entry),
+        first: ({ service }: GateRequest, entry: GateEntry) => chargeFirstSend(service, entry),
         retry: (_request: GateRequest, entry: GateEntry) => retryRules[entry.mode](entry),
     };
 
@@ -173,6 +184,10 @@
                 ? resume(request.service, entry, request.version)
                 : rules[request.kind](request, entry);
         },
+        peekRule: service => {
+            const entry = entries.get(service);
+            return entry === undefined ? ANY : firstSends[entry.mode](entry).rule;
+        },
         shareOf: service => entries.get(service)?.share,
         evidenceOf: service => entries.get(service)?.evidence ?? [],
     };
--- a/packages/rollouts/src/versionGate.ts
+++ b/packages/rollouts/src/versionGate.ts
@@ -10,6 +10,8 @@
     readonly update: (knowledge: GateKnowledge) => void;
     /** Returns the rule of a send and charges it; to be called once before each send, retries included. */
     readonly ruleFor: (request: GateRequest) => VersionRule;
+    /** Returns the rule that the next new request would get, without a charge. */
+    readonly peekRule: (service: ServiceName) => VersionRule;
     /** Share of the new requests that goes to the target now, in [0, 1]; undefined without an order. */
     readonly shareOf: (service: ServiceName) => number | undefined;
     /** Evidence since the current order as this host learned it, for `advanceRollout`; empty without an order. */
