feat(gateway): explain where a request would be sent now

Cause: operators can see afterwards from logs why a request was refused or late, but not where one would go now.

Ruled out: running `identifyRequest` and `placeRequest`, which draw from the host's random numbers and charge the rollout; asking the quarantine by `refuse`, which records a refusal or spends a trial; evaluating brittle upstreams, because asking for their slots may set `exceededAtMs`, which all hosts learn.

Change: `explainRoute` reads route, account, quarantined parts, candidates and the age of their loads, and decides by `chooseUpstream` with the rule of the rollout and its fallback. `loadAgeMs` is new in the upstream table. The fallback rule of `placeRequest` is in a file of its own, unchanged. For services with brittle upstreams the decision is `unknown`.

Result: explainRoute.spec.ts passes: the inputs of six upstreams, and no difference in candidates, loads, stated limits, brittle rows, versions and placements after 21 explanations. placement, versions and tableViews pass.

--- /dev/null
+++ b/packages/gateway/src/explanation/explainRouteOptions.ts
@@ -0,0 +1,17 @@
+import type { ServiceName } from "@ibislanding/core";
+import type { Quarantine } from "@ibislanding/quarantine";
+import type { VersionRule } from "@ibislanding/rollouts";
+import type { CompiledConfiguration } from "../configuration/compiledConfiguration";
+import type { UpstreamTable } from "../upstreams/upstreamTable";
+
+/** Knowledge of a host that an explanation reads; nothing of it counts or charges a request. */
+export interface ExplainRouteOptions {
+    readonly configuration: CompiledConfiguration | undefined;
+    readonly upstreams:
+        & Pick<UpstreamTable, "candidates" | "loadAgeMs" | "areLoadsOld">
+        & { readonly brittle: Pick<UpstreamTable["brittle"], "isRestricted">; };
+    readonly quarantine: Pick<Quarantine, "features">;
+    /** Returns the rule of the next new request without a charge. */
+    readonly peekRule: (service: ServiceName) => VersionRule;
+    readonly isCutOff: boolean;
+}
--- a/packages/gateway/src/forwarding/placeRequest.ts
+++ b/packages/gateway/src/forwarding/placeRequest.ts
@@ -1,8 +1,9 @@
-import type { GateRequest, VersionRule } from "@ibislanding/rollouts";
+import type { GateRequest } from "@ibislanding/rollouts";
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { PlacementDecision } from "../placement/placementDecision";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import { ANY_VERSION } from "../versions/anyVersion";
+import { createFallbackRule } from "../versions/createFallbackRule";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
@@ -13,10 +14,6 @@
         : { kind: "resume", service, version: softwareVersion };
 };
 
-/** Rule under which a request is placed if the first one leaves no place; undefined if there is none. */
-const fallbackOf = (rule: VersionRule): VersionRule | undefined =>
-    rule.kind === "only" ? { kind: "except", versions: new Set([...rule.excluded, rule.version]) } : undefined;
-
 /**
  * Selects the upstream for the next attempt; one upstream may be excluded in addition to those of earlier attempts. A
  * request that finds no place at the target of a rollout goes to another version.
@@ -29,7 +26,7 @@
     const candidates = options.upstreams.candidates(admitted.service, request);
     const fraction = options.upstreams.areLoadsOld() ? options.random.nextFloat() : undefined;
     const decision = chooseUpstream(candidates, request, fraction);
-    const fallback = fallbackOf(context.versionRule);
+    const fallback = createFallbackRule(context.versionRule);
     return decision.kind === "send" || fallback === undefined
         ? decision
         : chooseUpstream(candidates, { ...request, versionRule: fallback }, fraction);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -58,6 +58,12 @@
 export type { PlacementDecision } from "./placement/placementDecision";
 export type { PlacementRequest } from "./placement/placementRequest";
 
+// Explanation
+export { explainRoute } from "./explanation/explainRoute";
+export type { ExplainRouteOptions } from "./explanation/explainRouteOptions";
+export type { RouteExplanation } from "./explanation/routeExplanation";
+export type { RouteQuery } from "./explanation/routeQuery";
+
 // Limits
 export type { AccountAdmission } from "./limits/accountAdmission";
 export type { AccountMeter } from "./limits/accountMeter";
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -373,6 +373,10 @@
                 .filter(state => !request.requiresKnownVersion || !hasUnknownVersion(state))
                 .map(state => evaluate(state, request, view).candidate);
         },
+        loadAgeMs: upstreamId => {
+            const ages = peers.loadsOf(upstreamId).map(({ receivedAtMs }) => clock.monotonicMs() - receivedAtMs);
+            return ages.length === 0 ? undefined : Math.max(...ages);
+        },
         areLoadsOld: () => unobservedShare() > 0,
         trackRequest: (upstreamId, request) => {
             const state = upstreams.get(upstreamId);
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -30,6 +30,8 @@
      */
     readonly onDeparture: (upstreamId: UpstreamId, callback: () => void) => () => void;
     readonly candidates: (service: ServiceName, request: PlacementRequest) => readonly PlacementCandidate[];
+    /** Time since the oldest of the peers' loads at an upstream was received; undefined if only this host's own is known. */
+    readonly loadAgeMs: (upstreamId: UpstreamId) => number | undefined;
     /** Whether many hosts choose from loads that reports bring late, without notices of each other's placements. */
     readonly areLoadsOld: () => boolean;
     /** Counts a request as in flight until `end` is called on the returned object. */
