feat(ctl): `ibisctl explain route` asks a host where it would send a request

Ruled out: a GET with the query in its address, as it contains the key of an account; sending the headers of a request as they are on the wire, whose names only `platform/` knows.

The command renders the decision and the candidates.

--- a/packages/ctl/src/cli/commandClasses.ts
+++ b/packages/ctl/src/cli/commandClasses.ts
@@ -14,6 +14,7 @@
 import { ValidateCommand } from "../queries/validateCommand";
 import { WatchCommand } from "../queries/watchCommand";
 import { RolloutListCommand } from "../rollout/rolloutListCommand";
+import { ExplainRouteCommand } from "../routes/explainRouteCommand";
 
 /** All commands of `ibisctl`. */
 export const commandClasses: readonly CommandClass[] = [
@@ -28,6 +29,7 @@
     DumpCommand,
     AuditCommand,
     ExplainCommand,
+    ExplainRouteCommand,
     QuarantineListCommand,
     QuarantineEndCommand,
     RolloutListCommand,
--- a/packages/edge/__tests__/rolloutRegistry.spec.ts
+++ b/packages/edge/__tests__/rolloutRegistry.spec.ts
@@ -117,6 +117,7 @@
         rollouts: {
             registry,
             policy: {} as never,
+            peekRule: () => ({ kind: "any" }),
             counts: () => [],
             observePeer: (_hostId: HostId) => undefined,
             evidenceOf: () => [],
--- a/packages/edge/src/edgeHost.ts
+++ b/packages/edge/src/edgeHost.ts
@@ -6,6 +6,8 @@
     readonly handleQuarantine: HttpHandler;
     /** Handles `/rollouts`, for operators. */
     readonly handleRollouts: HttpHandler;
+    /** Handles `/explain/route`, for operators. */
+    readonly handleExplain: HttpHandler;
     /**
      * Reports not ready, closes the listener after 3 s and waits for the requests in flight; resolves when all have
      * ended or 95 % of the grace period has passed.
--- a/packages/edge/src/rollouts/createRollouts.ts
+++ b/packages/edge/src/rollouts/createRollouts.ts
@@ -90,6 +90,7 @@
     return {
         registry,
         policy: { ruleFor: gate.ruleFor, trackRun: counters.trackRun },
+        peekRule: gate.peekRule,
         counts: counters.rows,
         observePeer: evidence.observePeer,
         evidenceOf: service => badEvidence.get(service)?.series ?? gate.evidenceOf(service),
--- a/packages/edge/src/rollouts/rollouts.ts
+++ b/packages/edge/src/rollouts/rollouts.ts
@@ -1,6 +1,6 @@
 import type { HostId, ServiceName, SoftwareVersion } from "@ibislanding/core";
 import type { VersionCounts, VersionPolicy } from "@ibislanding/gateway";
-import type { EvidenceSeries } from "@ibislanding/rollouts";
+import type { EvidenceSeries, VersionGate } from "@ibislanding/rollouts";
 import type { RolloutRegistry } from "./rolloutRegistry";
 import type { RolloutSummary } from "./rolloutSummary";
 
@@ -9,6 +9,8 @@
     readonly registry: RolloutRegistry;
     /** Assigns versions to requests and counts what becomes of them. */
     readonly policy: VersionPolicy;
+    /** Returns the rule that the next new request of a service would get, without a charge. */
+    readonly peekRule: VersionGate["peekRule"];
     /** Counters of this host, for its report. */
     readonly counts: () => readonly VersionCounts[];
     readonly observePeer: (hostId: HostId, counts: readonly VersionCounts[]) => void;
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -31,6 +31,7 @@
 import { documentSetNames } from "./documentSetNames";
 import type { EdgeHost } from "./edgeHost";
 import type { EdgeOptions } from "./edgeOptions";
+import { createExplainHandler } from "./explanation/createExplainHandler";
 import type { HostComponents } from "./hostComponents";
 import type { HostEntry } from "./hostEntry";
 import type { HostReport } from "./hostReport";
@@ -396,6 +397,13 @@
     return {
         handleQuarantine: createQuarantineHandler(quarantine),
         handleRollouts: createRolloutHandler(() => rollouts?.summaries() ?? []),
+        handleExplain: createExplainHandler(() => ({
+            configuration: documentCache.configuration(),
+            upstreams,
+            quarantine,
+            peekRule: service => rollouts?.peekRule(service) ?? { kind: "any" },
+            isCutOff: relay?.port.isCutOff() ?? false,
+        })),
         stop,
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
