feat(admission): refused requests return at planned times

Cause: refusals of one moment stated the same time to return with a jitter of at most a half, whatever capacity was expected, and up to times that clients do not honour. Change: createReturnCalendar and createReturns keep, for each service and urgency, a calendar in steps of 100 ms of this host's part of the capacity that more urgent requests leave. Retry-After states the place without jitter, at most a third of the time left. A request that returns at its time is admitted at the level, and capacity is held for such requests as far as places are claimed at this host.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -254,14 +254,15 @@
         recordSaturation: name => {
             serviceOf(name).saturatedAtMs = clock.monotonicMs();
         },
-        admits: ({ service: name, urgency, accountId }, freeShare) => {
+        admits: ({ service: name, urgency, accountId }, freeShare, returning) => {
             const { level } = updateService(name);
             if (level === undefined || urgency < level.urgency) {
                 return true;
             }
-            const isWithinShare = urgency === level.urgency
-                && random.nextFloat() < (level.admittedShares.get(accountId) ?? 1);
-            return isWithinShare || freeShare() >= FREE_SHARE;
+            const isWithinShare = (): boolean =>
+                random.nextFloat() < (level.admittedShares.get(accountId) ?? 1) * (1 - (returning?.heldShare() ?? 0));
+            return urgency === level.urgency && (returning?.hasPlace() === true || isWithinShare())
+                || freeShare() >= FREE_SHARE;
         },
         observePeer: (hostId, rows) => {
             const nowMs = clock.monotonicMs();
@@ -296,6 +297,15 @@
                 { total: { service, urgency, accountId }, offeredUnits, sentUnits },
             ) => ({ service, urgency, accountId, offeredUnits, sentUnits }));
         },
+        freeUnitsPerS: (name, urgency) => {
+            const { level, capacityUnitsPerS, totals: demand } = updateService(name);
+            return level === undefined
+                ? undefined
+                : Math.max(
+                    0,
+                    capacityUnitsPerS - sumTotals(demand.filter(total => total.urgency < urgency), "offeredUnits"),
+                );
+        },
         levelOf: name => updateService(name).level,
     };
 };
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,8 +1,12 @@
 export type { AdmissionLevel } from "./admissionLevel";
 export { computeAdmissionLevel } from "./computeAdmissionLevel";
 export { createAdmissionLevel } from "./createAdmissionLevel";
+export { createReturnCalendar } from "./createReturnCalendar";
+export { createReturns } from "./createReturns";
 export type { DemandRow } from "./demandRow";
 export type { LevelState } from "./levelState";
 export type { LevelStateOptions } from "./levelStateOptions";
 export type { OfferedRequest } from "./offeredRequest";
 export { parseDemandRow } from "./parseDemandRow";
+export type { ReturnCalendar } from "./returnCalendar";
+export type { Returns } from "./returns";
--- a/packages/admission/src/levelState.ts
+++ b/packages/admission/src/levelState.ts
@@ -16,13 +16,23 @@
     readonly recordSaturation: (service: ServiceName) => void;
     /**
      * Whether the level admits a request; called once for each. `freeShare` returns the fraction of the service's slots that
-     * are free, and is called only if the request would be refused.
+     * are free, and is called only if the request would be refused. A request at the level that returns at its time is
+     * admitted, and the part of the capacity that is held for such requests is not given to others.
      */
-    readonly admits: (request: OfferedRequest, freeShare: () => number) => boolean;
+    readonly admits: (
+        request: OfferedRequest,
+        freeShare: () => number,
+        returning?: { readonly hasPlace: () => boolean; readonly heldShare: () => number; },
+    ) => boolean;
     /** Replaces the counters of a peer by those of its report. */
     readonly observePeer: (hostId: HostId, rows: readonly DemandRow[]) => void;
     /** Counters of this host, for the services that are saturated. */
     readonly rows: () => readonly DemandRow[];
+    /**
+     * Capacity for the requests of a service at an urgency, which more urgent ones leave, over all hosts; undefined while the
+     * service is not saturated.
+     */
+    readonly freeUnitsPerS: (service: ServiceName, urgency: number) => number | undefined;
     /** Level of a service; undefined while it is not saturated. */
     readonly levelOf: (service: ServiceName) => AdmissionLevel | undefined;
 }
--- a/packages/edge/src/admission/createAdmission.ts
+++ b/packages/edge/src/admission/createAdmission.ts
@@ -1,4 +1,4 @@
-import { type AdmissionLevel, createAdmissionLevel } from "@ibislanding/admission";
+import { type AdmissionLevel, createAdmissionLevel, createReturns } from "@ibislanding/admission";
 import type { ServiceName } from "@ibislanding/core";
 import { parseDemandRows } from "../parseDemandRows";
 import type { Admission } from "./admission";
@@ -67,14 +67,15 @@
     return {
         level: {
             ...level,
-            admits: (request, freeShare) => {
-                const isAdmitted = level.admits(request, freeShare);
+            admits: (request, freeShare, returning) => {
+                const isAdmitted = level.admits(request, freeShare, returning);
                 if (!isAdmitted) {
                     refusals.add(1, { service: request.service, urgency: String(request.urgency) });
                 }
                 return isAdmitted;
             },
         },
+        returns: createReturns({ clock, random: options.random, level, hostCount }),
         observePeer: (hostId, demand) => {
             const rows = parseDemandRows(demand, rowCount => invalidRows.add(rowCount));
             const known = rows.filter(({ service }) => isKnownService(service));
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -264,6 +264,7 @@
         streamOrigins,
         versions: rollouts?.policy,
         admission: admission.level,
+        returns: admission.returns,
         crashes: relay?.observeLosses(crashes) ?? crashes,
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
--- a/packages/gateway/__tests__/admission.spec.ts
+++ b/packages/gateway/__tests__/admission.spec.ts
@@ -16,6 +16,7 @@
         admits: () => isAdmitted,
         observePeer: () => undefined,
         rows: () => [],
+        freeUnitsPerS: () => undefined,
         levelOf: () => undefined,
     };
     return { level, offered, served };
@@ -26,6 +27,7 @@
     fields: { readonly relayed?: object; readonly softwareVersion?: string; },
 ): ForwardContext =>
     ({
+        features: { request: () => "request" },
         options: { admission: level, relayed: fields.relayed },
         admitted: { service: "orders", route: { priority: 3 }, account: undefined, head: {} },
         softwareVersion: fields.softwareVersion as SoftwareVersion | undefined,
@@ -66,3 +68,22 @@
         expect(gateway.ended[0]?.reason).toBe(isAdmitted ? "complete" : "above-level");
     },
 );
+
+// Guards against jitter that moves a client away from its place, and beyond the time that clients honour.
+test("a refusal states the time of its place, and only a request that returns then is expected", async () => {
+    const refusing = createLevel(false);
+    const refused: number[] = [];
+    await using gateway = await startTestGateway([1], {}, undefined, undefined, refusing.level, {
+        refuse: (_, __, remainingMs) => {
+            refused.push(remainingMs);
+            return 777;
+        },
+        claim: () => false,
+        heldShare: () => 0,
+    });
+    const response = await sendClientRequest(gateway.port, "r1");
+    expect(response.status).toBe(503);
+    expect(response.headers["retry-after"]).toBe("0.777");
+    expect(refused[0]).toBeGreaterThan(1_500);
+    expect(refused[0]).toBeLessThanOrEqual(2_000);
+});
--- a/packages/gateway/__tests__/overload.spec.ts
+++ b/packages/gateway/__tests__/overload.spec.ts
@@ -11,6 +11,8 @@
     ageMs: [50, 1_400],
     impatientReturns: 1,
     usesLevel: false,
+    usesCalendar: false,
+    returnsToSameHost: false,
 };
 
 const CASES: Readonly<Record<string, Partial<OverloadCase>>> = {
@@ -71,20 +73,29 @@
     return [
         `in time/served ${cell(() => true)}, units in time ${(inTimeUnits(run) / 1e6).toFixed(2)}M`,
         `urgency ${by([0, 1, 2], "urgency")}; size ${by([9_190, 2_368, 715], "tokens")}`,
-        `account ${by([0, 1, 4, 15], "account")}; refused by level ${run.refusedByLevel}`,
+        `account ${by([0, 1, 4, 15], "account")}; refused by level ${run.refusedByLevel}, claimed ${run.claimed}`,
         `decision ${run.decisionUs.toFixed(1)} us`,
     ].join("\n  ");
 };
 
+const POLICIES: Readonly<Record<string, Partial<OverloadCase>>> = {
+    "without": {},
+    "level": { usesLevel: true },
+    "level and calendar": { usesLevel: true, usesCalendar: true },
+    "level and calendar, return to the same host": { usesLevel: true, usesCalendar: true, returnsToSameHost: true },
+};
+
 const figures = process.env["OVERLOAD"];
+const selected = process.env["OVERLOAD_CASES"]?.split(",");
+const policies = process.env["OVERLOAD_POLICIES"]?.split(",");
 
 (figures === undefined ? test.skip : test)("figures of the cases", async () => {
     const seeds = (figures ?? "").split(",").map(Number);
-    for (const [name, of] of Object.entries(CASES)) {
-        for (const usesLevel of [false, true]) {
+    for (const [name, of] of Object.entries(CASES).filter(([key]) => selected?.includes(key) ?? true)) {
+        for (const [policy, uses] of Object.entries(POLICIES).filter(([key]) => policies?.includes(key) ?? true)) {
             for (const seed of seeds) {
-                const run = await replayOverload({ ...TWICE, ...of, usesLevel }, seed);
-                process.stdout.write(`${name}, level ${usesLevel}, seed ${seed}\n  ${describeRun(run)}\n`);
+                const run = await replayOverload({ ...TWICE, ...of, ...uses }, seed);
+                process.stdout.write(`${name}, ${policy}, seed ${seed}\n  ${describeRun(run)}\n`);
             }
         }
     }
--- a/packages/gateway/__tests__/support/replayOverload.ts
+++ b/packages/gateway/__tests__/support/replayOverload.ts
@@ -1,4 +1,4 @@
-import { createAdmissionLevel, type DemandRow, type OfferedRequest } from "@ibislanding/admission";
+import { createAdmissionLevel, createReturns, type DemandRow, type OfferedRequest } from "@ibislanding/admission";
 import {
     type AccountId,
     createHasher,
@@ -59,9 +59,13 @@
     /** Number of times that an impatient client returns, without waiting. */
     readonly impatientReturns: number;
     readonly usesLevel: boolean;
+    readonly usesCalendar: boolean;
+    /** Whether clients return to the host that refused them. */
+    readonly returnsToSameHost: boolean;
 }
 
 interface Client {
+    readonly id: string;
     readonly urgency: number;
     readonly account: number;
     readonly tokens: number;
@@ -140,6 +144,7 @@
     const weightSum = accountWeights.reduce((sum, weight) => sum + weight, 0);
     const runningAt = engines.map(() => 0);
     let refusedByLevel = 0;
+    let claimed = 0;
     const createHost = (index: number) => {
         const table = createUpstreamTable({
             clock,
@@ -161,8 +166,17 @@
         records.forEach(({ upstreamId }, engine) =>
             table.reportRoundTrip(upstreamId, engine % ZONES === index % ZONES ? 1 : OTHER_ZONE_MS)
         );
+        const level = createAdmissionLevel({
+            clock,
+            random: deciding,
+            isEnabled: () => of.usesLevel && of.hosts > 16,
+            onLevelChange: () => undefined,
+        });
         return {
             index,
+            returns: of.usesCalendar
+                ? createReturns({ clock, random: deciding, level, hostCount: () => of.hosts })
+                : undefined,
             zone: index % ZONES,
             table,
             lastAtMs: Array.from({ length: ZONES }, () => -1),
@@ -170,12 +184,7 @@
                 { length: ZONES },
                 () => of.ageMs[0] + random.nextFloat() * (of.ageMs[1] - of.ageMs[0]),
             ),
-            level: createAdmissionLevel({
-                clock,
-                random: deciding,
-                isEnabled: () => of.usesLevel && of.hosts > 16,
-                onLevelChange: () => undefined,
-            }),
+            level,
         };
     };
     const hosts = Array.from({ length: of.hosts }, (_, index) => createHost(index));
@@ -262,17 +271,28 @@
         client.isInTime = firstEventAtMs - nowMs <= (OBJECTIVES_MS[client.urgency] ?? 0);
     };
 
-    const refuse = (client: Client, retryAfterMs: number): void => {
+    const refuse = (
+        host: (typeof hosts)[number],
+        client: Client,
+        offered: OfferedRequest,
+        retryAfterMs: number,
+        isRejected = false,
+    ): void => {
         const nowMs = clock.nowMs;
-        const statedMs = retryAfterMs * (1 + random.nextFloat() * RETRY_JITTER);
+        const jitteredMs = retryAfterMs * (1 + random.nextFloat() * RETRY_JITTER);
+        const plannedMs = isRejected ? undefined : host.returns?.refuse(offered, client.id, client.dueAtMs - nowMs);
+        const statedMs = plannedMs ?? jitteredMs;
         if (client.returns >= (client.isImpatient ? of.impatientReturns : 1)) {
             return;
         }
-        if (!client.isImpatient && statedMs > (client.dueAtMs - nowMs) / 3) {
+        if (!client.isImpatient && statedMs > (client.dueAtMs - nowMs) / 3 + 1) {
             return;
         }
         client.returns++;
-        schedule(nowMs + (client.isImpatient ? RETURN_AT_ONCE_MS : statedMs), () => arrive(client));
+        schedule(
+            nowMs + (client.isImpatient ? RETURN_AT_ONCE_MS : statedMs),
+            () => arrive(client, of.returnsToSameHost ? host : undefined),
+        );
     };
 
     const pickHost = (): (typeof hosts)[number] => {
@@ -310,18 +330,23 @@
         if (isFirst) {
             host.level.recordOffered(offered);
         }
-        const admits = !isFirst || host.level.admits(offered, () => measureFreeShare(candidates));
+        const hasPlace = isFirst && host.returns?.claim(offered, () => client.id) === true;
+        claimed += hasPlace ? 1 : 0;
+        const admits = !isFirst || host.level.admits(offered, () => measureFreeShare(candidates), {
+            hasPlace: () => hasPlace,
+            heldShare: () => host.returns?.heldShare(offered) ?? 0,
+        });
         perHost.busyMs += performance.now() - startedAtMs;
         perHost.decisions++;
         if (!admits) {
             refusedByLevel++;
-            refuse(client, ABOVE_LEVEL_RETRY_MS);
+            refuse(host, client, offered, ABOVE_LEVEL_RETRY_MS);
             return;
         }
         const decision = chooseUpstream(candidates, request, of.hosts > 13 ? deciding.nextFloat() : undefined);
         if (decision.kind === "refuse") {
             host.level.recordSaturation(SERVICE);
-            refuse(client, decision.retryAfterMs);
+            refuse(host, client, offered, decision.retryAfterMs);
             return;
         }
         const target = records.findIndex(({ upstreamId }) => upstreamId === decision.upstream.upstreamId);
@@ -331,7 +356,7 @@
                 arrive(client, host, new Set([decision.upstream.upstreamId]));
                 return;
             }
-            refuse(client, REJECTED_RETRY_MS);
+            refuse(host, client, offered, REJECTED_RETRY_MS, true);
             return;
         }
         send(host, client, request, decision.upstream.upstreamId, offered, decision.idleMs);
@@ -348,7 +373,10 @@
         );
     };
 
+    let nextClient = 0;
+
     const createClient = (): Client => ({
+        id: `client-${nextClient++}`,
         urgency: URGENCIES[random.nextInt(URGENCIES.length)] ?? 0,
         account: pickAccount(),
         tokens: SIZES[random.nextInt(SIZES.length)] ?? 0,
@@ -394,6 +422,7 @@
     }
     return {
         refusedByLevel,
+        claimed,
         decisionUs: perHost.busyMs / perHost.decisions * 1_000,
         /** Outcomes of the clients that a predicate selects, by requests and by units. */
         outcomesOf: (selects: (client: Client) => boolean) => {
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -1,4 +1,4 @@
-import type { LevelState } from "@ibislanding/admission";
+import type { LevelState, Returns } from "@ibislanding/admission";
 import {
     type AccountId,
     type AvailabilityZone,
@@ -53,6 +53,7 @@
     engines?: EnginePort,
     versions?: VersionPolicy,
     admission?: LevelState,
+    returns?: Returns,
 ) => {
     const clock = createSystemClock();
     const state = { isInitialized: true, recordDelayMs: 0 };
@@ -131,6 +132,7 @@
         },
         versions,
         admission,
+        returns,
         sharedNowMs: clock.wallMs,
         retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
         events: {
--- a/packages/gateway/src/forwarding/admitByLevel.ts
+++ b/packages/gateway/src/forwarding/admitByLevel.ts
@@ -16,6 +16,8 @@
     }
     const offered = toOfferedRequest(admitted);
     admission.recordOffered(offered);
+    // Claimed also if the level admits the request, so that its place is not held any longer.
+    const hasPlace = options.returns?.claim(offered, context.features.request) === true;
     context.isAdmittedByLevel = relayed !== undefined || softwareVersion !== undefined
         || admission.admits(
             offered,
@@ -23,6 +25,7 @@
                 measureFreeShare(
                     upstreams.candidates(admitted.service, toPlacementRequest(context, false, ANY_VERSION)),
                 ),
+            { hasPlace: () => hasPlace, heldShare: () => options.returns?.heldShare(offered) ?? 0 },
         );
     return context.isAdmittedByLevel;
 };
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -9,6 +9,7 @@
 import type { Refusal } from "./refusal";
 import { relayRequest } from "./relayRequest";
 import { sendToUpstream } from "./sendToUpstream";
+import { toOfferedRequest } from "./toOfferedRequest";
 import { waitForCapacity } from "./waitForCapacity";
 
 /** `Retry-After` of a request that was refused by upstreams. */
@@ -20,6 +21,9 @@
  */
 const MAXIMUM_LOST_RUNS = 2;
 
+/** Reasons of refusals after which the request may be served when capacity is free again. */
+const CAPACITY_REASONS: ReadonlySet<string> = new Set(["above-level", "saturated"]);
+
 /** Returns the error response for a request that is not attempted again. */
 const finalRefusal = ({ runs, admitted, ended }: ForwardContext, reason: string, retryAfterMs: number): Refusal => {
     const { admission } = admitted;
@@ -31,6 +35,18 @@
         : { status: 503, reason, retryAfterMs };
 };
 
+/** Reserves a place for a request that was refused for lack of capacity, if its service is saturated. */
+const planReturn = ({ options, admitted, features }: ForwardContext, refusal: Refusal): Refusal => {
+    const retryAfterMs = refusal.status !== 503 || !CAPACITY_REASONS.has(refusal.reason)
+        ? undefined
+        : options.returns?.refuse(
+            toOfferedRequest(admitted),
+            features.request(),
+            admitted.dueAtMs - options.clock.monotonicMs(),
+        );
+    return retryAfterMs === undefined ? refusal : { ...refusal, retryAfterMs, isReturnPlanned: true };
+};
+
 /** Whether the request may be sent to another upstream after this outcome. */
 const mayRetry = (
     { options, admitted, ended, mayRepeat, runs, lostRuns }: ForwardContext,
@@ -98,7 +114,7 @@
             if (decision.reason === "saturated" || decision.reason === "paused") {
                 options.admission?.recordSaturation(context.admitted.service);
             }
-            return Err(finalRefusal(context, decision.reason, decision.retryAfterMs));
+            return Err(planReturn(context, finalRefusal(context, decision.reason, decision.retryAfterMs)));
         }
         progress.attempts++;
         const outcome = await sendToUpstream(context, decision.upstream, decision.predictedMs, continuation);
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -1,4 +1,4 @@
-import type { LevelState } from "@ibislanding/admission";
+import type { LevelState, Returns } from "@ibislanding/admission";
 import type { Clock, RandomSource } from "@ibislanding/core";
 import type { Quarantine } from "@ibislanding/quarantine";
 import type { HeaderCodec } from "../codec/headerCodec";
@@ -40,6 +40,8 @@
     readonly relay?: RequestRelay | undefined;
     /** Set if requests of saturated services are admitted by a level over all hosts. */
     readonly admission?: LevelState | undefined;
+    /** Set if the return of refused requests of saturated services is planned. */
+    readonly returns?: Returns | undefined;
     readonly events: GatewayEvents;
     /** Time after the start of the shutdown for which new requests are still forwarded. */
     readonly stopAcceptMs: number;
--- a/packages/gateway/src/forwarding/refusal.ts
+++ b/packages/gateway/src/forwarding/refusal.ts
@@ -5,4 +5,6 @@
     /** Explanation for the client. */
     readonly detail?: string;
     readonly retryAfterMs?: number;
+    /** Whether the time to return is a place in a calendar, to which no jitter is added. */
+    readonly isReturnPlanned?: boolean;
 }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -111,7 +111,7 @@
     const refuse = (refusal: Refusal): Refusal => {
         const { retryAfterMs } = refusal;
         clientResponse.refuse(
-            retryAfterMs === undefined
+            retryAfterMs === undefined || refusal.isReturnPlanned === true
                 ? refusal
                 : { ...refusal, retryAfterMs: retryAfterMs * (1 + random.nextFloat() * RETRY_JITTER) },
         );
