feat(admission): waiting requests get capacity by urgency, account and deadline

Cause: requests that wait for a slot of a brittle upstream got it in the order of their arrival, whatever their urgency, and those of an account that sends much kept those of others waiting. Ruled out: letting requests of engines wait at the host; the level admits what is served in time, and a place in the engine's queue is not certain by loads that are up to two seconds old. Change: createAdmissionQueue orders by urgency, then the account that all hosts served least, then the deadline; createCapacityQueue uses it. In groups of more than 16 hosts requests wait at most 0.25 of the objective instead of 0.3; smaller groups keep the order of arrival and 0.3. A request is admitted or refused by the level before it waits.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -306,6 +306,9 @@
                     capacityUnitsPerS - sumTotals(demand.filter(total => total.urgency < urgency), "offeredUnits"),
                 );
         },
+        isEnabled,
+        servedUnitsPerS: (name, accountId) =>
+            sumTotals(updateService(name).totals.filter(total => total.accountId === accountId), "sentUnits"),
         levelOf: name => updateService(name).level,
     };
 };
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,6 +1,8 @@
 export type { AdmissionLevel } from "./admissionLevel";
+export type { AdmissionQueue } from "./admissionQueue";
 export { computeAdmissionLevel } from "./computeAdmissionLevel";
 export { createAdmissionLevel } from "./createAdmissionLevel";
+export { createAdmissionQueue } from "./createAdmissionQueue";
 export { createReturnCalendar } from "./createReturnCalendar";
 export { createReturns } from "./createReturns";
 export type { DemandRow } from "./demandRow";
@@ -10,3 +12,4 @@
 export { parseDemandRow } from "./parseDemandRow";
 export type { ReturnCalendar } from "./returnCalendar";
 export type { Returns } from "./returns";
+export type { WaitingRequest } from "./waitingRequest";
--- a/packages/admission/src/levelState.ts
+++ b/packages/admission/src/levelState.ts
@@ -1,4 +1,4 @@
-import type { HostId, ServiceName } from "@ibislanding/core";
+import type { AccountId, HostId, ServiceName } from "@ibislanding/core";
 import type { AdmissionLevel } from "./admissionLevel";
 import type { DemandRow } from "./demandRow";
 import type { OfferedRequest } from "./offeredRequest";
@@ -33,6 +33,10 @@
      * service is not saturated.
      */
     readonly freeUnitsPerS: (service: ServiceName, urgency: number) => number | undefined;
+    /** Whether the group of hosts is large enough for a level. */
+    readonly isEnabled: () => boolean;
+    /** Units per second that all hosts serve of an account. */
+    readonly servedUnitsPerS: (service: ServiceName, accountId: AccountId | "") => number;
     /** Level of a service; undefined while it is not saturated. */
     readonly levelOf: (service: ServiceName) => AdmissionLevel | undefined;
 }
--- a/packages/gateway/__tests__/admission.spec.ts
+++ b/packages/gateway/__tests__/admission.spec.ts
@@ -16,6 +16,8 @@
         admits: () => isAdmitted,
         observePeer: () => undefined,
         rows: () => [],
+        isEnabled: () => true,
+        servedUnitsPerS: () => 0,
         freeUnitsPerS: () => undefined,
         levelOf: () => undefined,
     };
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -18,7 +18,10 @@
 export const createGateway = (options: GatewayOptions): Gateway => {
     const { clock } = options;
     const pool = createConnectionPool(options.upstreams);
-    const capacityQueue = createCapacityQueue(clock);
+    const capacityQueue = createCapacityQueue(clock, {
+        isOrdered: () => options.admission?.isEnabled() === true,
+        servedUnitsPerS: (service, accountId) => options.admission?.servedUnitsPerS(service, accountId) ?? 0,
+    });
     const stop = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
--- a/packages/gateway/src/forwarding/waitForCapacity.ts
+++ b/packages/gateway/src/forwarding/waitForCapacity.ts
@@ -1,8 +1,11 @@
 import type { PlacementDecision } from "../placement/placementDecision";
+import { admitByLevel } from "./admitByLevel";
 import type { ForwardContext } from "./forwardContext";
+import { toOfferedRequest } from "./toOfferedRequest";
 
 /** Fractions of the objective and of the remaining time that a request may wait for capacity. */
 const MAXIMUM_OBJECTIVE_SHARE = 0.3;
+const MAXIMUM_OBJECTIVE_SHARE_IN_ORDER = 0.25;
 const MAXIMUM_REMAINING_SHARE = 0.2;
 
 /** `Retry-After` of a request that is refused because others wait already. */
@@ -16,9 +19,10 @@
  * decision, or a promise of it; without brittle upstreams, the decision is that of `decide`.
  */
 export const waitForCapacity = (
-    { options, admitted, ended }: ForwardContext,
+    context: ForwardContext,
     decide: () => PlacementDecision,
 ): PlacementDecision | Promise<PlacementDecision> => {
+    const { options, admitted, ended } = context;
     const { upstreams, capacityQueue, clock } = options;
     const { service, route, dueAtMs } = admitted;
     if (!upstreams.brittle.isRestricted(service)) {
@@ -26,19 +30,21 @@
     }
     const isPaused = (decision: PlacementDecision): boolean =>
         decision.kind === "refuse" && decision.reason === "paused";
-    const decision: PlacementDecision = capacityQueue.hasWaiting(service)
+    const decision: PlacementDecision = capacityQueue.hasWaiting(service) && admitByLevel(context)
         ? { kind: "refuse", reason: "paused", retryAfterMs: RETRY_AFTER_QUEUE_MS }
         : decide();
     if (!isPaused(decision)) {
         return decision;
     }
+    const isOrdered = options.admission?.isEnabled() === true;
     const waited = capacityQueue.wait(service, {
         maximumWaiting: upstreams.brittle.ownSlots(service) * WAITING_PER_SLOT,
         durationMs: Math.min(
-            route.objectiveMs * MAXIMUM_OBJECTIVE_SHARE,
+            route.objectiveMs * (isOrdered ? MAXIMUM_OBJECTIVE_SHARE_IN_ORDER : MAXIMUM_OBJECTIVE_SHARE),
             (dueAtMs - clock.monotonicMs()) * MAXIMUM_REMAINING_SHARE,
         ),
         signal: ended,
+        request: isOrdered ? { ...toOfferedRequest(admitted), dueAtMs } : undefined,
         findCapacity: () => {
             const next = decide();
             return isPaused(next) ? undefined : next;
