fix(admission): a service without answers does not stay saturated

Cause: the measured wait of a service kept its last value while no first events arrived, so that a host whose last requests had waited for long reported demand, and computed a level, until its next requests. Ruled out: nothing else; found by a test in which one host's demand sets the level of another and then ends. Change: waits that were measured more than 3 s ago no longer count. The test, and one for a group of 16 hosts. Measured: demandReports.spec.ts fails before and passes after; overload.spec.ts passes.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -200,6 +200,10 @@
         }
     };
 
+    /** Without first events, the last waits say nothing about the present: the service would stay saturated. */
+    const pressureOf = ({ pressure, measuredAtMs }: Service): number =>
+        clock.monotonicMs() - measuredAtMs < RETENTION_MS ? pressure : 0;
+
     const updateService = (name: ServiceName): Service => {
         const service = serviceOf(name);
         const nowMs = clock.monotonicMs();
@@ -211,9 +215,10 @@
         updateTotals();
         const offered = sumTotals(service.totals, "offeredUnits");
         const sent = sumTotals(service.totals, "sentUnits");
+        const pressure = pressureOf(service);
         if (
-            service.pressure > SATURATED_PRESSURE
-            || offered - sent > offered * UNSERVED_SHARE && service.pressure > BUSY_PRESSURE
+            pressure > SATURATED_PRESSURE
+            || offered - sent > offered * UNSERVED_SHARE && pressure > BUSY_PRESSURE
         ) {
             service.saturatedAtMs = nowMs;
         }
@@ -223,7 +228,7 @@
             setLevel(name, service, undefined);
             return service;
         }
-        const gain = Math.max(MINIMUM_GAIN, Math.min(MAXIMUM_GAIN, 1 + (1 - service.pressure) * GAIN_SLOPE));
+        const gain = Math.max(MINIMUM_GAIN, Math.min(MAXIMUM_GAIN, 1 + (1 - pressure) * GAIN_SLOPE));
         const steps = Math.min(MS_PER_S, elapsedMs) / STEP_MS;
         service.capacityUnitsPerS = Number.isFinite(service.capacityUnitsPerS)
             ? Math.min(sent * gain, service.capacityUnitsPerS + sent * RISE_PER_STEP * steps)
@@ -245,7 +250,7 @@
             const service = serviceOf(request.service);
             const nowMs = clock.monotonicMs();
             const kept = Math.max(MINIMUM_KEPT_SHARE, decay(nowMs - service.measuredAtMs, WAIT_TIME_CONSTANT_MS));
-            service.pressure = service.pressure * kept + waitShare / TARGET_WAIT_SHARE * (1 - kept);
+            service.pressure = pressureOf(service) * kept + waitShare / TARGET_WAIT_SHARE * (1 - kept);
             service.measuredAtMs = nowMs;
             const counter = counterOf(own, request);
             counter.newSent += request.units;
--- a/packages/edge/__tests__/demandReports.spec.ts
+++ b/packages/edge/__tests__/demandReports.spec.ts
@@ -1,11 +1,19 @@
 // Guards against demand that is lost or counted twice on its way through collectors, against rows that can't be read and would
 // make a sum wrong until a restart, and against reports that grow while no service is saturated.
-import { createFakeClock, createRandom, type HostId, type ServiceName } from "@ibislanding/core";
+import {
+    type AccountId,
+    createFakeClock,
+    createRandom,
+    type FakeClock,
+    type HostId,
+    type ServiceName,
+} from "@ibislanding/core";
 import { createMetricsRegistry } from "@ibislanding/runtime";
 import { deflateRawSync } from "node:zlib";
 import { createAdmission } from "../src/admission/createAdmission";
 import { createReportAggregation } from "../src/createReportAggregation";
 import type { HostReport } from "../src/hostReport";
+import { toDemandRows } from "../src/toDemandRows";
 import { createReportSource } from "./support/createReportSource";
 
 type Demand = HostReport["demand"];
@@ -49,16 +57,70 @@
     expect(exchange(["x" as unknown as Demand, rows(20, 5), undefined])[2]).toEqual(rows(30, 10));
 });
 
-test("rows that can't be read or are of an unknown service are counted, and nothing else is lost", () => {
+const createHost = (clock: FakeClock, hostCount = 82) => {
     const metrics = createMetricsRegistry();
+    const lines: Readonly<Record<string, unknown>>[] = [];
     const admission = createAdmission({
-        clock: createFakeClock(),
+        clock,
         random: createRandom(1),
-        log: { write: () => undefined, droppedLines: () => 0 },
+        log: {
+            write: (event, fields) => void (event === "admission_level" && lines.push(fields ?? {})),
+            droppedLines: () => 0,
+        },
         metrics,
-        hostCount: () => 82,
+        hostCount: () => hostCount,
         isKnownService: service => service === ("chat" as ServiceName),
     });
+    return { admission, metrics, lines };
+};
+
+// Guards against a level that only the hosts know that refuse requests themselves, and against a log line for each of its steps.
+test("the demand that one host reports sets the level of another, which logs at most one line a second", async () => {
+    const clock = createFakeClock();
+    const [one, other] = [createHost(clock), createHost(clock)];
+    const requestOf = (urgency: number) => ({
+        service: "chat" as ServiceName,
+        urgency,
+        accountId: "acme" as AccountId,
+        units: 1_000,
+    });
+    for (let step = 0; step < 40; step++) {
+        await clock.advance(200);
+        one.admission.level.recordSaturation("chat" as ServiceName);
+        [0, 1, 2].forEach(urgency => one.admission.level.recordOffered(requestOf(urgency)));
+        one.admission.level.recordFirstEvent(requestOf(0), 1);
+        other.admission.level.recordFirstEvent({ ...requestOf(0), units: 1 }, 0.6);
+        other.admission.observePeer("one" as HostId, toDemandRows(one.admission.level.rows()));
+        other.admission.level.admits(requestOf(step % 3), () => 0);
+    }
+    expect(other.admission.level.levelOf("chat" as ServiceName)?.urgency).toBeLessThan(2);
+    expect(other.admission.level.admits(requestOf(2), () => 0)).toBe(false);
+    expect(other.lines.length).toBeGreaterThan(0);
+    expect(other.lines.length).toBeLessThanOrEqual(8);
+    expect(other.metrics.render()).toMatch(/ibis_admission_refusals_total\{[^}]*urgency="2"[^}]*\} [1-9]/);
+    // Without saturation the rows end, and with them the level.
+    await clock.advance(3_500);
+    expect(one.admission.level.rows()).toEqual([]);
+    expect(other.admission.level.admits(requestOf(2), () => 0)).toBe(true);
+    expect(other.lines.at(-1)).toMatchObject({ isSaturated: false });
+});
+
+test("a host of a small group reports no demand and refuses nothing", async () => {
+    const clock = createFakeClock();
+    const { admission } = createHost(clock, 16);
+    const request = { service: "chat" as ServiceName, urgency: 2, accountId: "acme" as AccountId, units: 1_000 };
+    for (let step = 0; step < 20; step++) {
+        await clock.advance(200);
+        admission.level.recordSaturation(request.service);
+        admission.level.recordOffered(request);
+        admission.observePeer("peer" as HostId, rows(step * 1_000, 0));
+        expect(admission.level.admits(request, () => 0)).toBe(true);
+    }
+    expect(toDemandRows(admission.level.rows())).toBeUndefined();
+});
+
+test("rows that can't be read or are of an unknown service are counted, and nothing else is lost", () => {
+    const { admission, metrics } = createHost(createFakeClock());
     admission.observePeer("peer" as HostId, [["chat", 0, "acme", 1, 1], ["other", 0, "acme", 1, 1], [
         "chat",
         0,
