--- a/packages/gateway/__tests__/overload.spec.ts
+++ b/packages/gateway/__tests__/overload.spec.ts
@@ -74,6 +74,7 @@
         `in time/served ${cell(() => true)}, units in time ${(inTimeUnits(run) / 1e6).toFixed(2)}M`,
         `urgency ${by([0, 1, 2], "urgency")}; size ${by([9_190, 2_368, 715], "tokens")}`,
         `account ${by([0, 1, 4, 15], "account")}; refused by level ${run.refusedByLevel}, claimed ${run.claimed}`,
+        `returns in time ${cell(client => !client.isImpatient)}, at once ${cell(client => client.isImpatient)}`,
         `decision ${run.decisionUs.toFixed(1)} us`,
     ].join("\n  ");
 };
