fix(admission): the first row of a counter says nothing about an interval

A host that has restarted does not know the counters of an earlier saturation. Cause: a row that a known reporter had not reported before was counted from zero, so that the units of an earlier saturation of this service were taken as demand and served work of one report interval. Capacity follows served work, so that the level admitted everything. Ruled out: a row of an unknown reporter, and smaller counters, were handled. Change: the first row of each service, urgency and account only sets the counters. A new account is counted from its second report on. Test before: 751,981,057 units per second for an account that serves 1,000 units per second; after: below 2,000, and the second report counts.

--- a/packages/admission/__tests__/admissionLevel.spec.ts
+++ b/packages/admission/__tests__/admissionLevel.spec.ts
@@ -127,3 +127,20 @@
     expect(level.rows()).toEqual([]);
     expect(admits(2)).toBe(true);
 });
+
+// Guards against sudden demand that nobody offers: a host that has restarted meets the counters of a peer's earlier
+// saturation, which are larger than all that is offered now, when another service of this peer is known already.
+test("the first row of a service says nothing about an interval, also if its reporter is known", async () => {
+    const { clock, level, report, request } = createState();
+    await report(4, 2);
+    const before = level.servedUnitsPerS(SERVICE, "b" as AccountId);
+    level.observePeer("peer" as HostId, [rowOf(0, "b", 1e9, 1e9)]);
+    await clock.advance(300);
+    expect(level.servedUnitsPerS(SERVICE, "b" as AccountId)).toBe(before);
+    await clock.advance(300);
+    level.observePeer("peer" as HostId, [rowOf(0, "b", 1e9 + 600, 1e9 + 600)]);
+    level.recordFirstEvent(request(0), 2);
+    await clock.advance(300);
+    expect(level.servedUnitsPerS(SERVICE, "b" as AccountId)).toBeGreaterThan(100);
+    expect(level.servedUnitsPerS(SERVICE, "b" as AccountId)).toBeLessThan(2_000);
+});
--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -278,12 +278,14 @@
             const reporter = known ?? { atMs: nowMs, counters: new Map<string, Counter>(), order: [] };
             rows.forEach((row, index) => {
                 const expected = reporter.order[index];
-                const counter = expected !== undefined && isRowOf(expected, row)
+                const previous = expected !== undefined && isRowOf(expected, row)
                     ? expected
-                    : counterOf(reporter.counters, row);
+                    : reporter.counters.get(keyOf(row));
+                const counter = previous ?? counterOf(reporter.counters, row);
                 reporter.order[index] = counter;
-                // The first report of a process, or of one that has lost its counters, says nothing about an interval.
-                if (known !== undefined && row.offeredUnits >= counter.offeredUnits) {
+                // The first row of a counter, or of a process that has lost its counters, says nothing about an interval: it
+                // may contain the units of an earlier saturation.
+                if (previous !== undefined && row.offeredUnits >= counter.offeredUnits) {
                     counter.newOffered += row.offeredUnits - counter.offeredUnits;
                     counter.newSent += Math.max(0, row.sentUnits - counter.sentUnits);
                 }
