feat(admission): a quarter of the capacity is shared by all requests

In a long overload the least urgent kind got nothing for seconds. Cause: none above the level is admitted, and in the first seconds the capacity is half of what is served, which more urgent requests use up. Ruled out: the rule of half of the slots free, which admits nobody while the engines' queues are full. Change: SHARED_CAPACITY, a fixed part that is divided in proportion to what is offered; urgency and account decide on the rest. The replay can also lose every third engine for a time.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -37,6 +37,12 @@
 const MAXIMUM_GAIN = 1.3;
 const GAIN_SLOPE = 0.3;
 
+/**
+ * Part of the capacity that all requests share in proportion to what they offer, before urgency and account decide. Callers of
+ * the least urgent kind need a quarter of the share that all requests get; without it, they get nothing for seconds.
+ */
+const SHARED_CAPACITY = 0.25;
+
 /** Part of the slots by which the capacity may rise in each step. */
 const RISE_PER_STEP = 0.1;
 const STEP_MS = 100;
@@ -79,6 +85,8 @@
     saturatedAtMs: number;
     isSaturated: boolean;
     capacityUnitsPerS: number;
+    /** Part of each urgency and account that is admitted at least. */
+    minimumShare: number;
     /** Measured wait relative to the target. */
     pressure: number;
     measuredAtMs: number;
@@ -134,6 +142,7 @@
             saturatedAtMs: -Infinity,
             isSaturated: false,
             capacityUnitsPerS: Infinity,
+            minimumShare: 0,
             pressure: 0,
             measuredAtMs: -Infinity,
         };
@@ -233,7 +242,12 @@
         service.capacityUnitsPerS = Number.isFinite(service.capacityUnitsPerS)
             ? Math.min(sent * gain, service.capacityUnitsPerS + sent * RISE_PER_STEP * steps)
             : sent * gain;
-        setLevel(name, service, computeAdmissionLevel(service.totals, service.capacityUnitsPerS));
+        const capacity = service.capacityUnitsPerS;
+        const isExceeded = offered > capacity;
+        service.minimumShare = isExceeded ? SHARED_CAPACITY * capacity / offered : 0;
+        // The level divides the rest of the capacity among the rest of the demand; only their ratio matters to it.
+        const rest = isExceeded ? capacity * (1 - SHARED_CAPACITY) / (1 - service.minimumShare) : capacity;
+        setLevel(name, service, computeAdmissionLevel(service.totals, rest));
         return service;
     };
 
@@ -260,14 +274,18 @@
             serviceOf(name).saturatedAtMs = clock.monotonicMs();
         },
         admits: ({ service: name, urgency, accountId }, freeShare, returning) => {
-            const { level } = updateService(name);
+            const { level, minimumShare } = updateService(name);
             if (level === undefined || urgency < level.urgency) {
                 return true;
             }
-            const isWithinShare = (): boolean =>
-                random.nextFloat() < (level.admittedShares.get(accountId) ?? 1) * (1 - (returning?.heldShare() ?? 0));
-            return urgency === level.urgency && (returning?.hasPlace() === true || isWithinShare())
-                || freeShare() >= FREE_SHARE;
+            const isAtLevel = urgency === level.urgency;
+            if (isAtLevel && returning?.hasPlace() === true) {
+                return true;
+            }
+            const share = isAtLevel
+                ? (level.admittedShares.get(accountId) ?? 1) * (1 - (returning?.heldShare() ?? 0))
+                : 0;
+            return random.nextFloat() < minimumShare + (1 - minimumShare) * share || freeShare() >= FREE_SHARE;
         },
         observePeer: (hostId, rows) => {
             const nowMs = clock.monotonicMs();
--- a/packages/gateway/__tests__/overload.spec.ts
+++ b/packages/gateway/__tests__/overload.spec.ts
@@ -63,6 +63,21 @@
     expect(withLevel.outcomesOf(() => true)).toEqual(without.outcomesOf(() => true));
 }, 300_000);
 
+// Guards against callers of the least urgent kind that get nothing for seconds, as the more urgent ones use all of a capacity
+// that is lowest when the engines' queues are full. They need a quarter of the share that all requests get.
+test("in a long overload, the least urgent kind is served in each two seconds", async () => {
+    const loadAt = (s: number): number => s >= 4 ? 2 : 0.7;
+    const run = await replayOverload({ ...TWICE, loadAt, durationS: 16, usesLevel: true, usesCalendar: true }, 1);
+    // Clients that arrive later may return after the end of the replay.
+    [4, 6, 8, 10, 12].forEach(s => {
+        const isThen = ({ arrivedAtMs }: { readonly arrivedAtMs: number; }): boolean =>
+            arrivedAtMs >= s * 1_000 && arrivedAtMs < (s + 2) * 1_000;
+        const least = run.outcomesOf(client => isThen(client) && client.urgency === 2);
+        expect(least.count).toBeGreaterThan(100);
+        expect(least.served).toBeGreaterThan(run.outcomesOf(isThen).served / 4);
+    });
+}, 300_000);
+
 const describeRun = (run: Run): string => {
     const cell = (selects: Parameters<Run["outcomesOf"]>[0]): string => {
         const { inTime, served } = run.outcomesOf(selects);
--- a/packages/gateway/__tests__/support/replayOverload.ts
+++ b/packages/gateway/__tests__/support/replayOverload.ts
@@ -56,6 +56,8 @@
     readonly silentZone?: readonly [number, number];
     /** Time in seconds at which all hosts lose what they know. */
     readonly restartS?: number;
+    /** Times in seconds between which every third engine is gone; what runs there is lost. */
+    readonly lostEnginesS?: readonly [from: number, to: number];
     /** Number of times that an impatient client returns, without waiting. */
     readonly impatientReturns: number;
     readonly usesLevel: boolean;
@@ -69,6 +71,7 @@
     readonly urgency: number;
     readonly account: number;
     readonly tokens: number;
+    readonly arrivedAtMs: number;
     readonly dueAtMs: number;
     readonly isImpatient: boolean;
     returns: number;
@@ -144,6 +147,7 @@
     const weightSum = accountWeights.reduce((sum, weight) => sum + weight, 0);
     const runningAt = engines.map(() => 0);
     let refusedByLevel = 0;
+    const levelRefusalsAtMs: number[] = [];
     let claimed = 0;
     const createHost = (index: number) => {
         const table = createUpstreamTable({
@@ -188,6 +192,9 @@
         };
     };
     const hosts = Array.from({ length: of.hosts }, (_, index) => createHost(index));
+    const isLostAt = (engine: number, nowMs: number): boolean =>
+        of.lostEnginesS !== undefined && engine % 3 === 0
+        && nowMs >= of.lostEnginesS[0] * 1_000 && nowMs < of.lostEnginesS[1] * 1_000;
     const snapshots = Array.from({ length: ZONES }, (): Snapshot[] => []);
     const clients: Client[] = [];
     const events: { readonly atMs: number; readonly run: () => void; }[] = [];
@@ -259,6 +266,11 @@
         const firstEventAtMs = readAtMs + OVERHEAD_MS + wayMs / 2;
         runningAt[index] = (runningAt[index] ?? 0) + 1;
         schedule(firstEventAtMs, () => {
+            if (isLostAt(index, firstEventAtMs)) {
+                client.isServed = false;
+                client.isInTime = false;
+                return;
+            }
             load.recordFirstEvent();
             const waitMs = firstEventAtMs - nowMs - idleMs;
             host.level.recordFirstEvent(offered, Math.max(0, waitMs) / request.objectiveMs);
@@ -340,6 +352,7 @@
         perHost.decisions++;
         if (!admits) {
             refusedByLevel++;
+            levelRefusalsAtMs.push(clock.nowMs);
             refuse(host, client, offered, ABOVE_LEVEL_RETRY_MS);
             return;
         }
@@ -380,6 +393,7 @@
         urgency: URGENCIES[random.nextInt(URGENCIES.length)] ?? 0,
         account: pickAccount(),
         tokens: SIZES[random.nextInt(SIZES.length)] ?? 0,
+        arrivedAtMs: clock.nowMs,
         dueAtMs: clock.nowMs + DEADLINE_MS,
         isImpatient: random.nextFloat() < 0.4,
         returns: 0,
@@ -390,6 +404,7 @@
     let nextArrivalMs = 0;
     let nextReport = 0;
     let hasRestarted = false;
+    let hadLost = false;
     while (clock.nowMs < of.durationS * 1_000) {
         const eventMs = events[0]?.atMs ?? Infinity;
         const reportMs = nextReport * REPORT_MS / ZONES;
@@ -403,6 +418,15 @@
                 snapshots[zone] = [];
             });
         }
+        const hasLost = isLostAt(0, clock.nowMs);
+        if (hasLost !== hadLost) {
+            hadLost = hasLost;
+            hosts.forEach(({ table }) => table.replace(records.filter((_, index) => !isLostAt(index, clock.nowMs))));
+            engines.filter((_, index) => index % 3 === 0).forEach(engine => {
+                engine.freeAtMs = clock.nowMs;
+                engine.slotsFreeAtMs.fill(clock.nowMs);
+            });
+        }
         if (clock.nowMs === reportMs) {
             report(nextReport % ZONES);
             nextReport++;
@@ -422,6 +446,8 @@
     }
     return {
         refusedByLevel,
+        /** Number of refusals by the level from a time in seconds on. */
+        levelRefusalsSince: (s: number): number => levelRefusalsAtMs.filter(atMs => atMs >= s * 1_000).length,
         claimed,
         decisionUs: perHost.busyMs / perHost.decisions * 1_000,
         /** Outcomes of the clients that a predicate selects, by requests and by units. */
