fix(admission): a level does not prolong itself after a loss of upstreams

Seconds after the return of a third of the engines, the level still refused requests at 0.7 of the capacity, where nothing is refused without a loss. Cause: what the level refuses is unserved demand, and with more than a tenth of it a service stays saturated whenever waits exceed the target, which the mean of the few waits that a host sees often does without overload. Change: BUSY_PRESSURE is 1.5 instead of 1, and a test.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -16,10 +16,11 @@
 
 /**
  * Wait relative to the target above which a service is saturated although no request was refused, and the one above which it
- * is if this fraction of the units that all hosts are offered is not served.
+ * is if this fraction of the units that all hosts are offered is not served. What the level refuses is not served either: with
+ * 1, which the mean of a host's few waits often exceeds without overload, a level would prolong itself.
  */
 const SATURATED_PRESSURE = 2;
-const BUSY_PRESSURE = 1;
+const BUSY_PRESSURE = 1.5;
 const UNSERVED_SHARE = 0.1;
 
 /** Fraction of free slots from which on the level refuses nothing. */
--- a/packages/gateway/__tests__/overload.spec.ts
+++ b/packages/gateway/__tests__/overload.spec.ts
@@ -78,6 +78,17 @@
     });
 }, 300_000);
 
+// Guards against a level that prolongs itself: what it refuses is unserved demand, which keeps the service saturated whenever
+// a host has seen a few long waits.
+test("five seconds after the return of a third of the engines, the level admits nearly everything", async () => {
+    const of = { loadAt: () => 0.7, lostEnginesS: [6, 12], durationS: 20 } as const;
+    const run = await replayOverload({ ...TWICE, ...of, usesLevel: true, usesCalendar: true }, 1);
+    expect(run.refusedByLevel).toBeGreaterThan(0);
+    const later = run.outcomesOf(({ arrivedAtMs }) => arrivedAtMs >= 17_000);
+    expect(later.count).toBeGreaterThan(500);
+    expect(run.levelRefusalsSince(17)).toBeLessThan(later.count * 0.03);
+}, 300_000);
+
 const describeRun = (run: Run): string => {
     const cell = (selects: Parameters<Run["outcomesOf"]>[0]): string => {
         const { inTime, served } = run.outcomesOf(selects);
