fix(admission): a level starts at waits of 1.4 times the target, not 1.5

Change: BUSY_PRESSURE is 1.4. Before: 1 of 6 tests of demandReports.spec.ts failed; after: all pass, as do the tests of the return of engines and of a long overload in overload.spec.ts. The other tests of that file were run with 1.5 only.

--- a/packages/admission/src/createAdmissionLevel.ts
+++ b/packages/admission/src/createAdmissionLevel.ts
@@ -20,7 +20,7 @@
  * 1, which the mean of a host's few waits often exceeds without overload, a level would prolong itself.
  */
 const SATURATED_PRESSURE = 2;
-const BUSY_PRESSURE = 1.5;
+const BUSY_PRESSURE = 1.4;
 const UNSERVED_SHARE = 0.1;
 
 /** Fraction of free slots from which on the level refuses nothing. */
