--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,15 @@
+export type { AdmissionLevel } from "./admissionLevel";
+export type { AdmissionQueue } from "./admissionQueue";
+export { computeAdmissionLevel } from "./computeAdmissionLevel";
+export { createAdmissionLevel } from "./createAdmissionLevel";
+export { createAdmissionQueue } from "./createAdmissionQueue";
+export { createReturnCalendar } from "./createReturnCalendar";
+export { createReturns } from "./createReturns";
+export type { DemandRow } from "./demandRow";
+export type { LevelState } from "./levelState";
+export type { LevelStateOptions } from "./levelStateOptions";
+export type { OfferedRequest } from "./offeredRequest";
+export { parseDemandRow } from "./parseDemandRow";
+export type { ReturnCalendar } from "./returnCalendar";
+export type { Returns } from "./returns";
+export type { WaitingRequest } from "./waitingRequest";
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -1,3 +1,4 @@
+import type { LevelState, Returns } from "@ibislanding/admission";
 import {
     type AccountId,
     type AvailabilityZone,
@@ -51,6 +52,8 @@
     route: Partial<Route>,
     engines?: EnginePort,
     versions?: VersionPolicy,
+    admission?: LevelState,
+    returns?: Returns,
 ) => {
     const clock = createSystemClock();
     const state = { isInitialized: true, recordDelayMs: 0 };
@@ -128,6 +131,8 @@
             }),
         },
         versions,
+        admission,
+        returns,
         sharedNowMs: clock.wallMs,
         retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
         events: {
--- a/packages/gateway/src/forwarding/placeRequest.ts
+++ b/packages/gateway/src/forwarding/placeRequest.ts
@@ -4,9 +4,13 @@
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import { ANY_VERSION } from "../versions/anyVersion";
 import { createFallbackRule } from "../versions/createFallbackRule";
+import { admitByLevel } from "./admitByLevel";
 import type { ForwardContext } from "./forwardContext";
 import { toPlacementRequest } from "./toPlacementRequest";
 
+/** `Retry-After` of a request above the admission level: demand and level change within about a second. */
+const ABOVE_LEVEL_RETRY_MS = 600;
+
 const toGateRequest = ({ admitted, softwareVersion, progress }: ForwardContext): GateRequest => {
     const { service } = admitted;
     return softwareVersion === undefined
@@ -20,6 +24,9 @@
  */
 export const placeRequest = (context: ForwardContext, additionallyExcluded?: UpstreamRecord): PlacementDecision => {
     const { options, admitted } = context;
+    if (!admitByLevel(context)) {
+        return { kind: "refuse", reason: "above-level", retryAfterMs: ABOVE_LEVEL_RETRY_MS };
+    }
     // The rule of an attempt is kept until it is sent: asking for it charges the send.
     context.versionRule ??= options.versions?.ruleFor(toGateRequest(context)) ?? ANY_VERSION;
     const request = toPlacementRequest(context, false, context.versionRule, additionallyExcluded);
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -143,10 +143,13 @@
         return { kind: "refuse", reason: "saturated", retryAfterMs: Math.max(NO_UPSTREAM_RETRY_MS / 2, excessMs) };
     }
     const { record, backlogMs, promptMs, running, delayFactor } = chosen;
+    // The delay factor is due to other requests at the engine, too.
+    const idlePromptMs = promptMs / (delayFactor ?? 1);
     return {
         kind: "send",
         upstream: record,
         predictedMs: predictMs(chosen),
+        idleMs: predictMs({ ...chosen, backlogMs: 0, promptMs: idlePromptMs, unexplainedDelayMs: 0, running: 0 }),
         backlogMs,
         promptMs,
         running,
