--- a/packages/gateway/src/limits/createAccountMeter.ts
+++ b/packages/gateway/src/limits/createAccountMeter.ts
@@ -47,7 +47,7 @@
     /** Fraction of the requests that was admitted lately, and when it was determined. */
     fraction: number;
     fractionAtMs: number;
-    /** Units of the rate since the account began to exceed it: the most that this host admits as its fraction. */
+    /** Units of this host's share of the paced rate that it may still admit; a few hundred milliseconds of them are saved. */
     pacedUnits: number;
     pacedAtMs: number;
     /** Monotonic time that was stated to the client that was refused last. */
