docs(gateway): the watch of silent streams, and names of zones whose wave leaves

Cause: the last reading found one sentence that could not be parsed and a name that could mean a side. Change: a comment and a local name. Measured: type check and linter.

--- a/packages/duties/src/scaling/moveTowardsDemand.ts
+++ b/packages/duties/src/scaling/moveTowardsDemand.ts
@@ -12,7 +12,7 @@
 
 const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
-const isLeft = ({ demand }: FleetZone): boolean =>
+const isWaveLeaving = ({ demand }: FleetZone): boolean =>
     demand !== undefined && demand.expectedBusy < demand.currentBusy * LEAVING_SHARE;
 
 /**
@@ -40,7 +40,7 @@
         const possible = by === 1
             ? cheapestFirst.filter(zone => countOf(zone) < capacityOf(zone))
             : cheapestFirst.toReversed().filter(zone => countOf(zone) > 0);
-        const preferred = by === 1 ? possible.filter(zone => !isLeft(zone)) : possible;
+        const preferred = by === 1 ? possible.filter(zone => !isWaveLeaving(zone)) : possible;
         const best = (preferred.length > 0 ? preferred : possible).reduce<FleetZone | undefined>(
             (chosen, zone) =>
                 chosen === undefined
--- a/packages/gateway/src/forwarding/watchSilence.ts
+++ b/packages/gateway/src/forwarding/watchSilence.ts
@@ -24,7 +24,8 @@
 
 /**
  * Watches a stream of a route with a target for gaps, and calls `giveUp` when its engine has fallen silent while other
- * upstreams send events. `isPaused` tells whether its body is not read because the client is slow, and `mayContinue`, and charges the retry budget, whether it can go on at another engine.
+ * upstreams send events. `isPaused` tells whether its body is not read because the client is slow. `mayContinue` tells whether
+ * the stream can go on at another engine, and charges the retry budget if so.
  */
 export const watchSilence = (
     { options, admitted, ended, progress }: ForwardContext,
