--- a/packages/edge/__tests__/support/startRelayGroup.ts
+++ b/packages/edge/__tests__/support/startRelayGroup.ts
@@ -1,4 +1,4 @@
-import { type AvailabilityZone, createResourceStack } from "@ibislanding/core";
+import { type AvailabilityZone, createResourceStack, type ServiceName } from "@ibislanding/core";
 import type { Route } from "@ibislanding/gateway";
 import { createServer } from "node:http";
 import { createTestStore } from "./createTestStore";
@@ -17,12 +17,31 @@
     readonly port: number;
 }
 
-/** Starts hosts that relay, of which the first ones reach the upstreams through a forwarder that can be switched off. */
+/**
+ * Starts hosts that relay, of which the first ones reach the upstreams through a forwarder that can be switched off. The route
+ * `/orders/` leads to the service `orders`, and a route for each further service to it; upstreams belong to the services in turn.
+ */
 export const startRelayGroup = async (
-    { hosts: hostCount, behindForwarders, route, ratePerS = 0, burst = 0, startUpstream }: {
+    {
+        hosts: hostCount,
+        behindForwarders,
+        route,
+        services = ["orders"],
+        slots = 64,
+        answerMs = ANSWER_MS,
+        isBehindForwarder = () => true,
+        ratePerS = 0,
+        burst = 0,
+        startUpstream,
+    }: {
         readonly hosts: number;
         readonly behindForwarders: number;
         readonly route: Partial<Route>;
+        readonly services?: readonly string[];
+        readonly slots?: number;
+        readonly answerMs?: number;
+        /** Whether the upstream of an index is reached through the forwarders. */
+        readonly isBehindForwarder?: (index: number) => boolean;
         /** Rate of the account; 0 for none. */
         readonly ratePerS?: number;
         readonly burst?: number;
@@ -41,7 +60,18 @@
         JSON.stringify({
             ...configuration,
             accounts: configuration.accounts.map(known => ({ ...known, ratePerS, burst })),
-            routes: configuration.routes.map(known => ({ ...known, ...route })),
+            routes: configuration.routes.flatMap(known =>
+                services.map(service => ({
+                    ...known,
+                    ...route,
+                    name: service,
+                    pathPrefix: `/${service}/`,
+                    destinations: [{ service: service as ServiceName, weight: 1 }],
+                }))
+            ),
+            services: configuration.services.flatMap(known =>
+                services.map(service => ({ ...known, name: service as ServiceName }))
+            ),
         }),
     );
     /** Requests that upstreams have run, by id. */
@@ -55,7 +85,7 @@
                 setTimeout(() => {
                     response.writeHead(200, { "X-Request": id });
                     response.end("{}");
-                }, ANSWER_MS);
+                }, answerMs);
             });
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -65,7 +95,8 @@
             `upstreams/u-${index}`,
             JSON.stringify({
                 ...createStoredUpstream(`u-${index}`, port),
-                slots: 64,
+                slots,
+                service: services[index % services.length] as ServiceName,
                 availabilityZone: `zone-${index % 3}` as AvailabilityZone,
             }),
         );
@@ -85,7 +116,11 @@
     const forwarders: Awaited<ReturnType<typeof startForwarder>>[] = [];
     for (let index = 0; index < hostCount; index++) {
         const forwarder = index < behindForwarders
-            ? resources.use(await startForwarder(servers.map(({ port }) => port)))
+            ? resources.use(
+                await startForwarder(
+                    servers.filter((_, upstream) => isBehindForwarder(upstream)).map(({ port }) => port),
+                ),
+            )
             : undefined;
         if (forwarder !== undefined) {
             forwarders.push(forwarder);
