fix(relay): hosts know which upstreams they reach, and relay what others reach

Callers of a host that reached the upstreams of one service and none of another got no request of the latter served; where it reached one upstream of six, a third of them in time; and what was under way at a link that began to hang ended with 504 at its deadline.

Cause: whether upstreams are reached was one bit of a host, though it is a fact about a host and an upstream at a moment. A connection to any upstream proved that all were reached, so nothing was relayed or given up.

Each host now decides for each service (createServicePaths), and reports the services of which it reaches three quarters of the upstreams or less. Peers are asked by service; a peer that does not reach the service refuses. An upstream to which no connection could be opened is unreached until a probe succeeds, once a second; placement avoids it, sends that may be repeated are given up there after their patience, and the others go on, since an answer may come once the link is back. A request that finds no room, or an answer after its objective, at the upstreams that are left is relayed to a host that reaches more of them. A host that loses one service checks the others at once, as few requests may show it. upstreams_unreachable and the metric name the service, ibisctl explain route tells it by destination.

--- a/packages/ctl/src/routes/formatRouteExplanation.ts
+++ b/packages/ctl/src/routes/formatRouteExplanation.ts
@@ -45,6 +45,9 @@
 const formatDestination = (destination: Destination): string =>
     [
         `service ${destination.service}, weight ${destination.weight}, versions: ${formatRule(destination)}`,
+        ...destination.isCutOff
+            ? ["This host reaches no upstream of the service; a peer that it relays to decides."]
+            : [],
         `decision: ${formatDecision(destination)}`,
         renderTable([
             ["UPSTREAM", "VERSION", "ZONE", "PREDICTED", "BACKLOG", "RUNNING", "LOAD AGE", "STATE"],
@@ -58,7 +61,6 @@
     return [
         `route ${route} (${pathPrefix}), configuration ${explanation.configurationVersion}, account ${accountId}, `
         + `priority ${priority}, objective ${formatMs(objectiveMs)}, deadline ${formatMs(remainingMs)}`,
-        ...explanation.isCutOff ? ["This host reaches no upstream; a peer that it relays to decides."] : [],
         ...explanation.isDrawn ? ["The host draws among upstreams of similar cost; the cheapest is named."] : [],
         ...explanation.quarantinedParts.length === 0
             ? []
--- a/packages/ctl/src/routes/routeExplanationResponse.ts
+++ b/packages/ctl/src/routes/routeExplanationResponse.ts
@@ -8,12 +8,12 @@
     readonly priority: number;
     /** Undefined for an anonymous request. */
     readonly accountId?: string;
-    readonly isCutOff: boolean;
     readonly isDrawn: boolean;
     readonly quarantinedParts: readonly string[];
     readonly destinations: readonly {
         readonly service: string;
         readonly weight: number;
+        readonly isCutOff: boolean;
         readonly versionRule: {
             readonly kind: "any" | "only" | "except";
             readonly versions: readonly string[];
--- a/packages/edge/__tests__/reportAggregation.spec.ts
+++ b/packages/edge/__tests__/reportAggregation.spec.ts
@@ -137,8 +137,8 @@
     const { createReport, hostId } = createReportSource("host-1", () => 0);
     const collector = createReportSource("host-2", () => 0);
     const aggregation = createReportAggregation(createFakeClock(), collector.hostId, collector.createReport);
-    aggregation.collect({ ...createReport(), cutOff: [hostId] });
-    expect(decodeHostReport(JSON.stringify(aggregation.summarize()))?.cutOff).toEqual([hostId]);
+    aggregation.collect({ ...createReport(), cutOff: [[hostId, "orders", 0]] });
+    expect(decodeHostReport(JSON.stringify(aggregation.summarize()))?.cutOff).toEqual([[hostId, "orders", 0]]);
     aggregation.collect(createReport());
     expect(JSON.stringify(aggregation.summarize())).not.toContain("cutOff");
 });
--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -1,17 +1,18 @@
-import { createResourceStack } from "@ibislanding/core";
-import { probeAddress, type UpstreamTable } from "@ibislanding/gateway";
+import { createResourceStack, type ServiceName } from "@ibislanding/core";
+import type { UpstreamTable } from "@ibislanding/gateway";
 import type { CrashSuspect } from "@ibislanding/quarantine";
 import {
-    createCutHistory,
-    createReachabilityMonitor,
     createRelayClient,
     judgeCutOff,
+    type ReachabilityMonitor,
     relayHeaders,
     type RelayPeer,
     startRelayListener,
 } from "@ibislanding/relay";
+import { createServicePaths } from "./createServicePaths";
 import type { HostRelay } from "./hostRelay";
 import type { HostRelayOptions } from "./hostRelayOptions";
+import type { ReachRow } from "./reachRow";
 
 /**
  * Time after which a crash that this host saw while it reached no upstream is judged: peers report within it whether they
@@ -19,6 +20,19 @@
  */
 const VERDICT_DELAY_MS = 1_000;
 
+/**
+ * Largest share of a service's upstreams that a host reaches if others are told and take requests. Crashes of a few upstreams
+ * cost more of them seldom.
+ */
+const REPORTED_REACHED_SHARE = 0.75;
+
+/** Share that is reported while any upstream is presumed to be reached. */
+const MINIMUM_REACHED_SHARE = 0.01;
+
+/** Share of the upstreams that are reached: 0 only if the probes of a check have shown that there is none. */
+const reachedShare = (monitor: ReachabilityMonitor): number =>
+    monitor.reachesUpstreams() ? Math.max(MINIMUM_REACHED_SHARE, 1 - monitor.unreachedShare()) : 0;
+
 /** Creates the relay of a host whose relay listener has the given `ip:port`; nothing is opened yet. */
 export const createHostRelay = (relayAddress: string, options: HostRelayOptions): HostRelay => {
     const { settings, clock, random, log, metrics, upstreams } = options;
@@ -26,63 +40,62 @@
     const resources = createResourceStack();
     const relays = metrics.counter("ibis_relays_total", "Requests passed on to peers while cut off, by outcome.");
     const received = metrics.counter("ibis_relayed_requests_total", "Relayed requests received, by outcome.");
-    const cuts = metrics.counter(
-        "ibis_upstreams_unreachable_total",
-        "Times at which no upstream was reached any more.",
-    );
     const dropped = metrics.counter("ibis_evidence_dropped_total", "Crashes seen while cut off, which do not count.");
 
-    const history = createCutHistory(clock.monotonicMs);
-
-    const monitor = resources.use(createReachabilityMonitor({
-        clock,
-        random,
-        targets: upstreams.records,
-        probe: probeAddress,
-        onChange: reachesUpstreams => {
-            // Failures of the time before the cut was noticed say nothing about the upstreams.
-            upstreams.forgetFailures();
-            if (reachesUpstreams) {
-                history.end(judge());
-            }
-            else {
-                history.begin();
-            }
-            cuts.add(reachesUpstreams ? 0 : 1);
-            log.write(reachesUpstreams ? "upstreams_reached" : "upstreams_unreachable", { isCutOff: isCutOff() });
-            options.announce();
-        },
-    }));
-
-    /** Whether this host is cut off if it reaches no upstream. */
-    const judge = (): boolean =>
+    /** Whether this host is cut off from the service if it reaches none of its upstreams. */
+    const judge = (service: ServiceName): boolean =>
         judgeCutOff({
             ownAddress,
             registered: options.registeredHosts().map(({ address }) => address),
             live: options.liveHostAddresses(),
-            unreaching: options.reportedCutOff(),
+            unreaching: new Set(
+                options.reportedReach().flatMap(([address, reported, reachedShare]) =>
+                    reported === service && reachedShare === 0 ? [address] : []
+                ),
+            ),
         });
 
-    const isCutOff = (): boolean => !monitor.reachesUpstreams() && judge();
+    const paths = resources.use(createServicePaths({ ...options, judge }));
+    const { monitorOf } = paths;
 
-    const listPeers = (isAllowed: (address: string) => boolean): readonly RelayPeer[] => {
+    const isCutOff = (service: ServiceName): boolean => !monitorOf(service).reachesUpstreams() && judge(service);
+
+    const reachRows = (): readonly ReachRow[] =>
+        paths.services().flatMap(service => {
+            const share = reachedShare(monitorOf(service));
+            return share > REPORTED_REACHED_SHARE ? [] : [[ownAddress, service, Number(share.toFixed(2))] as const];
+        });
+
+    /** Other live hosts that take relayed requests and reach more than the given share of the service's upstreams. */
+    const listPeers = (
+        service: ServiceName,
+        ownShare: number,
+        isAllowed: (address: string) => boolean = () => true,
+    ): readonly (RelayPeer & { readonly hostAddress: string; })[] => {
         const live = new Set(options.liveHostAddresses());
-        const cutOff = options.reportedCutOff();
+        const shares = new Map(
+            options.reportedReach().flatMap(([address, reported, share]) =>
+                reported === service ? [[address, share]] : []
+            ),
+        );
         return options.registeredHosts().flatMap((
             { address, relayAddress: peerAddress, availabilityZone: zone, cores },
-        ) => peerAddress === undefined || address === ownAddress || !live.has(address) || cutOff.has(address)
-                || !isAllowed(address)
+        ) => peerAddress === undefined || address === ownAddress || !live.has(address)
+                || (shares.get(address) ?? 1) <= ownShare || !isAllowed(address)
             ? []
-            : [{ address: peerAddress, availabilityZone: zone as RelayPeer["availabilityZone"], cores }]
+            : [{
+                hostAddress: address,
+                address: peerAddress,
+                availabilityZone: zone as RelayPeer["availabilityZone"],
+                cores,
+            }]
         );
     };
 
-    const helpers = (): readonly RelayPeer[] => listPeers(() => true);
-
     /** The given hosts as peers of equal capacity: what they take depends on their slots, not on their cores. */
-    const selectPeers = (hosts: readonly string[]): readonly RelayPeer[] => {
+    const selectPeers = (service: ServiceName, hosts: readonly string[]): readonly RelayPeer[] => {
         const allowed = new Set(hosts);
-        return listPeers(address => allowed.has(address)).map(peer => ({ ...peer, cores: 1 }));
+        return listPeers(service, 0, address => allowed.has(address)).map(peer => ({ ...peer, cores: 1 }));
     };
 
     const client = resources.use(createRelayClient({
@@ -90,7 +103,7 @@
         random,
         ownAddress,
         ownZone: availabilityZone,
-        peers: helpers,
+        peerAddresses: () => options.registeredHosts().flatMap(({ relayAddress: peerAddress }) => peerAddress ?? []),
         onEnd: ({ durationMs, ...end }) => {
             relays.add(1, { outcome: end.outcome });
             log.write("relay_ended", { ...end, durationMs: Math.round(durationMs) });
@@ -102,6 +115,12 @@
         // Until it is known, another version may listen at the address; a crash that is dropped reaches this host by reports.
         upstreams.observeCrash(suspect);
         const seenAtMs = clock.monotonicMs() - Math.max(0, options.sharedNowMs() - crashedAtMs);
+        const path = paths.ofUpstream(upstreamId);
+        if (path === undefined) {
+            accuse();
+            return;
+        }
+        const { history, monitor } = path;
         if (history.classify(seenAtMs) === "reached" && await monitor.confirmReach(seenAtMs, upstreamId)) {
             accuse();
             return;
@@ -110,7 +129,7 @@
             await clock.sleep(VERDICT_DELAY_MS);
         }
         const verdict = history.classify(seenAtMs);
-        if (verdict === "cut-off" || verdict === "open" && isCutOff()) {
+        if (verdict === "cut-off" || verdict === "open" && isCutOff(path.service)) {
             dropped.add(1);
             upstreams.forgetCrash(suspect);
             log.write("crash_evidence_dropped", { upstreamId, startedAtMs, crashedAtMs: Math.round(crashedAtMs) });
@@ -121,15 +140,22 @@
 
     const observeSends = (table: UpstreamTable): UpstreamTable => ({
         ...table,
+        candidates: (service, request) => {
+            const { isUnreached } = monitorOf(service);
+            return table.candidates(service, request).map(candidate =>
+                isUnreached(candidate.record.upstreamId) ? { ...candidate, isEjected: true } : candidate
+            );
+        },
         reportRoundTrip: (upstreamId, roundTripMs) => {
-            monitor.recordConnection();
+            paths.ofUpstream(upstreamId)?.monitor.recordConnection(upstreamId);
             table.reportRoundTrip(upstreamId, roundTripMs);
         },
         reportFailure: (upstreamId, kind) => {
+            const monitor = paths.ofUpstream(upstreamId)?.monitor;
             if (kind === "unreachable") {
-                monitor.recordFailure(upstreamId);
+                monitor?.recordUnreachable(upstreamId);
             }
-            if (monitor.reachesUpstreams()) {
+            if (monitor?.reachesUpstreams() !== false) {
                 table.reportFailure(upstreamId, kind);
             }
         },
@@ -138,13 +164,19 @@
     return {
         port: {
             isCutOff,
-            checked: monitor.checked,
-            hasLiveConnections: monitor.hasLiveConnections,
-            watchSend: monitor.watchSend,
-            send: ({ accountId, spareWaitMs, isFirstSend, softwareVersion, lastEventId, hosts, ...request }) =>
+            isUnreached: (service, upstreamId) => monitorOf(service).isUnreached(upstreamId),
+            betterConnectedHosts: service => {
+                const share = reachedShare(monitorOf(service));
+                const hosts = share > REPORTED_REACHED_SHARE ? [] : listPeers(service, share);
+                return hosts.length === 0 ? undefined : hosts.map(({ hostAddress }) => hostAddress);
+            },
+            checked: service => monitorOf(service).checked(),
+            hasLiveConnections: service => monitorOf(service).hasLiveConnections(),
+            watchSend: ({ service, ...send }) => monitorOf(service).watchSend(send),
+            send: ({ service, accountId, spareWaitMs, isFirstSend, softwareVersion, lastEventId, hosts, ...request }) =>
                 client.send({
                     ...request,
-                    peers: hosts === undefined ? undefined : selectPeers(hosts),
+                    peers: hosts === undefined ? listPeers(service, 0) : selectPeers(service, hosts),
                     head: { accountId, spareWaitMs, isFirstSend, softwareVersion, lastEventId },
                 }),
             privateHeaders: new Set(Object.values(relayHeaders)),
@@ -152,19 +184,26 @@
         observeSends,
         observeLosses: crashes => ({
             recordLoss: (upstream, lost) => {
-                monitor.recordFailure(upstream.upstreamId);
+                monitorOf(upstream.service).recordFailure(upstream.upstreamId);
                 crashes.recordLoss(upstream, lost);
             },
         }),
         verifyCrash: (suspect, accuse) => void verify(suspect, accuse),
-        reachesUpstreams: monitor.reachesUpstreams,
-        canServe: () => !isCutOff() || client.hasPeer(),
+        reachRows,
+        canServe: () => {
+            const unreached = paths.unreachedServices();
+            return unreached.length === 0 || unreached.length < paths.services().length
+                || unreached.some(service => !judge(service) || client.canHelp(listPeers(service, 0)));
+        },
         listen: async gateway => {
             resources.use(
                 await startRelayListener({
                     address: relayAddress,
                     isKnownSender: sender => options.registeredHosts().some(({ address }) => address === sender),
-                    reachesUpstreams: monitor.reachesUpstreams,
+                    reachesUpstreams: () => {
+                        const unreached = paths.unreachedServices();
+                        return unreached.length === 0 || unreached.length < paths.services().length;
+                    },
                     requestsInFlight: gateway.requestsInFlight,
                     handle: gateway.handleRelayed,
                     onAccepted: () => received.add(1, { outcome: "accepted" }),
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -3,6 +3,7 @@
 import type { EdgeSettings } from "./edgeSettings";
 import type { HostComponents } from "./hostComponents";
 import type { HostReport } from "./hostReport";
+import type { ReachRow } from "./reachRow";
 import { toDemandRows } from "./toDemandRows";
 
 /** Completed windows that reports repeat: counts of a window may not be final in the first report that has them. */
@@ -13,7 +14,7 @@
         [...counts].map(([accountId, count]) => [window, accountId, count] as const)
     );
 
-/** Returns a function that creates the next report of this host; `reachesUpstreams` tells whether it reaches any. */
+/** Returns a function that creates the next report of this host; `reachRows` tells which upstreams it does not reach. */
 export const createReportFactory = (
     {
         documentCache,
@@ -29,7 +30,7 @@
     }: HostComponents,
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
-    reachesUpstreams: () => boolean = () => true,
+    reachRows: () => readonly ReachRow[] = () => [],
 ): () => HostReport => {
     let sequence = 0;
 
@@ -38,6 +39,7 @@
     return () => {
         const brittle = upstreams.brittle.rows();
         const usages = [...accounts.usages()];
+        const cutOff = reachRows();
         return {
             hostId,
             hostName,
@@ -63,7 +65,7 @@
             brittle: brittle.length === 0 ? undefined : brittle,
             usageRecords: toRows(usageRecords.own()),
             demand: toDemandRows(admission.level.rows()),
-            cutOff: reachesUpstreams() ? undefined : [listen.peers],
+            cutOff: cutOff.length === 0 ? undefined : cutOff,
         };
     };
 };
--- a/packages/edge/src/hostRelayOptions.ts
+++ b/packages/edge/src/hostRelayOptions.ts
@@ -1,6 +1,7 @@
 import type { UpstreamTable } from "@ibislanding/gateway";
 import type { EdgeOptions } from "./edgeOptions";
 import type { HostEntry } from "./hostEntry";
+import type { ReachRow } from "./reachRow";
 
 /** Dependencies of the relay of a host. */
 export interface HostRelayOptions extends Pick<EdgeOptions, "settings" | "clock" | "random" | "log" | "metrics"> {
@@ -9,8 +10,8 @@
     readonly sharedNowMs: () => number;
     readonly registeredHosts: () => readonly HostEntry[];
     readonly liveHostAddresses: () => readonly string[];
-    /** Addresses of the hosts that reach no upstream, according to the other hosts' reports. */
-    readonly reportedCutOff: () => ReadonlySet<string>;
-    /** Tells the other hosts at once that `reachesUpstreams` has changed. */
+    /** What other hosts report of upstreams that they do not reach. */
+    readonly reportedReach: () => readonly ReachRow[];
+    /** Tells the other hosts at once that this host has begun or ceased to reach the upstreams of a service. */
     readonly announce: () => void;
 }
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -1,6 +1,7 @@
 import type { HostId } from "@ibislanding/core";
 import type { BrittleRow, VersionCounts } from "@ibislanding/gateway";
 import type { QuarantineRows } from "@ibislanding/quarantine";
+import type { ReachRow } from "./reachRow";
 
 /**
  * State that a host reports to the others, or the sum of the states of a collector's members, serialised as JSON; short
@@ -49,11 +50,8 @@
     ])[];
     /** Newest statements of brittle upstreams; left out if there are none, so that it adds no bytes. */
     readonly brittle?: readonly BrittleRow[] | undefined;
-    /**
-     * `address` of each host that reaches no upstream; absent if there is none, so that the report is no longer than without
-     * it.
-     */
-    readonly cutOff?: readonly string[] | undefined;
+    /** Hosts that do not reach upstreams; absent if there is none, so that the report is no longer than without it. */
+    readonly cutOff?: readonly ReachRow[] | undefined;
     /** Evidence of prompt parts under which upstreams crash, and the quarantined ones. */
     readonly quarantine: QuarantineRows;
     /** Requests of the services with a rollout order by version and route, since each process began to count; they only grow. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -234,7 +234,7 @@
         sharedNowMs: clusterClock.nowMs,
         registeredHosts: () => registeredHosts,
         liveHostAddresses,
-        reportedCutOff: () => new Set(liveReports().flatMap(({ report }) => report.cutOff ?? [])),
+        reportedReach: () => liveReports().flatMap(({ report }) => report.cutOff ?? []),
         announce: () => peers.exchange?.announce(),
     }));
     // A store that was restored from a copy may have older documents than the peers.
@@ -308,7 +308,7 @@
         rollouts,
         admission,
     };
-    const createReport = createReportFactory(components, settings, clock, relay?.reachesUpstreams);
+    const createReport = createReportFactory(components, settings, clock, relay?.reachRows);
 
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
@@ -441,7 +441,7 @@
             upstreams,
             quarantine,
             peekRule: service => rollouts?.peekRule(service) ?? { kind: "any" },
-            isCutOff: relay?.port.isCutOff() ?? false,
+            isCutOff: service => relay?.port.isCutOff(service) ?? false,
         })),
         stop,
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
--- a/packages/gateway/__tests__/explainRoute.spec.ts
+++ b/packages/gateway/__tests__/explainRoute.spec.ts
@@ -71,7 +71,7 @@
         upstreams,
         quarantine: { features: () => state.features },
         peekRule: () => state.rule,
-        isCutOff: false,
+        isCutOff: () => false,
     };
     const explain = (asked: Partial<RouteQuery> = {}) => explainRoute(options, { ...query, ...asked });
     return { clock, upstreams, placements, state, options, explain };
--- a/packages/gateway/__tests__/movedRelays.spec.ts
+++ b/packages/gateway/__tests__/movedRelays.spec.ts
@@ -42,6 +42,8 @@
             },
             relay: {
                 isCutOff: () => state.isCutOff,
+                isUnreached: () => false,
+                betterConnectedHosts: () => undefined,
                 checked: async () => undefined,
                 hasLiveConnections: () => true,
                 send: relaySend,
--- a/packages/gateway/__tests__/slotForwarding.spec.ts
+++ b/packages/gateway/__tests__/slotForwarding.spec.ts
@@ -53,6 +53,8 @@
             },
             relay: {
                 isCutOff: () => false,
+                isUnreached: () => false,
+                betterConnectedHosts: () => undefined,
                 checked: async () => undefined,
                 hasLiveConnections: () => false,
                 send: relaySend,
--- a/packages/gateway/src/explanation/destinationExplanation.ts
+++ b/packages/gateway/src/explanation/destinationExplanation.ts
@@ -4,6 +4,8 @@
 export interface DestinationExplanation {
     readonly service: string;
     readonly weight: number;
+    /** Whether this host reaches no upstream of the service, and relays requests to a peer instead. */
+    readonly isCutOff: boolean;
     /** Rule of the rollout for the next new request. */
     readonly versionRule: {
         readonly kind: "any" | "only" | "except";
--- a/packages/gateway/src/explanation/explainDestination.ts
+++ b/packages/gateway/src/explanation/explainDestination.ts
@@ -62,13 +62,13 @@
 
 /** Explains where a new request that goes to the given service would be sent. */
 export const explainDestination = (
-    { upstreams, peekRule }: ExplainRouteOptions,
+    { upstreams, peekRule, isCutOff }: ExplainRouteOptions,
     { service, weight }: Route["destinations"][number],
     placement: Omit<PlacementRequest, "versionRule">,
 ): DestinationExplanation => {
     const versionRule = peekRule(service);
     const request = { ...placement, versionRule };
-    const explained = { service, weight, versionRule: describeRule(versionRule) };
+    const explained = { service, weight, isCutOff: isCutOff(service), versionRule: describeRule(versionRule) };
     // Evaluating an upstream with slots of its hosts may lengthen the time for which all hosts use fewer of them.
     if (upstreams.brittle.isRestricted(service)) {
         return { ...explained, decision: { kind: "unknown", reason: "brittle-upstreams" }, candidates: [] };
--- a/packages/gateway/src/explanation/explainRoute.ts
+++ b/packages/gateway/src/explanation/explainRoute.ts
@@ -13,7 +13,7 @@
  * within its limit, as asking for it would charge it.
  */
 export const explainRoute = (options: ExplainRouteOptions, query: RouteQuery): Result<RouteExplanation, Failure> => {
-    const { configuration, upstreams, quarantine, isCutOff } = options;
+    const { configuration, upstreams, quarantine } = options;
     const { host, path, apiKey, promptTokens, promptParts, deadlineMs } = query;
     if (configuration === undefined) {
         return Err(createFailure(ErrorCode.NotReady, { message: "This host has no configuration yet." }));
@@ -43,7 +43,6 @@
         remainingMs,
         priority: account?.priority ?? route.priority,
         accountId: account?.accountId,
-        isCutOff,
         isDrawn: upstreams.areLoadsOld(),
         quarantinedParts: sharedPartIds(promptParts).filter(partId => quarantined.has(createFeatureId("part", partId))),
         destinations: route.destinations.map(destination =>
--- a/packages/gateway/src/explanation/explainRouteOptions.ts
+++ b/packages/gateway/src/explanation/explainRouteOptions.ts
@@ -13,5 +13,6 @@
     readonly quarantine: Pick<Quarantine, "features">;
     /** Returns the rule of the next new request without a charge. */
     readonly peekRule: (service: ServiceName) => VersionRule;
-    readonly isCutOff: boolean;
+    /** Whether this host reaches no upstream of the service although other hosts may. */
+    readonly isCutOff: (service: ServiceName) => boolean;
 }
--- a/packages/gateway/src/explanation/routeExplanation.ts
+++ b/packages/gateway/src/explanation/routeExplanation.ts
@@ -10,8 +10,6 @@
     readonly priority: number;
     /** Undefined for an anonymous request. */
     readonly accountId: string | undefined;
-    /** Whether this host reaches no upstream, and relays requests to a peer instead. */
-    readonly isCutOff: boolean;
     /** Whether the host draws among upstreams of similar cost; the decisions name the one of lowest cost. */
     readonly isDrawn: boolean;
     /** Quarantined parts of the prompt: the request is refused, unless it is the trial of one. */
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -3,10 +3,12 @@
 import type { Continuation } from "../engines/continuation";
 import type { PlacementDecision } from "../placement/placementDecision";
 import type { AttemptOutcome } from "./attemptOutcome";
+import { findBetterHosts } from "./findBetterHosts";
 import { findQuarantinedFeature } from "./findQuarantinedFeature";
 import type { ForwardContext } from "./forwardContext";
 import { placeRequest } from "./placeRequest";
 import type { Refusal } from "./refusal";
+import type { RelayOutcome } from "./relayOutcome";
 import { relayRequest } from "./relayRequest";
 import { sendToUpstream } from "./sendToUpstream";
 import { toOfferedRequest } from "./toOfferedRequest";
@@ -82,7 +84,7 @@
 };
 
 const attemptUntilAnswered = async (context: ForwardContext): Promise<Result<number, Refusal>> => {
-    const { options, progress, excluded, features } = context;
+    const { options, admitted: { service }, progress, excluded, features } = context;
     let continuation: Continuation | undefined;
     for (;;) {
         // Before the first attempt this was checked on arrival.
@@ -93,43 +95,50 @@
             return Err(context.runs > 0 ? { status: 502, reason: quarantined.reason } : quarantined);
         }
         // A run that an engine moved goes on at another one; a peer would run the request again.
-        const relayed = continuation === undefined || context.mayRepeat
-            ? await relayRequest(context, continuation !== undefined)
+        const isMoved = continuation !== undefined;
+        let step: RelayOutcome | PlacementDecision | undefined = !isMoved || context.mayRepeat
+            ? await relayRequest(context, isMoved)
             : undefined;
-        if (relayed?.kind === "final") {
-            return relayed.result;
+        if (step === undefined) {
+            recordSend(context);
+            const next = waitForCapacity(context, () => nextDecision(context, continuation));
+            // Not awaited otherwise, so that no other request is placed between the decision and the send.
+            const decision = next instanceof Promise ? await next : next;
+            const betterHosts = isMoved ? undefined : findBetterHosts(context, decision);
+            step = betterHosts === undefined
+                ? decision
+                : await relayRequest(context, false, betterHosts) ?? nextDecision(context, undefined);
         }
-        if (relayed !== undefined) {
-            if (mayRetry(context, relayed.outcome)) {
+        if (step.kind === "final") {
+            return step.result;
+        }
+        if (step.kind === "attempt") {
+            if (mayRetry(context, step.outcome)) {
                 // The caller may have later events from the peer than those at which the moved run goes on.
                 continuation = undefined;
                 continue;
             }
-            return Err(finalRefusal(context, relayed.outcome.reason, REFUSED_RETRY_MS));
+            return Err(finalRefusal(context, step.outcome.reason, REFUSED_RETRY_MS));
         }
-        recordSend(context);
-        const next = waitForCapacity(context, () => nextDecision(context, continuation));
-        // Not awaited otherwise, so that no other request is placed between the decision and the send.
-        const decision = next instanceof Promise ? await next : next;
-        progress.placement = decision;
-        if (decision.kind === "refuse") {
-            if (decision.reason === "saturated" || decision.reason === "paused") {
-                options.admission?.recordSaturation(context.admitted.service);
+        progress.placement = step;
+        if (step.kind === "refuse") {
+            if (step.reason === "saturated" || step.reason === "paused") {
+                options.admission?.recordSaturation(service);
             }
-            return Err(planReturn(context, finalRefusal(context, decision.reason, decision.retryAfterMs)));
+            return Err(planReturn(context, finalRefusal(context, step.reason, step.retryAfterMs)));
         }
         progress.attempts++;
-        const outcome = await sendToUpstream(context, decision.upstream, decision.predictedMs, continuation);
+        const outcome = await sendToUpstream(context, step.upstream, step.predictedMs, continuation);
         if (outcome.kind === "done") {
             return Ok(outcome.status);
         }
-        await options.relay?.checked();
+        await options.relay?.checked(service);
         // A request that has not run anywhere is relayed without a charge to the retry budget.
-        const isRelayable = options.relay?.isCutOff() === true && context.runs === 0 && !context.ended.aborted;
+        const isRelayable = options.relay?.isCutOff(service) === true && context.runs === 0 && !context.ended.aborted;
         if (!isRelayable && !mayRetry(context, outcome)) {
             return Err(finalRefusal(context, outcome.reason, REFUSED_RETRY_MS));
         }
-        excluded.add(decision.upstream.upstreamId);
+        excluded.add(step.upstream.upstreamId);
         continuation = outcome.kind === "moved" ? outcome.continuation : undefined;
     }
 };
--- a/packages/gateway/src/forwarding/relayRequest.ts
+++ b/packages/gateway/src/forwarding/relayRequest.ts
@@ -1,12 +1,12 @@
 import { findBodyDelimiter, type SoftwareVersion } from "@ibislanding/core";
 import { match } from "ts-pattern";
-import { Err, Ok, type Result } from "ts-results";
-import type { AttemptOutcome } from "./attemptOutcome";
+import { Err, Ok } from "ts-results";
 import { discardBody } from "./discardBody";
 import { filterHeaders } from "./filterHeaders";
 import type { ForwardContext } from "./forwardContext";
 import { isEventStream } from "./isEventStream";
 import type { Refusal } from "./refusal";
+import type { RelayOutcome } from "./relayOutcome";
 import type { RelayRequestResult } from "./relayRequestResult";
 import { relayResponse } from "./relayResponse";
 import type { RequestRelay } from "./requestRelay";
@@ -19,11 +19,6 @@
 /** Removed from streams: the events of several runs need not add up to the length that the first one stated. */
 const STREAM_LENGTH = "content-length";
 
-/** Relaying ends with the result for the client, or with the outcome of an attempt after which another may follow. */
-type RelayOutcome =
-    | { readonly kind: "final"; readonly result: Result<number, Refusal>; }
-    | { readonly kind: "attempt"; readonly outcome: AttemptOutcome & { readonly kind: "repeat"; }; };
-
 const repeat = (reason: string): RelayOutcome => ({
     kind: "attempt",
     outcome: { kind: "repeat", reason, suspectedIds: [] },
@@ -84,19 +79,22 @@
 };
 
 /**
- * Passes a request to a peer if this host is cut off from the upstreams, or has no slot of a brittle service. Returns undefined
- * if the request is to be sent to upstreams from here: neither is so, or no peer helps and the host is not cut off or has
- * connections of before the cut that still deliver answers. A request that was relayed to a host that is cut off is refused
- * instead of being relayed again. `isMoved` states that the run goes on at an engine that holds a slot for it.
+ * Passes a request to a peer if this host is cut off from the upstreams of its service, has no slot of a brittle service, or is
+ * told which hosts serve it better (`betterHosts`). Returns undefined if the request is to be sent to upstreams from here: none
+ * is so, or no peer helps and the host is not cut off or has connections of before the cut that still deliver answers. A request
+ * that was relayed to a host that is cut off is refused instead of being relayed again. `isMoved` states that the run goes on at
+ * an engine that holds a slot for it.
  */
 export const relayRequest = async (
     context: ForwardContext,
     isMoved: boolean,
+    betterHosts?: readonly string[],
 ): Promise<RelayOutcome | undefined> => {
     const { options, admitted, body, ended } = context;
     const { relay, request, clientResponse } = options;
-    const isCutOff = relay?.isCutOff() === true;
-    const hosts = relay === undefined || isCutOff || isMoved ? undefined : findSlotOwners(context);
+    const { service } = admitted;
+    const isCutOff = relay?.isCutOff(service) === true;
+    const hosts = relay === undefined || isCutOff || isMoved ? undefined : betterHosts ?? findSlotOwners(context);
     if (relay === undefined || !isCutOff && hosts === undefined) {
         return undefined;
     }
@@ -114,6 +112,7 @@
     const { admission } = admitted;
     const result = await relay.send({
         requestId: admitted.head.requestId,
+        service,
         hosts,
         method: request.method ?? "GET",
         target: request.url ?? "/",
@@ -132,7 +131,9 @@
         .with(
             { kind: "not-run" },
             async ({ reason }) =>
-                (!isCutOff || relay.hasLiveConnections()) && !ended.aborted ? undefined : refuse(`cut_off: ${reason}`),
+                (!isCutOff || relay.hasLiveConnections(service)) && !ended.aborted
+                    ? undefined
+                    : refuse(`cut_off: ${reason}`),
         )
         .with({ kind: "refused" }, async ({ status, reason, retryAfterMs, hasRun }) => {
             context.runs += hasRun ? 1 : 0;
--- a/packages/gateway/src/forwarding/relayRequestOptions.ts
+++ b/packages/gateway/src/forwarding/relayRequestOptions.ts
@@ -1,9 +1,10 @@
-import type { AccountId, RequestId, SoftwareVersion } from "@ibislanding/core";
+import type { AccountId, RequestId, ServiceName, SoftwareVersion } from "@ibislanding/core";
 
 /** A request to be passed to a peer. */
 export interface RelayRequestOptions {
     readonly requestId: RequestId | undefined;
-    /** Addresses of the only hosts that may take the request; undefined for all that reach upstreams. */
+    readonly service: ServiceName;
+    /** Addresses of the only hosts that may take the request; undefined for all that reach upstreams of the service. */
     readonly hosts: readonly string[] | undefined;
     readonly method: string;
     /** Path with the query. */
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -364,7 +364,9 @@
     };
     const recorded = recordOrigin(context, upstream);
     const watch = options.relay?.watchSend({
+        service: admitted.service,
         upstreamId: upstream.upstreamId,
+        mayRepeat: context.mayRepeat,
         objectiveMs: admitted.route.objectiveMs,
         remainingMs: deadlineMs,
         signal: ended,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -528,7 +528,7 @@
             }),
         reportFailure: (upstreamId, kind) =>
             update(upstreamId, state => health.recordFailure(state, siblingsOf(state), kind)),
-        forgetFailures: () => upstreams.forEach(health.reset),
+        forgetFailures: service => statesOf(service).forEach(health.reset),
         reportRoundTrip: (upstreamId, roundTripMs) =>
             update(upstreamId, state => {
                 state.roundTripMs = movingAverage(state.roundTripMs, roundTripMs);
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -80,8 +80,8 @@
     readonly pause: (upstream: UpstreamRecord, durationMs: number) => void;
     readonly reportSuccess: (upstreamId: UpstreamId, responseMs: number | undefined) => void;
     readonly reportFailure: (upstreamId: UpstreamId, kind: "unreachable" | "failed") => void;
-    /** Forgets failures, ejections and lateness of all upstreams, as after a cut of this host from them. */
-    readonly forgetFailures: () => void;
+    /** Forgets failures, ejections and lateness of a service's upstreams, as after a cut of this host from them. */
+    readonly forgetFailures: (service: ServiceName) => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
     /** Counts a connection to this start of an upstream as open until the returned function is called. */
     readonly trackConnection: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => () => void;
--- a/packages/relay/__tests__/reachability.spec.ts
+++ b/packages/relay/__tests__/reachability.spec.ts
@@ -50,6 +50,7 @@
         const sentAtMs = clock.monotonicMs();
         const watch = monitor.watchSend({
             upstreamId,
+            mayRepeat: true,
             objectiveMs: 1_000,
             remainingMs: 3_000,
             signal: new AbortController().signal,
@@ -58,12 +59,12 @@
         const isKeptAlive = random.nextFloat() < keptAliveShare;
         if (!isKeptAlive && stateNow() !== "up") {
             await clock.sleep(stateNow() === "down" ? ROUND_TRIP_MS : PROBE_TIMEOUT_MS);
-            monitor.recordFailure(upstreamId);
+            monitor.recordUnreachable(upstreamId);
             watch.end();
             return;
         }
         if (!isKeptAlive) {
-            monitor.recordConnection();
+            monitor.recordConnection(upstreamId);
         }
         await clock.sleep(answerMs * (0.5 + random.nextFloat()));
         if (stateNow() === "up") {
@@ -205,6 +206,7 @@
     const model = createModel(1, createUpstreams(6, 3), 1, 20_000);
     model.monitor.watchSend({
         upstreamId: "u-0" as UpstreamId,
+        mayRepeat: true,
         objectiveMs: 1_000,
         remainingMs: 3_000,
         signal: new AbortController().signal,
--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -86,24 +86,29 @@
         random: createRandom(1),
         ownAddress: "sender:1",
         ownZone: zone,
-        peers: () => peers,
+        peerAddresses: () => peers.map(({ address }) => address),
         onEnd: () => undefined,
     });
 
-const sendWith = (client: RelayClient, body = BODY, signal = new AbortController().signal) =>
-    client.send({
-        method: "POST",
-        target: "/orders/1",
-        rawHeaders: ["Host", "shop.example", "Content-Length", String(body.length), "X-Own", "1"],
-        body,
-        head: { isFirstSend: true },
-        dueAtMs: createSystemClock().monotonicMs() + 3_000,
-        requestId: "r1",
-        signal,
-    });
+const sendWith = (
+    client: RelayClient,
+    peers: readonly RelayPeer[],
+    body = BODY,
+    signal = new AbortController().signal,
+) => client.send({
+    peers,
+    method: "POST",
+    target: "/orders/1",
+    rawHeaders: ["Host", "shop.example", "Content-Length", String(body.length), "X-Own", "1"],
+    body,
+    head: { isFirstSend: true },
+    dueAtMs: createSystemClock().monotonicMs() + 3_000,
+    requestId: "r1",
+    signal,
+});
 
 const relay = (peers: readonly RelayPeer[], body = BODY, signal = new AbortController().signal) =>
-    sendWith(createTestClient(peers), body, signal);
+    sendWith(createTestClient(peers), peers, body, signal);
 
 test("a peer that dies before or while it reads the request has not run it, and another peer serves it", async () => {
     await using deadAtOnce = await startRawPeer((_, socket) => socket.resetAndDestroy());
@@ -133,10 +138,11 @@
         connections += received.includes(BODY.toString()) ? 1 : 0;
         socket.destroy();
     });
-    const client = createTestClient([toPeer(flaky.port)]);
-    await sendWith(client);
-    expect(client.hasPeer()).toBe(false);
-    await sendWith(client);
+    const peers = [toPeer(flaky.port)];
+    const client = createTestClient(peers);
+    await sendWith(client, peers);
+    expect(client.canHelp(peers)).toBe(false);
+    await sendWith(client, peers);
     expect(connections).toBe(2);
 });
 
@@ -219,16 +225,16 @@
         random: createRandom(1),
         ownAddress: "sender:1",
         ownZone: zone,
-        peers: () => peers,
+        peerAddresses: () => peers.map(({ address }) => address),
         onEnd: () => undefined,
     });
-    await sendWith(client);
+    await sendWith(client, peers);
     // The peer is passed over while its lost connection is remembered.
-    expect(client.hasPeer()).toBe(false);
+    expect(client.canHelp(peers)).toBe(false);
     for (const index of Array.from({ length: 150 }, (_, number) => number + 2)) {
         peers = [{ ...toPeer(1), address: `127.0.0.${index}:1` }];
-        await sendWith(client);
+        await sendWith(client, peers);
     }
     peers = [toPeer(1)];
-    expect(client.hasPeer()).toBe(true);
+    expect(client.canHelp(peers)).toBe(true);
 });
--- a/packages/relay/src/client/createRelayClient.ts
+++ b/packages/relay/src/client/createRelayClient.ts
@@ -49,7 +49,7 @@
 
 /** Creates a client without connections. */
 export const createRelayClient = (
-    { clock, random, ownAddress, ownZone, peers, onEnd }: RelayClientOptions,
+    { clock, random, ownAddress, ownZone, peerAddresses, onEnd }: RelayClientOptions,
 ): RelayClient => {
     const agent = createHalfOpenAgent({ keepAlive: true, timeout: IDLE_MS });
     const states = new Map<string, PeerState>();
@@ -63,9 +63,8 @@
 
     /** Drops the states of peers that are gone, so that replaced hosts do not accumulate. */
     const forgetGonePeers = (): void => {
-        const current = peers();
-        if (states.size > 2 * current.length + MINIMUM_STATES) {
-            const addresses = new Set(current.map(({ address }) => address));
+        const addresses = new Set(peerAddresses());
+        if (states.size > 2 * addresses.size + MINIMUM_STATES) {
             [...states]
                 .filter(([address, { inFlight }]) => inFlight === 0 && !addresses.has(address))
                 .forEach(([address]) => states.delete(address));
@@ -75,10 +74,10 @@
     const loadOf = ({ inFlight, stated }: PeerState): number =>
         inFlight + (stated !== undefined && clock.monotonicMs() - stated.atMs < LOAD_VALID_MS ? stated.load : 0);
 
-    const accepting = (known = peers()): readonly RelayPeer[] =>
+    const accepting = (known: readonly RelayPeer[]): readonly RelayPeer[] =>
         known.filter(({ address }) => stateOf(address).refusesUntilMs <= clock.monotonicMs());
 
-    const responding = (known = peers()): readonly RelayPeer[] =>
+    const responding = (known: readonly RelayPeer[]): readonly RelayPeer[] =>
         accepting(known).filter(({ address }) => stateOf(address).lostUntilMs <= clock.monotonicMs());
 
     const trackBody = (state: PeerState, result: RelaySendResult): void => {
@@ -90,7 +89,7 @@
     };
 
     return {
-        hasPeer: () => responding().length > 0,
+        canHelp: peers => responding(peers).length > 0,
         send: async request => {
             forgetGonePeers();
             const tried = new Set<string>();
--- a/packages/relay/src/client/relayClient.ts
+++ b/packages/relay/src/client/relayClient.ts
@@ -1,3 +1,4 @@
+import type { RelayPeer } from "../decisions/relayPeer";
 import type { RelaySend } from "./relaySend";
 import type { RelaySendResult } from "./relaySendResult";
 
@@ -5,6 +6,6 @@
 export interface RelayClient extends AsyncDisposable {
     /** Passes a request on to one peer; if that peer did not run it for reasons of its own, to another one. */
     readonly send: (request: RelaySend) => Promise<RelaySendResult>;
-    /** Whether there is a peer that is not known to be unable to help. */
-    readonly hasPeer: () => boolean;
+    /** Whether one of the peers is not known to be unable to help. */
+    readonly canHelp: (peers: readonly RelayPeer[]) => boolean;
 }
--- a/packages/relay/src/client/relayClientOptions.ts
+++ b/packages/relay/src/client/relayClientOptions.ts
@@ -1,5 +1,4 @@
 import type { AvailabilityZone, Clock, RandomSource } from "@ibislanding/core";
-import type { RelayPeer } from "../decisions/relayPeer";
 import type { RelayEnd } from "./relayEnd";
 
 /** Dependencies of the client. */
@@ -9,7 +8,7 @@
     /** `ip:port` of this host's listener for other hosts. */
     readonly ownAddress: string;
     readonly ownZone: AvailabilityZone;
-    /** Other hosts that report that they reach upstreams. */
-    readonly peers: () => readonly RelayPeer[];
+    /** Addresses of the other hosts' relay listeners. */
+    readonly peerAddresses: () => readonly string[];
     readonly onEnd: (end: RelayEnd) => void;
 }
--- a/packages/relay/src/client/relaySend.ts
+++ b/packages/relay/src/client/relaySend.ts
@@ -13,8 +13,8 @@
     /** Monotonic time of the deadline. */
     readonly dueAtMs: number;
     readonly requestId: string | undefined;
-    /** The only peers that may take the request; undefined for all that the client knows. */
-    readonly peers?: readonly RelayPeer[] | undefined;
+    /** The peers that may take the request. */
+    readonly peers: readonly RelayPeer[];
     /** Aborts at the deadline or when the caller disconnects. */
     readonly signal: AbortSignal;
 }
--- a/packages/relay/src/decisions/judgeCutOff.ts
+++ b/packages/relay/src/decisions/judgeCutOff.ts
@@ -1,6 +1,6 @@
 /**
- * Decides whether a host that reaches no upstream is cut off from them; the addresses are those of the hosts' listeners for each other,
- * `unreaching` of hosts that reach no upstream either.
+ * Decides whether a host that reaches no upstream of a service is cut off from them; the addresses are those of the hosts'
+ * listeners for each other, `unreaching` of hosts that reach none of these upstreams either.
  *
  * Handles upstreams that are all down: no host reaches one then, nobody is cut off, and nothing is relayed. A host that hears
  * of no peer is cut off from them too, unless it is the only one.
--- a/packages/relay/src/monitor/createReachabilityMonitor.ts
+++ b/packages/relay/src/monitor/createReachabilityMonitor.ts
@@ -23,6 +23,7 @@
 interface WaitingSend {
     readonly upstreamId: UpstreamId;
     readonly patienceMs: number;
+    readonly mayRepeat: boolean;
     readonly abandon: () => void;
     readonly startedAtMs: number;
     progressedAtMs: number | undefined;
@@ -34,6 +35,7 @@
 ): ReachabilityMonitor => {
     const reachability = createUpstreamReachability(clock.monotonicMs);
     const waiting = new Set<WaitingSend>();
+    const probing = new Set<UpstreamId>();
     let check: Promise<void> | undefined;
     let isTicking = false;
     let isDisposed = false;
@@ -45,11 +47,19 @@
         }
     };
 
-    /** The upstreams to probe; equal ones are in random order, so that hosts do not all probe the same one first. */
-    const chooseTargets = (except?: UpstreamId): readonly ProbeTarget[] => {
+    /**
+     * The upstreams to probe, if possible the given one first; equal ones are in random order, so that hosts do not all probe the
+     * same one first.
+     */
+    const chooseTargets = (except?: UpstreamId, firstId?: UpstreamId): readonly ProbeTarget[] => {
         const all = targets().filter(({ upstreamId }) => upstreamId !== except);
         const offset = all.length === 0 ? 0 : random.nextInt(all.length);
-        return selectProbeTargets([...all.slice(offset), ...all.slice(0, offset)], reachability.lastFailureAtMs);
+        const selected = selectProbeTargets(
+            [...all.slice(offset), ...all.slice(0, offset)],
+            reachability.lastFailureAtMs,
+        );
+        const first = all.find(({ upstreamId }) => upstreamId === firstId);
+        return first === undefined ? selected : [first, ...selected.filter(target => target !== first)];
     };
 
     /**
@@ -62,11 +72,12 @@
             const [first, ...others] = selected;
             let timer: Timer | undefined;
             let areOthersStarted = false;
+            let isFirstOverdue = false;
             const finish = (): void => {
                 timer?.cancel();
                 areOthersStarted = true;
                 const started = [...ended.values()].includes(true)
-                    ? selected.filter(({ upstreamId }) => ended.has(upstreamId))
+                    ? selected.filter((target, index) => ended.has(target.upstreamId) || index === 0 && isFirstOverdue)
                     : selected;
                 resolve(started.map(({ upstreamId }) => ({ upstreamId, isListening: ended.get(upstreamId) === true })));
             };
@@ -91,15 +102,21 @@
                 resolve([]);
                 return;
             }
-            timer = clock.setTimer(FIRST_PROBE_MS, startOthers);
+            timer = clock.setTimer(FIRST_PROBE_MS, () => {
+                isFirstOverdue = true;
+                startOthers();
+            });
             start(first);
         });
 
-    const runCheck = async (): Promise<void> => {
+    const runCheck = async (firstId?: UpstreamId): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
-        const probes = await probeInTurn(chooseTargets());
+        const probes = await probeInTurn(chooseTargets(undefined, firstId));
         check = undefined;
         reportChange(reachability.recordCheck({ startedAtMs, probes }));
+        if (firstId !== undefined && reachability.isUnreached(firstId)) {
+            probeSuspects();
+        }
     };
 
     const checkIfDue = (): void => {
@@ -107,28 +124,63 @@
         const waitingSinceMs = silent.length === 0
             ? undefined
             : Math.min(...silent.map(({ startedAtMs }) => startedAtMs));
-        if (check === undefined && !isDisposed && reachability.isCheckDue(waitingSinceMs)) {
-            check = runCheck();
+        const overdueId = silent.find(reachability.isOverdue)?.upstreamId;
+        if (check === undefined && !isDisposed && reachability.isCheckDue(waitingSinceMs, overdueId)) {
+            check = runCheck(overdueId);
+        }
+    };
+
+    const probeOne = async ({ upstreamId, address }: ProbeTarget): Promise<void> => {
+        const startedAtMs = clock.monotonicMs();
+        probing.add(upstreamId);
+        const result = await Promise.race([probe(address), clock.sleep(OTHER_PROBES_MS)]);
+        probing.delete(upstreamId);
+        reportChange(
+            reachability.recordProbe({ upstreamId, startedAtMs, isListening: result === "listening" }),
+        );
+    };
+
+    /** Probes the upstreams of waiting sends: the links to several upstreams may have been lost together. */
+    const probeSuspects = (): void => {
+        const suspects = new Set([...waiting].filter(reachability.isSuspect).map(({ upstreamId }) => upstreamId));
+        if (suspects.size > 0 && reachability.reachesUpstreams() && !isDisposed) {
+            targets()
+                .filter(({ upstreamId }) => suspects.has(upstreamId) && !probing.has(upstreamId))
+                .forEach(target => void probeOne(target));
+        }
+    };
+
+    const reprobeIfDue = (): void => {
+        // Otherwise the checks find out which upstreams are reached again.
+        if (!reachability.reachesUpstreams() || !reachability.hasUnreached() || isDisposed) {
+            return;
         }
+        const registered = targets();
+        const due = new Set(reachability.selectReprobed(registered.map(({ upstreamId }) => upstreamId)));
+        registered
+            .filter(({ upstreamId }) => due.has(upstreamId) && !probing.has(upstreamId))
+            .forEach(target => void probeOne(target));
     };
 
     const abandonHungSends = (): void => {
         const nowMs = clock.monotonicMs();
         [...waiting]
-            .filter(({ upstreamId, patienceMs, startedAtMs, progressedAtMs }) =>
-                reachability.isHung({ upstreamId, patienceMs, silentForMs: nowMs - (progressedAtMs ?? startedAtMs) })
+            .filter(({ startedAtMs, progressedAtMs, ...send }) =>
+                reachability.isHung({ ...send, silentForMs: nowMs - (progressedAtMs ?? startedAtMs) })
             )
             .forEach(({ abandon }) => abandon());
     };
 
     const scheduleTick = (): void => {
-        if (isTicking || isDisposed || waiting.size === 0 && reachability.reachesUpstreams()) {
+        const isIdle = waiting.size === 0 && reachability.reachesUpstreams() && !reachability.hasUnreached();
+        if (isTicking || isDisposed || isIdle) {
             return;
         }
         isTicking = true;
         clock.setTimer(TICK_MS, () => {
             isTicking = false;
             checkIfDue();
+            reprobeIfDue();
             abandonHungSends();
             scheduleTick();
         });
@@ -137,16 +189,36 @@
     return {
         reachesUpstreams: reachability.reachesUpstreams,
         hasLiveConnections: reachability.hasLiveConnections,
-        recordConnection: () => reportChange(reachability.recordConnection()),
+        isUnreached: reachability.isUnreached,
+        unreachedShare: () => {
+            const registered = targets();
+            const unreached = registered.filter(({ upstreamId }) => reachability.isUnreached(upstreamId));
+            return registered.length === 0 ? 0 : unreached.length / registered.length;
+        },
+        recordConnection: upstreamId => reportChange(reachability.recordConnection(upstreamId)),
         recordFailure: upstreamId => {
             reachability.recordFailure(upstreamId);
             checkIfDue();
         },
-        watchSend: ({ upstreamId, objectiveMs, remainingMs, signal }) => {
+        recordUnreachable: upstreamId => {
+            const isNew = reachability.recordUnreachable(upstreamId);
+            checkIfDue();
+            if (isNew) {
+                probeSuspects();
+            }
+            scheduleTick();
+        },
+        startCheck: () => {
+            if (check === undefined && !isDisposed) {
+                check = runCheck();
+            }
+        },
+        watchSend: ({ upstreamId, mayRepeat, objectiveMs, remainingMs, signal }) => {
             const controller = new AbortController();
             const onAbort = (): void => controller.abort(signal.reason);
             const send: WaitingSend = {
                 upstreamId,
+                mayRepeat,
                 patienceMs: sendPatienceMs(objectiveMs, remainingMs),
                 abandon: () => controller.abort("no-contact"),
                 startedAtMs: clock.monotonicMs(),
