fix(edge): cut-off hosts took each other for peers when reports were late

A host counts as live for ten seconds without a report, but what it said of its reach was dropped with reports older than the live time, a few seconds: after a pause of the reader, hosts that are cut off were taken for hosts that reach everything.

The newest report of each address now holds as long as the host counts as live.

--- a/packages/edge/src/listLiveHosts.ts
+++ b/packages/edge/src/listLiveHosts.ts
@@ -1,5 +1,4 @@
-/** A host without a report for this long no longer counts; one that is paused or cut off keeps its shares until then. */
-const HOST_EXPIRY_MS = 10_000;
+import { HOST_EXPIRY_MS } from "./hostExpiryMs";
 
 /**
  * Part of the hosts that reported within the last minute that may be silent at once as gone. If more of them are, this host
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -37,6 +37,7 @@
 import type { HostEntry } from "./hostEntry";
 import type { HostReport } from "./hostReport";
 import { listLiveHosts } from "./listLiveHosts";
+import { listReachRows } from "./listReachRows";
 import { rankHosts } from "./rankHosts";
 import { registerHost } from "./registerHost";
 import { createRolloutHandler } from "./rollouts/createRolloutHandler";
@@ -234,7 +235,7 @@
         sharedNowMs: clusterClock.nowMs,
         registeredHosts: () => registeredHosts,
         liveHostAddresses,
-        reportedReach: () => liveReports().flatMap(({ report }) => report.cutOff ?? []),
+        reportedReach: () => listReachRows([...peers.exchange?.reports().values() ?? []], clock.monotonicMs()),
         announce: () => peers.exchange?.announce(),
     }));
     // A store that was restored from a copy may have older documents than the peers.
