fix(gateway): an earlier refusal is not taken for that of a later request

Callers were told "not run, try again" for requests that ran, or such a request ran at a second upstream, when a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: a refusal was believed before the id that it echoes was compared, and so was what its head states of the upstream: that it leaves, wants a pause, has a limit or is brittle.

The id is compared first, for answers and refusals alike. A refusal without an id counts only on a connection on which nothing else was sent, and a second refusal of one id on one connection not at all. What is in doubt may have run: it is neither sent again unless it may be repeated nor reported as not run, its head states nothing, and the connection is closed.

--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -1,4 +1,4 @@
-import { createHalfOpenAgent } from "@ibislanding/core";
+import { createHalfOpenAgent, type RequestId } from "@ibislanding/core";
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { UpstreamRecord } from "../upstreams/upstreamRecord";
@@ -14,6 +14,9 @@
 
 const MAXIMUM_IDLE_CONNECTIONS = 64;
 
+/** Ids of refused requests that are remembered for a connection. */
+const REMEMBERED_REFUSALS = 32;
+
 /** Methods that Node.js calls on an agent when a response has ended and when a kept-alive connection is reused. */
 interface AgentHooks {
     keepSocketAlive: (socket: Socket) => boolean;
@@ -24,6 +27,7 @@
     const agent = createHalfOpenAgent({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS });
     const keepAliveMs = new WeakMap<Socket, number>();
     const countedSockets = new WeakSet<Socket>();
+    const refusedIds = new WeakMap<Socket, Set<RequestId>>();
     let isRetired = false;
 
     // Data on an idle connection belongs to no request and must not be mistaken for the next response.
@@ -64,6 +68,14 @@
     return {
         agent,
         address: upstream.address,
+        recordRefusal: (socket, requestId) => {
+            if (requestId !== undefined) {
+                const ids = [...refusedIds.get(socket) ?? [], requestId];
+                refusedIds.set(socket, new Set(ids.slice(-REMEMBERED_REFUSALS)));
+            }
+        },
+        hasRefused: (socket, requestId) =>
+            socket !== null && requestId !== undefined && refusedIds.get(socket)?.has(requestId) === true,
         setKeepAlive: (socket, durationMs) => void keepAliveMs.set(socket, durationMs),
         recordRoundTrip: roundTripMs => upstreams.reportRoundTrip(upstream.upstreamId, roundTripMs),
         retire: () => {
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -16,13 +16,16 @@
 /** Statuses that guarantee to clients that a request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether the upstream states that it did not run the request. */
+const isRefusal = ({ isNotRun, isMisdirected }: ResponseHead): boolean => isNotRun || isMisdirected;
+
 const isSuccess = ({ status }: ResponseHead): boolean =>
     status >= SUCCESS_STATUSES.from && status <= SUCCESS_STATUSES.to;
 
-/** Returns the reason why a response must not be relayed to the client; undefined if it may be. */
+/** Returns the reason why a response to this request must not be relayed to the client; undefined if it may be. */
 const findDefect = (head: ResponseHead, options: AttemptOptions): string | undefined => {
-    if (options.requestId !== undefined && head.requestId !== options.requestId) {
-        return "answer-of-another-request";
+    if (options.requestId !== undefined && head.requestId === undefined) {
+        return "answer-without-id";
     }
     if (!head.isSigned) {
         return "unsigned-answer";
@@ -52,6 +55,22 @@
     });
 };
 
+/**
+ * Whether a response is to the request that was just sent. An upstream may write an earlier one again on a kept connection, and
+ * it may state that a request has not run that runs. A refusal without an id is trusted only if nothing else was sent on the
+ * connection, and a second refusal of one id is not trusted at all.
+ */
+const isOwnResponse = (
+    head: ResponseHead,
+    { requestId, connections }: AttemptOptions,
+    { reusedSocket, socket }: ClientRequest,
+): boolean => {
+    if (head.requestId === undefined) {
+        return !reusedSocket || !isRefusal(head);
+    }
+    return head.requestId === requestId && !(isRefusal(head) && connections.hasRefused(socket, requestId));
+};
+
 const reasonOf = (error: Error & { readonly code?: string; }): string => error.code ?? error.message;
 
 /** Sends a request to an upstream and waits for the head of its response. */
@@ -80,18 +99,24 @@
         };
         const handleResponse = (incoming: IncomingMessage): void => {
             framing?.recordProgress();
-            options.onProgress?.();
             const head = options.codec.readResponse(incoming);
-            if (head.keepAliveMs !== undefined) {
-                connections.setKeepAlive(incoming.socket, head.keepAliveMs);
-            }
             incoming.on("error", () => {
                 failed = true;
             });
+            if (!isOwnResponse(head, options, outgoing)) {
+                closeConnection();
+                resolve({ kind: "unknown", reason: "answer-of-another-request", isLost: false });
+                return;
+            }
+            options.onProgress?.();
+            if (head.keepAliveMs !== undefined) {
+                connections.setKeepAlive(incoming.socket, head.keepAliveMs);
+            }
             if (!head.isMisdirected) {
                 options.onHead(head);
             }
-            if (head.isNotRun || head.isMisdirected) {
+            if (isRefusal(head)) {
+                connections.recordRefusal(incoming.socket, head.requestId);
                 discardBody(incoming, closeConnection);
                 resolve({ kind: "not-run", reason: head.isMisdirected ? "misdirected" : "refused" });
                 return;
