fix: one odd entry of another writer costs itself alone

Requests got no answer and hosts stopped following the list of upstreams when another writer had left an entry with a port out of range, a number too large or text that a decoder throws at.

Cause: values reached sockets and timers without their ranges checked, a throw inside a promise was nobody's, and an error in what reads a list ended its watch for good.

A decoder or a socket that throws costs its entry or its attempt; a reader that throws is told of later sets all the same. Lists in the store lose their odd rows instead of all rows, a usage report that can't be read is written anew, and reports of peers are applied only if their rows are rows. What is rejected is logged once with its key and counted (ibis_rejected_entries_total).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,7 @@
 export { createSystemClock } from "./time/createSystemClock";
 export type { FakeClock } from "./time/fakeClock";
 export type { LoopDelayMeter } from "./time/loopDelayMeter";
+export { MAXIMUM_TIMER_MS } from "./time/maximumTimerMs";
 export type { Timer } from "./time/timer";
 
 // Random numbers
@@ -56,6 +57,7 @@
 export { createHalfOpenAgent } from "./http/createHalfOpenAgent";
 export { detectReset } from "./http/detectReset";
 export { findBodyDelimiter } from "./http/findBodyDelimiter";
+export { parseSocketAddress } from "./http/parseSocketAddress";
 
 // Hashing
 export { combineHashes } from "./hashing/combineHashes";
--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -50,7 +50,8 @@
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
     const calls: string[] = [];
-    const state = { isRelayed: false };
+    const state = { isRelayed: false, hasFaultyReader: false };
+    const failures: unknown[] = [];
     const epoch = createStoreEpoch();
     epoch.observe(1);
     const history: KeyValueHistory = {
@@ -77,10 +78,16 @@
         random: createRandom(1),
         watchWaitMs: () => 2_000,
         batchDelayMs: () => 0,
-        onChange: ({ revision }, source) => void seen.push({ revision, source }),
+        onChange: ({ revision }, source) => {
+            seen.push({ revision, source });
+            if (state.hasFaultyReader) {
+                throw new Error("faulty");
+            }
+        },
+        onChangeFailed: error => void failures.push(error),
         onReachabilityChange: isReachable => void reachability.push(isReachable),
     });
-    return { clock, watcher, seen, reachability, calls, epoch, state };
+    return { clock, watcher, seen, reachability, calls, epoch, state, failures };
 };
 
 test("after lost history the watcher loads a snapshot immediately, without a backoff", async () => {
@@ -101,6 +108,21 @@
     await disposed;
 });
 
+// Guards against a list that is no longer followed after one set that its reader could not take.
+test("a reader that throws is told of later sets", async () => {
+    const { clock, watcher, seen, state, failures } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [Ok({ epoch: 1, revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] })],
+    });
+    state.hasFaultyReader = true;
+    await clock.advance(10);
+    expect(seen.map(({ revision }) => revision)).toEqual([5, 9]);
+    expect(failures.length).toBe(2);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
 test("an outage is reported once; the last set is kept until a peer offers a newer one", async () => {
     const { clock, watcher, seen, reachability } = startWatcher({
         snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -34,7 +34,13 @@
             || next.entries.size !== current.entries.size;
         current = next;
         if (changed) {
-            options.onChange(next, source);
+            try {
+                options.onChange(next, source);
+            }
+            catch (error) {
+                // The next change is applied all the same.
+                options.onChangeFailed(error);
+            }
         }
     };
 
--- a/packages/duties/src/usage/createUsageReporter.ts
+++ b/packages/duties/src/usage/createUsageReporter.ts
@@ -1,20 +1,10 @@
-import {
-    type AccountId,
-    createFailure,
-    ErrorCode,
-    type Failure,
-    type FencingNumber,
-    parseJson,
-} from "@ibislanding/core";
+import { type AccountId, createFailure, ErrorCode, type Failure, type FencingNumber } from "@ibislanding/core";
 import { Err, Ok, type Result } from "ts-results";
+import { parseStoredReport } from "./parseStoredReport";
+import type { StoredReport } from "./storedReport";
 import type { UsageReporter } from "./usageReporter";
 import type { UsageReporterOptions } from "./usageReporterOptions";
 
-interface StoredReport {
-    readonly window: number;
-    readonly counts: Readonly<Record<string, number>>;
-}
-
 /** Reports are stored under a ring of keys; a key is reused after this many windows. */
 const RING_SIZE = 64;
 
@@ -72,9 +62,7 @@
         if (existing.err) {
             return existing;
         }
-        const stored = existing.val === undefined
-            ? undefined
-            : parseJson(existing.val.value) as StoredReport | undefined;
+        const stored = existing.val === undefined ? undefined : parseStoredReport(existing.val.value);
         if (stored !== undefined && stored.window >= window) {
             return stored.window === window ? Ok(stored) : Err(createFailure(ErrorCode.KeyValueConflict));
         }
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -1,4 +1,4 @@
-import type { Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
 import {
     createDocumentWatcher,
     type DocumentPosition,
@@ -8,12 +8,13 @@
 } from "@ibislanding/discovery";
 import { compileConfiguration, type CompiledConfiguration, type UpstreamRecord } from "@ibislanding/gateway";
 import type { KeyValueEntry } from "@ibislanding/platform";
-import type { Result } from "ts-results";
+import { Err, Result } from "ts-results";
 import { createRestoredEntryFilter } from "./createRestoredEntryFilter";
 import type { DocumentCache } from "./documentCache";
 import type { DocumentCacheOptions } from "./documentCacheOptions";
 import { documentSetNames } from "./documentSetNames";
 import type { EdgeOptions } from "./edgeOptions";
+import type { HostEntry } from "./hostEntry";
 import { parseHostEntry } from "./parseHostEntry";
 
 /**
@@ -71,13 +72,29 @@
         { readonly value: string; readonly record: UpstreamRecord | undefined; }
     >();
 
+    const rejected = options.metrics.counter(
+        "ibis_rejected_entries_total",
+        "Entries of the store that could not be used, by set.",
+    );
+    /** Values of host entries that were rejected, so that each is logged once. */
+    const rejectedHosts = new Map<string, string>();
+
+    /** Runs a decoder; one that throws must not end the watch of the other entries. */
+    const attempt = <T>(decode: () => Result<T, Failure>): Result<T, Failure> => {
+        const decoded = Result.wrap(decode);
+        return decoded.ok
+            ? decoded.val
+            : Err(createFailure(ErrorCode.InvalidResource, { message: `The decoder failed: ${String(decoded.val)}` }));
+    };
+
     const setConfiguration = (set: DocumentSet, source: string): void => {
         const [entry] = set.entries.values();
         if (entry === undefined || entry.value === lastConfigurationValue) {
             return;
         }
         lastConfigurationValue = entry.value;
-        const next = documents.decodeConfiguration(entry.value);
+        const next = attempt(() => documents.decodeConfiguration(entry.value));
+        rejected.add(next.ok ? 0 : 1, { set: documentSetNames.configuration });
         if (next.err) {
             log.write("configuration_rejected", { revision: entry.version, source, reason: next.val.message });
             return;
@@ -104,7 +121,8 @@
         if (cached?.value === entry.value) {
             return cached.record;
         }
-        const result: Result<UpstreamRecord, Failure> = documents.decodeUpstream(entry.key, entry.value);
+        const result = attempt(() => documents.decodeUpstream(entry.key, entry.value));
+        rejected.add(result.ok ? 0 : 1, { set: documentSetNames.upstreams });
         const record = result.ok ? result.val : undefined;
         decodedUpstreams.set(entry.key, { value: entry.value, record });
         log.write("upstream_changed", {
@@ -131,8 +149,20 @@
 
     const hostCount = (): number => watchers[documentSetNames.hosts]?.current()?.entries.size ?? 0;
 
-    const setHosts = (set: DocumentSet): void =>
-        onHosts([...set.entries.values()].flatMap(({ value }) => parseHostEntry(value) ?? []));
+    const parseHost = ({ key, value, version }: KeyValueEntry): readonly HostEntry[] => {
+        const host = parseHostEntry(value);
+        if (host === undefined && rejectedHosts.get(key) !== value) {
+            rejectedHosts.set(key, value);
+            rejected.add(1, { set: documentSetNames.hosts });
+            log.write("host_entry_rejected", { key, revision: version });
+        }
+        return host === undefined ? [] : [host];
+    };
+
+    const setHosts = (set: DocumentSet): void => {
+        [...rejectedHosts.keys()].filter(key => !set.entries.has(key)).forEach(key => rejectedHosts.delete(key));
+        onHosts([...set.entries.values()].flatMap(parseHost));
+    };
 
     const defaultWatchWaitMs = (): number =>
         Math.min(MAXIMUM_WATCH_WAIT_MS, Math.max(MINIMUM_WATCH_WAIT_MS, hostCount() * WATCH_END_INTERVAL_MS));
@@ -157,6 +187,11 @@
         isRelayed: isWatchRelayed,
         batchDelayMs,
         onChange,
+        onChangeFailed: error =>
+            log.write("documents_not_applied", {
+                set: name,
+                reason: error instanceof Error ? error.stack : typeof error,
+            }),
         onReachabilityChange: (isReachable, reason) =>
             log.write(isReachable ? "store_regained" : "store_lost", { set: name, reason }),
     });
--- a/packages/edge/src/createStoredRows.ts
+++ b/packages/edge/src/createStoredRows.ts
@@ -22,9 +22,17 @@
 export const createStoredRows = <Row>(options: StoredRowsOptions<Row>): StoredRows => {
     const { key, name, rows, observe, isRow, stateOf, store, storeEpoch, isRepresentative, clock, random, log } =
         options;
+    /** Returns the sound rows of a list; undefined if it is none. */
     const parseRows = (value: string): readonly Row[] | undefined => {
         const parsed = parseJson(value);
-        return Array.isArray(parsed) && parsed.every(isRow) ? parsed : undefined;
+        if (!Array.isArray(parsed)) {
+            return undefined;
+        }
+        const sound = parsed.filter(isRow);
+        if (sound.length < parsed.length) {
+            log.write(`${name}_rows_rejected`, { key, rows: parsed.length - sound.length });
+        }
+        return sound;
     };
     const stop = new AbortController();
     const { signal } = stop;
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -3,6 +3,11 @@
 
 const isArray = (value: unknown): value is readonly unknown[] => Array.isArray(value);
 
+/** Rows of texts and numbers; what a number means is up to its reader. A number that JSON can't express is null. */
+const isRows = (value: unknown): boolean =>
+    isArray(value)
+    && value.every(row => isArray(row) && row.every(cell => typeof cell !== "object" || cell === null));
+
 /** Decodes a peer's report; returns undefined if it is malformed. */
 export const decodeHostReport = (text: string): HostReport | undefined => {
     const report = parseJson(text) as Partial<HostReport> | null | undefined;
@@ -25,9 +30,10 @@
             report.versions,
             report.brittle ?? [],
             report.cutOff ?? [],
+            report.demand ?? [],
             report.quarantine?.suspects,
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
-        ].every(isArray);
+        ].every(isRows);
     return isValid ? report as HostReport : undefined;
 };
--- a/packages/edge/src/parseHostEntry.ts
+++ b/packages/edge/src/parseHostEntry.ts
@@ -1,16 +1,18 @@
-import { parseJson } from "@ibislanding/core";
+import { parseJson, parseSocketAddress } from "@ibislanding/core";
+import * as z from "zod";
 import type { HostEntry } from "./hostEntry";
 
+/** More processing capacity than any host has. */
+const MAXIMUM_CORES = 10_000;
+
+const addressSchema = z.string().refine(text => parseSocketAddress(text) !== undefined);
+
+const entrySchema = z.object({
+    address: addressSchema,
+    availabilityZone: z.string(),
+    cores: z.number().nonnegative().max(MAXIMUM_CORES),
+    relayAddress: addressSchema.optional(),
+});
+
 /** Parses the stored entry of a host; returns undefined if it is malformed. */
-export const parseHostEntry = (text: string): HostEntry | undefined => {
-    const entry = parseJson(text) as Partial<HostEntry> | null | undefined;
-    return typeof entry?.address === "string" && typeof entry.availabilityZone === "string"
-            && typeof entry.cores === "number"
-        ? {
-            address: entry.address,
-            availabilityZone: entry.availabilityZone,
-            cores: entry.cores,
-            relayAddress: typeof entry.relayAddress === "string" ? entry.relayAddress : undefined,
-        }
-        : undefined;
-};
+export const parseHostEntry = (text: string): HostEntry | undefined => entrySchema.safeParse(parseJson(text)).data;
--- a/packages/edge/src/rollouts/parseRolloutState.ts
+++ b/packages/edge/src/rollouts/parseRolloutState.ts
@@ -1,22 +1,33 @@
 import { parseJson } from "@ibislanding/core";
-import type { RolloutPhase, RolloutState } from "@ibislanding/rollouts";
+import type { RolloutState } from "@ibislanding/rollouts";
+import * as z from "zod";
 
-const PHASES: ReadonlySet<unknown> = new Set<RolloutPhase>(["canary", "ramp", "promoting", "completed", "rolled-back"]);
+const count = z.number().nonnegative();
 
-const isText = (value: unknown): boolean => typeof value === "string";
-const isNumber = (value: unknown): boolean => typeof value === "number" && Number.isFinite(value);
+const evidenceSchema = z.object({
+    service: z.string(),
+    version: z.string(),
+    route: z.string(),
+    sent: count,
+    answers: count,
+    failures: count,
+    slow: count,
+});
+
+const stateSchema = z.looseObject({
+    orderId: z.string(),
+    service: z.string(),
+    target: z.string(),
+    reason: z.string(),
+    startedAtMs: z.number(),
+    phaseSinceMs: z.number(),
+    deadlineMs: z.number(),
+    share: z.number(),
+    phase: z.enum(["canary", "ramp", "promoting", "completed", "rolled-back"]),
+    excluded: z.array(z.string()),
+    evidenceAtStart: z.array(evidenceSchema),
+});
 
 /** Parses a stored state; returns undefined if it is malformed. */
-export const parseRolloutState = (value: string): RolloutState | undefined => {
-    const state = parseJson(value) as Partial<RolloutState> | null | undefined;
-    if (typeof state !== "object" || state === null) {
-        return undefined;
-    }
-    const { orderId, service, target, reason, startedAtMs, phaseSinceMs, deadlineMs, share, phase } = state;
-    const isValid = [orderId, service, target, reason].every(isText)
-        && [startedAtMs, phaseSinceMs, deadlineMs, share].every(isNumber)
-        && PHASES.has(phase)
-        && Array.isArray(state.excluded) && state.excluded.every(isText)
-        && Array.isArray(state.evidenceAtStart);
-    return isValid ? state as RolloutState : undefined;
-};
+export const parseRolloutState = (value: string): RolloutState | undefined =>
+    stateSchema.safeParse(parseJson(value)).data as RolloutState | undefined;
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -1,6 +1,7 @@
 import { detectReset, findBodyDelimiter } from "@ibislanding/core";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
+import { Result } from "ts-results";
 import type { ResponseHead } from "../codec/responseHead";
 import type { AttemptOptions } from "./attemptOptions";
 import type { AttemptResult } from "./attemptResult";
@@ -80,15 +81,23 @@
         let sent = false;
         let failed = false;
         let framing: FramingLimit | undefined;
-        const outgoing = sendRequest({
-            agent: connections.agent,
-            host: connections.address.ip,
-            port: connections.address.port,
-            method: options.method,
-            path: options.path,
-            headers: options.headers.flat(),
-            setHost: false,
-        });
+        // Throws if the address can't be one of a socket.
+        const opened = Result.wrap(() =>
+            sendRequest({
+                agent: connections.agent,
+                host: connections.address.ip,
+                port: connections.address.port,
+                method: options.method,
+                path: options.path,
+                headers: options.headers.flat(),
+                setHost: false,
+            })
+        );
+        if (opened.err) {
+            resolve({ kind: "unsent", reason: reasonOf(opened.val as Error) });
+            return;
+        }
+        const outgoing = opened.val;
         const closeConnection = (): void => {
             failed = true;
             outgoing.destroy();
--- a/packages/gateway/src/upstreams/probeAddress.ts
+++ b/packages/gateway/src/upstreams/probeAddress.ts
@@ -1,4 +1,5 @@
 import { connect } from "node:net";
+import { Result } from "ts-results";
 import type { ProbeResult } from "./probeResult";
 import type { UpstreamAddress } from "./upstreamAddress";
 
@@ -8,7 +9,13 @@
 /** Opens a connection and closes it again, without sending anything. */
 export const probeAddress = ({ ip, port }: UpstreamAddress): Promise<ProbeResult> =>
     new Promise(resolve => {
-        const socket = connect({ host: ip, port });
+        const connected = Result.wrap(() => connect({ host: ip, port }));
+        if (connected.err) {
+            // The address can't be one of a socket.
+            resolve("unknown");
+            return;
+        }
+        const socket = connected.val;
         const finish = (result: ProbeResult): void => {
             clearTimeout(timer);
             socket.destroy();
