test(edge): a host that is out of step joins streams of two versions

A host that stood still, or was cut off from the store and the others, while upstreams of a second version came, knows one version and asks nobody: a stream that began at the second version elsewhere is bound to the first. The options that they need are declared here and not used yet.

--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -8,8 +8,9 @@
     type ServiceName,
     type SoftwareVersion,
 } from "@ibislanding/core";
-import type { StreamOrigin } from "@ibislanding/gateway";
+import { STREAM_LIFETIME_MS, type StreamOrigin } from "@ibislanding/gateway";
 import { Err, Ok } from "ts-results";
+import { bindStream } from "../../gateway/src/streams/bindStream";
 import { createStreamOriginStore } from "../src/createStreamOriginStore";
 import type { StreamOriginStore } from "../src/streamOriginStore";
 
@@ -23,6 +24,9 @@
 /** Hosts that reach each other, except those in `lost`. */
 const createGroup = async (size: number) => {
     const clock = createFakeClock();
+    /** Hosts that have not heard of the second version, and the time since the store or a peer confirmed the versions. */
+    const outOfStep = new Set<string>();
+    const state = { confirmedAgeMs: 0 };
     const hasher = await createHasher();
     const addresses = Array.from({ length: size }, (_, index) => `10.0.0.${index}:1`);
     const lost = new Set<string>();
@@ -48,8 +52,12 @@
                         return reply === undefined ? unreachable : Ok(reply);
                     },
                 }),
-                versionsOf:
-                    () => [{ softwareVersion: V1, knownForMs: Infinity }, { softwareVersion: V2, knownForMs: 1 }],
+                versionsOf: () => [
+                    { softwareVersion: V1, knownForMs: Infinity },
+                    ...outOfStep.has(ownAddress) ? [] : [{ softwareVersion: V2, knownForMs: 1 }],
+                ],
+                confirmedAgeMs: () => outOfStep.has(ownAddress) ? state.confirmedAgeMs : 0,
+                hasPeers: () => size > 1,
                 areVersionsRead: () => false,
                 onUnrecorded: () => undefined,
             }),
@@ -59,7 +67,7 @@
     if (first === undefined) {
         throw new Error("no host");
     }
-    return { addresses, lost, first, others };
+    return { clock, addresses, lost, outOfStep, state, first, others };
 };
 
 const origin = (fields: Partial<StreamOrigin> = {}): StreamOrigin => ({
@@ -108,3 +116,46 @@
     addresses.slice(2).forEach(address => lost.add(address));
     expect((await others[0]?.find(REQUEST, ACCOUNT, SERVICE))?.recordedForMs).toBe(0);
 });
+
+// A host that stood still, or was cut off from the store and the others, while a second version came.
+test("a stream that began at the second version is found by a host that has not heard of that version", async () => {
+    const { clock, addresses, outOfStep, state, first, others } = await createGroup(8);
+    await clock.advance(STREAM_LIFETIME_MS);
+    outOfStep.add(addresses[1] ?? "");
+    state.confirmedAgeMs = 5_000;
+    await first.record(origin({ softwareVersion: V2 }));
+    expect((await others[0]?.find(REQUEST, ACCOUNT, SERVICE))?.origin?.softwareVersion).toBe(V2);
+});
+
+test.each([2, 8])(
+    "of %d hosts, one that is cut off from all others does not take the version that it knows for the only one",
+    async size => {
+        const { clock, addresses, lost, outOfStep, state, others } = await createGroup(size);
+        await clock.advance(STREAM_LIFETIME_MS);
+        outOfStep.add(addresses[1] ?? "");
+        state.confirmedAgeMs = 5_000;
+        addresses.forEach(address => lost.add(address));
+        const finding = others[0]?.find("not recorded" as RequestId, ACCOUNT, SERVICE);
+        await clock.advance(1_000);
+        const knowledge = await finding;
+        const versions = [{ softwareVersion: V1, knownForMs: Infinity }];
+        expect(knowledge === undefined ? undefined : bindStream(knowledge, versions, ACCOUNT)).toEqual({
+            kind: "unknown",
+        });
+    },
+);
+
+test("a host whose versions were just confirmed takes the only one for the only one, although a host is gone", async () => {
+    const { clock, addresses, lost, outOfStep, state, others } = await createGroup(8);
+    await clock.advance(STREAM_LIFETIME_MS);
+    addresses.forEach(address => outOfStep.add(address));
+    state.confirmedAgeMs = 300;
+    addresses.slice(2, 6).forEach(address => lost.add(address));
+    const finding = others[0]?.find(REQUEST, ACCOUNT, SERVICE);
+    await clock.advance(1_000);
+    const knowledge = await finding;
+    const versions = [{ softwareVersion: V1, knownForMs: Infinity }];
+    expect(knowledge === undefined ? undefined : bindStream(knowledge, versions, ACCOUNT)).toMatchObject({
+        kind: "bound",
+    });
+});
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -194,6 +194,8 @@
         ownAddress: settings.listen.peers,
         hostAddresses: liveHostAddresses,
         exchange: () => peers.exchange,
+        confirmedAgeMs: () => Infinity,
+        hasPeers: () => registeredHosts.some(({ address }) => address !== settings.listen.peers),
         versionsOf: upstreams.versionsOf,
         areVersionsRead: () => versions.store?.isRead() === true,
         onUnrecorded: ({ requestId, softwareVersion }) =>
--- a/packages/edge/src/streamOriginStoreOptions.ts
+++ b/packages/edge/src/streamOriginStoreOptions.ts
@@ -16,5 +16,12 @@
     readonly onUnrecorded: (origin: StreamOrigin) => void;
     /** Whether the versions of the time before this host started have been read from the platform's store. */
     readonly areVersionsRead: () => boolean;
+    /**
+     * Time since the store, or a host that had heard from it, confirmed that this host has the newest list of upstreams; Infinity if
+     * a newer one is known to exist.
+     */
+    readonly confirmedAgeMs: () => number;
+    /** Whether other hosts are registered, also if none of them is reached. */
+    readonly hasPeers: () => boolean;
     readonly versionsOf: (service: ServiceName) => readonly RegisteredVersion[];
 }
