fix(edge): a stream is not continued at the only version that a host knows if it may not know all

Streams that had begun on upstreams of a new version through other hosts broke, were taken up at a host that was out of step, and went on at the version before: an answer of two parts that do not fit.

Cause: a host that knows one version asked nobody. How old its picture was did not matter, though a host that stood still or was cut off knows what there was before.

Each host keeps how long ago the store, or a peer that had heard from it and has no newer list, confirmed its list of upstreams (reports carry that time; the clock that shows more counts, for machines that were suspended). Within a second the only version is the only one without asking; else the holders of the stream are asked, and all but one of them must answer. Otherwise the stream is refused as not run.

--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -44,6 +44,12 @@
         }
     };
 
+    const confirm = (): void => {
+        if (!needsSnapshot) {
+            options.onConfirmed?.();
+        }
+    };
+
     const setReachable = (isReachable: boolean, reason: string): void => {
         if (isReachable !== isStoreReachable) {
             isStoreReachable = isReachable;
@@ -61,6 +67,7 @@
             // The epoch may have risen again while the pages were read.
             needsSnapshot = snapshot.epoch < storeEpoch.current();
             update(replaceDocuments(current, snapshot), "store");
+            confirm();
             return false;
         });
     };
@@ -84,6 +91,7 @@
             if (changes.changes.length > 0 || changes.revision > latest.revision) {
                 update(applyChanges(latest, changes), "store");
             }
+            confirm();
             return changes.changes.length > 0;
         });
     };
--- a/packages/discovery/src/documents/documentWatcherOptions.ts
+++ b/packages/discovery/src/documents/documentWatcherOptions.ts
@@ -18,6 +18,8 @@
     readonly batchDelayMs: () => number;
     /** Called with each newer set; `source` is the store or a peer, whichever delivered it. */
     readonly onChange: (set: DocumentSet, source: "store" | "peer") => void;
+    /** Called when the store has answered that it has no newer set than the current one. */
+    readonly onConfirmed?: (() => void) | undefined;
     /** Called with what `onChange` threw. */
     readonly onChangeFailed: (error: unknown) => void;
     /** Called when the store becomes unreachable or reachable again. */
--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -159,3 +159,19 @@
         kind: "bound",
     });
 });
+
+test("a host that is gone leaves the only version the only one, several that do not answer do not", async () => {
+    const { clock, addresses, lost, outOfStep, state, others } = await createGroup(5);
+    await clock.advance(STREAM_LIFETIME_MS);
+    addresses.forEach(address => outOfStep.add(address));
+    state.confirmedAgeMs = 5_000;
+    const find = async () => {
+        const finding = others[0]?.find(REQUEST, ACCOUNT, SERVICE);
+        await clock.advance(1_000);
+        return (await finding)?.areVersionsCurrent;
+    };
+    lost.add(addresses[4] ?? "");
+    expect(await find()).toBe(true);
+    lost.add(addresses[3] ?? "");
+    expect(await find()).toBe(false);
+});
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -59,7 +59,8 @@
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
     options: EdgeOptions,
-    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRollingOut, isRelayed }: DocumentCacheOptions,
+    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRollingOut, isRelayed, onUpstreamsConfirmed }:
+        DocumentCacheOptions,
 ): DocumentCache => {
     const { documents, log, history, storeEpoch, clock, random, settings } = options;
     const withoutRestoredEntries = createRestoredEntryFilter(clock);
@@ -187,6 +188,7 @@
         isRelayed: isWatchRelayed,
         batchDelayMs,
         onChange,
+        onConfirmed: name === documentSetNames.upstreams ? onUpstreamsConfirmed : undefined,
         onChangeFailed: error =>
             log.write("documents_not_applied", {
                 set: name,
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -14,7 +14,8 @@
         [...counts].map(([accountId, count]) => [window, accountId, count] as const)
     );
 
-/** Returns a function that creates the next report of this host; `reachRows` tells which upstreams it does not reach. */
+/** Returns a function that creates the next report of this host; `reachRows` tells which upstreams it does not reach, and
+ * `upstreamsAgeMs` how long ago its list of them was confirmed. */
 export const createReportFactory = (
     {
         documentCache,
@@ -31,6 +32,7 @@
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
     reachRows: () => readonly ReachRow[] = () => [],
+    upstreamsAgeMs: () => number = () => Infinity,
 ): () => HostReport => {
     let sequence = 0;
 
@@ -40,6 +42,7 @@
         const brittle = upstreams.brittle.rows();
         const usages = [...accounts.usages()];
         const cutOff = reachRows();
+        const ageMs = upstreamsAgeMs();
         return {
             hostId,
             hostName,
@@ -49,6 +52,7 @@
             wallMs: clock.wallMs(),
             positions: documentCache.positions(),
             isInContact: documentCache.isStoreReachable(),
+            upstreamsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
             hostCount: 1,
             oldestMs: 0,
             loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
--- a/packages/edge/src/createStreamOriginStore.ts
+++ b/packages/edge/src/createStreamOriginStore.ts
@@ -18,6 +18,12 @@
 /** Time for which other replies are awaited once a host knows the stream: it may know an earlier attempt only. */
 const OTHER_REPLIES_WAIT_MS = 60;
 
+/**
+ * Time since the list of upstreams was confirmed within which it has all versions with which a stream can have begun that is
+ * taken up now: a version has to be registered, begin the stream and lose it first.
+ */
+const CURRENT_WITHIN_MS = 1_000;
+
 /** Origins that are remembered; the oldest are dropped. */
 const MAXIMUM_ORIGINS = 10_000;
 
@@ -38,6 +44,12 @@
 
 const keyOf = (requestId: string, accountId: string | undefined): string => `${requestId} ${accountId ?? ""}`;
 
+/**
+ * Replies that show what is known of a stream: one host may be gone, as another holder is among those that are left, but a host that
+ * reaches few of the others may be cut off from them.
+ */
+const requiredReplies = (askedHosts: number): number => Math.max(askedHosts - 1, Math.floor(askedHosts / 2) + 1);
+
 /** Resolves with the first of the replies that has an origin; undefined if all have ended without one. */
 const findFirst = (calls: readonly Promise<StreamOriginReply | undefined>[]): Promise<unknown> =>
     Promise.any(calls.map(async call => (await call)?.origin ?? Promise.reject(new Error("not known")))).catch(() =>
@@ -52,6 +64,7 @@
  */
 export const createStreamOriginStore = (options: StreamOriginStoreOptions): StreamOriginStore => {
     const { clock, hasher, ownAddress, hostAddresses, exchange, versionsOf, areVersionsRead, onUnrecorded } = options;
+    const { confirmedAgeMs, hasPeers } = options;
     const origins = new Map<string, { readonly origin: StreamOrigin; readonly atMs: number; }>();
     const startedAtMs = clock.monotonicMs();
 
@@ -102,10 +115,11 @@
                 recordedForMs: 0,
                 uptimeMs: uptimeMs(),
                 areVersionsComplete: areVersionsRead() || uptimeMs() >= STREAM_LIFETIME_MS,
+                areVersionsCurrent: !hasPeers() || confirmedAgeMs() <= CURRENT_WITHIN_MS,
                 peerVersions: [],
             };
             const isOnlyVersion = uptimeMs() >= STREAM_LIFETIME_MS && versionsOf(service).length === 1;
-            if (isOnlyVersion) {
+            if (isOnlyVersion && own.areVersionsCurrent) {
                 return own;
             }
             const query = { requestId, accountId: accountId ?? "", service };
@@ -130,6 +144,7 @@
                 recordedForMs: replies.length === calls.length
                     ? Math.min(uptimeMs(), ...replies.map(reply => Number(reply.uptimeMs)))
                     : 0,
+                areVersionsCurrent: own.areVersionsCurrent || replies.length >= requiredReplies(calls.length),
                 areVersionsComplete: own.areVersionsComplete
                     || replies.some(reply => Number(reply.uptimeMs) >= STREAM_LIFETIME_MS),
                 peerVersions: replies.flatMap(({ softwareVersions }) => softwareVersions as SoftwareVersion[]),
--- a/packages/edge/src/documentCacheOptions.ts
+++ b/packages/edge/src/documentCacheOptions.ts
@@ -10,6 +10,8 @@
     readonly onRolloutStates: (set: DocumentSet) => void;
     /** Whether a rollout is under way, so that a lost store must be detected soon. */
     readonly isRollingOut: () => boolean;
+    /** Called when the store has answered that it has no newer list of upstreams than the current one. */
+    readonly onUpstreamsConfirmed: () => void;
     /** Whether a collector currently tells this host when upstreams and hosts change. */
     readonly isRelayed: () => boolean;
 }
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -22,6 +22,11 @@
     readonly positions: Readonly<Record<string, readonly [epoch: number, revision: number]>>;
     /** Whether this host can reach the store. */
     readonly isInContact: boolean;
+    /**
+     * Time since it was confirmed that this host has the newest list of upstreams, when the report was created; absent if it was
+     * not.
+     */
+    readonly upstreamsAgeMs?: number | undefined;
     /** Number of hosts whose state the report contains. */
     readonly hostCount: number;
     /** Age of the oldest of their states when the report was created. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -16,6 +16,7 @@
 import { createAdmission } from "./admission/createAdmission";
 import { applyHostReport } from "./applyHostReport";
 import { assignPeerGroups } from "./assignPeerGroups";
+import { createConfirmationAge } from "./createConfirmationAge";
 import { createDocumentCache } from "./createDocumentCache";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
@@ -118,6 +119,16 @@
         );
         upstreams.replace(records);
     };
+    const upstreamsAge = createConfirmationAge(clock);
+    /** A peer that has no newer list of upstreams confirms the own one as of the time at which its own was confirmed. */
+    const observeUpstreamsAge = (report: HostReport, ageMs: number): void => {
+        if (documentCache.staleSets(report.positions).includes(documentSetNames.upstreams)) {
+            upstreamsAge.revoke();
+        }
+        else if (report.upstreamsAgeMs !== undefined) {
+            upstreamsAge.confirm(report.upstreamsAgeMs + ageMs);
+        }
+    };
     const documentCache = createDocumentCache(options, {
         onUpstreams: replaceUpstreams,
         onHosts: hosts => {
@@ -128,6 +139,7 @@
         onRolloutStates: set => rollouts?.registry.observeStates(set),
         isRollingOut: () => rollouts?.registry.isRollingOut() ?? false,
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
+        onUpstreamsConfirmed: () => upstreamsAge.confirm(0),
     });
     resources.use(documentCache);
 
@@ -194,7 +206,7 @@
         ownAddress: settings.listen.peers,
         hostAddresses: liveHostAddresses,
         exchange: () => peers.exchange,
-        confirmedAgeMs: () => Infinity,
+        confirmedAgeMs: upstreamsAge.ageMs,
         hasPeers: () => registeredHosts.some(({ address }) => address !== settings.listen.peers),
         versionsOf: upstreams.versionsOf,
         areVersionsRead: () => versions.store?.isRead() === true,
@@ -311,7 +323,7 @@
         rollouts,
         admission,
     };
-    const createReport = createReportFactory(components, settings, clock, relay?.reachRows);
+    const createReport = createReportFactory(components, settings, clock, relay?.reachRows, upstreamsAge.ageMs);
 
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
@@ -328,7 +340,8 @@
         createReport,
         aggregation: createReportAggregation(clock, settings.hostId, createReport),
         decodeReport: decodeHostReport,
-        onReport: (report, ageMs) =>
+        onReport: (report, ageMs) => {
+            observeUpstreamsAge(report, ageMs);
             applyHostReport(
                 components,
                 options.storeEpoch,
@@ -345,7 +358,8 @@
                         rejectionsPerS,
                         source: report.hostName,
                     }),
-            ),
+            );
+        },
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
         onStreamOrigin: streamOrigins.remember,
--- a/packages/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/gateway/__tests__/streamVersions.spec.ts
@@ -29,6 +29,7 @@
     recordedForMs: 600_000,
     uptimeMs: 600_000,
     areVersionsComplete: true,
+    areVersionsCurrent: true,
     peerVersions: [],
 };
 
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -127,6 +127,7 @@
                 recordedForMs: 1,
                 uptimeMs: 1,
                 areVersionsComplete: true,
+                areVersionsCurrent: true,
                 peerVersions: [],
             }),
         },
--- a/packages/gateway/src/streams/bindStream.ts
+++ b/packages/gateway/src/streams/bindStream.ts
@@ -13,10 +13,11 @@
  * Handles two versions side by side in one service while hosts are killed: the host that began the stream may be gone, and
  * another version at which the stream went on would make one stream of two that do not fit. While one version alone is
  * registered, origins are not recorded. A stream that nobody knows then began before the second version came, unless
- * hosts that would know it, or this one, have started since. `versions` has those known longest first.
+ * hosts that would know it, or this one, have started since, or this one may not have heard of a version. `versions` has those
+ * known longest first.
  */
 export const bindStream = (
-    { origin, recordedForMs, uptimeMs, areVersionsComplete, peerVersions }: StreamKnowledge,
+    { origin, recordedForMs, uptimeMs, areVersionsComplete, areVersionsCurrent, peerVersions }: StreamKnowledge,
     versions: readonly RegisteredVersion[],
     accountId: AccountId | undefined,
 ): StreamBinding => {
@@ -31,7 +32,7 @@
     if (oldest === undefined || isKnownToPeersOnly) {
         return { kind: "unknown" };
     }
-    const isOnlyOne = second === undefined && areVersionsComplete;
+    const isOnlyOne = second === undefined && areVersionsComplete && areVersionsCurrent;
     const isBegunBefore = second !== undefined && second.knownForMs < STREAM_LIFETIME_MS
         && second.knownForMs < recordedForMs && uptimeMs - second.knownForMs >= INTRODUCTION_MS;
     return isOnlyOne || isBegunBefore
--- a/packages/gateway/src/streams/streamKnowledge.ts
+++ b/packages/gateway/src/streams/streamKnowledge.ts
@@ -16,6 +16,11 @@
      * begun, because it has been running for that long or has read the versions of the time before its start.
      */
     readonly areVersionsComplete: boolean;
+    /**
+     * Whether no version can have been registered that neither this host nor one that answered knows. A host that stood still,
+     * or was cut off from the others, knows what there was before.
+     */
+    readonly areVersionsCurrent: boolean;
     /** Versions of the service that were registered a short time ago, as the other hosts know. */
     readonly peerVersions: readonly SoftwareVersion[];
 }
