test(soak): hosts lose their links to all upstreams, to those of a service, or to most of them

Half of the hosts lose links for nine seconds or more; no connection can be opened, and open ones are reset, fall silent or live on. The check cut-off compares what these hosts serve with the hosts that no cut affects.

--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -44,6 +44,7 @@
     crashes: [],
     limits: [],
     brittlePeriods: [],
+    cuts: [],
     rejectionCrashes: [],
     usage: [],
     disturbances: [],
@@ -139,6 +140,26 @@
     expect(violatedChecks({ leaving: [{ upstreamId: "u1", acceptedAtMs: 16_500 }], disturbances })).toEqual([]);
 });
 
+test("reports hosts that serve their callers far worse while they reach few upstreams, unless the others are cut off too", () => {
+    const cut = { hostNames: new Set(["host-2"]), fromMs: 10_000, untilMs: 30_000 };
+    const attemptsOf = (hostName: string, served: number) =>
+        Array.from(
+            { length: 40 },
+            (_, index) =>
+                attempt({
+                    requestId: `${hostName}-${index}`,
+                    hostName,
+                    kind: "repeatable",
+                    status: index < served ? 200 : 503,
+                }),
+        );
+    const checksOf = (served: number, cuts = [cut]) =>
+        violatedChecks({ cuts, attempts: [...attemptsOf("host-1", 40), ...attemptsOf("host-2", served)] });
+    expect(checksOf(26)).toContain("cut-off");
+    expect(checksOf(28)).not.toContain("cut-off");
+    expect(checksOf(0, [cut, { ...cut, hostNames: new Set(["host-1"]) }])).not.toContain("cut-off");
+});
+
 test.each([["part", 5], ["request", 3]] as const)(
     "reports requests that reach upstreams after the same %s has crashed %d of them",
     (kind, maximum) => {
--- a/packages/soak/src/checks/checkRecords.ts
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -3,6 +3,7 @@
 import { checkBrittle } from "./checkBrittle";
 import { checkConfiguration } from "./checkConfiguration";
 import { checkCrashes } from "./checkCrashes";
+import { checkCuts } from "./checkCuts";
 import { checkLeaving } from "./checkLeaving";
 import { checkLimits } from "./checkLimits";
 import { checkRecovery } from "./checkRecovery";
@@ -21,6 +22,7 @@
     ...checkConfiguration(records, bounds),
     ...checkLeaving(records, bounds),
     ...checkCrashes(records, bounds),
+    ...checkCuts(records, bounds),
     ...checkLimits(records, bounds),
     ...checkBrittle(records, bounds),
     ...checkVersions(records),
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -1,6 +1,7 @@
 import type { LinkMode } from "../links/linkMode";
 import type { FaultContext } from "./faultContext";
 import type { FaultKind } from "./faultKind";
+import type { HostCut } from "./hostCut";
 import type { SoakHost } from "./soakHost";
 import type { SoakUpstream } from "./soakUpstream";
 import type { StoreFault } from "./storeFault";
@@ -69,6 +70,41 @@
         upstream.setFault("none");
     });
 
+const HOST_CUTS: readonly HostCut[] = ["live-on", "silent", "reset"];
+
+/** Minimum time of a cut: the time of contact, and some seconds in which callers are counted. */
+const CUT_MS = 9_000;
+
+/** Part of the hosts that lose links at once. */
+const CUT_SHARE = 0.5;
+
+/** Cuts hosts off from some of the upstreams at the same time. */
+const cutHosts =
+    (select: (upstreams: readonly SoakUpstream[], target: number) => readonly SoakUpstream[]): Handler =>
+    async ({ world: { hosts, upstreams, records }, step, sleep }) => {
+        const count = Math.max(1, Math.floor(hosts.length * CUT_SHARE));
+        const first = Math.floor(step.target * hosts.length);
+        const indexes = Array.from({ length: count }, (_, index) => (first + index) % hosts.length);
+        const kind = HOST_CUTS[Math.floor(step.forMs) % HOST_CUTS.length] ?? "silent";
+        const cut = {
+            hostNames: new Set(indexes.flatMap(index => hosts[index]?.process.hostName ?? [])),
+            fromMs: performance.now(),
+            untilMs: Infinity,
+        };
+        records.cuts.push(cut);
+        const ends = select(upstreams, step.target).flatMap(upstream =>
+            indexes.map(index => upstream.cutOff(index, kind))
+        );
+        await sleep(CUT_MS + step.forMs);
+        ends.forEach(end => end());
+        cut.untilMs = performance.now();
+    };
+
+const ofOneService = (upstreams: readonly SoakUpstream[], target: number): readonly SoakUpstream[] => {
+    const services = [...new Set(upstreams.map(({ service }) => service))];
+    return upstreams.filter(({ service }) => service === pick(services, target));
+};
+
 /** For faults that affect the connections of every host: none counts as connected while the fault lasts. */
 const onAllHosts = (act: (context: FaultContext) => Promise<void>): Handler => async context => {
     const endDisturbance = context.startDisturbance(undefined);
@@ -133,6 +169,9 @@
         await sleep(step.forMs);
         link.setMode("pass");
     })),
+    "hosts-lose-upstreams": cutHosts(upstreams => upstreams),
+    "hosts-lose-service": cutHosts(ofOneService),
+    "hosts-lose-most-upstreams": cutHosts((upstreams, target) => ofOneService(upstreams, target).slice(1)),
     "upstream-leaves": onUpstream(upstream => upstream.leave()),
     "upstream-crashes": onUpstream((upstream, { step }) => upstream.crash(step.forMs)),
     "upstream-changes-version": onUpstream(upstream => upstream.changeVersion()),
--- a/packages/soak/src/faults/soakUpstream.ts
+++ b/packages/soak/src/faults/soakUpstream.ts
@@ -1,9 +1,14 @@
 import type { LinkProxy } from "../links/linkProxy";
+import type { HostCut } from "./hostCut";
 import type { UpstreamFault } from "./upstreamFault";
 
 /** An upstream of the test environment, reachable only through a link proxy. */
 export interface SoakUpstream {
+    /** Link to which the links of all hosts lead. */
     readonly link: LinkProxy;
+    readonly service: string;
+    /** Cuts a host off from it and from its replacements; returns a function that ends the cut. */
+    readonly cutOff: (hostIndex: number, cut: HostCut) => () => void;
     readonly setFault: (fault: UpstreamFault) => void;
     /** Writes its entry to the store again. */
     readonly register: () => void;
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,6 +6,7 @@
 // Faults
 export { faultHandlers } from "./faults/faultHandlers";
 export type { FaultKind } from "./faults/faultKind";
+export type { HostCut } from "./faults/hostCut";
 export type { SoakHost } from "./faults/soakHost";
 export type { SoakRoute } from "./faults/soakRoute";
 export type { SoakUpstream } from "./faults/soakUpstream";
--- a/packages/soak/src/links/createLinkProxy.ts
+++ b/packages/soak/src/links/createLinkProxy.ts
@@ -95,6 +95,7 @@
         server.once("error", reject);
         server.listen(0, "127.0.0.1", resolve);
     });
+    const { port } = server.address() as AddressInfo;
 
     const silence = (): void =>
         connections.forEach(connection => {
@@ -106,6 +107,7 @@
         pass: () => undefined,
         delay: () => undefined,
         refuse: () => undefined,
+        unreachable: () => void server.close(),
         silent: silence,
         "half-open": () =>
             connections.forEach(connection => {
@@ -120,8 +122,11 @@
         });
 
     return {
-        port: (server.address() as AddressInfo).port,
+        port,
         setMode: next => {
+            if (mode === "unreachable" && next !== "unreachable") {
+                server.listen(port, "127.0.0.1");
+            }
             mode = next;
             onMode[next]();
         },
--- a/packages/soak/src/records/soakRecords.ts
+++ b/packages/soak/src/records/soakRecords.ts
@@ -25,6 +25,8 @@
     readonly brittlePeriods: { readonly fromMs: number; readonly upstreamCount: number; untilMs: number; }[];
     /** Crashes of brittle upstreams under rejections. */
     readonly rejectionCrashes: { readonly upstreamId: string; readonly atMs: number; }[];
+    /** Times in which some hosts reached no upstream, none of a service, or few; other hosts reached all. */
+    readonly cuts: { readonly hostNames: ReadonlySet<string>; readonly fromMs: number; untilMs: number; }[];
     readonly usage: UsageReport[];
     readonly disturbances: Disturbance[];
     /** Monotonic time at which the last fault ended. */
