fix(relay): refused connections lead to a check at once, also just after another check

An upstream that is found to be unreached leads to a check at once; each does so once until it is reached again.

--- a/packages/relay/__tests__/unreachedUpstreams.spec.ts
+++ b/packages/relay/__tests__/unreachedUpstreams.spec.ts
@@ -74,6 +74,22 @@
     );
 });
 
+// Guards against requests that are refused one after the other because the last check ended just before the cut.
+test("a refused connection leads to a check at once, although one has just succeeded", async () => {
+    const clock = createFakeClock();
+    const reachability = createUpstreamReachability(clock.monotonicMs);
+    const [first, second] = IDS as [UpstreamId, UpstreamId];
+    await clock.advance(1_000);
+    reachability.recordCheck({ startedAtMs: 995, probes: [{ upstreamId: first, isListening: true }] });
+    await clock.advance(5);
+    reachability.recordUnreachable(second);
+    expect(reachability.isCheckDue(undefined, undefined)).toBe(true);
+    reachability.recordCheck({ startedAtMs: 1_005, probes: [{ upstreamId: first, isListening: true }] });
+    await clock.advance(5);
+    reachability.recordUnreachable(second);
+    expect(reachability.isCheckDue(undefined, undefined)).toBe(false);
+});
+
 test("upstreams that are no longer registered are not probed", () => {
     const reachability = createUpstreamReachability(() => 10_000);
     IDS.forEach(id => reachability.recordUnreachable(id));
--- a/packages/relay/src/decisions/createUpstreamReachability.ts
+++ b/packages/relay/src/decisions/createUpstreamReachability.ts
@@ -61,6 +61,8 @@
     const progressedUpstreams = new Set<UpstreamId>();
     let connectedAtMs = -Infinity;
     let anyFailureAtMs = -Infinity;
+    /** When an upstream was last found to be unreached that had been presumed to be reached. */
+    let lostAtMs = -Infinity;
     let anyProgressAtMs = -Infinity;
     let checkedAtMs = -Infinity;
     let unreachableSinceMs: number | undefined;
@@ -96,6 +98,7 @@
         const known = unreached.get(upstreamId);
         recordFailure(upstreamId);
         unreached.set(upstreamId, { sinceMs: known?.sinceMs ?? nowMs(), probedAtMs: nowMs() });
+        lostAtMs = known === undefined ? nowMs() : lostAtMs;
         return known === undefined;
     };
 
@@ -121,7 +124,9 @@
             const isSilent = waitingSinceMs !== undefined
                 && nowMs() - Math.max(waitingSinceMs, contactAtMs) >= SILENCE_MS;
             return (isSilent || overdueId !== undefined) && sinceCheckMs >= SILENCE_CHECK_INTERVAL_MS
-                || anyFailureAtMs > connectedAtMs && sinceCheckMs >= FAILURE_CHECK_INTERVAL_MS;
+                || anyFailureAtMs > connectedAtMs && sinceCheckMs >= FAILURE_CHECK_INTERVAL_MS
+                // A cut may have begun just after the last check; each upstream leads to this once.
+                || lostAtMs > Math.max(checkedAtMs, connectedAtMs);
         },
         isOverdue: ({ upstreamId, startedAtMs, patienceMs }) =>
             !unreached.has(upstreamId)
--- a/packages/soak/src/checks/checkCuts.ts
+++ b/packages/soak/src/checks/checkCuts.ts
@@ -36,7 +36,8 @@
             )
         );
         const [served, servedByOthers] = [countServed(cutOff), countServed(others)];
-        const isServedLess = served * others.length < servedByOthers * cutOff.length * MINIMUM_RELATIVE_SHARE;
+        const isServedLess = others.length >= MINIMUM_ATTEMPTS
+            && served * others.length < servedByOthers * cutOff.length * MINIMUM_RELATIVE_SHARE;
         const isTolerated = cutOff.length - served <= TOLERATED_FAILURES + attempts.length * TOLERATED_FAILURE_SHARE;
         return !isServedLess || isTolerated ? [] : [{
             check: "cut-off",
