fix(edge): losses of a host that reached nothing are no evidence of crashes

A cut-off host whose event loop was so delayed that no check of the upstreams counted took its own losses for crashes, and sound requests were quarantined at all hosts.

Cause: a crash counted unless a cut was known; a host that could not confirm that it reached another upstream, and knew of no cut, accused all the same. It now waits for the reports and tries again, and the crash counts only if it has reached another upstream by then, or there is none.

--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -12,14 +12,9 @@
 import { createServicePaths } from "./createServicePaths";
 import type { HostRelay } from "./hostRelay";
 import type { HostRelayOptions } from "./hostRelayOptions";
+import { judgeCrash } from "./judgeCrash";
 import type { ReachRow } from "./reachRow";
 
-/**
- * Time after which a crash that this host saw while it reached no upstream is judged: peers report within it whether they
- * reach upstreams, and a host notices a cut within it.
- */
-const VERDICT_DELAY_MS = 1_000;
-
 /**
  * Largest share of a service's upstreams that a host reaches if others are told and take requests. Crashes of a few upstreams
  * cost more of them seldom.
@@ -120,22 +115,22 @@
             accuse();
             return;
         }
-        const { history, monitor } = path;
-        if (history.classify(seenAtMs) === "reached" && await monitor.confirmReach(seenAtMs, upstreamId)) {
+        const { service, history, monitor } = path;
+        const isCrash = await judgeCrash({
+            classify: () => history.classify(seenAtMs),
+            confirmReach: () => monitor.confirmReach(seenAtMs, upstreamId),
+            hasOthers: () =>
+                upstreams.records().some(record => record.service === service && record.upstreamId !== upstreamId),
+            isCutOff: () => isCutOff(service),
+            sleep: delayMs => clock.sleep(delayMs),
+        });
+        if (isCrash) {
             accuse();
             return;
         }
-        if (history.classify(seenAtMs) === "open") {
-            await clock.sleep(VERDICT_DELAY_MS);
-        }
-        const verdict = history.classify(seenAtMs);
-        if (verdict === "cut-off" || verdict === "open" && isCutOff(path.service)) {
-            dropped.add(1);
-            upstreams.forgetCrash(suspect);
-            log.write("crash_evidence_dropped", { upstreamId, startedAtMs, crashedAtMs: Math.round(crashedAtMs) });
-            return;
-        }
-        accuse();
+        dropped.add(1);
+        upstreams.forgetCrash(suspect);
+        log.write("crash_evidence_dropped", { upstreamId, startedAtMs, crashedAtMs: Math.round(crashedAtMs) });
     };
 
     const observeSends = (table: UpstreamTable): UpstreamTable => ({
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -2,6 +2,7 @@
 export { chooseRelayPeer } from "./decisions/chooseRelayPeer";
 export { createCutHistory } from "./decisions/createCutHistory";
 export { createUpstreamReachability } from "./decisions/createUpstreamReachability";
+export type { CutHistory } from "./decisions/cutHistory";
 export { judgeCutOff } from "./decisions/judgeCutOff";
 export type { ProbeTarget } from "./decisions/probeTarget";
 export type { RelayPeer } from "./decisions/relayPeer";
