--- a/packages/edge/__tests__/cutOffService.spec.ts
+++ b/packages/edge/__tests__/cutOffService.spec.ts
@@ -2,9 +2,11 @@
 // upstreams of a service, while it reaches others: their requests must be served through a peer, or where there is room.
 import { actEveryMs } from "./support/actEveryMs";
 import { pauseMs } from "./support/pauseMs";
+import { readStream } from "./support/readStream";
 import { sendTestRequest } from "./support/sendTestRequest";
 import { startPacedTime } from "./support/startPacedTime";
 import { startRelayGroup } from "./support/startRelayGroup";
+import { startVersionedUpstream } from "./support/startVersionedUpstream";
 
 const NOTICE_MS = 1_000;
 
@@ -122,3 +124,24 @@
     expect(tries.length).toBeGreaterThan(5);
     expect(tries.filter(({ status }) => status !== 200)).toEqual([]);
 }, 240_000);
+
+test("streams under way when the links to five upstreams of six begin to hang go on at others", async () => {
+    await using _paced = startPacedTime();
+    await using group = await startRelayGroup({
+        hosts: 2,
+        behindForwarders: 1,
+        route: { ...ROUTE, kind: "stream", isResumable: true, maximumAttempts: 3 },
+        startUpstream: (store, index) => startVersionedUpstream(store, `u-${index}`, "v1", () => false),
+        isBehindForwarder: index => index > 0,
+    });
+    const reads: ReturnType<typeof readStream>[] = [];
+    const read = (host: number, id: string): void =>
+        void reads.push(readStream(group.hosts[host]?.callers ?? 0, { requestId: id }));
+    // Both hosts' streams earn the retry budget.
+    await actEveryMs(40, 2_000, index => [0, 1].forEach(host => read(host, `before-${host}-${index}`)));
+    reads.length = 0;
+    setTimeout(() => void group.forwarders[0]?.hang(), 400);
+    await actEveryMs(50, 800, index => read(0, `s${index}`));
+    const streams = await Promise.all(reads);
+    expect(streams.filter(({ lastEventId }) => lastEventId === 8).length).toBeGreaterThan(streams.length * 0.8);
+}, 240_000);
