--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -15,9 +15,12 @@
         Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(", ") : value]),
     );
 
-/** Creates an HTTP client with a connection pool; the connection of a timed-out request is destroyed, not reused. */
-export const createHttpClient = () => {
-    const agent = new Agent({ keepAlive: true, timeout: IDLE_CONNECTION_TIMEOUT_MS, maxFreeSockets: 16 });
+/**
+ * Creates an HTTP client with a connection pool; the connection of a timed-out request is destroyed, not reused. Without
+ * `keepsConnections` each request has its own, for servers that may write an earlier response again.
+ */
+export const createHttpClient = ({ keepsConnections = true }: { readonly keepsConnections?: boolean; } = {}) => {
+    const agent = new Agent({ keepAlive: keepsConnections, timeout: IDLE_CONNECTION_TIMEOUT_MS, maxFreeSockets: 16 });
 
     const send = (request: JsonRequest): Promise<Result<JsonResponse, TransportFailure>> =>
         new Promise(resolve => {
