--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -16,8 +16,8 @@
 import type { ReachRow } from "./reachRow";
 
 /**
- * Largest share of a service's upstreams that a host reaches if others are told and take requests. Crashes of a few upstreams
- * cost more of them seldom.
+ * Share of a service's upstreams at or below which a host reports what it reaches, and relays what finds no room. Crashes, of which
+ * relaying is no remedy, rarely take so many upstreams at once.
  */
 const REPORTED_REACHED_SHARE = 0.75;
 
@@ -55,6 +55,12 @@
 
     const isCutOff = (service: ServiceName): boolean => !monitorOf(service).reachesUpstreams() && judge(service);
 
+    /** Whether the upstreams of some service are reached; so it is presumed before the first request. */
+    const reachesAnyService = (): boolean => {
+        const services = paths.services();
+        return services.length === 0 || services.some(service => monitorOf(service).reachesUpstreams());
+    };
+
     const reachRows = (): readonly ReachRow[] =>
         paths.services().flatMap(service => {
             const share = reachedShare(monitorOf(service));
@@ -185,20 +191,15 @@
         }),
         verifyCrash: (suspect, accuse) => void verify(suspect, accuse),
         reachRows,
-        canServe: () => {
-            const unreached = paths.unreachedServices();
-            return unreached.length === 0 || unreached.length < paths.services().length
-                || unreached.some(service => !judge(service) || client.canHelp(listPeers(service, 0)));
-        },
+        canServe: () =>
+            reachesAnyService()
+            || paths.services().some(service => !judge(service) || client.canHelp(listPeers(service, 0))),
         listen: async gateway => {
             resources.use(
                 await startRelayListener({
                     address: relayAddress,
                     isKnownSender: sender => options.registeredHosts().some(({ address }) => address === sender),
-                    reachesUpstreams: () => {
-                        const unreached = paths.unreachedServices();
-                        return unreached.length === 0 || unreached.length < paths.services().length;
-                    },
+                    reachesUpstreams: reachesAnyService,
                     requestsInFlight: gateway.requestsInFlight,
                     handle: gateway.handleRelayed,
                     onAccepted: () => received.add(1, { outcome: "accepted" }),
--- a/packages/edge/src/createServicePaths.ts
+++ b/packages/edge/src/createServicePaths.ts
@@ -23,9 +23,6 @@
         "Times at which no upstream of a service was reached any more.",
     );
 
-    const unreachedServices = (): readonly ServiceName[] =>
-        [...paths].filter(([, { monitor }]) => !monitor.reachesUpstreams()).map(([service]) => service);
-
     const create = (service: ServiceName): ServicePath => {
         const history = createCutHistory(clock.monotonicMs);
         const monitor = resources.use(createReachabilityMonitor({
@@ -68,7 +65,6 @@
             return record === undefined ? undefined : of(record.service);
         },
         services: () => [...paths.keys()],
-        unreachedServices,
         [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
     };
 };
--- a/packages/edge/src/servicePaths.ts
+++ b/packages/edge/src/servicePaths.ts
@@ -9,6 +9,4 @@
     readonly ofUpstream: (upstreamId: UpstreamId) => ServicePath | undefined;
     /** Services whose links have been used since this process started. */
     readonly services: () => readonly ServiceName[];
-    /** Services that have upstreams and of which none is reached. */
-    readonly unreachedServices: () => readonly ServiceName[];
 }
