--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -10,7 +10,6 @@
 } from "@ibislanding/core";
 import { STREAM_LIFETIME_MS, type StreamOrigin } from "@ibislanding/gateway";
 import { Err, Ok } from "ts-results";
-import { bindStream } from "../../gateway/src/streams/bindStream";
 import { createStreamOriginStore } from "../src/createStreamOriginStore";
 import type { StreamOriginStore } from "../src/streamOriginStore";
 
@@ -137,11 +136,8 @@
         addresses.forEach(address => lost.add(address));
         const finding = others[0]?.find("not recorded" as RequestId, ACCOUNT, SERVICE);
         await clock.advance(1_000);
-        const knowledge = await finding;
-        const versions = [{ softwareVersion: V1, knownForMs: Infinity }];
-        expect(knowledge === undefined ? undefined : bindStream(knowledge, versions, ACCOUNT)).toEqual({
-            kind: "unknown",
-        });
+        const unknown = { origin: undefined, peerVersions: [], areVersionsComplete: true, areVersionsCurrent: false };
+        expect(await finding).toMatchObject(unknown);
     },
 );
 
@@ -153,11 +149,7 @@
     addresses.slice(2, 6).forEach(address => lost.add(address));
     const finding = others[0]?.find(REQUEST, ACCOUNT, SERVICE);
     await clock.advance(1_000);
-    const knowledge = await finding;
-    const versions = [{ softwareVersion: V1, knownForMs: Infinity }];
-    expect(knowledge === undefined ? undefined : bindStream(knowledge, versions, ACCOUNT)).toMatchObject({
-        kind: "bound",
-    });
+    expect(await finding).toMatchObject({ areVersionsComplete: true, areVersionsCurrent: true });
 });
 
 test("a host that is gone leaves the only version the only one, several that do not answer do not", async () => {
--- a/packages/gateway/__tests__/streamVersions.spec.ts
+++ b/packages/gateway/__tests__/streamVersions.spec.ts
@@ -58,6 +58,12 @@
 
 test.each<[string, Parameters<typeof bindStream>[0], readonly RegisteredVersion[], string]>([
     ["one version, at all hosts", nothing, [known(V1, Infinity)], "bound"],
+    [
+        "one version, at a host that may not have heard of another one",
+        { ...nothing, areVersionsCurrent: false },
+        [known(V1, Infinity)],
+        "unknown",
+    ],
     ["one version, and no answer", { ...nothing, recordedForMs: 0 }, [known(V1, Infinity)], "bound"],
     [
         "one version since this host started, and no answer",
