--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -45,6 +45,7 @@
 import { createRollouts } from "./rollouts/createRollouts";
 import { startHostListeners } from "./startHostListeners";
 import type { StoredRows } from "./storedRows";
+import { watchDocumentAges } from "./watchDocumentAges";
 import { watchSuspensions } from "./watchSuspensions";
 
 /** Report interval in a small group: placements and limits use peer state that is up to two intervals old. */
@@ -80,6 +81,8 @@
 
 const STOP_POLL_MS = 50;
 
+const MS_PER_S = 1_000;
+
 /** Group of seeds, whose availability zones are not known; nobody collects for it. */
 const UNKNOWN_GROUP = "";
 
@@ -120,6 +123,17 @@
         upstreams.replace(records);
     };
     const upstreamsAge = createConfirmationAge(clock);
+    const documentAges = (): ReadonlyMap<string, number> =>
+        new Map([[documentSetNames.upstreams, upstreamsAge.ageMs()]]);
+    metrics.labelledGauge(
+        "ibis_document_age_seconds",
+        "Time since a set of documents was known to be the newest; absent until then.",
+        () =>
+            [...documentAges()].filter(([, ageMs]) => Number.isFinite(ageMs)).map(([set, ageMs]) => ({
+                labels: { set },
+                value: ageMs / MS_PER_S,
+            })),
+    );
     /** A peer that has no newer list of upstreams confirms the own one as of the time at which its own was confirmed. */
     const observeUpstreamsAge = (report: HostReport, ageMs: number): void => {
         if (documentCache.staleSets(report.positions).includes(documentSetNames.upstreams)) {
@@ -428,6 +442,10 @@
     const background = [
         registerHost(options, stopController.signal),
         watchSuspensions(clock, log, stopController.signal),
+        watchDocumentAges(
+            { clock, log, ages: documentAges, inForceMs: settings.inForceMs },
+            stopController.signal,
+        ),
     ];
     resources.defer(async () => {
         stopController.abort();
