--- a/packages/edge/__tests__/support/createTestStore.ts
+++ b/packages/edge/__tests__/support/createTestStore.ts
@@ -2,6 +2,7 @@
 import {
     createFakeKeyValueStore,
     createStoreEpoch,
+    type KeyValueCallOptions,
     type KeyValueChange,
     type KeyValueEntry,
     type KeyValueHistory,
@@ -11,6 +12,9 @@
 
 const POLL_MS = 10;
 
+/** Time-out of a call that states none. */
+const DEFAULT_TIMEOUT_MS = 1_000;
+
 /** Creates a store with a history that can refuse calls of single hosts. */
 export const createTestStore = () => {
     const clock = createSystemClock();
@@ -23,6 +27,14 @@
     const epoch = createStoreEpoch();
     epoch.observe(1);
     let revision = 0;
+    /** Whether calls get no answer, and how often that has begun. */
+    const silence = { isSilent: false, count: 0 };
+
+    /** Waits until a lost call times out. */
+    const loseCall = async ({ timeoutMs = DEFAULT_TIMEOUT_MS, signal }: KeyValueCallOptions, startedAtMs: number) => {
+        await clock.sleep(Math.max(0, startedAtMs + timeoutMs - clock.monotonicMs()), signal);
+        return Err(createFailure(ErrorCode.KeyValueUnavailable));
+    };
 
     /** Called after each write of a host. */
     const hooks = { onWrite: (_hostName: string, _key: string): void => undefined };
@@ -53,16 +65,25 @@
     };
 
     const historyOf = (hostName: string): KeyValueHistory => ({
-        snapshot: async prefix =>
-            refused.has(hostName)
+        snapshot: async (prefix, options) => {
+            if (silence.isSilent) {
+                return loseCall(options, clock.monotonicMs());
+            }
+            return refused.has(hostName)
                 ? Err(createFailure(ErrorCode.KeyValueUnavailable))
                 : Ok({
                     epoch: epoch.current(),
                     revision,
                     entries: [...entries.values()].filter(({ key }) => key.startsWith(prefix)),
-                }),
+                });
+        },
         changesAfter: async (prefix, after, waitMs, options) => {
-            const giveUpAtMs = clock.monotonicMs() + waitMs;
+            const startedAtMs = clock.monotonicMs();
+            const giveUpAtMs = startedAtMs + waitMs;
+            const { count } = silence;
+            if (silence.isSilent) {
+                return loseCall(options, startedAtMs);
+            }
             const findChanges = (): readonly KeyValueChange[] =>
                 changes.filter(change =>
                     change.kind === "written"
@@ -74,6 +95,9 @@
                     return Err(createFailure(ErrorCode.KeyValueUnavailable));
                 }
                 await clock.sleep(POLL_MS, options.signal);
+                if (silence.count > count) {
+                    return loseCall(options, startedAtMs);
+                }
             }
             return refused.has(hostName)
                 ? Err(createFailure(ErrorCode.KeyValueUnavailable))
@@ -85,9 +109,11 @@
     const storeOf = (hostName: string): KeyValueStore => ({
         ...keyValueStore,
         get: async key =>
-            refused.has(hostName) ? Err(createFailure(ErrorCode.KeyValueUnavailable)) : Ok(entries.get(key)),
+            silence.isSilent || refused.has(hostName)
+                ? Err(createFailure(ErrorCode.KeyValueUnavailable))
+                : Ok(entries.get(key)),
         compareAndSwap: async ({ key, value, expectedVersion }) => {
-            if (refused.has(hostName) || readOnly.has(hostName)) {
+            if (silence.isSilent || refused.has(hostName) || readOnly.has(hostName)) {
                 return Err(createFailure(ErrorCode.KeyValueUnavailable));
             }
             if ((entries.get(key)?.version ?? 0) !== expectedVersion) {
@@ -107,6 +133,14 @@
         takeCopy,
         refused,
         readOnly,
+        /** From now on no call is answered, nor are those that wait; returns a function that ends this for later calls. */
+        fallSilent: (): () => void => {
+            silence.isSilent = true;
+            silence.count++;
+            return () => {
+                silence.isSilent = false;
+            };
+        },
         epoch,
         historyOf,
         storeOf,
