fix(edge): each host knows how old its documents are, and asks the store before they are outdated

Callers' requests reached upstreams up to six seconds after the store had acknowledged that these leave; the upstreams then refused connections. Cause: a wait for changes that the store had lost was believed until its end, 20.8 s later in a group of 89 hosts. All collectors waited, so nobody knew better, and a collector whose call had not failed yet said that it was in contact.

A set is now as old as its last confirmation: a response of the store counts from the sending of the call, less the wait; an age that a peer reports grows by the time that its answer took, and one that came in a call of the peer counts for nothing, as the time of that is not known. Collectors wait for 0.25 of that time at most, so that the ages of their members stay below.

A confirmation that is older than the news of a newer list no longer makes the own list the newest one; confirmationAge.spec.ts asks for that in place of revoke.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,7 @@
 export type { FakeClock } from "./time/fakeClock";
 export type { LoopDelayMeter } from "./time/loopDelayMeter";
 export { MAXIMUM_TIMER_MS } from "./time/maximumTimerMs";
+export { measureElapsedMs } from "./time/measureElapsedMs";
 export type { Timer } from "./time/timer";
 
 // Random numbers
--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -77,6 +77,7 @@
         clock,
         random: createRandom(1),
         watchWaitMs: () => 2_000,
+        refreshTimeoutMs: () => 300,
         batchDelayMs: () => 0,
         onChange: ({ revision }, source) => {
             seen.push({ revision, source });
--- a/packages/discovery/__tests__/reportExchange.spec.ts
+++ b/packages/discovery/__tests__/reportExchange.spec.ts
@@ -46,6 +46,7 @@
         aggregation: createTestAggregation(createReport),
         decodeReport: text => JSON.parse(text) as TestReport,
         onReport: () => undefined,
+        onAnswer: () => undefined,
         onNotice: notice => void notices.push(notice),
         onStreamOrigin: () => undefined,
         findStreamOrigin: () => ({ origin: undefined, uptimeMs: 0, softwareVersions: [] }),
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -1,4 +1,4 @@
-import { backoffDelayMs, ErrorCode, type Failure } from "@ibislanding/core";
+import { backoffDelayMs, ErrorCode, type Failure, measureElapsedMs } from "@ibislanding/core";
 import type { KeyValueSnapshot } from "@ibislanding/platform";
 import type { Result } from "ts-results";
 import { applyChanges } from "./applyChanges";
@@ -16,6 +16,9 @@
 /** Backoff after failed calls; the first retry is well within the time in which changes must take effect. */
 const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 600 };
 
+/** Wait of a call that only asks whether there are newer changes. */
+const REFRESH_WAIT_MS = 1;
+
 /** Interval at which a paused watcher checks whether it has to watch the store again. */
 const RELAY_CHECK_MS = 1_000;
 
@@ -25,7 +28,9 @@
     const stop = new AbortController();
     let current: DocumentSet | undefined;
     let needsSnapshot = true;
-    let watchCall = new AbortController();
+    /** Ends the wait in progress, be it at the store or for the end of the relay. */
+    let wait = new AbortController();
+    let refresh: "none" | "due" | "running" = "none";
     let isStoreReachable = true;
     let consecutiveFailures = 0;
 
@@ -44,9 +49,9 @@
         }
     };
 
-    const confirm = (): void => {
+    const confirm = (agoMs: number): void => {
         if (!needsSnapshot) {
-            options.onConfirmed?.();
+            options.onConfirmed?.(agoMs);
         }
     };
 
@@ -58,6 +63,7 @@
     };
 
     const loadSnapshot = async (): Promise<Result<boolean, Failure>> => {
+        const elapsedMs = measureElapsedMs(clock);
         const result = await history.snapshot(prefix, {
             cause: "discovery",
             timeoutMs: SNAPSHOT_TIMEOUT_MS,
@@ -67,19 +73,23 @@
             // The epoch may have risen again while the pages were read.
             needsSnapshot = snapshot.epoch < storeEpoch.current();
             update(replaceDocuments(current, snapshot), "store");
-            confirm();
+            confirm(elapsedMs());
             return false;
         });
     };
 
-    /** Waits for changes after the known revision; returns whether there were any. */
-    const watch = async (known: DocumentSet): Promise<Result<boolean, Failure>> => {
-        const waitMs = options.watchWaitMs();
-        watchCall = new AbortController();
+    /** Waits for changes after the known revision, up to the given time; returns whether there were any. */
+    const watch = async (
+        known: DocumentSet,
+        waitMs: number,
+        timeoutMs: number,
+    ): Promise<Result<boolean, Failure>> => {
+        const elapsedMs = measureElapsedMs(clock);
+        wait = new AbortController();
         const result = await history.changesAfter(prefix, known.revision, waitMs, {
             cause: "discovery",
-            timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS,
-            signal: AbortSignal.any([stop.signal, watchCall.signal]),
+            timeoutMs,
+            signal: AbortSignal.any([stop.signal, wait.signal]),
         });
         return result.map(changes => {
             const latest = current ?? known;
@@ -91,17 +101,32 @@
             if (changes.changes.length > 0 || changes.revision > latest.revision) {
                 update(applyChanges(latest, changes), "store");
             }
-            confirm();
-            return changes.changes.length > 0;
+            // The store answers at once if there are changes, and otherwise after the wait; how long the answer took is not known.
+            const isEmpty = changes.changes.length === 0;
+            confirm(isEmpty ? Math.max(0, elapsedMs() - waitMs) : elapsedMs());
+            return !isEmpty;
         });
     };
 
+    const callStore = (): Promise<Result<boolean, Failure>> => {
+        if (needsSnapshot || current === undefined) {
+            return loadSnapshot();
+        }
+        const waitMs = options.watchWaitMs();
+        return refresh === "running"
+            ? watch(current, REFRESH_WAIT_MS, options.refreshTimeoutMs())
+            : watch(current, waitMs, waitMs + WATCH_TIMEOUT_MARGIN_MS);
+    };
+
     const step = async (): Promise<void> => {
-        if (!needsSnapshot && current !== undefined && options.isRelayed()) {
-            await clock.sleep(RELAY_CHECK_MS, stop.signal);
+        if (refresh === "none" && !needsSnapshot && current !== undefined && options.isRelayed()) {
+            wait = new AbortController();
+            await clock.sleep(RELAY_CHECK_MS, AbortSignal.any([stop.signal, wait.signal]));
             return;
         }
-        const result = await (needsSnapshot || current === undefined ? loadSnapshot() : watch(current));
+        refresh = refresh === "due" ? "running" : refresh;
+        const result = await callStore();
+        refresh = refresh === "running" ? "none" : refresh;
         if (result.ok) {
             consecutiveFailures = 0;
             setReachable(true, "answered");
@@ -110,7 +135,7 @@
             }
             return;
         }
-        if (watchCall.signal.aborted) {
+        if (wait.signal.aborted) {
             return;
         }
         needsSnapshot = needsSnapshot || result.val.code === ErrorCode.HistoryLost;
@@ -122,7 +147,7 @@
 
     const restart = (): void => {
         needsSnapshot = true;
-        watchCall.abort();
+        wait.abort();
     };
     const stopObservingEpoch = storeEpoch.onRise(restart);
 
@@ -141,6 +166,12 @@
             }
         },
         isStoreReachable: () => isStoreReachable,
+        refresh: () => {
+            if (refresh === "none" && !needsSnapshot) {
+                refresh = "due";
+                wait.abort();
+            }
+        },
         [Symbol.asyncDispose]: async () => {
             stopObservingEpoch();
             stop.abort();
--- a/packages/discovery/src/documents/documentWatcher.ts
+++ b/packages/discovery/src/documents/documentWatcher.ts
@@ -9,4 +9,9 @@
     readonly offer: (snapshot: KeyValueSnapshot) => void;
     /** Whether the last call to the store succeeded; lost history doesn't count as a failure. */
     readonly isStoreReachable: () => boolean;
+    /**
+     * Ends the wait in progress, which may have been lost, and asks the store whether there is a newer set; also while a peer
+     * tells this host of changes. Has no effect until that call has ended.
+     */
+    readonly refresh: () => void;
 }
--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure, type HostId, type Timer } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, type HostId, measureElapsedMs, type Timer } from "@ibislanding/core";
 import {
     createPeerClients,
     createPeerServer,
@@ -183,6 +183,7 @@
     const ownAddress: string = server.val.address;
 
     const callPeer = async (address: string, message = createMessage()): Promise<void> => {
+        const elapsedMs = measureElapsedMs(clock);
         const result = await clients.call(
             address as PeerAddress,
             ReportServiceService.exchange,
@@ -193,7 +194,9 @@
             return;
         }
         setReachable(address, result.ok, result.ok ? "answered" : String(result.val.details?.["status"]));
-        const report = result.ok ? reports.receive(result.val.reports) : undefined;
+        const report = result.ok
+            ? reports.receive(result.val.reports, elapsedMs())
+            : undefined;
         if (report !== undefined) {
             fetchStaleSets(report);
         }
@@ -210,6 +213,7 @@
     /** Sends this host's contribution to a collector; returns whether it answered. */
     const contributeTo = async (address: string): Promise<boolean> => {
         const contribution = aggregation.nextContribution(address);
+        const elapsedMs = measureElapsedMs(clock);
         const result = await clients.call(
             address as PeerAddress,
             ReportServiceService.collect,
@@ -224,7 +228,11 @@
             aggregation.withdraw(address);
         }
         const collector = result.ok
-            ? reports.receive(result.val.reports, ({ hostId }) => aggregation.acknowledge(address, hostId))
+            ? reports.receive(
+                result.val.reports,
+                elapsedMs() + SUMMARY_REUSE_MS,
+                ({ hostId }) => aggregation.acknowledge(address, hostId),
+            )
             : undefined;
         if (collector !== undefined) {
             lastRelayedAtMs = collector.isInContact ? clock.monotonicMs() : lastRelayedAtMs;
@@ -342,6 +350,7 @@
         reports: reports.all,
         hasContactedPeers: () => hasContactedPeers,
         isRepresentative: () => !isLargeGroup() || isCollector(),
+        isCollector: () => isLargeGroup() && isCollector(),
         isRelayed: () => isLargeGroup() && !isCollector() && clock.monotonicMs() - lastRelayedAtMs < RELAY_TIMEOUT_MS,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
--- a/packages/discovery/src/reports/createReportTable.ts
+++ b/packages/discovery/src/reports/createReportTable.ts
@@ -1,4 +1,4 @@
-import type { HostId } from "@ibislanding/core";
+import { type HostId, measureElapsedMs } from "@ibislanding/core";
 import { decodeReports } from "./decodeReports";
 import type { PeerReport } from "./peerReport";
 import type { ReportEnvelope } from "./reportEnvelope";
@@ -7,9 +7,16 @@
 /** A process without a report for this long is considered stopped. */
 const REPORT_RETENTION_MS = 60_000;
 
+interface StoredReport<Report> extends PeerReport<Report> {
+    readonly text: string;
+    /** Longest time since its host created it, unless that is uncertain. */
+    readonly ageMs: () => number;
+    readonly isAgeUncertain: true | undefined;
+}
+
 /** Creates an empty table of the latest reports or summaries of other hosts. */
 export const createReportTable = <Report extends { readonly hostId: HostId; readonly sequence: number; }>(
-    { clock, hostId: ownId, aggregation, decodeReport, onReport }:
+    { clock, hostId: ownId, aggregation, decodeReport, onReport, onAnswer }:
         & Pick<
             ReportExchangeOptions<never>,
             "clock" | "hostId"
@@ -18,15 +25,24 @@
             readonly aggregation: { readonly withoutOwn: (summary: Report) => Report; };
             readonly decodeReport: (text: string) => Report | undefined;
             readonly onReport: (report: Report, ageMs: number) => void;
+            readonly onAnswer: (report: Report, ageMs: number) => void;
         },
 ) => {
-    const reports = new Map<HostId, PeerReport<Report> & { readonly text: string; }>();
+    const reports = new Map<HostId, StoredReport<Report>>();
 
     /** Keeps a report without this host's own contributions and passes it on. */
-    const store = (report: Report, { text, ageMs }: ReportEnvelope): void => {
+    const store = (report: Report, { text, ageMs, isAgeUncertain }: ReportEnvelope, transitMs = 0): void => {
         const { hostId } = report;
         const adjusted = aggregation.withoutOwn(report);
-        reports.set(hostId, { hostId, report: adjusted, reportedAtMs: clock.monotonicMs() - ageMs, text });
+        const elapsedMs = measureElapsedMs(clock);
+        reports.set(hostId, {
+            hostId,
+            report: adjusted,
+            reportedAtMs: clock.monotonicMs() - ageMs,
+            text,
+            ageMs: () => ageMs + transitMs + elapsedMs(),
+            isAgeUncertain,
+        });
         onReport(adjusted, ageMs);
     };
 
@@ -37,9 +53,14 @@
         store,
         /**
          * Decodes a message and stores its newer reports. `onSender` is called before with that of the sender, the first
-         * one, which is also returned; undefined if the message is malformed.
+         * one, which is also returned; undefined if the message is malformed. `transitMs` is the longest time since an answer
+         * was created; how long a peer's own call was under way is not known.
          */
-        receive: (bytes: Uint8Array, onSender?: (report: Report) => void): Report | undefined => {
+        receive: (
+            bytes: Uint8Array,
+            transitMs?: number,
+            onSender?: (report: Report) => void,
+        ): Report | undefined => {
             const decoded = (decodeReports(bytes) ?? []).flatMap(envelope => {
                 const report = decodeReport(envelope.text);
                 return report === undefined ? [] : [{ report, envelope }];
@@ -48,7 +69,13 @@
             if (sender !== undefined) {
                 onSender?.(sender);
             }
-            decoded.filter(({ report }) => isNew(report)).forEach(({ report, envelope }) => store(report, envelope));
+            decoded.filter(({ report }) => isNew(report)).forEach(({ report, envelope }) => {
+                const isAgeUncertain = transitMs === undefined || envelope.isAgeUncertain;
+                store(report, { ...envelope, isAgeUncertain: isAgeUncertain || undefined }, transitMs);
+                if (transitMs !== undefined && envelope.isAgeUncertain !== true) {
+                    onAnswer(report, envelope.ageMs + transitMs);
+                }
+            });
             return sender;
         },
         /** Reports of others that are younger than the given age, to be passed on. */
@@ -56,7 +83,7 @@
             const nowMs = clock.monotonicMs();
             return [...reports.values()]
                 .filter(({ hostId, reportedAtMs }) => hostId !== ownId && nowMs - reportedAtMs < maximumAgeMs)
-                .map(({ text, reportedAtMs }) => ({ text, ageMs: Math.round(nowMs - reportedAtMs) }));
+                .map(({ text, ageMs, isAgeUncertain }) => ({ text, ageMs: Math.ceil(ageMs()), isAgeUncertain }));
         },
         evictExpired: (): void => {
             const oldestMs = clock.monotonicMs() - REPORT_RETENTION_MS;
--- a/packages/discovery/src/reports/reportEnvelope.ts
+++ b/packages/discovery/src/reports/reportEnvelope.ts
@@ -4,4 +4,6 @@
     readonly text: string;
     /** Time since its host created it. */
     readonly ageMs: number;
+    /** Set if the age leaves out how long a call of its host was under way, which the called host can't know. */
+    readonly isAgeUncertain?: true | undefined;
 }
--- a/packages/discovery/src/reports/reportExchange.ts
+++ b/packages/discovery/src/reports/reportExchange.ts
@@ -39,6 +39,8 @@
     readonly hasContactedPeers: () => boolean;
     /** Whether this host may act for the group: in a large one, whether it currently is a collector. */
     readonly isRepresentative: () => boolean;
+    /** Whether members of a large group report to this host and rely on it. */
+    readonly isCollector: () => boolean;
     /** Whether a collector that is in contact with the store tells this host when documents change. */
     readonly isRelayed: () => boolean;
 }
--- a/packages/discovery/src/reports/reportExchangeOptions.ts
+++ b/packages/discovery/src/reports/reportExchangeOptions.ts
@@ -39,6 +39,8 @@
     readonly decodeReport: (text: string) => Report | undefined;
     /** Called with each newer report or summary of a peer and the time since it was created. */
     readonly onReport: (report: Report, ageMs: number) => void;
+    /** Called with each newer report in an answer to a call of this host; it was created at most `ageMs` ago. */
+    readonly onAnswer: (report: Report, ageMs: number) => void;
     readonly onNotice: (notice: LoadNotice) => void;
     readonly onStreamOrigin: (origin: StreamOriginMessage) => void;
     readonly findStreamOrigin: (query: StreamOriginQuery) => StreamOriginReply;
--- a/packages/edge/__tests__/confirmationAge.spec.ts
+++ b/packages/edge/__tests__/confirmationAge.spec.ts
@@ -19,11 +19,16 @@
     expect(age.ageMs()).toBe(500);
 });
 
-test("an older confirmation changes nothing, and a newer list ends all", () => {
-    const { age } = createAge();
+test("an older confirmation changes nothing, and a newer list ends all until a later confirmation", () => {
+    const { clock, age } = createAge();
     age.confirm(100);
     age.confirm(900);
-    expect(age.ageMs()).toBe(100);
-    age.revoke();
-    expect(age.ageMs()).toBe(Infinity);
+    expect([age.ageMs(), age.newestAgeMs()]).toEqual([100, 100]);
+    age.supersede();
+    expect([age.ageMs(), age.newestAgeMs()]).toEqual([100, Infinity]);
+    clock.monotonicMs += 500;
+    age.confirm(550);
+    expect([age.ageMs(), age.newestAgeMs()]).toEqual([550, Infinity]);
+    age.confirm(400);
+    expect([age.ageMs(), age.newestAgeMs()]).toEqual([400, 400]);
 });
--- a/packages/edge/__tests__/largeGroup.spec.ts
+++ b/packages/edge/__tests__/largeGroup.spec.ts
@@ -44,6 +44,7 @@
         aggregation: createReportAggregation(clock, hostId, createReport),
         decodeReport: decodeHostReport,
         onReport: () => undefined,
+        onAnswer: () => undefined,
         onNotice: () => undefined,
         onStreamOrigin: () => undefined,
         findStreamOrigin: () => ({ origin: undefined, uptimeMs: 0, softwareVersions: [] }),
--- a/packages/edge/src/createConfirmationAge.ts
+++ b/packages/edge/src/createConfirmationAge.ts
@@ -1,29 +1,28 @@
-import type { Clock } from "@ibislanding/core";
+import { type Clock, measureElapsedMs } from "@ibislanding/core";
 import type { ConfirmationAge } from "./confirmationAge";
 
+const NEVER = (): number => Infinity;
+
 /**
  * Creates the age of a list that was never confirmed.
  *
- * Handles hosts that stand still or are cut off: how long ago the list was confirmed is taken from the clock that shows more, as
- * the steady one does not count the time for which a machine is suspended, and that of the day may be set back.
+ * Handles hosts that stand still or are cut off, and confirmations that arrive late: one that is older than the news of a newer list
+ * does not make the own one the newest again.
  */
 export const createConfirmationAge = (clock: Pick<Clock, "monotonicMs" | "wallMs">): ConfirmationAge => {
-    let confirmed: { readonly monotonicMs: number; readonly wallMs: number; } | undefined;
-
-    const ageMs = (): number =>
-        confirmed === undefined
-            ? Infinity
-            : Math.max(clock.monotonicMs() - confirmed.monotonicMs, clock.wallMs() - confirmed.wallMs);
-
+    let ageMs = NEVER;
+    let supersededMs = NEVER;
     return {
-        ageMs,
+        ageMs: () => ageMs(),
+        newestAgeMs: () => supersededMs() <= ageMs() ? Infinity : ageMs(),
         confirm: agoMs => {
             if (agoMs < ageMs()) {
-                confirmed = { monotonicMs: clock.monotonicMs() - agoMs, wallMs: clock.wallMs() - agoMs };
+                const elapsedMs = measureElapsedMs(clock);
+                ageMs = () => agoMs + elapsedMs();
             }
         },
-        revoke: () => {
-            confirmed = undefined;
+        supersede: () => {
+            supersededMs = measureElapsedMs(clock);
         },
     };
 };
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -23,6 +23,13 @@
  */
 const WATCH_END_INTERVAL_MS = 500;
 
+/**
+ * Shares of the time within which a change must be in force. `confirmation`: mean interval between successive ends of watches of
+ * sets with such a bound; `minimumWait`: shortest wait of one watch, and that of a collector, whose members learn from it how old
+ * their sets are; `refresh`: time within which the store must answer a refresh.
+ */
+const IN_FORCE_SHARES = { confirmation: 0.1, minimumWait: 0.25, refresh: 0.15 };
+
 /** Bounds on the wait of one watch: calls to the store are counted, and the store ends longer ones. */
 const MINIMUM_WATCH_WAIT_MS = 2_000;
 const MAXIMUM_WATCH_WAIT_MS = 20_000;
@@ -59,7 +66,7 @@
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
     options: EdgeOptions,
-    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRollingOut, isRelayed, onUpstreamsConfirmed }:
+    { onUpstreams, onHosts, onRolloutOrders, onRolloutStates, isRollingOut, isRelayed, onConfirmed, isCollector }:
         DocumentCacheOptions,
 ): DocumentCache => {
     const { documents, log, history, storeEpoch, clock, random, settings } = options;
@@ -168,6 +175,15 @@
     const defaultWatchWaitMs = (): number =>
         Math.min(MAXIMUM_WATCH_WAIT_MS, Math.max(MINIMUM_WATCH_WAIT_MS, hostCount() * WATCH_END_INTERVAL_MS));
 
+    /** Wait of a watch of a set whose age is bounded. */
+    const boundedWatchWaitMs = (): number => {
+        const sharedWaitMs = isCollector() ? 0 : hostCount() * settings.inForceMs * IN_FORCE_SHARES.confirmation;
+        return Math.min(
+            MAXIMUM_WATCH_WAIT_MS,
+            Math.max(settings.inForceMs * IN_FORCE_SHARES.minimumWait, sharedWaitMs),
+        );
+    };
+
     const defaultBatchDelayMs = (): number =>
         Math.min(settings.inForceMs * MAXIMUM_BATCH_DELAY_SHARE, hostCount() * BATCH_DELAY_MS_PER_HOST);
 
@@ -185,10 +201,11 @@
         clock,
         random,
         watchWaitMs,
+        refreshTimeoutMs: () => settings.inForceMs * IN_FORCE_SHARES.refresh,
         isRelayed: isWatchRelayed,
         batchDelayMs,
         onChange,
-        onConfirmed: name === documentSetNames.upstreams ? onUpstreamsConfirmed : undefined,
+        onConfirmed: agoMs => onConfirmed(name, agoMs),
         onChangeFailed: error =>
             log.write("documents_not_applied", {
                 set: name,
@@ -205,13 +222,14 @@
             setConfiguration,
             // A collector's network link could not deliver a large configuration to all of its members in time.
             () => false,
+            boundedWatchWaitMs,
         ),
         [documentSetNames.upstreams]: watch(
             documentSetNames.upstreams,
             documents.upstreamsPrefix,
             setUpstreams,
             isRelayed,
-            defaultWatchWaitMs,
+            boundedWatchWaitMs,
             () => Math.min(COLLECTOR_BATCH_DELAY_MS, defaultBatchDelayMs()),
         ),
         // A delay of an address has little effect: the new host calls the others.
@@ -272,6 +290,7 @@
             }
             return watchers[name]?.isStoreReachable() === true ? REACHABLE_FETCH_DELAY_MS : FETCH_DELAY_MS;
         },
+        refresh: name => watchers[name]?.refresh(),
         offer: (name, set) => {
             if (set.epoch > 0) {
                 storeEpoch.observe(set.epoch);
--- a/packages/edge/src/createReportFactory.ts
+++ b/packages/edge/src/createReportFactory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@ibislanding/core";
 import type { WindowCounts } from "@ibislanding/duties";
+import type { DocumentAges } from "./documentAges";
 import type { EdgeSettings } from "./edgeSettings";
 import type { HostComponents } from "./hostComponents";
 import type { HostReport } from "./hostReport";
@@ -15,7 +16,7 @@
     );
 
 /** Returns a function that creates the next report of this host; `reachRows` tells which upstreams it does not reach, and
- * `upstreamsAgeMs` how long ago its list of them was confirmed. */
+ * `ages` how long ago its sets of documents were confirmed. */
 export const createReportFactory = (
     {
         documentCache,
@@ -32,7 +33,7 @@
     { hostId, hostName, listen }: EdgeSettings,
     clock: Clock,
     reachRows: () => readonly ReachRow[] = () => [],
-    upstreamsAgeMs: () => number = () => Infinity,
+    ages: DocumentAges["all"] = () => new Map(),
 ): () => HostReport => {
     let sequence = 0;
 
@@ -42,7 +43,7 @@
         const brittle = upstreams.brittle.rows();
         const usages = [...accounts.usages()];
         const cutOff = reachRows();
-        const ageMs = upstreamsAgeMs();
+        const knownAges = [...ages()].filter(([, ageMs]) => Number.isFinite(ageMs));
         return {
             hostId,
             hostName,
@@ -52,7 +53,7 @@
             wallMs: clock.wallMs(),
             positions: documentCache.positions(),
             isInContact: documentCache.isStoreReachable(),
-            upstreamsAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+            ages: Object.fromEntries(knownAges.map(([set, ageMs]) => [set, Math.ceil(ageMs)])),
             hostCount: 1,
             oldestMs: 0,
             loads: [...upstreams.ownLoads()].map(([id, { running, backlogTokens }]) => [id, running, backlogTokens]),
--- a/packages/edge/src/documentCache.ts
+++ b/packages/edge/src/documentCache.ts
@@ -14,5 +14,7 @@
     readonly staleSets: (positions: HostReport["positions"]) => readonly string[];
     /** Time allowed for the store to deliver a newer version of a set before it is fetched from a peer. */
     readonly fetchDelayMs: (set: string) => number;
+    /** Asks the store whether there is a newer set, unless such a call is in progress. */
+    readonly refresh: (set: string) => void;
     readonly offer: (set: string, documents: DocumentSet) => void;
 }
--- a/packages/edge/src/documentCacheOptions.ts
+++ b/packages/edge/src/documentCacheOptions.ts
@@ -10,8 +10,10 @@
     readonly onRolloutStates: (set: DocumentSet) => void;
     /** Whether a rollout is under way, so that a lost store must be detected soon. */
     readonly isRollingOut: () => boolean;
-    /** Called when the store has answered that it has no newer list of upstreams than the current one. */
-    readonly onUpstreamsConfirmed: () => void;
+    /** Called when the store has answered that the current set was its newest one at most the given time ago. */
+    readonly onConfirmed: (set: string, agoMs: number) => void;
+    /** Whether others rely on this host, in a large group, to tell them when documents change. */
+    readonly isCollector: () => boolean;
     /** Whether a collector currently tells this host when upstreams and hosts change. */
     readonly isRelayed: () => boolean;
 }
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -23,10 +23,10 @@
     /** Whether this host can reach the store. */
     readonly isInContact: boolean;
     /**
-     * Time since it was confirmed that this host has the newest list of upstreams, when the report was created; absent if it was
-     * not.
+     * Milliseconds since a document set of this host was known to be the newest, when the report was created; without those of
+     * which this was never known.
      */
-    readonly upstreamsAgeMs?: number | undefined;
+    readonly ages?: Readonly<Record<string, number>> | undefined;
     /** Number of hosts whose state the report contains. */
     readonly hostCount: number;
     /** Age of the oldest of their states when the report was created. */
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -16,7 +16,7 @@
 import { createAdmission } from "./admission/createAdmission";
 import { applyHostReport } from "./applyHostReport";
 import { assignPeerGroups } from "./assignPeerGroups";
-import { createConfirmationAge } from "./createConfirmationAge";
+import { createDocumentAges } from "./createDocumentAges";
 import { createDocumentCache } from "./createDocumentCache";
 import { createEdgeDuties } from "./createEdgeDuties";
 import { createGatewayEvents } from "./createGatewayEvents";
@@ -83,6 +83,9 @@
 
 const MS_PER_S = 1_000;
 
+/** Sets of which a change must be in force on every host within a time. */
+const BOUNDED_SETS = [documentSetNames.configuration, documentSetNames.upstreams];
+
 /** Group of seeds, whose availability zones are not known; nobody collects for it. */
 const UNKNOWN_GROUP = "";
 
@@ -122,27 +125,16 @@
         );
         upstreams.replace(records);
     };
-    const upstreamsAge = createConfirmationAge(clock);
-    const documentAges = (): ReadonlyMap<string, number> =>
-        new Map([[documentSetNames.upstreams, upstreamsAge.ageMs()]]);
+    const ages = createDocumentAges(clock, BOUNDED_SETS);
     metrics.labelledGauge(
         "ibis_document_age_seconds",
         "Time since a set of documents was known to be the newest; absent until then.",
         () =>
-            [...documentAges()].filter(([, ageMs]) => Number.isFinite(ageMs)).map(([set, ageMs]) => ({
+            [...ages.all()].filter(([, ageMs]) => Number.isFinite(ageMs)).map(([set, ageMs]) => ({
                 labels: { set },
                 value: ageMs / MS_PER_S,
             })),
     );
-    /** A peer that has no newer list of upstreams confirms the own one as of the time at which its own was confirmed. */
-    const observeUpstreamsAge = (report: HostReport, ageMs: number): void => {
-        if (documentCache.staleSets(report.positions).includes(documentSetNames.upstreams)) {
-            upstreamsAge.revoke();
-        }
-        else if (report.upstreamsAgeMs !== undefined) {
-            upstreamsAge.confirm(report.upstreamsAgeMs + ageMs);
-        }
-    };
     const documentCache = createDocumentCache(options, {
         onUpstreams: replaceUpstreams,
         onHosts: hosts => {
@@ -153,7 +145,8 @@
         onRolloutStates: set => rollouts?.registry.observeStates(set),
         isRollingOut: () => rollouts?.registry.isRollingOut() ?? false,
         isRelayed: () => peers.exchange?.isRelayed() ?? false,
-        onUpstreamsConfirmed: () => upstreamsAge.confirm(0),
+        onConfirmed: ages.confirm,
+        isCollector: () => peers.exchange?.isCollector() ?? false,
     });
     resources.use(documentCache);
 
@@ -220,7 +213,7 @@
         ownAddress: settings.listen.peers,
         hostAddresses: liveHostAddresses,
         exchange: () => peers.exchange,
-        confirmedAgeMs: upstreamsAge.ageMs,
+        confirmedAgeMs: () => ages.newestAgeMs(documentSetNames.upstreams),
         hasPeers: () => registeredHosts.some(({ address }) => address !== settings.listen.peers),
         versionsOf: upstreams.versionsOf,
         areVersionsRead: () => versions.store?.isRead() === true,
@@ -337,7 +330,7 @@
         rollouts,
         admission,
     };
-    const createReport = createReportFactory(components, settings, clock, relay?.reachRows, upstreamsAge.ageMs);
+    const createReport = createReportFactory(components, settings, clock, relay?.reachRows, ages.all);
 
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
@@ -355,7 +348,7 @@
         aggregation: createReportAggregation(clock, settings.hostId, createReport),
         decodeReport: decodeHostReport,
         onReport: (report, ageMs) => {
-            observeUpstreamsAge(report, ageMs);
+            ages.supersede(documentCache.staleSets(report.positions));
             applyHostReport(
                 components,
                 options.storeEpoch,
@@ -374,6 +367,7 @@
                     }),
             );
         },
+        onAnswer: (report, ageMs) => ages.observePeer(report, ageMs, documentCache.staleSets(report.positions)),
         onNotice: ({ hostName, upstreamId, running, backlogTokens, partIds }) =>
             upstreams.observePlacement(hostName, upstreamId as UpstreamId, { running, backlogTokens }, partIds),
         onStreamOrigin: streamOrigins.remember,
@@ -443,7 +437,7 @@
         registerHost(options, stopController.signal),
         watchSuspensions(clock, log, stopController.signal),
         watchDocumentAges(
-            { clock, log, ages: documentAges, inForceMs: settings.inForceMs },
+            { clock, log, ages: ages.all, inForceMs: settings.inForceMs, refresh: documentCache.refresh },
             stopController.signal,
         ),
     ];
--- a/packages/edge/src/watchDocumentAges.ts
+++ b/packages/edge/src/watchDocumentAges.ts
@@ -1,18 +1,25 @@
 import type { Clock } from "@ibislanding/core";
 import type { EventLog } from "@ibislanding/runtime";
 
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 50;
+
+/** Fraction of the time within which a change must be in force, from which age on the store is asked. */
+const REFRESH_SHARE = 0.45;
 
 /**
- * Logs when the age of a set of documents exceeds the time within which a change must be in force, and when the set is confirmed
- * again, until the signal aborts. `ages` returns the age of each set by name.
+ * Asks the store for sets of documents that are about to become outdated, until the signal aborts; logs when the age of a set
+ * exceeds the time within which a change must be in force, and when the set is confirmed again. `ages` returns the age of each set.
+ *
+ * Handles waits for changes that were lost without a sign, and whatever delays the news on its way through other hosts: neither
+ * has to be noticed by those who caused it.
  */
 export const watchDocumentAges = async (
-    { clock, log, ages, inForceMs }: {
+    { clock, log, ages, inForceMs, refresh }: {
         readonly clock: Clock;
         readonly log: EventLog;
         readonly ages: () => ReadonlyMap<string, number>;
         readonly inForceMs: number;
+        readonly refresh: (set: string) => void;
     },
     signal: AbortSignal,
 ): Promise<void> => {
@@ -21,11 +28,17 @@
     while (!signal.aborted) {
         await clock.sleep(CHECK_INTERVAL_MS, signal);
         const uptimeMs = clock.monotonicMs() - startedAtMs;
-        ages().forEach((age, set) => {
+        ages().forEach((knownMs, set) => {
             // A set that was never confirmed is as old as the process.
-            const ageMs = Math.round(Math.min(age, uptimeMs));
+            const ageMs = Math.min(knownMs, uptimeMs);
+            if (ageMs >= inForceMs * REFRESH_SHARE) {
+                refresh(set);
+            }
             if (ageMs > inForceMs !== outdated.has(set)) {
-                log.write(ageMs > inForceMs ? "documents_outdated" : "documents_confirmed", { set, ageMs });
+                log.write(ageMs > inForceMs ? "documents_outdated" : "documents_confirmed", {
+                    set,
+                    ageMs: Math.round(ageMs),
+                });
                 outdated[ageMs > inForceMs ? "add" : "delete"](set);
             }
         });
