fix(edge): an age that can't be one no longer makes a peer's old list look current

By reading, an issue of the postmortem of the cut-off hosts: the age in a peer's report was not checked. A negative one made an old list look confirmed, and a stream could be continued at the wrong version; an odd position ended the decoding of the set's position elsewhere. Ages and positions that are no counts are left out now, and the rest of the report still counts.

--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -8,6 +8,17 @@
     isArray(value)
     && value.every(row => isArray(row) && row.every(cell => typeof cell !== "object" || cell === null));
 
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+    typeof value === "object" && value !== null && !isArray(value);
+
+const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
+
+const isPosition = (value: unknown): boolean => isArray(value) && value.length === 2 && value.every(isCount);
+
+/** Keeps the values that are sound: another age would make an old set look current. */
+const filterValues = (record: unknown, isSound: (value: unknown) => boolean): object =>
+    isObject(record) ? Object.fromEntries(Object.entries(record).filter(([, value]) => isSound(value))) : {};
+
 /** Decodes a peer's report; returns undefined if it is malformed. */
 export const decodeHostReport = (text: string): HostReport | undefined => {
     const report = parseJson(text) as Partial<HostReport> | null | undefined;
@@ -16,8 +27,7 @@
         && typeof report.address === "string" && typeof report.collectorId === "string"
         && typeof report.wallMs === "number"
         && typeof report.hostCount === "number" && typeof report.oldestMs === "number"
-        && typeof report.positions === "object" && report.positions !== null
-        && Object.values(report.positions).every(isArray)
+        && isObject(report.positions)
         && [
             report.loads,
             report.accounts,
@@ -35,5 +45,11 @@
             report.quarantine?.cleared,
             report.quarantine?.quarantined,
         ].every(isRows);
-    return isValid ? report as HostReport : undefined;
+    return isValid
+        ? {
+            ...report as HostReport,
+            positions: filterValues(report.positions, isPosition) as HostReport["positions"],
+            ages: filterValues(report.ages, isCount) as HostReport["ages"],
+        }
+        : undefined;
 };
