feat(edge): a departure is announced by the host that hears of it first

A departure waited for the next round of reports on each link of its way. A collector that reads one in the store, or hears of it from another host, now calls the other collectors at once, and a host whose upstream states in an answer that it leaves reports at once. A member still hears of it in its own next round. The time that this saves was not measured.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -10,7 +10,7 @@
 
 /**
  * Creates the event handlers that log, measure and count requests; `onStatement` is called when an upstream has stated
- * another limit or brittleness, or a brittle one has rejected a request, which the peers must know.
+ * that it is leaving, another limit or brittleness, or a brittle one has rejected a request, which the peers must know.
  */
 export const createGatewayEvents = (
     log: EventLog,
@@ -67,7 +67,10 @@
                 longestGapMs: Math.round(longestGapMs),
             });
         },
-        onUpstreamLeaving: notice => log.write("upstream_leaving", { ...notice, source: "answer" }),
+        onUpstreamLeaving: notice => {
+            log.write("upstream_leaving", { ...notice, source: "answer" });
+            onStatement();
+        },
         onUpstreamPaused: pause => log.write("upstream_paused", pause),
         onUpstreamLimited: limit => {
             log.write("upstream_limited", { ...limit, source: "answer" });
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -118,12 +118,23 @@
         peers.exchange?.setHosts([...registered, ...seeds.map(address => ({ address, group: UNKNOWN_GROUP }))]);
     };
 
+    /** Others read the store too in a small group; the members of a large one rely on their collectors. */
+    const announceDeparture = (): void => {
+        if (peers.exchange?.isCollector() === true) {
+            peers.exchange.announce();
+        }
+    };
+
     const firstSeenAtMs = new Map<ServiceName, number>();
     const replaceUpstreams = (records: readonly UpstreamRecord[]): void => {
         records.filter(({ service }) => !firstSeenAtMs.has(service)).forEach(({ service }) =>
             firstSeenAtMs.set(service, clock.monotonicMs())
         );
+        const isAnyNewlyLeaving = records.some(record => record.isLeaving && !upstreams.isLeaving(record));
         upstreams.replace(records);
+        if (isAnyNewlyLeaving) {
+            announceDeparture();
+        }
     };
     const ages = createDocumentAges(clock, BOUNDED_SETS);
     metrics.labelledGauge(
@@ -354,8 +365,10 @@
                 options.storeEpoch,
                 report,
                 ageMs,
-                (upstreamId, startedAtMs) =>
-                    log.write("upstream_leaving", { upstreamId, startedAtMs, source: report.hostName }),
+                (upstreamId, startedAtMs) => {
+                    log.write("upstream_leaving", { upstreamId, startedAtMs, source: report.hostName });
+                    announceDeparture();
+                },
                 (upstreamId, startedAtMs, limitPerS) =>
                     log.write("upstream_limited", { upstreamId, startedAtMs, limitPerS, source: report.hostName }),
                 (upstreamId, startedAtMs, rejectionsPerS) =>
