fix(gateway): an upstream that left without a notice is not kept on top of late news

An upstream whose entry is removed without a notice was kept for 1.8 s after this host had heard of it, however late that was: with a list that was 1.2 s old, up to 3 s after the removal, where 2.5 s are allowed. How old the replaced list was now counts. A list that is older than the bound is that of a registry that was away, whose entries may be back; there nothing changes.

--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -131,7 +131,8 @@
             firstSeenAtMs.set(service, clock.monotonicMs())
         );
         const isAnyNewlyLeaving = records.some(record => record.isLeaving && !upstreams.isLeaving(record));
-        upstreams.replace(records);
+        // Confirmed only after this call, so that the age is that of the list that is replaced.
+        upstreams.replace(records, ages.ageMs(documentSetNames.upstreams));
         if (isAnyNewlyLeaving) {
             announceDeparture();
         }
@@ -185,6 +186,7 @@
     const upstreams = createUpstreamTable({
         clock,
         hasher,
+        inForceMs: settings.inForceMs,
         peerTimeoutMs,
         unobservedShare: () => peers.exchange?.unnotifiedShare() ?? 0,
         busyMs: () => performance.eventLoopUtilization().active,
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -5,7 +5,7 @@
 export const createUpstreamState = (record: UpstreamRecord, idHash: number, nowMs: number): UpstreamState => ({
     record,
     idHash,
-    missingSinceMs: undefined,
+    missingUntilMs: undefined,
     crashedAtMs: undefined,
     running: 0,
     backlogTokens: 0,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -22,6 +22,7 @@
 import { createServiceStatistics } from "./createServiceStatistics";
 import { createUpstreamHealth } from "./createUpstreamHealth";
 import { createUpstreamState } from "./createUpstreamState";
+import { missingRetentionMs } from "./missingRetentionMs";
 import { movingAverage } from "./movingAverage";
 import type { ReportedLoad } from "./reportedLoad";
 import type { UpstreamLoad } from "./upstreamLoad";
@@ -30,12 +31,6 @@
 import type { UpstreamTable } from "./upstreamTable";
 import type { UpstreamTableOptions } from "./upstreamTableOptions";
 
-/**
- * Time for which an upstream that is missing from the registry is kept. Upstreams whose entries expired during an
- * outage of the registry are listed again within two seconds of its recovery.
- */
-const MISSING_RETENTION_MS = 1_800;
-
 /** After this time without a new entry, a start that seemed to have crashed is still the one that is registered. */
 const REGISTRATION_TIMEOUT_MS = 6_000;
 
@@ -96,6 +91,7 @@
 /** Creates a table without any upstreams. */
 export const createUpstreamTable = (options: UpstreamTableOptions): UpstreamTable => {
     const { clock, hasher, serviceOf, onPlaced, peerTimeoutMs, unobservedShare, busyMs = () => 0 } = options;
+    const { inForceMs = Infinity } = options;
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = createPeerLoadTable(clock, peerTimeoutMs);
     const health = createUpstreamHealth(clock);
@@ -110,7 +106,7 @@
     const isDeparting = ({ upstreamId, startedAtMs }: UpstreamRecord): boolean => {
         const state = upstreams.get(upstreamId);
         return state === undefined || state.record.startedAtMs !== startedAtMs || state.record.isLeaving
-            || state.missingSinceMs !== undefined;
+            || state.missingUntilMs !== undefined;
     };
 
     const isDepartingOrRemoved = (upstreamId: UpstreamId): boolean => {
@@ -298,7 +294,7 @@
                 limits.waitMs(record),
                 brittle.waitMs(record, { own: state.running, all: running, roundTripMs }),
             ),
-            isMissing: state.missingSinceMs !== undefined,
+            isMissing: state.missingUntilMs !== undefined,
             isAtConnectionLimit: state.openConnections.size >= view.connectionLimit,
             connectedForMs: connectedForMs(state),
         };
@@ -339,9 +335,9 @@
     };
 
     const removeMissing = (): void => {
-        const oldestMs = clock.monotonicMs() - MISSING_RETENTION_MS;
+        const nowMs = clock.monotonicMs();
         [...upstreams.values()]
-            .filter(({ missingSinceMs }) => missingSinceMs !== undefined && missingSinceMs < oldestMs)
+            .filter(({ missingUntilMs }) => missingUntilMs !== undefined && missingUntilMs < nowMs)
             .forEach(({ record }) => {
                 upstreams.delete(record.upstreamId);
                 invalidateViews();
@@ -367,27 +363,29 @@
             return;
         }
         known.record = record;
-        known.missingSinceMs = undefined;
+        known.missingUntilMs = undefined;
     };
 
     /** What answers at the address after a crash may be another version, which its new entry will state. */
     const hasUnknownVersion = ({ crashedAtMs }: UpstreamState): boolean =>
         crashedAtMs !== undefined && clock.monotonicMs() - crashedAtMs < REGISTRATION_TIMEOUT_MS;
 
-    const markMissing = (state: UpstreamState): void => {
+    const markMissing = (state: UpstreamState, listAgeMs: number): void => {
         if (state.record.isLeaving) {
             upstreams.delete(state.record.upstreamId);
             return;
         }
-        state.missingSinceMs ??= clock.monotonicMs();
+        state.missingUntilMs ??= clock.monotonicMs() + missingRetentionMs(listAgeMs, inForceMs);
     };
 
     return {
-        replace: records => {
+        replace: (records, listAgeMs = 0) => {
             const listed = new Set(records.map(({ upstreamId }) => upstreamId));
             records.forEach(register);
             versions.observe(records);
-            [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(markMissing);
+            [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(state =>
+                markMissing(state, listAgeMs)
+            );
             invalidateViews();
             limits.retain(({ upstreamId }) => upstreams.has(upstreamId));
             brittle.retain(({ upstreamId }) => upstreams.has(upstreamId));
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -10,7 +10,7 @@
      * Monotonic time since which the registry has not listed the upstream although it gave no leave notice. From then
      * on, the upstream is used only as a last resort.
      */
-    missingSinceMs: number | undefined;
+    missingUntilMs: number | undefined;
     /** Monotonic time at which this start was found to have crashed; undefined if it was not. */
     crashedAtMs: number | undefined;
     running: number;
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -9,8 +9,11 @@
 
 /** All upstreams known to a host, with their health, load and cached prompt parts. */
 export interface UpstreamTable {
-    /** Replaces the registered upstreams; those that disappear without a leave notice are kept for a short time. */
-    readonly replace: (records: readonly UpstreamRecord[]) => void;
+    /**
+     * Replaces the registered upstreams; those that disappear without a leave notice are kept for a short time. `listAgeMs` is how
+     * old the list is that is replaced, 0 by default.
+     */
+    readonly replace: (records: readonly UpstreamRecord[], listAgeMs?: number) => void;
     readonly records: () => readonly UpstreamRecord[];
     readonly versionsOf: VersionHistory["versionsOf"];
     /** Versions of all services, to be kept for hosts that start later. */
--- a/packages/gateway/src/upstreams/upstreamTableOptions.ts
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -7,6 +7,8 @@
     readonly clock: Clock;
     readonly hasher: Hasher;
     readonly serviceOf: (service: ServiceName) => ServiceSpec | undefined;
+    /** Time within which a departure must be known; unbounded by default. */
+    readonly inForceMs?: number | undefined;
     /** Time without a report after which a peer's loads are ignored. */
     readonly peerTimeoutMs: () => number;
     /** Fraction of the other hosts' placements of which this host receives no notice. */
