fix(gateway): unfinished requests are answered at the end of a planned stop

Callers of a host that stopped as planned, in calm, found their connections closed without an answer at the end of the grace: requests that an upstream still ran, also those that may not be repeated, and requests that were read late and passed on all the same.

At the end, each request that is left now ends with the truest answer there is: 503 if it has not run, 504 if its outcome is not known, and a stream that has begun is broken off. A request that has not run, and whose deadline is after that end, is not passed on once the host has stopped to take new requests: it is answered 503 and goes to another host. The end is 0.56 s before the kill instead of 0.4 s, so that the answers can be sent.

--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -71,7 +71,7 @@
 const ACCOUNT_SLACK_SHARE = 0.5;
 
 /** Fraction of the grace period after which the stop no longer waits for requests in flight. */
-const STOP_GRACE_SHARE = 0.95;
+const STOP_GRACE_SHARE = 0.93;
 
 /** Time for which new requests are still forwarded while stopping: callers switch to other hosts within it. */
 const STOP_ACCEPT_MS = 2_600;
@@ -316,6 +316,7 @@
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
         stopAcceptMs: STOP_ACCEPT_MS,
+        stopGraceMs: settings.graceMs * STOP_GRACE_SHARE,
     }));
 
     // Opened before the first configuration is known: callers give up sooner when connections are refused than when
@@ -474,6 +475,7 @@
         while (gateway.requestsInFlight() > 0 && elapsedMs() < settings.graceMs * STOP_GRACE_SHARE) {
             await clock.sleep(STOP_POLL_MS);
         }
+        await gateway.endStop();
         log.write("stopped", { requestsInFlight: gateway.requestsInFlight(), durationMs: Math.round(elapsedMs()) });
     };
 
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -149,6 +149,7 @@
             onRequestEnded: request => void ended.push(request),
         },
         stopAcceptMs: 500,
+        stopGraceMs: 2_000,
     });
     const server = createServer(gateway.handle);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -15,6 +15,10 @@
 /** Interval at which connections to unregistered upstreams are retired. */
 const RETIRE_INTERVAL_MS = 500;
 
+/** Time in which the last answers of a stopping process are sent. */
+const LAST_ANSWERS_MS = 150;
+const LAST_ANSWERS_POLL_MS = 10;
+
 /** Creates a gateway; disposing of it closes its idle upstream connections and those of unfinished requests. */
 export const createGateway = (options: GatewayOptions): Gateway => {
     const { clock } = options;
@@ -26,6 +30,7 @@
     const loopDelay = createLoopDelayMeter(clock);
     const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
+    const stopped = new AbortController();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
 
@@ -33,6 +38,10 @@
         unfinished.size >= MAXIMUM_REQUESTS
         || stopStartedAtMs !== undefined && clock.monotonicMs() - stopStartedAtMs > options.stopAcceptMs;
 
+    const isTooLateToRun = (dueAtMs: number): boolean =>
+        stopStartedAtMs !== undefined && clock.monotonicMs() - stopStartedAtMs > options.stopAcceptMs
+        && dueAtMs - stopStartedAtMs > options.stopGraceMs;
+
     const handle = async (
         request: IncomingMessage,
         response: ServerResponse,
@@ -57,6 +66,8 @@
                 clientResponse,
                 relayed,
                 refusesNewRequests: refuses,
+                isTooLateToRun,
+                stopped: stopped.signal,
             });
         }
         finally {
@@ -78,6 +89,13 @@
         beginStop: () => {
             stopStartedAtMs ??= clock.monotonicMs();
         },
+        endStop: async () => {
+            const giveUpAtMs = clock.monotonicMs() + LAST_ANSWERS_MS;
+            stopped.abort();
+            while (unfinished.size > 0 && clock.monotonicMs() < giveUpAtMs) {
+                await clock.sleep(LAST_ANSWERS_POLL_MS);
+            }
+        },
         requestsInFlight: () => unfinished.size,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -11,6 +11,7 @@
 import type { RelayOutcome } from "./relayOutcome";
 import { relayRequest } from "./relayRequest";
 import { sendToUpstream } from "./sendToUpstream";
+import { stoppingRefusal } from "./stoppingRefusal";
 import { toOfferedRequest } from "./toOfferedRequest";
 import { waitForCapacity } from "./waitForCapacity";
 
@@ -26,11 +27,17 @@
 /** Reasons of refusals after which the request may be served when capacity is free again. */
 const CAPACITY_REASONS: ReadonlySet<string> = new Set(["above-level", "saturated"]);
 
+/** Returns why a request has ended whose outcome is not known. */
+const endReason = ({ reason }: AbortSignal): string => reason === "stopping" ? "stopping" : "deadline_passed";
+
 /** Returns the error response for a request that is not attempted again. */
 const finalRefusal = ({ runs, admitted, ended }: ForwardContext, reason: string, retryAfterMs: number): Refusal => {
     const { admission } = admitted;
     if (runs > 0) {
-        return ended.aborted ? { status: 504, reason: "deadline_passed" } : { status: 502, reason };
+        return ended.aborted ? { status: 504, reason: endReason(ended) } : { status: 502, reason };
+    }
+    if (ended.reason === "stopping") {
+        return stoppingRefusal;
     }
     return admission.kind === "spare"
         ? { status: 429, reason: "over_limit", retryAfterMs: admission.waitMs }
@@ -94,6 +101,9 @@
         if (quarantined !== undefined) {
             return Err(context.runs > 0 ? { status: 502, reason: quarantined.reason } : quarantined);
         }
+        if (context.runs === 0 && options.isTooLateToRun(context.admitted.dueAtMs)) {
+            return Err(stoppingRefusal);
+        }
         // A run that an engine moved goes on at another one; a peer would run the request again.
         const isMoved = continuation !== undefined;
         let step: RelayOutcome | PlacementDecision | undefined = !isMoved || context.mayRepeat
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -45,4 +45,6 @@
     readonly events: GatewayEvents;
     /** Time after the start of the shutdown for which new requests are still forwarded. */
     readonly stopAcceptMs: number;
+    /** Time after the start of the shutdown within which requests must end. */
+    readonly stopGraceMs: number;
 }
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -20,4 +20,8 @@
     readonly relayed: RelayedRequest | undefined;
     /** Whether the process refuses new requests. */
     readonly refusesNewRequests: boolean;
+    /** Whether the process stops so soon that a request with this deadline, on the monotonic clock, is no longer passed on. */
+    readonly isTooLateToRun: (dueAtMs: number) => boolean;
+    /** Aborts when the unfinished requests of a stopping process have to end. */
+    readonly stopped: AbortSignal;
 }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -17,13 +17,11 @@
 import type { RequestProgress } from "./requestProgress";
 import type { ServeOptions } from "./serveOptions";
 import { settleClosedConnections } from "./settleClosedConnections";
+import { stoppingRefusal } from "./stoppingRefusal";
 
 /** Maximum relative jitter of `Retry-After`, so that clients refused at the same time do not retry at the same time. */
 const RETRY_JITTER = 0.5;
 
-/** `Retry-After` of a stopping process; another process accepts the next connection. */
-const STOPPING_RETRY_MS = 20;
-
 /** Maximum time that a request waits for a newly started process to receive configuration and upstreams. */
 const INITIALIZATION_WAIT_MS = 300;
 const INITIALIZATION_POLL_MS = 10;
@@ -52,12 +50,15 @@
         : Ok(undefined);
 };
 
-/** Returns a controller that aborts at the deadline or when the client disconnects. */
+/** Returns a controller that aborts at the deadline, when the client disconnects, or when a stopping process has to end. */
 const watchClient = (options: ServeOptions, dueInMs: number): AbortController => {
     const ended = new AbortController();
     const timer = options.clock.setTimer(dueInMs, () => ended.abort("due"));
+    const onStopped = (): void => ended.abort("stopping");
+    options.stopped.addEventListener("abort", onStopped, { once: true });
     options.response.once("close", () => {
         timer.cancel();
+        options.stopped.removeEventListener("abort", onStopped);
         if (!options.response.writableFinished) {
             ended.abort("caller-left");
         }
@@ -168,7 +169,7 @@
 
     await waitUntilInitialized(options, arrivedAtMs);
     const identified = options.refusesNewRequests
-        ? Err<Refusal>({ status: 503, reason: "stopping", retryAfterMs: STOPPING_RETRY_MS })
+        ? Err<Refusal>(stoppingRefusal)
         : identifyRequest(head, options.configuration(), arrivedAtMs, random);
     if (identified.err) {
         refuseEarly(undefined, identified.val);
@@ -205,7 +206,9 @@
         options.relayed?.onBodyBytes,
     );
     if (body.err) {
-        const refusal = body.val ?? { status: 408 as const, reason: "request_incomplete" };
+        const refusal = ended.signal.reason === "stopping"
+            ? stoppingRefusal
+            : body.val ?? { status: 408 as const, reason: "request_incomplete" };
         if (!clientResponse.isEnded()) {
             refuse(refusal);
         }
