fix(gateway): a run that starts over, or a head among events, does not become part of a client's stream

A client whose stream broke off could get events twice, if the next upstream started over instead of going on after the last event, or the head of another answer, if that was written into a body whose end only the connection marks; the stream then ended as complete. The first event of a run that goes on must come after the last one (ids of streams increase), and a head in place of an event ends what is passed on. Both count as a broken run: the stream goes on elsewhere, or ends visibly incomplete. The check is in relayResponse, so that it holds for answers of upstreams and of peers alike.

--- a/packages/gateway/src/forwarding/eventSplitter.ts
+++ b/packages/gateway/src/forwarding/eventSplitter.ts
@@ -8,4 +8,6 @@
     readonly completedEvents: () => number;
     /** Id of the last complete event that has one. */
     readonly lastEventId: () => string | undefined;
+    /** Why what follows the bytes that were returned does not belong to the stream; undefined as long as it does. */
+    readonly defect: () => string | undefined;
 }
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -8,6 +8,8 @@
     readonly isStream: boolean;
     /** Whether the body consists of events; only complete ones are relayed, so that another run can resume after them. */
     readonly hasEvents: boolean;
+    /** Id of the event after which a body of events is to go on; undefined at the start of a stream. */
+    readonly afterEventId: string | undefined;
     readonly clientResponse: ClientResponse;
     /**
      * Called for each part of a body of events, with the number of events that it completed, whether the client delayed its
--- a/packages/gateway/src/forwarding/relayRequest.ts
+++ b/packages/gateway/src/forwarding/relayRequest.ts
@@ -53,6 +53,7 @@
         },
         isStream,
         hasEvents,
+        afterEventId: context.lastEventId,
         clientResponse,
         onFirstByte: () => {
             progress.firstByteAtMs ??= clock.monotonicMs();
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -11,12 +11,12 @@
 
 /** Relays the body of a response to the client; the caller ends the client's response. */
 export const relayResponse = (
-    { response, isStream, hasEvents, clientResponse, onFirstByte, onEvents }: RelayOptions,
+    { response, isStream, hasEvents, afterEventId, clientResponse, onFirstByte, onEvents }: RelayOptions,
 ): Promise<
     RelayResult
 > => new Promise(resolve => {
     const { body } = response;
-    const splitter = hasEvents ? createEventSplitter() : undefined;
+    const splitter = hasEvents ? createEventSplitter(afterEventId) : undefined;
     let sizeBytes = 0;
     let bufferedChunks: Buffer[] = [];
     let bufferedBytes = 0;
@@ -69,8 +69,10 @@
             wasPaused = false;
             write(splitter.push(chunk));
             onEvents?.(splitter.completedEvents(), isDelayed, splitter.lastEventId());
-            if (splitter.pendingBytes() > MAXIMUM_EVENT_BYTES) {
-                fail("event-too-large");
+            const defect = splitter.defect()
+                ?? (splitter.pendingBytes() > MAXIMUM_EVENT_BYTES ? "event-too-large" : undefined);
+            if (defect !== undefined) {
+                fail(defect);
             }
             return;
         }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -193,6 +193,7 @@
         response,
         isStream,
         hasEvents,
+        afterEventId: context.lastEventId,
         clientResponse: options.clientResponse,
         onEvents: (events, isDelayed, eventId) => {
             lastEventId = eventId;
