feat(gateway): while the list of upstreams is outdated, those that have just answered are preferred

If neither the store nor a peer can confirm the list, a host goes on to serve: refusing would be worse than the fault. An upstream that has answered within the bound without stating that it leaves goes before one that is known from the old list only, as long as it has room; beyond that the others are used.

--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -187,6 +187,7 @@
         clock,
         hasher,
         inForceMs: settings.inForceMs,
+        listAgeMs: () => ages.ageMs(documentSetNames.upstreams),
         peerTimeoutMs,
         unobservedShare: () => peers.exchange?.unnotifiedShare() ?? 0,
         busyMs: () => performance.eventLoopUtilization().active,
--- a/packages/gateway/src/forwarding/observeResponseHead.ts
+++ b/packages/gateway/src/forwarding/observeResponseHead.ts
@@ -19,7 +19,10 @@
     { isLeaving, pauseMs, limitPerS, brittleRejectionsPerS, isNotRun, invalidHeaders, status }: ResponseHead,
 ): void => {
     const { upstreamId, startedAtMs } = upstream;
-    if (isLeaving && upstreams.observeLeaving(upstream)) {
+    if (!isLeaving) {
+        upstreams.confirmServing(upstream);
+    }
+    else if (upstreams.observeLeaving(upstream)) {
         events.onUpstreamLeaving({ upstreamId, startedAtMs, status });
     }
     if (upstreams.observeLimit(upstream, limitPerS, sharedNowMs())) {
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -33,6 +33,12 @@
 /** Penalty for an upstream that is missing from the registry and gave no leave notice: it has probably terminated. */
 const MISSING_PENALTY_MS = 2_000;
 
+/**
+ * Penalty for an upstream that may have announced its departure in the meantime: less than a queue at another one costs, so that the
+ * others are not overrun while the registry is away.
+ */
+const UNCONFIRMED_PENALTY_MS = 200;
+
 /**
  * Maximum requests in flight per slot. Requests beyond the slots queue at the upstream, which soon rejects further
  * ones.
@@ -50,7 +56,8 @@
 const hasCapacity = ({ running, record, isAtConnectionLimit }: PlacementCandidate): boolean =>
     !isAtConnectionLimit && running < record.slots * MAXIMUM_REQUESTS_PER_SLOT;
 
-const missingPenaltyMs = ({ isMissing }: PlacementCandidate): number => isMissing ? MISSING_PENALTY_MS : 0;
+const registryPenaltyMs = ({ isMissing, isUnconfirmed }: PlacementCandidate): number =>
+    (isMissing ? MISSING_PENALTY_MS : 0) + (isUnconfirmed === true ? UNCONFIRMED_PENALTY_MS : 0);
 
 /**
  * Cost of a candidate: the predicted time to the first event, plus the cost to other requests. The latter is prompt
@@ -61,7 +68,7 @@
     + candidate.roundTripMs
     + candidate.affinityPenaltyMs
     + (candidate.isEngine ? candidate.promptMs : 0)
-    + missingPenaltyMs(candidate);
+    + registryPenaltyMs(candidate);
 
 const minimumBy = (
     candidates: readonly PlacementCandidate[],
@@ -82,7 +89,7 @@
 ): PlacementCandidate | undefined => {
     const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR);
     return (fraction === undefined ? minimumBy(safe, costMs) : drawCandidate(safe, costMs, fraction))
-        ?? minimumBy(candidates, candidate => predictMs(candidate) + missingPenaltyMs(candidate));
+        ?? minimumBy(candidates, candidate => predictMs(candidate) + registryPenaltyMs(candidate));
 };
 
 /**
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -26,6 +26,8 @@
      */
     readonly pausedMs: number;
     readonly isMissing: boolean;
+    /** Whether neither the registry nor the upstream itself has shown lately that it is not leaving. */
+    readonly isUnconfirmed?: boolean | undefined;
     /** Whether this host has reached its connection limit for the upstream. */
     readonly isAtConnectionLimit: boolean;
     /** Age of this host's oldest open connection to the upstream; 0 if there is none. */
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -6,6 +6,7 @@
     record,
     idHash,
     missingUntilMs: undefined,
+    confirmedAtMs: -Infinity,
     crashedAtMs: undefined,
     running: 0,
     backlogTokens: 0,
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -91,7 +91,7 @@
 /** Creates a table without any upstreams. */
 export const createUpstreamTable = (options: UpstreamTableOptions): UpstreamTable => {
     const { clock, hasher, serviceOf, onPlaced, peerTimeoutMs, unobservedShare, busyMs = () => 0 } = options;
-    const { inForceMs = Infinity } = options;
+    const { inForceMs = Infinity, listAgeMs = () => 0 } = options;
     const upstreams = new Map<UpstreamId, UpstreamState>();
     const peers = createPeerLoadTable(clock, peerTimeoutMs);
     const health = createUpstreamHealth(clock);
@@ -295,6 +295,7 @@
                 brittle.waitMs(record, { own: state.running, all: running, roundTripMs }),
             ),
             isMissing: state.missingUntilMs !== undefined,
+            isUnconfirmed: listAgeMs() > inForceMs && clock.monotonicMs() - state.confirmedAtMs > inForceMs,
             isAtConnectionLimit: state.openConnections.size >= view.connectionLimit,
             connectedForMs: connectedForMs(state),
         };
@@ -370,21 +371,21 @@
     const hasUnknownVersion = ({ crashedAtMs }: UpstreamState): boolean =>
         crashedAtMs !== undefined && clock.monotonicMs() - crashedAtMs < REGISTRATION_TIMEOUT_MS;
 
-    const markMissing = (state: UpstreamState, listAgeMs: number): void => {
+    const markMissing = (state: UpstreamState, replacedAgeMs: number): void => {
         if (state.record.isLeaving) {
             upstreams.delete(state.record.upstreamId);
             return;
         }
-        state.missingUntilMs ??= clock.monotonicMs() + missingRetentionMs(listAgeMs, inForceMs);
+        state.missingUntilMs ??= clock.monotonicMs() + missingRetentionMs(replacedAgeMs, inForceMs);
     };
 
     return {
-        replace: (records, listAgeMs = 0) => {
+        replace: (records, replacedAgeMs = 0) => {
             const listed = new Set(records.map(({ upstreamId }) => upstreamId));
             records.forEach(register);
             versions.observe(records);
             [...upstreams.values()].filter(({ record }) => !listed.has(record.upstreamId)).forEach(state =>
-                markMissing(state, listAgeMs)
+                markMissing(state, replacedAgeMs)
             );
             invalidateViews();
             limits.retain(({ upstreamId }) => upstreams.has(upstreamId));
@@ -493,6 +494,12 @@
             }
             return isNew;
         },
+        confirmServing: ({ upstreamId, startedAtMs }) =>
+            update(upstreamId, state => {
+                if (state.record.startedAtMs === startedAtMs) {
+                    state.confirmedAtMs = clock.monotonicMs();
+                }
+            }),
         leaving: () => leavingRegister.entries().filter(([upstreamId]) => upstreams.has(upstreamId)),
         observeCrash: ({ upstreamId, startedAtMs }) =>
             update(upstreamId, state => {
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -7,10 +7,12 @@
     /** Hash of the upstream's id. */
     readonly idHash: number;
     /**
-     * Monotonic time since which the registry has not listed the upstream although it gave no leave notice. From then
-     * on, the upstream is used only as a last resort.
+     * Set while the registry does not list the upstream although it gave no leave notice, when it is used only as a last
+     * resort: the monotonic time from which on it counts as gone.
      */
     missingUntilMs: number | undefined;
+    /** Monotonic time of its last answer that did not state that it is leaving. */
+    confirmedAtMs: number;
     /** Monotonic time at which this start was found to have crashed; undefined if it was not. */
     crashedAtMs: number | undefined;
     running: number;
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -10,10 +10,10 @@
 /** All upstreams known to a host, with their health, load and cached prompt parts. */
 export interface UpstreamTable {
     /**
-     * Replaces the registered upstreams; those that disappear without a leave notice are kept for a short time. `listAgeMs` is how
+     * Replaces the registered upstreams; those that disappear without a leave notice are kept for a short time. `replacedAgeMs` is how
      * old the list is that is replaced, 0 by default.
      */
-    readonly replace: (records: readonly UpstreamRecord[], listAgeMs?: number) => void;
+    readonly replace: (records: readonly UpstreamRecord[], replacedAgeMs?: number) => void;
     readonly records: () => readonly UpstreamRecord[];
     readonly versionsOf: VersionHistory["versionsOf"];
     /** Versions of all services, to be kept for hosts that start later. */
@@ -57,6 +57,8 @@
      * Records that this start of an upstream is leaving, as it or a peer states; returns whether that was unknown.
      */
     readonly observeLeaving: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => boolean;
+    /** Records that this start of an upstream has just answered without stating that it is leaving. */
+    readonly confirmServing: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => void;
     /** Starts of upstreams that are leaving, for the other hosts, as long as the upstream is known otherwise. */
     readonly leaving: () => readonly (readonly [upstreamId: UpstreamId, startedAtMs: number])[];
     /**
--- a/packages/gateway/src/upstreams/upstreamTableOptions.ts
+++ b/packages/gateway/src/upstreams/upstreamTableOptions.ts
@@ -9,6 +9,8 @@
     readonly serviceOf: (service: ServiceName) => ServiceSpec | undefined;
     /** Time within which a departure must be known; unbounded by default. */
     readonly inForceMs?: number | undefined;
+    /** Time since the list of upstreams was known to be the newest; 0 by default. */
+    readonly listAgeMs?: (() => number) | undefined;
     /** Time without a report after which a peer's loads are ignored. */
     readonly peerTimeoutMs: () => number;
     /** Fraction of the other hosts' placements of which this host receives no notice. */
