--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -43,27 +43,34 @@
 interface StoreResponses {
     readonly snapshots: Result<KeyValueSnapshot, Failure>[];
     readonly changes: Result<KeyValueChanges, Failure>[];
+    /** Time that each answer is under way. */
+    readonly answerAfterMs?: number;
 }
 
-const startWatcher = ({ snapshots, changes }: StoreResponses) => {
+const startWatcher = ({ snapshots, changes, answerAfterMs = 0 }: StoreResponses) => {
     const clock = createFakeClock();
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
     const calls: string[] = [];
     const state = { isRelayed: false, hasFaultyReader: false };
     const failures: unknown[] = [];
+    const confirmedMsAgo: number[] = [];
     const epoch = createStoreEpoch();
     epoch.observe(1);
     const history: KeyValueHistory = {
         snapshot: async () => {
             calls.push("snapshot");
+            await clock.sleep(answerAfterMs);
             return snapshots.shift() ?? Err(createFailure(ErrorCode.KeyValueUnavailable));
         },
         changesAfter: async (_prefix, revision, waitMs, options) => {
             calls.push(`changes after ${revision}`);
             const next = changes.shift();
             if (next === undefined) {
-                await clock.sleep(waitMs, options.signal);
+                await clock.sleep(waitMs + answerAfterMs, options.signal);
+                if (options.signal?.aborted === true) {
+                    return Err(createFailure(ErrorCode.KeyValueUnavailable));
+                }
                 return Ok({ changes: [], epoch: epoch.current(), revision });
             }
             return next;
@@ -85,10 +92,11 @@
                 throw new Error("faulty");
             }
         },
+        onConfirmed: agoMs => void confirmedMsAgo.push(agoMs),
         onChangeFailed: error => void failures.push(error),
         onReachabilityChange: isReachable => void reachability.push(isReachable),
     });
-    return { clock, watcher, seen, reachability, calls, epoch, state, failures };
+    return { clock, watcher, seen, reachability, calls, epoch, state, failures, confirmedMsAgo };
 };
 
 test("after lost history the watcher loads a snapshot immediately, without a backoff", async () => {
@@ -109,6 +117,60 @@
     await disposed;
 });
 
+// Guards against a wait for changes that was lost without a sign and is believed until its end.
+test("a refresh ends the wait in progress, is not repeated until it has ended, and confirms the set", async () => {
+    const { clock, watcher, calls, confirmedMsAgo } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [],
+    });
+    await clock.advance(500);
+    watcher.refresh();
+    watcher.refresh();
+    await clock.advance(10);
+    expect(calls).toEqual(["snapshot", "changes after 5", "changes after 5", "changes after 5"]);
+    expect(confirmedMsAgo).toEqual([0, 0]);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
+test("a refresh asks the store also while a peer tells this host of changes", async () => {
+    const { clock, watcher, calls, state, seen } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [
+            Ok({ epoch: 1, revision: 6, changes: [] }),
+            Ok({ epoch: 1, revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] }),
+        ],
+    });
+    state.isRelayed = true;
+    await clock.advance(300);
+    const before = calls.length;
+    watcher.refresh();
+    await clock.advance(10);
+    watcher.refresh();
+    await clock.advance(10);
+    expect(calls.length).toBe(before + 2);
+    expect(seen.map(({ revision }) => revision)).toContain(9);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
+test("a set counts as confirmed from the sending of a call with changes, and from the end of a wait without", async () => {
+    const { clock, watcher, confirmedMsAgo } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [],
+        answerAfterMs: 700,
+    });
+    await clock.advance(750);
+    expect(confirmedMsAgo).toEqual([700]);
+    await clock.advance(2_700);
+    expect(confirmedMsAgo).toEqual([700, 700]);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
 // Guards against a list that is no longer followed after one set that its reader could not take.
 test("a reader that throws is told of later sets", async () => {
     const { clock, watcher, seen, state, failures } = startWatcher({
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -101,9 +101,10 @@
             if (changes.changes.length > 0 || changes.revision > latest.revision) {
                 update(applyChanges(latest, changes), "store");
             }
-            // The store answers at once if there are changes, and otherwise after the wait; how long the answer took is not known.
             const isEmpty = changes.changes.length === 0;
-            confirm(isEmpty ? Math.max(0, elapsedMs() - waitMs) : elapsedMs());
+            const tookMs = elapsedMs();
+            // The store answers at once if there are changes, and otherwise after the wait; how long the answer was under way is not known.
+            confirm(isEmpty && tookMs >= waitMs ? tookMs - waitMs : tookMs);
             return !isEmpty;
         });
     };
--- a/packages/edge/src/watchDocumentAges.ts
+++ b/packages/edge/src/watchDocumentAges.ts
@@ -1,11 +1,9 @@
 import type { Clock } from "@ibislanding/core";
 import type { EventLog } from "@ibislanding/runtime";
+import { isRefreshDue } from "./isRefreshDue";
 
 const CHECK_INTERVAL_MS = 50;
 
-/** Fraction of the time within which a change must be in force, from which age on the store is asked. */
-const REFRESH_SHARE = 0.45;
-
 /**
  * Asks the store for sets of documents that are about to become outdated, until the signal aborts; logs when the age of a set
  * exceeds the time within which a change must be in force, and when the set is confirmed again. `ages` returns the age of each set.
@@ -31,7 +29,7 @@
         ages().forEach((knownMs, set) => {
             // A set that was never confirmed is as old as the process.
             const ageMs = Math.min(knownMs, uptimeMs);
-            if (ageMs >= inForceMs * REFRESH_SHARE) {
+            if (isRefreshDue(ageMs, inForceMs)) {
                 refresh(set);
             }
             if (ageMs > inForceMs !== outdated.has(set)) {
