--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -124,6 +124,10 @@
 const BRITTLE_REJECTIONS_PER_S = 3;
 const BRITTLE_MS = 8_000;
 
+/** Time for which the store is silent, and until hosts count as in contact with it again. */
+const SILENCE_MS = 500;
+const CONTACT_MS = 4_100;
+
 const restoreStore: Handler = async ({ world, sleep, step, startDisturbance }) => {
     const restore = world.store.takeCopy();
     await sleep(step.forMs);
@@ -173,6 +177,15 @@
     "hosts-lose-service": cutHosts(ofOneService),
     "hosts-lose-most-upstreams": cutHosts((upstreams, target) => ofOneService(upstreams, target).slice(1)),
     "upstream-leaves": onUpstream(upstream => upstream.leave()),
+    "upstream-leaves-after-silence": onUpstream(async (upstream, { world: { store }, sleep, startDisturbance }) => {
+        const endDisturbance = startDisturbance(undefined);
+        store.setFault("falls-silent");
+        await sleep(SILENCE_MS);
+        store.setFault("none");
+        endDisturbance();
+        await sleep(CONTACT_MS);
+        await upstream.leave();
+    }),
     "upstream-crashes": onUpstream((upstream, { step }) => upstream.crash(step.forMs)),
     "upstream-changes-version": onUpstream(upstream => upstream.changeVersion()),
     "upstream-errors": setUpstream("errors"),
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -24,6 +24,7 @@
     | "hosts-lose-service"
     | "hosts-lose-most-upstreams"
     | "upstream-leaves"
+    | "upstream-leaves-after-silence"
     | "upstream-crashes"
     | "upstream-changes-version"
     | "upstream-errors"
