perf(edge): hosts ask the store from 0.6 of the bound on, and check their ages when they are due

A refresh from 0.45 of the bound was due before a member of a large group could hear of its collector's confirmation, so that members asked the store in calm too. Collectors wait for 0.32 of the bound, a refresh has 0.1, and three fit into the rest (documentChain.spec.ts, with two in a row lost). Ages are checked when the next refresh can be due instead of every 50 ms.

--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -28,7 +28,7 @@
  * sets with such a bound; `minimumWait`: shortest wait of one watch, and that of a collector, whose members learn from it how old
  * their sets are; `refresh`: time within which the store must answer a refresh.
  */
-const IN_FORCE_SHARES = { confirmation: 0.1, minimumWait: 0.25, refresh: 0.15 };
+const IN_FORCE_SHARES = { confirmation: 0.1, minimumWait: 0.32, refresh: 0.1 };
 
 /** Bounds on the wait of one watch: calls to the store are counted, and the store ends longer ones. */
 const MINIMUM_WATCH_WAIT_MS = 2_000;
--- a/packages/edge/src/watchDocumentAges.ts
+++ b/packages/edge/src/watchDocumentAges.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "@ibislanding/core";
 import type { EventLog } from "@ibislanding/runtime";
-import { isRefreshDue } from "./isRefreshDue";
+import { refreshDueInMs } from "./refreshDueInMs";
 
-const CHECK_INTERVAL_MS = 50;
+/** Bounds on the time between two checks: while a refresh is due, and until the next one can be. */
+const MINIMUM_INTERVAL_MS = 50;
+const MAXIMUM_INTERVAL_MS = 500;
 
 /**
  * Asks the store for sets of documents that are about to become outdated, until the signal aborts; logs when the age of a set
@@ -23,13 +25,17 @@
 ): Promise<void> => {
     const outdated = new Set<string>();
     const startedAtMs = clock.monotonicMs();
+    let intervalMs = MINIMUM_INTERVAL_MS;
     while (!signal.aborted) {
-        await clock.sleep(CHECK_INTERVAL_MS, signal);
+        await clock.sleep(intervalMs, signal);
+        intervalMs = MAXIMUM_INTERVAL_MS;
         const uptimeMs = clock.monotonicMs() - startedAtMs;
         ages().forEach((knownMs, set) => {
             // A set that was never confirmed is as old as the process.
             const ageMs = Math.min(knownMs, uptimeMs);
-            if (isRefreshDue(ageMs, inForceMs)) {
+            const dueInMs = refreshDueInMs(ageMs, inForceMs);
+            intervalMs = Math.min(intervalMs, Math.max(MINIMUM_INTERVAL_MS, dueInMs));
+            if (dueInMs <= 0) {
                 refresh(set);
             }
             if (ageMs > inForceMs !== outdated.has(set)) {
