perf(edge): a set that has not changed is neither fetched nor read again when the store's revision rises

The position of a set is the store's revision, which rises with every write of others. With short waits the collectors' positions rose all the time: each of their members fetched the unchanged set in every round, and its own list was not confirmed meanwhile. A position now comes with the revision since which the set has not changed. A host whose set is not older than that takes the position over.

--- a/packages/discovery/src/documents/applyChanges.ts
+++ b/packages/discovery/src/documents/applyChanges.ts
@@ -26,5 +26,6 @@
     }
     const entries = new Map(current.entries);
     changes.forEach(change => applyChange(entries, change));
-    return { epoch, revision: Math.max(current.revision, revision), entries };
+    const changedRevision = changes.length === 0 ? current.changedRevision ?? current.revision : revision;
+    return { epoch, revision: Math.max(current.revision, revision), entries, changedRevision };
 };
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -35,8 +35,9 @@
     let consecutiveFailures = 0;
 
     const update = (next: DocumentSet, source: "store" | "peer"): void => {
-        const changed = next.epoch !== current?.epoch || next.revision !== current.revision
-            || next.entries.size !== current.entries.size;
+        // Other documents of the store change its revision, too.
+        const changed = next.epoch !== current?.epoch || next.entries.size !== current.entries.size
+            || next.revision !== current.revision && (next.changedRevision ?? next.revision) > current.revision;
         current = next;
         if (changed) {
             try {
@@ -166,6 +167,14 @@
                 update(replaceDocuments(current, snapshot), "peer");
             }
         },
+        advance: ({ epoch, revision }, changedRevision) => {
+            if (
+                current !== undefined && current.epoch === epoch && current.revision < revision
+                && current.revision >= changedRevision
+            ) {
+                current = { ...current, revision, changedRevision: current.changedRevision ?? current.revision };
+            }
+        },
         isStoreReachable: () => isStoreReachable,
         refresh: () => {
             if (refresh === "none" && !needsSnapshot) {
--- a/packages/discovery/src/documents/documentWatcher.ts
+++ b/packages/discovery/src/documents/documentWatcher.ts
@@ -1,4 +1,5 @@
 import type { KeyValueSnapshot } from "@ibislanding/platform";
+import type { DocumentPosition } from "./documentPosition";
 import type { DocumentSet } from "./documentSet";
 
 /** Keeps one set of documents up to date with the store. */
@@ -7,6 +8,8 @@
     readonly current: () => DocumentSet | undefined;
     /** Replaces the set with a peer's complete snapshot if that has a newer position. */
     readonly offer: (snapshot: KeyValueSnapshot) => void;
+    /** Takes over a peer's position if nothing has changed between the own one and that, as the peer states. */
+    readonly advance: (position: DocumentPosition, changedRevision: number) => void;
     /** Whether the last call to the store succeeded; lost history doesn't count as a failure. */
     readonly isStoreReachable: () => boolean;
     /**
--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -61,7 +61,7 @@
 /** The same while the store answers: the transfer of a large set would delay other traffic of the peer. */
 const REACHABLE_FETCH_DELAY_MS = 1_000;
 
-const UNKNOWN_POSITION: DocumentPosition = { epoch: 0, revision: 0 };
+const UNKNOWN_POSITION: DocumentPosition & Pick<DocumentSet, "changedRevision"> = { epoch: 0, revision: 0 };
 
 /** Watches the documents of the store and keeps the newest valid configuration, upstreams and host addresses. */
 export const createDocumentCache = (
@@ -275,10 +275,16 @@
         positions: () =>
             Object.fromEntries(
                 Object.keys(watchers).map(name => {
-                    const { epoch, revision } = documentsOf(name) ?? UNKNOWN_POSITION;
-                    return [name, [epoch, revision]];
+                    const { epoch, revision, changedRevision = revision } = documentsOf(name) ?? UNKNOWN_POSITION;
+                    return [name, changedRevision < revision ? [epoch, revision, changedRevision] : [epoch, revision]];
                 }),
             ),
+        observePositions: positions =>
+            Object.entries(positions).forEach(([name, [epoch, revision, changedRevision = revision]]) => {
+                if (name !== documentSetNames.configuration) {
+                    watchers[name]?.advance({ epoch, revision }, changedRevision);
+                }
+            }),
         staleSets: positions =>
             Object.keys(watchers).filter(name => {
                 const [epoch, revision] = positions[name] ?? [0, 0];
--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -13,7 +13,7 @@
 
 const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
 
-const isPosition = (value: unknown): boolean => isArray(value) && value.length === 2 && value.every(isCount);
+const isPosition = (value: unknown): boolean => isArray(value) && value.length >= 2 && value.every(isCount);
 
 /** Keeps the values that are sound: another age would make an old set look current. */
 const filterValues = (record: unknown, isSound: (value: unknown) => boolean): object =>
--- a/packages/edge/src/documentCache.ts
+++ b/packages/edge/src/documentCache.ts
@@ -10,6 +10,8 @@
     readonly isStoreReachable: () => boolean;
     /** Position of each set, by name; 0 before the first snapshot. That of the configuration is its own version. */
     readonly positions: () => HostReport["positions"];
+    /** Takes over the positions of a peer's sets that are the same as the own ones. */
+    readonly observePositions: (positions: HostReport["positions"]) => void;
     /** Names of the sets of which the given positions are newer. */
     readonly staleSets: (positions: HostReport["positions"]) => readonly string[];
     /** Time allowed for the store to deliver a newer version of a set before it is fetched from a peer. */
--- a/packages/edge/src/hostReport.ts
+++ b/packages/edge/src/hostReport.ts
@@ -18,8 +18,10 @@
     /** Increases with each report of the process. */
     readonly sequence: number;
     readonly wallMs: number;
-    /** Position of each document set that this host has. */
-    readonly positions: Readonly<Record<string, readonly [epoch: number, revision: number]>>;
+    /** Position of each document set that this host has, and the revision since which it has not changed if that is earlier. */
+    readonly positions: Readonly<
+        Record<string, readonly [epoch: number, revision: number, changedRevision?: number | undefined]>
+    >;
     /** Whether this host can reach the store. */
     readonly isInContact: boolean;
     /**
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -363,6 +363,7 @@
         aggregation: createReportAggregation(clock, settings.hostId, createReport),
         decodeReport: decodeHostReport,
         onReport: (report, ageMs) => {
+            documentCache.observePositions(report.positions);
             ages.supersede(documentCache.staleSets(report.positions));
             applyHostReport(
                 components,
