--- a/packages/edge/src/decodeHostReport.ts
+++ b/packages/edge/src/decodeHostReport.ts
@@ -27,7 +27,7 @@
         && typeof report.address === "string" && typeof report.collectorId === "string"
         && typeof report.wallMs === "number"
         && typeof report.hostCount === "number" && typeof report.oldestMs === "number"
-        && isObject(report.positions)
+        && isObject(report.positions) && Object.values(report.positions).every(isArray)
         && [
             report.loads,
             report.accounts,
--- a/packages/gateway/__tests__/slotForwarding.spec.ts
+++ b/packages/gateway/__tests__/slotForwarding.spec.ts
@@ -43,6 +43,7 @@
             clock: createFakeClock(),
             request: { method: "POST", url: "/", rawHeaders: [] },
             clientResponse: { isStarted: () => false },
+            isTooLateToRun: () => false,
             retryBudget: { recordRequest: () => undefined, tryAcquire: () => true },
             quarantine: { find: () => undefined, mayRepeat: () => true },
             accounts: { refund: () => undefined },
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -30,7 +30,7 @@
     const loopDelay = createLoopDelayMeter(clock);
     const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
-    const stopped = new AbortController();
+    const stopCallbacks = new Set<() => void>();
     const unfinished = new Set<ServerResponse>();
     let stopStartedAtMs: number | undefined;
 
@@ -67,7 +67,10 @@
                 relayed,
                 refusesNewRequests: refuses,
                 isTooLateToRun,
-                stopped: stopped.signal,
+                onStopped: callback => {
+                    stopCallbacks.add(callback);
+                    return () => void stopCallbacks.delete(callback);
+                },
             });
         }
         finally {
@@ -91,7 +94,7 @@
         },
         endStop: async () => {
             const giveUpAtMs = clock.monotonicMs() + LAST_ANSWERS_MS;
-            stopped.abort();
+            stopCallbacks.forEach(callback => callback());
             while (unfinished.size > 0 && clock.monotonicMs() < giveUpAtMs) {
                 await clock.sleep(LAST_ANSWERS_POLL_MS);
             }
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -22,6 +22,9 @@
     readonly refusesNewRequests: boolean;
     /** Whether the process stops so soon that a request with this deadline, on the monotonic clock, is no longer passed on. */
     readonly isTooLateToRun: (dueAtMs: number) => boolean;
-    /** Aborts when the unfinished requests of a stopping process have to end. */
-    readonly stopped: AbortSignal;
+    /**
+     * Registers a callback for the moment at which the unfinished requests of a stopping process have to end; returns a function
+     * that cancels it.
+     */
+    readonly onStopped: (callback: () => void) => () => void;
 }
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -54,11 +54,10 @@
 const watchClient = (options: ServeOptions, dueInMs: number): AbortController => {
     const ended = new AbortController();
     const timer = options.clock.setTimer(dueInMs, () => ended.abort("due"));
-    const onStopped = (): void => ended.abort("stopping");
-    options.stopped.addEventListener("abort", onStopped, { once: true });
+    const cancelStop = options.onStopped(() => ended.abort("stopping"));
     options.response.once("close", () => {
         timer.cancel();
-        options.stopped.removeEventListener("abort", onStopped);
+        cancelStop();
         if (!options.response.writableFinished) {
             ended.abort("caller-left");
         }
