--- a/packages/gateway/__tests__/brokenOffStreams.spec.ts
+++ b/packages/gateway/__tests__/brokenOffStreams.spec.ts
@@ -1,6 +1,6 @@
-import { connect } from "node:net";
 import { Ok } from "ts-results";
 import { sendClientRequest } from "./support/sendClientRequest";
+import { sendWithoutChunks } from "./support/sendWithoutChunks";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
 import { createRecord, startTestGateway } from "./support/startTestGateway";
 
@@ -130,22 +130,6 @@
     expect(await answered).toMatchObject({ isComplete: true, body: [1, 2].map(event).join("") });
 });
 
-/** Sends a request as a client whose protocol version has no chunks, and returns how the connection ended. */
-const sendWithoutChunks = (port: number): Promise<{ readonly text: string; readonly end: string; }> =>
-    new Promise(resolve => {
-        let text = "";
-        let end = "end";
-        const socket = connect(port, "127.0.0.1");
-        socket.write("POST /orders/1 HTTP/1.0\r\nHost: shop.example\r\nX-Request: r1\r\nContent-Length: 0\r\n\r\n");
-        socket.on("data", bytes => {
-            text += bytes.toString();
-        });
-        socket.on("error", error => {
-            end = (error as NodeJS.ErrnoException).code ?? error.message;
-        });
-        socket.on("close", () => resolve({ text, end }));
-    });
-
 test("a client that knows no chunks sees a reset at the end of a stream that broke off", async () => {
     await using upstream = await startRawUpstream(request => {
         request.socket.write(head(request, "Transfer-Encoding: chunked\r\n") + chunk(event(1)));
--- a/packages/gateway/__tests__/continuedStreams.spec.ts
+++ b/packages/gateway/__tests__/continuedStreams.spec.ts
@@ -1,7 +1,7 @@
 // Guards against an error, an earlier part or the head of another answer in the middle of a client's stream, and against a stream that
 // broke off and ends as if it were complete.
-import { connect } from "node:net";
 import { sendClientRequest } from "./support/sendClientRequest";
+import { sendWithoutChunks } from "./support/sendWithoutChunks";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
 import { startTestGateway } from "./support/startTestGateway";
 
@@ -33,21 +33,6 @@
 
 const ROUTE = { kind: "stream", isResumable: true, maximumAttempts: 3 } as const;
 
-const sendWithoutChunks = (port: number): Promise<{ readonly text: string; readonly end: string; }> =>
-    new Promise(resolve => {
-        let text = "";
-        let end = "end";
-        const socket = connect(port, "127.0.0.1");
-        socket.write("POST /orders/1 HTTP/1.0\r\nHost: shop.example\r\nX-Request: r1\r\nContent-Length: 0\r\n\r\n");
-        socket.on("data", bytes => {
-            text += bytes.toString();
-        });
-        socket.on("error", error => {
-            end = (error as NodeJS.ErrnoException).code ?? error.message;
-        });
-        socket.on("close", () => resolve({ text, end }));
-    });
-
 const serveThen = (continuation: (request: RawRequest) => string) => (request: RawRequest): void => {
     if (/last-event-id: 2/i.test(request.text)) {
         request.socket.write(continuation(request));
--- a/packages/gateway/__tests__/missingUpstreams.spec.ts
+++ b/packages/gateway/__tests__/missingUpstreams.spec.ts
@@ -1,43 +1,20 @@
 // Guards against requests to an upstream that left without a notice later than the time within which its departure must be known: how
 // long it is kept must not come on top of how late this host hears of it.
-import { createFakeClock, createHasher, type ServiceName } from "@ibislanding/core";
-import { createUpstreamTable } from "../src";
+import type { ServiceName } from "@ibislanding/core";
+import { createPlainTable } from "./support/createPlainTable";
+import { plainRequest } from "./support/plainRequest";
 import { createRecord } from "./support/startTestGateway";
 
 const service = "orders" as ServiceName;
 
-const REQUEST = {
-    promptTokens: 0,
-    promptParts: [],
-    objectiveMs: 1_000,
-    remainingMs: 6_000,
-    requiresSpareCapacity: false,
-    requiresKnownVersion: false,
-    excluded: new Set<never>(),
-    softwareVersion: undefined,
-    versionRule: { kind: "any" },
-} as const;
-
 /** Returns how long an upstream is a candidate after the last list that had it, if the next one comes after the given time. */
 const keptMs = async (inForceMs: number, listAgeMs: number): Promise<number> => {
-    const clock = createFakeClock();
-    const table = createUpstreamTable({
-        sharedNowMs: () => 0,
-        ownAddress: "self",
-        hostAddresses: () => ["self"],
-        clock,
-        hasher: await createHasher(),
-        inForceMs,
-        peerTimeoutMs: () => 1_500,
-        unobservedShare: () => 1,
-        serviceOf: () => undefined,
-        onPlaced: () => undefined,
-    });
+    const { clock, table } = await createPlainTable({ inForceMs });
     const staying = createRecord("u-1", 1);
     table.replace([staying, createRecord("u-2", 2)]);
     await clock.advance(listAgeMs);
     table.replace([staying], listAgeMs);
-    while (table.candidates(service, REQUEST).length > 1) {
+    while (table.candidates(service, plainRequest).length > 1) {
         await clock.advance(10);
     }
     return clock.monotonicMs();
--- a/packages/gateway/__tests__/outdatedList.spec.ts
+++ b/packages/gateway/__tests__/outdatedList.spec.ts
@@ -1,51 +1,27 @@
 // Guards against requests to an upstream that may have announced its departure while this host could not hear of it, though others
 // have just shown that they stay; and against a refusal because of that.
-import { createFakeClock, createHasher, createRandom, type ServiceName, type UpstreamId } from "@ibislanding/core";
-import { createUpstreamTable } from "../src";
-import { chooseUpstream } from "../src/placement/chooseUpstream";
+import { createRandom, type ServiceName, type UpstreamId } from "@ibislanding/core";
+import { chooseUpstream } from "../src";
+import { createPlainTable } from "./support/createPlainTable";
+import { plainRequest } from "./support/plainRequest";
 import { createRecord } from "./support/startTestGateway";
 
 const service = "orders" as ServiceName;
 
 const IN_FORCE_MS = 2_500;
 
-const REQUEST = {
-    promptTokens: 0,
-    promptParts: [],
-    objectiveMs: 1_000,
-    remainingMs: 6_000,
-    requiresSpareCapacity: false,
-    requiresKnownVersion: false,
-    excluded: new Set<never>(),
-    softwareVersion: undefined,
-    versionRule: { kind: "any" },
-} as const;
-
 const createTable = async () => {
-    const clock = createFakeClock();
     const list = { ageMs: 0 };
-    const table = createUpstreamTable({
-        sharedNowMs: () => 0,
-        ownAddress: "self",
-        hostAddresses: () => ["self"],
-        clock,
-        hasher: await createHasher(),
-        inForceMs: IN_FORCE_MS,
-        listAgeMs: () => list.ageMs,
-        peerTimeoutMs: () => 1_500,
-        unobservedShare: () => 1,
-        serviceOf: () => undefined,
-        onPlaced: () => undefined,
-    });
+    const { clock, table } = await createPlainTable({ inForceMs: IN_FORCE_MS, listAgeMs: () => list.ageMs });
     const records = [createRecord("u-1", 1), createRecord("u-2", 2), createRecord("u-3", 3)];
     table.replace(records);
     const random = createRandom(1);
     const place = (): string => {
-        const decision = chooseUpstream(table.candidates(service, REQUEST), REQUEST, random.nextFloat());
+        const decision = chooseUpstream(table.candidates(service, plainRequest), plainRequest, random.nextFloat());
         if (decision.kind === "refuse") {
             return decision.reason;
         }
-        table.trackRequest(decision.upstream.upstreamId, REQUEST);
+        table.trackRequest(decision.upstream.upstreamId, plainRequest);
         return decision.upstream.upstreamId;
     };
     const placeMany = (count: number): readonly string[] => Array.from({ length: count }, place);
