test(edge): requests beside an odd entry are within the capacity of the sound upstream

Cause: ten requests at once were sent to one upstream with 4 slots, which takes 8. When they arrive together, as beside other load, the ninth is refused as saturated (trace: 503, 3 ms, no attempt). Change: the upstream has a slot for each request. What is expected stays.

--- a/packages/edge/__tests__/oddEntries.spec.ts
+++ b/packages/edge/__tests__/oddEntries.spec.ts
@@ -12,6 +12,7 @@
 import { createStoredUpstream, createTestConfiguration, startTestHost } from "./support/startTestHost";
 
 const WATCH_MS = 800;
+const REQUESTS_AT_ONCE = 10;
 
 const startUpstream = async () => {
     const port = await findFreePort();
@@ -61,12 +62,16 @@
     await using second = await startUpstream();
     store.write("configuration", JSON.stringify(configuration));
     store.write("upstreams/odd", entryOf(first.port));
-    store.write("upstreams/u-0", JSON.stringify(createStoredUpstream("u-0", first.port)));
+    // It has room for all requests, so that none is refused for want of capacity.
+    store.write(
+        "upstreams/u-0",
+        JSON.stringify({ ...createStoredUpstream("u-0", first.port), slots: REQUESTS_AT_ONCE }),
+    );
     const started = await startTestHost(store, "host-0", [], { relays: true });
     await using _host = started.host;
     await pauseMs(WATCH_MS);
     const send = () => sendTestRequest(started.callers, { path: "/orders/1", body: "{}" });
-    const statuses = await Promise.all(Array.from({ length: 10 }, send));
+    const statuses = await Promise.all(Array.from({ length: REQUESTS_AT_ONCE }, send));
     expect(new Set(statuses)).toEqual(new Set([200]));
     store.write("upstreams/u-1", JSON.stringify(createStoredUpstream("u-1", second.port)));
     store.remove("upstreams/u-0");
