test(edge): a host joins a stream of a new version to one of the version before, for a second after its list was confirmed

Cause: the only known version counts as the only one for a second after the list was confirmed, and the hosts that remember streams are not asked. A version that is registered, begins a stream and loses it within that second is not known.

--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -126,6 +126,16 @@
     expect((await others[0]?.find(REQUEST, ACCOUNT, SERVICE))?.origin?.softwareVersion).toBe(V2);
 });
 
+// A host whose list was confirmed just before the second version came, and has not been since.
+test("a stream that began at a version that came within the last second is found", async () => {
+    const { clock, addresses, outOfStep, state, first, others } = await createGroup(8);
+    await clock.advance(STREAM_LIFETIME_MS);
+    outOfStep.add(addresses[1] ?? "");
+    state.confirmedAgeMs = 300;
+    await first.record(origin({ softwareVersion: V2 }));
+    expect((await others[0]?.find(REQUEST, ACCOUNT, SERVICE))?.origin?.softwareVersion).toBe(V2);
+});
+
 test.each([2, 8])(
     "of %d hosts, one that is cut off from all others does not take the version that it knows for the only one",
     async size => {
