fix(edge): hosts that remember streams are asked also when the only version was just confirmed

Cause: a stream that began at a version registered within the last second, and was lost, was continued at the only version that the host knew. Change: the other hosts are asked whenever there are any; that costs a call for each stream that is taken up. As before, all but one of the replies are enough to take the only version for the only one; now they also end the wait, so that a host that hangs does not hold up such streams for its whole time-out. Left: with too few replies, a confirmation within the last second still counts.

--- a/packages/edge/__tests__/streamOriginStore.spec.ts
+++ b/packages/edge/__tests__/streamOriginStore.spec.ts
@@ -20,7 +20,7 @@
 
 const unreachable = Err({ code: "peer_unavailable" as never, message: "" });
 
-/** Hosts that reach each other, except those in `lost`. */
+/** Hosts that reach each other, except those that are lost or hang. */
 const createGroup = async (size: number) => {
     const clock = createFakeClock();
     /** Hosts that have not heard of the second version, and the time since the store or a peer confirmed the versions. */
@@ -28,7 +28,9 @@
     const state = { confirmedAgeMs: 0 };
     const hasher = await createHasher();
     const addresses = Array.from({ length: size }, (_, index) => `10.0.0.${index}:1`);
+    /** Hosts that can't be reached, and hosts that take calls and never reply. */
     const lost = new Set<string>();
+    const hanging = new Set<string>();
     const stores = new Map<string, StreamOriginStore>();
     addresses.forEach(ownAddress =>
         stores.set(
@@ -47,6 +49,7 @@
                         return Ok({});
                     },
                     findStreamOrigin: async (address, query) => {
+                        await (hanging.has(address) ? new Promise(() => undefined) : undefined);
                         const reply = lost.has(address) ? undefined : stores.get(address)?.reply(query);
                         return reply === undefined ? unreachable : Ok(reply);
                     },
@@ -66,7 +69,7 @@
     if (first === undefined) {
         throw new Error("no host");
     }
-    return { clock, addresses, lost, outOfStep, state, first, others };
+    return { clock, addresses, lost, hanging, outOfStep, state, first, others };
 };
 
 const origin = (fields: Partial<StreamOrigin> = {}): StreamOrigin => ({
@@ -116,6 +119,16 @@
     expect((await others[0]?.find(REQUEST, ACCOUNT, SERVICE))?.recordedForMs).toBe(0);
 });
 
+test("a host that hangs does not hold up a stream of the only version", async () => {
+    const { clock, addresses, hanging, outOfStep, others } = await createGroup(5);
+    await clock.advance(STREAM_LIFETIME_MS);
+    addresses.forEach(address => outOfStep.add(address));
+    hanging.add(addresses[4] ?? "");
+    const finding = others[0]?.find(REQUEST, ACCOUNT, SERVICE);
+    await clock.advance(100);
+    expect(await finding).toMatchObject({ areVersionsComplete: true, areVersionsCurrent: true });
+});
+
 // A host that stood still, or was cut off from the store and the others, while a second version came.
 test("a stream that began at the second version is found by a host that has not heard of that version", async () => {
     const { clock, addresses, outOfStep, state, first, others } = await createGroup(8);
--- a/packages/edge/src/createStreamOriginStore.ts
+++ b/packages/edge/src/createStreamOriginStore.ts
@@ -19,8 +19,8 @@
 const OTHER_REPLIES_WAIT_MS = 60;
 
 /**
- * Time since the list of upstreams was confirmed within which it has all versions with which a stream can have begun that is
- * taken up now: a version has to be registered, begin the stream and lose it first.
+ * Time since the list of upstreams was confirmed within which it counts as having all versions, if the hosts that would know of
+ * another one do not answer.
  */
 const CURRENT_WITHIN_MS = 1_000;
 
@@ -56,6 +56,20 @@
         undefined
     );
 
+/** Resolves when so many hosts have replied; never if they don't. */
+const waitForReplies = (calls: readonly Promise<StreamOriginReply | undefined>[], count: number): Promise<void> =>
+    new Promise(resolve => {
+        let replies = 0;
+        calls.forEach(call =>
+            void call.then(reply => {
+                replies += reply === undefined ? 0 : 1;
+                if (replies >= count) {
+                    resolve();
+                }
+            })
+        );
+    });
+
 /**
  * Creates a store without origins.
  *
@@ -119,7 +133,7 @@
                 peerVersions: [],
             };
             const isOnlyVersion = uptimeMs() >= STREAM_LIFETIME_MS && versionsOf(service).length === 1;
-            if (isOnlyVersion && own.areVersionsCurrent) {
+            if (isOnlyVersion && !hasPeers()) {
                 return own;
             }
             const query = { requestId, accountId: accountId ?? "", service };
@@ -133,7 +147,8 @@
                 return result.val;
             });
             const areAllEnded = Promise.all(calls);
-            await (own.origin === undefined ? findFirst(calls) : undefined);
+            const areEnough = isOnlyVersion ? [waitForReplies(calls, requiredReplies(calls.length))] : [];
+            await (own.origin === undefined ? Promise.race([findFirst(calls), ...areEnough]) : undefined);
             await Promise.race([areAllEnded, clock.sleep(OTHER_REPLIES_WAIT_MS)]);
             const told = replies.flatMap(reply => reply.origin === undefined ? [] : [fromMessage(reply.origin)]);
             const known = own.origin === undefined ? told : [own.origin, ...told];
