perf(edge): a host that fetches a newer set knows how old it is, and asks the store less

Cause: a member whose collector has a newer list fetched it, and was confirmed only by the next report without a change. While upstreams change in each round it took its list for old and asked the store. Change: what a peer states of a newer set is kept, and confirms the own one once it is at that position or later.

--- a/packages/edge/__tests__/documentAges.spec.ts
+++ b/packages/edge/__tests__/documentAges.spec.ts
@@ -31,6 +31,53 @@
         ...fields,
     });
 
+/** Lets a peer answer with a newer list in each round, which the host fetches 50 ms later; returns the age after each round. */
+const agesWhileListChanges = async (
+    fetchedRevisionOf: (revision: number) => number,
+): Promise<readonly number[]> => {
+    const clock = createFakeClock();
+    const ages = createDocumentAges(clock, SETS);
+    const agesMs: number[] = [];
+    for (const revision of [7, 8, 9]) {
+        await clock.advance(800);
+        const report = decodeHostReport(encode({ ages: { upstreams: 300 }, positions: { upstreams: [1, revision] } }));
+        ages.supersede(SETS);
+        ages.observePeer(report ?? { positions: {} }, 100, SETS);
+        await clock.advance(50);
+        ages.reach("upstreams", { epoch: 1, revision: fetchedRevisionOf(revision) });
+        agesMs.push(ages.ageMs("upstreams"));
+    }
+    return agesMs;
+};
+
+test.each([[0], [3]])(
+    "a newer list that was fetched is as old as the peer said, also if it has %i revisions more",
+    async more => {
+        expect(await agesWhileListChanges(revision => revision + more)).toEqual([450, 450, 450]);
+    },
+);
+
+test.each([[-1], [-7]])("a fetched list of an earlier revision than the peer's (%i) confirms nothing", async more => {
+    expect(await agesWhileListChanges(revision => Math.min(6, revision + more))).toEqual([
+        Infinity,
+        Infinity,
+        Infinity,
+    ]);
+});
+
+test("a newer list counts by the latest answer that stated it", () => {
+    const clock = createFakeClock();
+    const ages = createDocumentAges(clock, SETS);
+    const observe = (revision: number, agoMs: number): void =>
+        ages.observePeer({ positions: { upstreams: [1, revision] }, ages: { upstreams: 0 } }, agoMs, SETS);
+    observe(8, 500);
+    observe(8, 200);
+    observe(8, 400);
+    observe(7, 10);
+    ages.reach("upstreams", { epoch: 1, revision: 8 });
+    expect(ages.ageMs("upstreams")).toBe(200);
+});
+
 const ageAfter = (fields: object): number => {
     const ages = createDocumentAges(createFakeClock(), SETS);
     const report = decodeHostReport(encode(fields));
--- a/packages/edge/__tests__/documentChain.spec.ts
+++ b/packages/edge/__tests__/documentChain.spec.ts
@@ -97,9 +97,10 @@
                                 time.nowMs - calledAtMs,
                                 newer,
                             );
-                            host.revision = random.nextFloat() < 0.5
-                                ? Math.max(host.revision, revision)
-                                : host.revision;
+                            if (random.nextFloat() < 0.5) {
+                                host.revision = Math.max(host.revision, revision);
+                                host.ages.reach(SET, { epoch: 1, revision: host.revision });
+                            }
                         },
                     });
                 }
--- a/packages/edge/src/documentAges.ts
+++ b/packages/edge/src/documentAges.ts
@@ -1,3 +1,4 @@
+import type { DocumentPosition } from "@ibislanding/discovery";
 import type { HostReport } from "./hostReport";
 
 /** How old each set of documents is that must be up to date within a time. */
@@ -18,4 +19,6 @@
         reportedMsAgo: number,
         newerSets: readonly string[],
     ) => void;
+    /** Applies what peers reported of a newer set, now that the own one is at least at the given position. */
+    readonly reach: (set: string, position: DocumentPosition) => void;
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -393,7 +393,13 @@
         documents: documentCache.documents,
         staleSets: ({ positions }) => documentCache.staleSets(positions),
         fetchDelayMs: documentCache.fetchDelayMs,
-        onDocuments: documentCache.offer,
+        onDocuments: (name, set) => {
+            documentCache.offer(name, set);
+            const current = documentCache.documents(name);
+            if (current !== undefined) {
+                ages.reach(name, current);
+            }
+        },
         onPeerReachabilityChange: (address, isReachable, reason) =>
             log.write(isReachable ? "peer_regained" : "peer_lost", { address, reason }),
     });
