test(gateway): a run that starts over counts as lost in a crash

Cause: the gateway breaks off a run whose events do not belong to the stream, and then records the run as lost, like one whose upstream closed the connection. An upstream that works, or the request, may be suspected of a crash.

--- a/packages/gateway/__tests__/continuedStreams.spec.ts
+++ b/packages/gateway/__tests__/continuedStreams.spec.ts
@@ -101,3 +101,17 @@
     expect(seen.body).not.toContain("HTTP/1.1");
     expect(seen.isComplete).toBe(false);
 });
+
+// Guards against sound upstreams, and requests, that are taken for the cause of a crash because the gateway broke a run off.
+test.each(["a stream that starts over", "a stream that repeats the last event", "a head in place of events"])(
+    "%s is no sign of a crash",
+    async name => {
+        const serve = serveThen(continuations[name] ?? (() => ""));
+        await using first = await startRawUpstream(serve);
+        await using second = await startRawUpstream(serve);
+        await using system = await startTestGateway([first.port, second.port], { ...ROUTE, maximumAttempts: 2 });
+        expect(await sendClientRequest(system.port, "r1")).toMatchObject({ isComplete: false });
+        // The first run was lost: its upstream closed the connection.
+        expect(system.lostRunUpstreamIds).toHaveLength(1);
+    },
+);
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -60,6 +60,7 @@
     const ended: { readonly outcome: string; readonly reason: string; readonly status: number; }[] = [];
     const startedAccountIds: (AccountId | undefined)[] = [];
     const answersBeganAtMs: number[] = [];
+    const lostRunUpstreamIds: UpstreamId[] = [];
     const configuration = compileConfiguration({
         version: 1,
         routes: [{
@@ -118,7 +119,7 @@
                 onEnded: () => undefined,
             },
         }),
-        crashes: { recordLoss: () => undefined },
+        crashes: { recordLoss: ({ upstreamId }) => void lostRunUpstreamIds.push(upstreamId) },
         recentAnswers: { ...createRecentAnswers(), record: (_, beganAtMs) => void answersBeganAtMs.push(beganAtMs) },
         streamOrigins: {
             record: () => clock.sleep(state.recordDelayMs),
@@ -162,6 +163,7 @@
         ended,
         startedAccountIds,
         answersBeganAtMs,
+        lostRunUpstreamIds,
         [Symbol.asyncDispose]: async () => {
             server.closeAllConnections();
             server.close();
