fix(gateway): a run that the gateway breaks off is no evidence of a crash

Change: the result of a relay states whether the gateway ended it because of its contents. Such a run is repeated as before, counts as failed for its version, and neither accuses features of its request nor starts an inquiry into its upstream.

--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -43,16 +43,16 @@
         endsInsideEvent: splitter !== undefined && splitter.pendingBytes() > 0,
     });
 
-    const settle = (defect: string | undefined): void => {
+    const settle = (defect: string | undefined, isBrokenOff = false): void => {
         if (!isSettled) {
             isSettled = true;
-            resolve({ defect, lastEventId: splitter?.lastEventId(), received: received() });
+            resolve({ defect, isBrokenOff, lastEventId: splitter?.lastEventId(), received: received() });
         }
     };
 
-    const fail = (defect: string): void => {
+    const fail = (defect: string, isBrokenOff = false): void => {
         response.closeConnection();
-        settle(defect);
+        settle(defect, isBrokenOff);
     };
 
     const receive = (chunk: Buffer): void => {
@@ -72,7 +72,7 @@
             const defect = splitter.defect()
                 ?? (splitter.pendingBytes() > MAXIMUM_EVENT_BYTES ? "event-too-large" : undefined);
             if (defect !== undefined) {
-                fail(defect);
+                fail(defect, true);
             }
             return;
         }
--- a/packages/gateway/src/forwarding/relayResult.ts
+++ b/packages/gateway/src/forwarding/relayResult.ts
@@ -4,6 +4,8 @@
 export interface RelayResult {
     /** Why the body is incomplete; undefined if it is complete. */
     readonly defect: string | undefined;
+    /** Whether the relay ended it because of what it contained; the upstream may be sound. */
+    readonly isBrokenOff: boolean;
     /** Id of the last event that was relayed. */
     readonly lastEventId: string | undefined;
     readonly received: ReceivedBody;
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -244,8 +244,9 @@
         attempt.isBrokenOff = true;
         return { kind: "elsewhere", reason: `silent for ${Math.round(silentMs)} ms`, isCharged: true };
     }
-    endVersionRun(attempt, "lost");
-    const suspectedIds = recordLoss(attempt);
+    attempt.isBrokenOff = delivery.isBrokenOff;
+    endVersionRun(attempt, delivery.isBrokenOff ? "failed" : "lost");
+    const suspectedIds = delivery.isBrokenOff ? [] : recordLoss(attempt);
     const deliveredMs = Math.round(options.clock.monotonicMs() - headAtMs);
     return {
         kind: "repeat",
