--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -52,14 +52,19 @@
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
     const calls: string[] = [];
-    const state = { isRelayed: false, hasFaultyReader: false };
+    const state = { isRelayed: false, hasFaultyReader: false, lostSnapshots: 0 };
     const failures: unknown[] = [];
     const confirmedMsAgo: number[] = [];
     const epoch = createStoreEpoch();
     epoch.observe(1);
     const history: KeyValueHistory = {
-        snapshot: async () => {
+        snapshot: async (_prefix, options) => {
             calls.push("snapshot");
+            if (calls.length > 1 && state.lostSnapshots > 0) {
+                state.lostSnapshots--;
+                await clock.sleep(options.timeoutMs ?? Infinity);
+                return Err(createFailure(ErrorCode.KeyValueUnavailable));
+            }
             await clock.sleep(answerAfterMs);
             return snapshots.shift() ?? Err(createFailure(ErrorCode.KeyValueUnavailable));
         },
@@ -117,6 +122,26 @@
     await disposed;
 });
 
+// Guards against news that is late because a snapshot is awaited for longer than a refresh of the set may take.
+test.each([[1, 350], [2, 1_050]])(
+    "after lost history, and %i snapshots that get no answer, the set is known again after %i ms",
+    async (lostSnapshots, withinMs) => {
+        const { clock, watcher, seen, state } = startWatcher({
+            snapshots: [
+                Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] }),
+                Ok({ epoch: 1, revision: 30, entries: [entry("b", 29)] }),
+            ],
+            changes: [Err(createFailure(ErrorCode.HistoryLost))],
+        });
+        state.lostSnapshots = lostSnapshots;
+        await clock.advance(withinMs);
+        expect(seen.map(({ revision }) => revision)).toEqual([5, 30]);
+        const disposed = watcher[Symbol.asyncDispose]();
+        await clock.advance(5_000);
+        await disposed;
+    },
+);
+
 // Guards against a wait for changes that was lost without a sign and is believed until its end.
 test("a refresh ends the wait in progress, is not repeated until it has ended, and confirms the set", async () => {
     const { clock, watcher, calls, confirmedMsAgo } = startWatcher({
