--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -13,6 +13,9 @@
 
 const SNAPSHOT_TIMEOUT_MS = 1_000;
 
+/** Growth of the time-out of snapshots that replace a known set, from that of a refresh: a large set may take longer. */
+const SNAPSHOT_TIMEOUT_GROWTH = 2;
+
 /** Backoff after failed calls; the first retry is well within the time in which changes must take effect. */
 const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 600 };
 
@@ -63,11 +66,19 @@
         }
     };
 
+    const snapshotTimeoutMs = (): number =>
+        current === undefined
+            ? SNAPSHOT_TIMEOUT_MS
+            : Math.min(
+                SNAPSHOT_TIMEOUT_MS,
+                options.refreshTimeoutMs() * SNAPSHOT_TIMEOUT_GROWTH ** consecutiveFailures,
+            );
+
     const loadSnapshot = async (): Promise<Result<boolean, Failure>> => {
         const elapsedMs = measureElapsedMs(clock);
         const result = await history.snapshot(prefix, {
             cause: "discovery",
-            timeoutMs: SNAPSHOT_TIMEOUT_MS,
+            timeoutMs: snapshotTimeoutMs(),
             signal: stop.signal,
         });
         return result.map(snapshot => {
