fix(gateway): moved runs do not go on at upstreams that announced their departure long ago

Change: if the target leaves by the end of the move, the run is continued anew at another upstream, after the last event that the client has, or ends visibly if it may not be repeated. A run that could not be copied goes on at its source up to 2 s after the notice, and elsewhere after that.

--- a/packages/gateway/src/engines/evacuateRun.ts
+++ b/packages/gateway/src/engines/evacuateRun.ts
@@ -1,4 +1,4 @@
-import { ErrorCode } from "@ibislanding/core";
+import { ErrorCode, measureElapsedMs } from "@ibislanding/core";
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { EvacuationOptions } from "./evacuationOptions";
 import type { EvacuationResult } from "./evacuationResult";
@@ -12,6 +12,9 @@
 /** Fraction of a longer notice that passes before runs are moved. */
 const EVACUATION_SHARE = 0.4;
 
+/** Time after the notice up to which a run that could not be copied goes on at its upstream, which must not get requests for long. */
+const SOURCE_CONTINUATION_MS = 2_000;
+
 /** Failures after which the run is known not to have been stopped. */
 const NOT_STOPPED_CODES: ReadonlySet<ErrorCode> = new Set([ErrorCode.UpstreamRefused, ErrorCode.UpstreamUnreachable]);
 
@@ -22,6 +25,7 @@
  */
 export const evacuateRun = async (options: EvacuationOptions): Promise<EvacuationResult> => {
     const { clock, engines, upstreams, upstream, signal } = options;
+    const elapsedMs = measureElapsedMs(clock);
     const noticeMs = upstreams.noticeMs(upstream.upstreamId);
     await clock.sleep(Math.max(EVACUATION_DELAY_MS, (noticeMs ?? 0) * EVACUATION_SHARE), signal);
     if (signal.aborted || !upstreams.isDeparting(upstream)) {
@@ -39,5 +43,8 @@
         return { kind: NOT_STOPPED_CODES.has(moved.val.code) ? "not-moved" : "unknown" };
     }
     const { handle, isCopied } = moved.val;
+    if (!isCopied && elapsedMs() > SOURCE_CONTINUATION_MS) {
+        return { kind: "stopped" };
+    }
     return { kind: "moved", continuation: { upstream: isCopied ? decision.upstream : upstream, handle } };
 };
--- a/packages/gateway/src/engines/evacuationResult.ts
+++ b/packages/gateway/src/engines/evacuationResult.ts
@@ -5,5 +5,7 @@
     /** The upstream was not asked to stop the run, or refused to. */
     | { readonly kind: "not-moved"; }
     | { readonly kind: "moved"; readonly continuation: Continuation; }
+    /** The run has stopped, and is no longer to be continued at its upstream, which alone has its memory. */
+    | { readonly kind: "stopped"; }
     /** The upstream was asked to stop the run and sent no valid response; it may have stopped the run. */
     | { readonly kind: "unknown"; };
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { Continuation } from "../engines/continuation";
 import type { PlacementDecision } from "../placement/placementDecision";
+import type { UpstreamRecord } from "../upstreams/upstreamRecord";
 import type { AttemptOutcome } from "./attemptOutcome";
 import { findBetterHosts } from "./findBetterHosts";
 import { findQuarantinedFeature } from "./findQuarantinedFeature";
@@ -73,6 +74,10 @@
         && (isCharged || options.retryBudget.tryAcquire(admitted.service));
 };
 
+/** Whether the upstream to which a run was moved has announced its departure since it was chosen. */
+const hasTargetLeft = ({ options }: ForwardContext, source: UpstreamRecord, { upstream }: Continuation): boolean =>
+    upstream.upstreamId !== source.upstreamId && options.upstreams.isDeparting(upstream);
+
 const nextDecision = (context: ForwardContext, continuation: Continuation | undefined): PlacementDecision => {
     if (continuation !== undefined) {
         const { upstream } = continuation;
@@ -150,6 +155,12 @@
         }
         excluded.add(step.upstream.upstreamId);
         continuation = outcome.kind === "moved" ? outcome.continuation : undefined;
+        if (continuation !== undefined && hasTargetLeft(context, step.upstream, continuation)) {
+            if (!context.mayRepeat) {
+                return Err(finalRefusal(context, "move_target_left", REFUSED_RETRY_MS));
+            }
+            continuation = undefined;
+        }
     }
 };
 
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -237,6 +237,9 @@
     if (move.kind === "moved" && !ended.aborted) {
         return { kind: "moved", reason: "moved", continuation: move.continuation };
     }
+    if (move.kind === "stopped" && !ended.aborted) {
+        return { kind: "elsewhere", reason: "stopped to be moved, and not copied", isCharged: false };
+    }
     reportFailure(attempt, "failed");
     if (silentMs !== undefined && !ended.aborted) {
         // The run may still go on at the engine, so its loss says nothing about a crash.
