test(discovery): all hosts of a group ask the store together after a change

An answer with changes confirms a set from the sending of the call only, up to 1.28 s before; after it come the batch delay of 0.3 s and a whole wait, and at the members 0.9 s of their round and the summary.

--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -45,9 +45,11 @@
     readonly changes: Result<KeyValueChanges, Failure>[];
     /** Time that each answer is under way. */
     readonly answerAfterMs?: number;
+    /** Time after which there are changes. */
+    readonly changesAfterMs?: number;
 }
 
-const startWatcher = ({ snapshots, changes, answerAfterMs = 0 }: StoreResponses) => {
+const startWatcher = ({ snapshots, changes, answerAfterMs = 0, changesAfterMs = 0 }: StoreResponses) => {
     const clock = createFakeClock();
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
@@ -78,6 +80,7 @@
                 }
                 return Ok({ changes: [], epoch: epoch.current(), revision });
             }
+            await clock.sleep(changesAfterMs, options.signal);
             return next;
         },
     };
@@ -196,6 +199,22 @@
     await disposed;
 });
 
+// Guards against a whole group that takes its list for old, as its collectors begin a full wait with what changes late in one confirmed.
+test("a set that changed late in a wait is confirmed again when the wait would have ended", async () => {
+    const { clock, watcher, confirmedMsAgo } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [Ok({ epoch: 1, revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] })],
+        changesAfterMs: 1_500,
+    });
+    await clock.advance(1_990);
+    expect(confirmedMsAgo).toEqual([0, 1_500]);
+    await clock.advance(20);
+    expect(confirmedMsAgo).toEqual([0, 1_500, 0]);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
 // Guards against a list that is no longer followed after one set that its reader could not take.
 test("a reader that throws is told of later sets", async () => {
     const { clock, watcher, seen, state, failures } = startWatcher({
