perf(discovery): a wait for changes is shorter by the age of its set

An answer with changes confirms a set from the sending of its call, and a whole wait followed. Change: the wait and the batch delay end when the set is as old as a whole wait.

--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -20,7 +20,7 @@
 const RETRY_BACKOFF = { initialDelayMs: 50, maximumDelayMs: 600 };
 
 /** Wait of a call that only asks whether there are newer changes. */
-const REFRESH_WAIT_MS = 1;
+const MINIMUM_WAIT_MS = 1;
 
 /** Interval at which a paused watcher checks whether it has to watch the store again. */
 const RELAY_CHECK_MS = 1_000;
@@ -36,6 +36,8 @@
     let refresh: "none" | "due" | "running" = "none";
     let isStoreReachable = true;
     let consecutiveFailures = 0;
+    /** Time since the set was known to be the newest by a call of this watcher. */
+    let confirmedAgeMs = (): number => Infinity;
 
     const update = (next: DocumentSet, source: "store" | "peer"): void => {
         // Other documents of the store change its revision, too.
@@ -55,10 +57,15 @@
 
     const confirm = (agoMs: number): void => {
         if (!needsSnapshot) {
+            const elapsedMs = measureElapsedMs(clock);
+            confirmedAgeMs = () => agoMs + elapsedMs();
             options.onConfirmed?.(agoMs);
         }
     };
 
+    /** Time until the set is as old as a whole wait: an answer with changes confirms it from the sending of the call only. */
+    const remainingWaitMs = (): number => Math.max(0, options.watchWaitMs() - confirmedAgeMs());
+
     const setReachable = (isReachable: boolean, reason: string): void => {
         if (isReachable !== isStoreReachable) {
             isStoreReachable = isReachable;
@@ -125,9 +132,9 @@
         if (needsSnapshot || current === undefined) {
             return loadSnapshot();
         }
-        const waitMs = options.watchWaitMs();
+        const waitMs = Math.max(MINIMUM_WAIT_MS, remainingWaitMs());
         return refresh === "running"
-            ? watch(current, REFRESH_WAIT_MS, options.refreshTimeoutMs())
+            ? watch(current, MINIMUM_WAIT_MS, options.refreshTimeoutMs())
             : watch(current, waitMs, waitMs + WATCH_TIMEOUT_MARGIN_MS);
     };
 
@@ -144,7 +151,7 @@
             consecutiveFailures = 0;
             setReachable(true, "answered");
             if (result.val) {
-                await clock.sleep(options.batchDelayMs(), stop.signal);
+                await clock.sleep(Math.min(options.batchDelayMs(), remainingWaitMs()), stop.signal);
             }
             return;
         }
