perf(edge): each of several newer positions that peers stated counts once it is fetched

Cause: only the newest one was kept, which another collector may have stated than the one from which the set is fetched. Change: up to four positions of a set are kept.

--- a/packages/edge/__tests__/documentAges.spec.ts
+++ b/packages/edge/__tests__/documentAges.spec.ts
@@ -65,7 +65,7 @@
     ]);
 });
 
-test("a newer list counts by the latest answer that stated it", () => {
+test("each newer list counts by the latest answer that stated it, whichever is fetched", () => {
     const clock = createFakeClock();
     const ages = createDocumentAges(clock, SETS);
     const observe = (revision: number, agoMs: number): void =>
@@ -73,9 +73,11 @@
     observe(8, 500);
     observe(8, 200);
     observe(8, 400);
-    observe(7, 10);
+    observe(9, 10);
     ages.reach("upstreams", { epoch: 1, revision: 8 });
     expect(ages.ageMs("upstreams")).toBe(200);
+    ages.reach("upstreams", { epoch: 1, revision: 9 });
+    expect(ages.ageMs("upstreams")).toBe(10);
 });
 
 const ageAfter = (fields: object): number => {
--- a/packages/edge/src/createDocumentAges.ts
+++ b/packages/edge/src/createDocumentAges.ts
@@ -4,6 +4,14 @@
 import { createConfirmationAge } from "./createConfirmationAge";
 import type { DocumentAges } from "./documentAges";
 
+/** Positions of a set that are remembered until the set was fetched; several peers may have different ones. */
+const MAXIMUM_AWAITED = 4;
+
+interface AwaitedPosition {
+    readonly position: DocumentPosition;
+    readonly age: ConfirmationAge;
+}
+
 /**
  * Creates the ages of sets that were never confirmed.
  *
@@ -13,18 +21,19 @@
  */
 export const createDocumentAges = (clock: Clock, sets: readonly string[]): DocumentAges => {
     const ages = new Map<string, ConfirmationAge>(sets.map(set => [set, createConfirmationAge(clock)]));
-    /** Newest position of each set that a peer has reported and this host did not have. */
-    const awaited = new Map<string, { readonly position: DocumentPosition; readonly age: ConfirmationAge; }>();
+    /** What peers reported of newer sets than the own ones, the last heard of at the end. */
+    const awaited = new Map<string, readonly AwaitedPosition[]>();
 
     const awaitPosition = (set: string, position: DocumentPosition, agoMs: number): void => {
-        const known = awaited.get(set);
-        if (known !== undefined && isNewerPosition(known.position, position)) {
-            return;
+        const known = awaited.get(set) ?? [];
+        const same = known.find(({ position: { epoch, revision } }) =>
+            epoch === position.epoch && revision === position.revision
+        );
+        const { age } = same ?? { age: createConfirmationAge(clock) };
+        age.confirm(agoMs);
+        if (same === undefined) {
+            awaited.set(set, [...known, { position, age }].slice(-MAXIMUM_AWAITED));
         }
-        const isSame = known !== undefined && !isNewerPosition(position, known.position);
-        const next = isSame ? known : { position, age: createConfirmationAge(clock) };
-        next.age.confirm(agoMs);
-        awaited.set(set, next);
     };
 
     return {
@@ -48,11 +57,11 @@
                 }
             }),
         reach: (set, position) => {
-            const next = awaited.get(set);
-            if (next !== undefined && !isNewerPosition(next.position, position)) {
-                awaited.delete(set);
-                ages.get(set)?.confirm(next.age.ageMs());
-            }
+            const known = awaited.get(set) ?? [];
+            known.filter(next => !isNewerPosition(next.position, position)).forEach(({ age }) =>
+                ages.get(set)?.confirm(age.ageMs())
+            );
+            awaited.set(set, known.filter(next => isNewerPosition(next.position, position)));
         },
     };
 };
