feat(relay): upstreams that accept connections and answer nothing are avoided

Ruled out: probes that send a request, which each upstream would have to serve for each host. Change: createSilentUpstreams decides by the sends of a host: no byte for 1.5 s and twice the patience, while others of the service answer. Such an upstream is used only if there is no other, for 2 s and then longer each time that it is still silent; repeatable requests that wait there longer than their patience are sent elsewhere, within the retry budget. A byte ends it.

--- a/packages/relay/src/decisions/createUpstreamReachability.ts
+++ b/packages/relay/src/decisions/createUpstreamReachability.ts
@@ -1,4 +1,5 @@
 import type { UpstreamId } from "@ibislanding/core";
+import { setNewest } from "./setNewest";
 import type { UpstreamReachability } from "./upstreamReachability";
 
 /** Time without any byte of any upstream while a send waits, after which the upstreams are probed. */
@@ -28,19 +29,6 @@
 /** Time between probes of an upstream that is not reached while others are. */
 const REPROBE_INTERVAL_MS = 1_000;
 
-/** Number of upstreams whose last failure and contact are remembered, so that replaced upstreams do not accumulate. */
-const REMEMBERED_UPSTREAMS = 1_000;
-
-/** Sets the newest entry, and drops the oldest one of too many. */
-const remember = (atMs: Map<UpstreamId, number>, upstreamId: UpstreamId, nowMs: number): void => {
-    atMs.delete(upstreamId);
-    atMs.set(upstreamId, nowMs);
-    const [oldest] = atMs.keys();
-    if (atMs.size > REMEMBERED_UPSTREAMS && oldest !== undefined) {
-        atMs.delete(oldest);
-    }
-};
-
 /**
  * Creates the decision with all upstreams presumed reachable; `nowMs` is monotonic.
  *
@@ -84,14 +72,14 @@
 
     const recordConnection = (upstreamId: UpstreamId): boolean => {
         connectedAtMs = nowMs();
-        remember(contactAtMs, upstreamId, connectedAtMs);
+        setNewest(contactAtMs, upstreamId, connectedAtMs);
         unreached.delete(upstreamId);
         return setReachable(true);
     };
 
     const recordFailure = (upstreamId: UpstreamId): void => {
         anyFailureAtMs = nowMs();
-        remember(failedAtMs, upstreamId, anyFailureAtMs);
+        setNewest(failedAtMs, upstreamId, anyFailureAtMs);
     };
 
     const recordUnreachable = (upstreamId: UpstreamId): boolean => {
@@ -110,7 +98,7 @@
         recordUnreachable,
         recordProgress: upstreamId => {
             anyProgressAtMs = nowMs();
-            remember(contactAtMs, upstreamId, anyProgressAtMs);
+            setNewest(contactAtMs, upstreamId, anyProgressAtMs);
             if (unreachableSinceMs !== undefined) {
                 progressedUpstreams.add(upstreamId);
             }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 // Decisions
 export { chooseRelayPeer } from "./decisions/chooseRelayPeer";
 export { createCutHistory } from "./decisions/createCutHistory";
+export { createSilentUpstreams } from "./decisions/createSilentUpstreams";
 export { createUpstreamReachability } from "./decisions/createUpstreamReachability";
 export type { CutHistory } from "./decisions/cutHistory";
 export { judgeCutOff } from "./decisions/judgeCutOff";
--- a/packages/relay/src/monitor/createReachabilityMonitor.ts
+++ b/packages/relay/src/monitor/createReachabilityMonitor.ts
@@ -1,4 +1,5 @@
 import type { Timer, UpstreamId } from "@ibislanding/core";
+import { createSilentUpstreams } from "../decisions/createSilentUpstreams";
 import { createUpstreamReachability } from "../decisions/createUpstreamReachability";
 import type { ProbeTarget } from "../decisions/probeTarget";
 import { selectProbeTargets } from "../decisions/selectProbeTargets";
@@ -34,6 +35,7 @@
     { clock, random, targets, probe, onChange }: ReachabilityMonitorOptions,
 ): ReachabilityMonitor => {
     const reachability = createUpstreamReachability(clock.monotonicMs);
+    const silentUpstreams = createSilentUpstreams(clock.monotonicMs);
     const waiting = new Set<WaitingSend>();
     const probing = new Set<UpstreamId>();
     let check: Promise<void> | undefined;
@@ -162,13 +164,17 @@
             .forEach(target => void probeOne(target));
     };
 
+    /** Whether the upstream of a send answers nothing, although it may accept connections. */
+    const isUnanswered = ({ upstreamId, mayRepeat, startedAtMs, progressedAtMs, patienceMs }: WaitingSend): boolean =>
+        mayRepeat && progressedAtMs === undefined && silentUpstreams.isAvoided(upstreamId)
+        && clock.monotonicMs() - startedAtMs >= patienceMs;
+
+    const isHung = ({ startedAtMs, progressedAtMs, ...send }: WaitingSend): boolean =>
+        reachability.isHung({ ...send, silentForMs: clock.monotonicMs() - (progressedAtMs ?? startedAtMs) });
+
     const abandonHungSends = (): void => {
-        const nowMs = clock.monotonicMs();
-        [...waiting]
-            .filter(({ startedAtMs, progressedAtMs, ...send }) =>
-                reachability.isHung({ ...send, silentForMs: nowMs - (progressedAtMs ?? startedAtMs) })
-            )
-            .forEach(({ abandon }) => abandon());
+        [...waiting].filter(({ progressedAtMs }) => progressedAtMs === undefined).forEach(silentUpstreams.examineSend);
+        [...waiting].filter(send => isHung(send) || isUnanswered(send)).forEach(({ abandon }) => abandon());
     };
 
     const scheduleTick = (): void => {
@@ -189,7 +195,7 @@
     return {
         reachesUpstreams: reachability.reachesUpstreams,
         hasLiveConnections: reachability.hasLiveConnections,
-        isUnreached: reachability.isUnreached,
+        isUnreached: upstreamId => reachability.isUnreached(upstreamId) || silentUpstreams.isAvoided(upstreamId),
         unreachedShare: () => {
             const registered = targets();
             const unreached = registered.filter(({ upstreamId }) => reachability.isUnreached(upstreamId));
@@ -235,6 +241,7 @@
                 recordProgress: () => {
                     send.progressedAtMs = clock.monotonicMs();
                     reachability.recordProgress(upstreamId);
+                    silentUpstreams.recordAnswer(upstreamId);
                 },
                 end: () => {
                     waiting.delete(send);
