fix(gateway): streams are not continued at an upstream that has restarted and keeps its connections longer than others

Cause: a stream goes on where the oldest connection is. Connections to upstreams that often break off answers are young, so that one that restarted two seconds ago may have the oldest connection, and its new entry has not arrived yet. Change: what counts is for how long there has always been an established connection. A restart interrupts that, and the end of single connections does not. A connection that is still being opened counts for nothing. A test of the table fails on the old rule. Left: without traffic all connections end after 2.5 s, and no upstream can be told from a restarted one.

--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -368,22 +368,23 @@
         softwareVersion: engine("busy").softwareVersion,
     });
     table.trackRequest("busy" as UpstreamId, prompt("other"));
-    const close = table.trackConnection(engine("busy"));
+    const connection = table.trackConnection(engine("busy"));
+    connection.recordEstablished();
     await clock.advance(3_000);
-    table.trackConnection(engine("idle"));
+    table.trackConnection(engine("idle")).recordEstablished();
     expect(upstreamOf(place(prompt("s")))).toBe("idle");
     expect(upstreamOf(place(continued))).toBe("busy");
     expect(upstreamOf(place({ ...continued, objectiveMs: 1_000 }))).toBe("idle");
     await clock.advance(4_000);
     // Both connections are old enough to lead to the registered starts.
     expect(upstreamOf(place(continued))).toBe("idle");
-    close();
+    connection.end();
     expect(upstreamOf(place(continued))).toBe("idle");
 });
 
 test("connections to a start of an upstream do not count for the next start", async () => {
     const { clock, table } = createTable([engine("a")]);
-    table.trackConnection(engine("a"));
+    table.trackConnection(engine("a")).recordEstablished();
     await clock.advance(5_000);
     expect(table.candidates(service, prompt("s"))[0]?.connectedForMs).toBe(5_000);
     table.replace([engine("a", { startedAtMs: engine("a").startedAtMs + 1 })]);
@@ -391,3 +392,26 @@
     await clock.advance(1_000);
     expect(table.candidates(service, prompt("s"))[0]?.connectedForMs).toBe(0);
 });
+
+// Guards against an upstream that has restarted and keeps its connections, and looks older than one that often closes some.
+test("an upstream counts as connected while connections overlap, from the first that it has accepted", async () => {
+    const { clock, table } = createTable([engine("a")]);
+    const connectedForMs = (): number | undefined => table.candidates(service, prompt("s"))[0]?.connectedForMs;
+    const first = table.trackConnection(engine("a"));
+    await clock.advance(1_000);
+    first.recordEstablished();
+    await clock.advance(2_000);
+    const second = table.trackConnection(engine("a"));
+    second.recordEstablished();
+    first.end();
+    await clock.advance(3_000);
+    expect(connectedForMs()).toBe(5_000);
+    // Not accepted before the last one was closed, so that the upstream may have restarted in between.
+    const third = table.trackConnection(engine("a"));
+    second.end();
+    await clock.advance(500);
+    expect(connectedForMs()).toBe(0);
+    third.recordEstablished();
+    await clock.advance(500);
+    expect(connectedForMs()).toBe(500);
+});
--- a/packages/gateway/src/forwarding/createConnectionPool.ts
+++ b/packages/gateway/src/forwarding/createConnectionPool.ts
@@ -60,7 +60,9 @@
         const socket = createConnection(options, callback) as Socket;
         if (!countedSockets.has(socket)) {
             countedSockets.add(socket);
-            socket.once("close", upstreams.trackConnection(upstream));
+            const connection = upstreams.trackConnection(upstream);
+            socket.once("connect", connection.recordEstablished);
+            socket.once("close", connection.end);
         }
         return socket;
     };
--- a/packages/gateway/src/placement/placementCandidate.ts
+++ b/packages/gateway/src/placement/placementCandidate.ts
@@ -30,6 +30,6 @@
     readonly isUnconfirmed?: boolean | undefined;
     /** Whether this host has reached its connection limit for the upstream. */
     readonly isAtConnectionLimit: boolean;
-    /** Age of this host's oldest open connection to the upstream; 0 if there is none. */
+    /** Time for which this host has always had an established connection to the upstream; 0 if it has none. */
     readonly connectedForMs: number;
 }
--- a/packages/gateway/src/placement/selectContinuing.ts
+++ b/packages/gateway/src/placement/selectContinuing.ts
@@ -7,8 +7,8 @@
  * Selects the candidates at which a stream may be continued, preferably those that are known to run the registered version.
  *
  * Handles an upstream that crashes and listens again with another version before its new entry arrives. A crash closes all
- * connections, so a connection that is older than the delay of the registry leads to the start that is registered. If
- * there is none, the upstream with the oldest connection is the least likely to have restarted.
+ * connections, so an upstream to which there has always been one for the delay of the registry has not restarted within it. If
+ * there is none, the one that has been connected for longest is the least likely to have restarted.
  */
 export const selectContinuing = (candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] => {
     const oldestMs = Math.max(0, ...candidates.map(({ connectedForMs }) => connectedForMs));
--- a/packages/gateway/src/upstreams/createUpstreamState.ts
+++ b/packages/gateway/src/upstreams/createUpstreamState.ts
@@ -24,5 +24,7 @@
     progress: { expectedMs: 0, actualMs: 0, updatedAtMs: nowMs },
     roundTripMs: undefined,
     responseMs: undefined,
-    openConnections: new Set(),
+    openConnections: 0,
+    establishedConnections: 0,
+    connectedSinceMs: nowMs,
 });
--- a/packages/gateway/src/upstreams/createUpstreamTable.ts
+++ b/packages/gateway/src/upstreams/createUpstreamTable.ts
@@ -223,13 +223,8 @@
         return { running: state.running, backlogTokens: Math.round(ownTokens) };
     };
 
-    const connectedForMs = ({ openConnections }: UpstreamState): number => {
-        if (openConnections.size === 0) {
-            return 0;
-        }
-        const nowMs = clock.monotonicMs();
-        return nowMs - Math.min(nowMs, ...[...openConnections].map(({ openedAtMs }) => openedAtMs));
-    };
+    const connectedForMs = ({ establishedConnections, connectedSinceMs }: UpstreamState): number =>
+        establishedConnections === 0 ? 0 : clock.monotonicMs() - connectedSinceMs;
 
     const usesGaps = (): boolean => unobservedShare() > 0 && peers.hostCount() >= MINIMUM_HOSTS_FOR_GAPS;
 
@@ -296,7 +291,7 @@
             ),
             isMissing: state.missingUntilMs !== undefined,
             isUnconfirmed: listAgeMs() > inForceMs && clock.monotonicMs() - state.confirmedAtMs > inForceMs,
-            isAtConnectionLimit: state.openConnections.size >= view.connectionLimit,
+            isAtConnectionLimit: state.openConnections >= view.connectionLimit,
             connectedForMs: connectedForMs(state),
         };
         return { candidate, tokens, maximumTokens, backlogTokens };
@@ -542,11 +537,23 @@
         trackConnection: ({ upstreamId, startedAtMs }) => {
             const state = upstreams.get(upstreamId);
             if (state?.record.startedAtMs !== startedAtMs) {
-                return () => undefined;
+                return { recordEstablished: () => undefined, end: () => undefined };
             }
-            const connection = { openedAtMs: clock.monotonicMs() };
-            state.openConnections.add(connection);
-            return () => void state.openConnections.delete(connection);
+            let isEstablished = false;
+            state.openConnections++;
+            return {
+                recordEstablished: () => {
+                    isEstablished = true;
+                    state.connectedSinceMs = state.establishedConnections === 0
+                        ? clock.monotonicMs()
+                        : state.connectedSinceMs;
+                    state.establishedConnections++;
+                },
+                end: () => {
+                    state.openConnections--;
+                    state.establishedConnections -= isEstablished ? 1 : 0;
+                },
+            };
         },
         observePeer: peers.observe,
         observePlacement: (hostName, upstreamId, load, partIds) => {
--- a/packages/gateway/src/upstreams/upstreamState.ts
+++ b/packages/gateway/src/upstreams/upstreamState.ts
@@ -45,6 +45,9 @@
      * Moving average of the response time, for upstreams that are not engines; streams are measured to the first byte.
      */
     responseMs: number | undefined;
-    /** Connections of this host to this start, with the monotonic time at which each was opened. */
-    readonly openConnections: Set<{ readonly openedAtMs: number; }>;
+    /** Connections of this host to this start, with those that are being opened, and those that the upstream has accepted. */
+    openConnections: number;
+    establishedConnections: number;
+    /** Monotonic time since which there has always been an established connection. */
+    connectedSinceMs: number;
 }
--- a/packages/gateway/src/upstreams/upstreamTable.ts
+++ b/packages/gateway/src/upstreams/upstreamTable.ts
@@ -4,6 +4,7 @@
 import type { PlacementCandidate } from "../placement/placementCandidate";
 import type { PlacementRequest } from "../placement/placementRequest";
 import type { VersionHistory } from "../streams/versionHistory";
+import type { TrackedConnection } from "./trackedConnection";
 import type { UpstreamLoad } from "./upstreamLoad";
 import type { UpstreamRecord } from "./upstreamRecord";
 
@@ -88,8 +89,8 @@
     /** Forgets failures, ejections and lateness of a service's upstreams, as after a cut of this host from them. */
     readonly forgetFailures: (service: ServiceName) => void;
     readonly reportRoundTrip: (upstreamId: UpstreamId, roundTripMs: number) => void;
-    /** Counts a connection to this start of an upstream as open until the returned function is called. */
-    readonly trackConnection: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => () => void;
+    /** Counts a connection to this start of an upstream as open until its end. */
+    readonly trackConnection: (upstream: Pick<UpstreamRecord, "upstreamId" | "startedAtMs">) => TrackedConnection;
     /** Replaces the loads of a peer by those of its report, which contains the state of the given number of hosts. */
     readonly observePeer: (
         hostName: string,
