--- a/packages/gateway/__tests__/movedRelays.spec.ts
+++ b/packages/gateway/__tests__/movedRelays.spec.ts
@@ -37,6 +37,7 @@
             quarantine: { find: () => undefined, mayRepeat: () => true },
             upstreams: {
                 candidates: () => [],
+                isDeparting: () => false,
                 areLoadsOld: () => false,
                 brittle: { isRestricted: () => false, slotOwners: () => [] },
             },
