--- a/packages/edge/__tests__/silentLinks.spec.ts
+++ b/packages/edge/__tests__/silentLinks.spec.ts
@@ -37,7 +37,7 @@
         const store = createTestStore();
         const configuration = createTestConfiguration(1, "k1");
         const routes = configuration.routes.map(
-            route => ({ ...route, kind: "repeatable", maximumAttempts: 3 } as const)
+            route => ({ ...route, kind: "repeatable", maximumAttempts: 3 } as const),
         );
         store.write("configuration", JSON.stringify({ ...configuration, routes }));
         await using silent = await startSilentUpstream();
