--- a/packages/discovery/__tests__/documents.spec.ts
+++ b/packages/discovery/__tests__/documents.spec.ts
@@ -54,6 +54,7 @@
     const seen: { readonly revision: number; readonly source: string; }[] = [];
     const reachability: boolean[] = [];
     const calls: string[] = [];
+    const waitsMs: number[] = [];
     const state = { isRelayed: false, hasFaultyReader: false, lostSnapshots: 0 };
     const failures: unknown[] = [];
     const confirmedMsAgo: number[] = [];
@@ -72,6 +73,7 @@
         },
         changesAfter: async (_prefix, revision, waitMs, options) => {
             calls.push(`changes after ${revision}`);
+            waitsMs.push(waitMs);
             const next = changes.shift();
             if (next === undefined) {
                 await clock.sleep(waitMs + answerAfterMs, options.signal);
@@ -104,7 +106,7 @@
         onChangeFailed: error => void failures.push(error),
         onReachabilityChange: isReachable => void reachability.push(isReachable),
     });
-    return { clock, watcher, seen, reachability, calls, epoch, state, failures, confirmedMsAgo };
+    return { clock, watcher, seen, reachability, calls, waitsMs, epoch, state, failures, confirmedMsAgo };
 };
 
 test("after lost history the watcher loads a snapshot immediately, without a backoff", async () => {
@@ -215,6 +217,21 @@
     await disposed;
 });
 
+// Guards against waits that the store rejects.
+test("each wait is a whole number of milliseconds", async () => {
+    const { clock, watcher, waitsMs } = startWatcher({
+        snapshots: [Ok({ epoch: 1, revision: 5, entries: [entry("a", 5)] })],
+        changes: [Ok({ epoch: 1, revision: 9, changes: [{ kind: "written", entry: entry("a", 9) }] })],
+        changesAfterMs: 700.4,
+    });
+    await clock.advance(6_000);
+    expect(waitsMs.length).toBeGreaterThan(3);
+    expect(waitsMs.filter(waitMs => !Number.isInteger(waitMs) || waitMs < 1)).toEqual([]);
+    const disposed = watcher[Symbol.asyncDispose]();
+    await clock.advance(5_000);
+    await disposed;
+});
+
 // Guards against a list that is no longer followed after one set that its reader could not take.
 test("a reader that throws is told of later sets", async () => {
     const { clock, watcher, seen, state, failures } = startWatcher({
--- a/packages/discovery/src/documents/createDocumentWatcher.ts
+++ b/packages/discovery/src/documents/createDocumentWatcher.ts
@@ -132,7 +132,8 @@
         if (needsSnapshot || current === undefined) {
             return loadSnapshot();
         }
-        const waitMs = Math.max(MINIMUM_WAIT_MS, remainingWaitMs());
+        // The store takes whole milliseconds only.
+        const waitMs = Math.max(MINIMUM_WAIT_MS, Math.round(remainingWaitMs()));
         return refresh === "running"
             ? watch(current, MINIMUM_WAIT_MS, options.refreshTimeoutMs())
             : watch(current, waitMs, waitMs + WATCH_TIMEOUT_MARGIN_MS);
