--- a/packages/edge/src/createDocumentCache.ts
+++ b/packages/edge/src/createDocumentCache.ts
@@ -9,6 +9,7 @@
 import { compileConfiguration, type CompiledConfiguration, type UpstreamRecord } from "@ibislanding/gateway";
 import type { KeyValueEntry } from "@ibislanding/platform";
 import { Err, Result } from "ts-results";
+import { confirmationWaitMs } from "./confirmationWaitMs";
 import { createRestoredEntryFilter } from "./createRestoredEntryFilter";
 import type { DocumentCache } from "./documentCache";
 import type { DocumentCacheOptions } from "./documentCacheOptions";
@@ -23,12 +24,8 @@
  */
 const WATCH_END_INTERVAL_MS = 500;
 
-/**
- * Shares of the time within which a change must be in force. `confirmation`: mean interval between successive ends of watches of
- * sets with such a bound; `minimumWait`: shortest wait of one watch, and that of a collector, whose members learn from it how old
- * their sets are; `refresh`: time within which the store must answer a refresh.
- */
-const IN_FORCE_SHARES = { confirmation: 0.1, minimumWait: 0.32, refresh: 0.1 };
+/** Share of the time within which a change must be in force, in which the store must answer a refresh. */
+const REFRESH_TIMEOUT_SHARE = 0.1;
 
 /** Bounds on the wait of one watch: calls to the store are counted, and the store ends longer ones. */
 const MINIMUM_WATCH_WAIT_MS = 2_000;
@@ -176,13 +173,11 @@
         Math.min(MAXIMUM_WATCH_WAIT_MS, Math.max(MINIMUM_WATCH_WAIT_MS, hostCount() * WATCH_END_INTERVAL_MS));
 
     /** Wait of a watch of a set whose age is bounded. */
-    const boundedWatchWaitMs = (): number => {
-        const sharedWaitMs = isCollector() ? 0 : hostCount() * settings.inForceMs * IN_FORCE_SHARES.confirmation;
-        return Math.min(
-            MAXIMUM_WATCH_WAIT_MS,
-            Math.max(settings.inForceMs * IN_FORCE_SHARES.minimumWait, sharedWaitMs),
+    const boundedWatchWaitMs = (): number =>
+        confirmationWaitMs(
+            { hostCount: hostCount(), inForceMs: settings.inForceMs, isCollector: isCollector() },
+            random,
         );
-    };
 
     const defaultBatchDelayMs = (): number =>
         Math.min(settings.inForceMs * MAXIMUM_BATCH_DELAY_SHARE, hostCount() * BATCH_DELAY_MS_PER_HOST);
@@ -201,7 +196,7 @@
         clock,
         random,
         watchWaitMs,
-        refreshTimeoutMs: () => settings.inForceMs * IN_FORCE_SHARES.refresh,
+        refreshTimeoutMs: () => settings.inForceMs * REFRESH_TIMEOUT_SHARE,
         isRelayed: isWatchRelayed,
         batchDelayMs,
         onChange,
