perf(edge): hosts wait at the store for times drawn at random, and confirm their sets for each other

Ruled out: a refresh at a random age, which would keep hosts apart only after a wait that none of them ends. Change: the wait of a host is drawn between 0 and twice its mean, with the same shortest one.

--- a/packages/edge/src/confirmationWaitMs.ts
+++ b/packages/edge/src/confirmationWaitMs.ts
@@ -12,7 +12,8 @@
 /**
  * Returns how long to wait at the store for changes of a set that must be in force within a time.
  *
- * Handles hosts that share the work of confirming a set: the end of each wait confirms it for all, through reports.
+ * Handles hosts that share the work of confirming a set: the end of each wait confirms it for all, through reports. Equal waits would
+ * begin together after each change and end together, so that no host could learn from another one.
  */
 export const confirmationWaitMs = (
     { hostCount, inForceMs, isCollector }: {
@@ -20,8 +21,8 @@
         readonly inForceMs: number;
         readonly isCollector: boolean;
     },
-    _random: RandomSource,
+    random: RandomSource,
 ): number => {
     const meanMs = isCollector ? 0 : hostCount * inForceMs * IN_FORCE_SHARES.interval;
-    return Math.min(MAXIMUM_WAIT_MS, Math.max(inForceMs * IN_FORCE_SHARES.minimum, meanMs));
+    return Math.min(MAXIMUM_WAIT_MS, Math.max(inForceMs * IN_FORCE_SHARES.minimum, meanMs * 2 * random.nextFloat()));
 };
