--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,5 +1,7 @@
-// A host that is being stopped gets SIGTERM a second time within GraceS. Requests that it had passed on lose their answers.
+// A faulty replica of one service sends bytes that are not a response: heads with the status 000. The host that reads them ends by
+// itself, and the requests that it had passed on to the sound replicas of another service lose their answers.
 import { mkdtempSync, rmSync } from "node:fs";
+import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -18,12 +20,17 @@
 
 const TROUBLE = process.env.TROUBLE !== "0";
 
-/** From the first signal to the second one. */
-const SECOND_SIGNAL_MS = 2_000;
-const GRACE_MS = 8_000;
-const DEADLINE_MS = 6_000;
-const WORK_MS = 300;
-const CLIENTS = 12;
+const HOSTS = 2;
+const CLIENTS_PER_HOST_AND_SERVICE = 8;
+const WORK_MS = 60;
+const DEADLINE_MS = 4_000;
+
+/** The dose: one replica of four spoils three answers in a hundred for five seconds. */
+const SPOILT_SHARE = 0.03;
+const TROUBLE_MS = 5_000;
+
+/** After this time the platform starts a process again that has ended. */
+const RESTART_MS = 500;
 
 const here = dirname(fileURLToPath(import.meta.url));
 const directory = mkdtempSync(join(tmpdir(), "review-"));
@@ -36,17 +43,28 @@
     const duties = await startDuties();
     stops.push(store.stop, duties.stop);
     const runs = new Map();
-    const replicas = await Promise.all(["i-1", "i-2", "i-3"].map(id =>
+    let isFaulty = false;
+    const spoil = ({ requestId, text }) => {
+        if (!isFaulty || Math.random() >= SPOILT_SHARE) {
+            return undefined;
+        }
+        record.write(`i-4, the faulty replica, sends a head with status 000 in place of the answer to ${requestId}`);
+        return `HTTP/1.1 000 \r\nAttempt-Id: ${requestId}\r\nReplica-Signature: i-4.${requestId}\r\n`
+            + `Content-Length: ${text.length}\r\n\r\n${text}`;
+    };
+    const servicesOf = { "i-1": "orders", "i-2": "orders", "i-3": "reads", "i-4": "reads" };
+    const replicas = await Promise.all(Object.entries(servicesOf).map(([id, service]) =>
         startReplica({
             id,
-            service: "orders",
+            service,
             workMs: WORK_MS,
-            onRun: ({ requestId, atMs }) => {
-                runs.set(requestId, { beganAtMs: atMs, endedAtMs: undefined });
+            onRun: ({ requestId }) => {
+                runs.set(requestId, { replica: id, hasEnded: false });
             },
-            onEnd: ({ requestId, atMs }) => {
-                runs.get(requestId).endedAtMs = atMs;
+            onEnd: ({ requestId }) => {
+                runs.get(requestId).hasEnded = true;
             },
+            ...(id === "i-4" ? { spoil } : {}),
         })
     ));
     replicas.forEach(replica => stops.push(replica.stop));
@@ -70,24 +88,29 @@
     stops.push(() => clearInterval(beats));
     store.put("op/config", {
         Version: 3,
-        Routes: [{
-            Name: "order",
+        Routes: [["orders", "non_idempotent", 1], ["reads", "idempotent", 2]].map(([name, kind, attempts]) => ({
+            Name: name,
             Host: "review.example",
-            PathPrefix: "/order/",
-            RouteKind: "non_idempotent",
+            PathPrefix: `/${name}/`,
+            RouteKind: kind,
             TimeoutMs: DEADLINE_MS,
-            TargetLatencyMs: 1_000,
+            TargetLatencyMs: 500,
             Priority: 1,
-            Service: "orders",
-            MaxAttempts: 1,
+            Service: name,
+            MaxAttempts: attempts,
             AllowAnonymous: false,
-        }],
-        Services: [{ Name: "orders", HealthPath: "/health", MaxConnections: 400 }],
+        })),
+        Services: ["orders", "reads"].map(Name => ({ Name, HealthPath: "/health", MaxConnections: 400 })),
         Tenants: [{ Name: "acme", ApiKeys: ["reviewkey"], RatePerS: 0, Burst: 0 }],
         Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 1_048_576, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
     });
-    const controls = [await freePorts(), await freePorts()];
+    const controls = [];
+    for (let index = 0; index < HOSTS; index++) {
+        controls.push(await freePorts());
+    }
     const hosts = [];
+    let isOver = false;
+    let ends = 0;
     for (const [index, controlPort] of controls.entries()) {
         const host = await createHost({
             name: `front-${index + 1}`,
@@ -98,7 +121,14 @@
             seeds: controls.map(port => `127.0.0.1:${port}`),
             storePort: await store.openView(),
             dutyPort: duties.port,
-            onExit: ({ name, code, signal }) => record.write(`${name} has ended: code ${code}, signal ${signal}`),
+            onExit: ({ name, code, signal }) => {
+                if (isOver) {
+                    return;
+                }
+                ends++;
+                record.write(`${name} has ended by itself: code ${code}, signal ${signal}`);
+                setTimeout(() => isOver ? undefined : host.start(), RESTART_MS);
+            },
         });
         host.start();
         stops.push(host.stop);
@@ -107,74 +137,70 @@
     for (const host of hosts) {
         await waitUntil(host.isReady, 20_000, `${host.name} is ready`);
     }
-    await sleep(4_000);
+    // Longer than ContactMs, so that all hosts are in touch.
+    await sleep(4_500);
 
-    // Clients send order after order to the first host until it refuses, on a new channel each.
-    const [stopped] = hosts;
     const seen = [];
-    let isOver = false;
     let count = 0;
-    const client = async () => {
-        while (!isOver) {
-            const requestId = `order-${++count}`;
+    let areClientsOver = false;
+    /** A client keeps one channel for its requests, as long as the host does. */
+    const client = async (host, route) => {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        let answeredOnChannel = 0;
+        while (!areClientsOver) {
             const answer = await sendRequest({
-                port: stopped.frontPort,
+                port: host.frontPort,
                 host: "review.example",
-                path: "/order/1",
-                requestId,
+                path: `/${route}/1`,
+                method: route === "orders" ? "POST" : "GET",
+                requestId: `${route}-${++count}`,
                 deadlineMs: DEADLINE_MS,
                 key: "reviewkey",
                 body: "order",
+                agent,
             });
-            seen.push(answer);
+            seen.push({ ...answer, host: host.name, isKept: answeredOnChannel > 0 });
+            answeredOnChannel = answer.isComplete ? answeredOnChannel + 1 : 0;
             if (answer.status !== 200) {
                 await sleep(100);
             }
         }
+        agent.destroy();
     };
-    const clients = Array.from({ length: CLIENTS }, client);
+    const clients = hosts.flatMap(host =>
+        ["orders", "reads"].flatMap(route =>
+            Array.from({ length: CLIENTS_PER_HOST_AND_SERVICE }, () => client(host, route))
+        )
+    );
     await sleep(2_000);
-    const stoppedAtMs = nowMs();
-    record.write(`SIGTERM to ${stopped.name}`);
-    stopped.signal("SIGTERM");
-    await sleep(SECOND_SIGNAL_MS);
-    if (TROUBLE) {
-        record.write(`SIGTERM to ${stopped.name} once more, ${SECOND_SIGNAL_MS} ms later`);
-        stopped.signal("SIGTERM");
-    }
-    const kill = setTimeout(() => stopped.signal("SIGKILL"), GRACE_MS - SECOND_SIGNAL_MS);
-    await Promise.race([stopped.ended(), sleep(GRACE_MS - SECOND_SIGNAL_MS + 500)]);
-    clearTimeout(kill);
-    const lastedMs = nowMs() - stoppedAtMs;
-    await sleep(1_000);
-    isOver = true;
+    isFaulty = TROUBLE;
+    await sleep(TROUBLE_MS);
+    isFaulty = false;
+    await sleep(2_000);
+    areClientsOver = true;
     await Promise.all(clients);
+    isOver = true;
 
-    seen.sort((left, right) => left.sentAtMs - right.sentAtMs);
-    seen.forEach(({ requestId, status, isComplete, error, sentAtMs, endedAtMs }) => {
-        const run = runs.get(requestId);
+    const log = hosts.flatMap(host => host.log.join("").split("\n").filter(line => /^\w*Error/.test(line)).map(line => `${host.name} wrote: ${line}`));
+    log.forEach(record.write);
+    const isSound = ({ requestId }) => runs.has(requestId) && runs.get(requestId).replica !== "i-4";
+    const lost = seen.filter(answer => answer.isKept && answer.status === undefined && isSound(answer));
+    seen.filter(({ isComplete, status }) => !isComplete || status !== 200).forEach(({ requestId, host, isKept, status, isComplete, error }) =>
         record.write(
-            `${requestId}: sent ${Math.round(sentAtMs - stoppedAtMs)} ms after the SIGTERM, `
-                + `${run === undefined ? "not run" : "run by a replica"}, answer ${status ?? "none"}, `
-                + `${isComplete ? "complete" : `not complete (${error})`}, after ${Math.round(endedAtMs - sentAtMs)} ms`,
-        );
-    });
-    // LOST: passed on to a replica that did not break off, well before the deadline and before the last sixth of GraceS.
-    const lost = seen.filter(({ requestId, isComplete, sentAtMs, endedAtMs }) => {
-        const run = runs.get(requestId);
-        return run !== undefined && !isComplete && sentAtMs >= stoppedAtMs - DEADLINE_MS
-            && endedAtMs - sentAtMs < DEADLINE_MS && endedAtMs <= stoppedAtMs + GRACE_MS + 1_000
-            && (run.endedAtMs ?? Infinity) < stoppedAtMs + GRACE_MS * 5 / 6;
-    });
+            `${requestId} to ${host} on a ${isKept ? "kept" : "new"} channel: run by ${runs.get(requestId)?.replica ?? "no replica"}, `
+                + `answer ${status ?? "none"}, ${isComplete ? "complete" : `not complete (${error})`}`,
+        )
+    );
     record.write(
-        `${seen.filter(({ isComplete, status }) => isComplete && status === 200).length} orders answered, `
-            + `${lost.length} run and their channels closed without an answer; `
-            + `${stopped.name} ended ${Math.round(lastedMs)} ms after the first SIGTERM`,
+        `${seen.length} requests sent, ${seen.filter(({ status, isComplete }) => status === 200 && isComplete).length} answered 200; `
+            + `${lost.length} passed on from kept channels to sound replicas, and their channels closed without an answer; `
+            + `${ends} times a process ended by itself`,
     );
     if (!seen.some(({ status }) => status === 200)) {
         return 2;
     }
-    return lost.length > 0 ? 1 : 0;
+    // LOST: more than three times.
+    return lost.length > 3 ? 1 : 0;
 };
 
 let code = 2;
--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -285,10 +285,12 @@
 };
 
 /**
- * Starts a replica of a plain service. It works on each request for `workMs` (or for the milliseconds in `work=` of the query),
- * and stops when its channel closes. `onRun` is called when a run begins, `onEnd` with its end.
+ * Starts a replica of a plain service that works on each request for `workMs`. `onRun` is called when a run begins, `onEnd` with its
+ * end. `spoil` returns the bytes that a faulty replica sends in place of an answer; undefined if it sends the answer.
  */
-export const startReplica = async ({ id, service, slots = 64, workMs = 10, onRun = () => {}, onEnd = () => {} }) => {
+export const startReplica = async (
+    { id, service, slots = 64, workMs = 10, onRun = () => {}, onEnd = () => {}, spoil = () => undefined },
+) => {
     let running = 0;
     const server = createServer({ keepAliveTimeout: 20_000 }, (message, response) =>
         void readBody(message).then(async body => {
@@ -311,11 +313,16 @@
             }
             running++;
             onRun({ requestId, message, body: body.toString(), atMs: nowMs() });
-            const stated = /[?&]work=(\d+)/.exec(message.url)?.[1];
-            await sleep(stated === undefined ? workMs : Number(stated));
+            await sleep(workMs);
             running--;
             const isKept = !response.destroyed;
             const text = `${service} ${id} ran ${requestId}`;
+            const spoilt = spoil({ requestId, text });
+            if (spoilt !== undefined) {
+                message.socket.write(spoilt);
+                onEnd({ requestId, isKept, atMs: nowMs() });
+                return;
+            }
             response.writeHead(200, { ...base, "Replica-Signature": `${id}.${requestId}`, "Content-Length": text.length });
             response.end(text);
             onEnd({ requestId, isKept, atMs: nowMs() });
