--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -25,8 +25,8 @@
 const WORK_MS = 60;
 const DEADLINE_MS = 4_000;
 
-/** The dose: one replica of four spoils three answers in a hundred for five seconds. */
-const SPOILT_SHARE = 0.03;
+/** The dose: one replica of four spoils each 34th answer, less than 0.03 of them, for five seconds. */
+const SPOILT_EACH = 34;
 const TROUBLE_MS = 5_000;
 
 /** After this time the platform starts a process again that has ended. */
@@ -44,10 +44,13 @@
     stops.push(store.stop, duties.stop);
     const runs = new Map();
     let isFaulty = false;
+    let faultyAnswers = 0;
+    let spoiltAnswers = 0;
     const spoil = ({ requestId, text }) => {
-        if (!isFaulty || Math.random() >= SPOILT_SHARE) {
+        if (!isFaulty || ++faultyAnswers % SPOILT_EACH !== 0) {
             return undefined;
         }
+        spoiltAnswers++;
         record.write(`i-4, the faulty replica, sends a head with status 000 in place of the answer to ${requestId}`);
         return `HTTP/1.1 000 \r\nAttempt-Id: ${requestId}\r\nReplica-Signature: i-4.${requestId}\r\n`
             + `Content-Length: ${text.length}\r\n\r\n${text}`;
@@ -196,6 +199,7 @@
             + `${lost.length} passed on from kept channels to sound replicas, and their channels closed without an answer; `
             + `${ends} times a process ended by itself`,
     );
+    record.write(`the faulty replicas spoilt ${spoiltAnswers} of ${faultyAnswers} answers in the time of the trouble`);
     if (!seen.some(({ status }) => status === 200)) {
         return 2;
     }
