--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,4 +1,4 @@
-// A faulty replica of one service sends bytes that are not a response: heads with the status 000. The host that reads them ends by
+// The faulty replicas of one service send bytes that are not a response: heads with the status 000. The host that reads them ends by
 // itself, and the requests that it had passed on to the sound replicas of another service lose their answers.
 import { mkdtempSync, rmSync } from "node:fs";
 import { Agent } from "node:http";
@@ -25,7 +25,7 @@
 const WORK_MS = 60;
 const DEADLINE_MS = 4_000;
 
-/** The dose: one replica of four spoils each 34th answer, less than 0.03 of them, for five seconds. */
+/** The dose: two replicas of four spoil each 34th answer, less than 0.03 of them, for five seconds. */
 const SPOILT_EACH = 34;
 const TROUBLE_MS = 5_000;
 
@@ -51,8 +51,8 @@
             return undefined;
         }
         spoiltAnswers++;
-        record.write(`i-4, the faulty replica, sends a head with status 000 in place of the answer to ${requestId}`);
-        return `HTTP/1.1 000 \r\nAttempt-Id: ${requestId}\r\nReplica-Signature: i-4.${requestId}\r\n`
+        record.write(`a faulty replica sends a head with status 000 in place of the answer to ${requestId}`);
+        return `HTTP/1.1 000 \r\nAttempt-Id: ${requestId}\r\nReplica-Signature: i.${requestId}\r\n`
             + `Content-Length: ${text.length}\r\n\r\n${text}`;
     };
     const servicesOf = { "i-1": "orders", "i-2": "orders", "i-3": "reads", "i-4": "reads" };
@@ -67,7 +67,7 @@
             onEnd: ({ requestId }) => {
                 runs.get(requestId).hasEnded = true;
             },
-            ...(id === "i-4" ? { spoil } : {}),
+            ...(service === "reads" ? { spoil } : {}),
         })
     ));
     replicas.forEach(replica => stops.push(replica.stop));
@@ -186,7 +186,7 @@
 
     const log = hosts.flatMap(host => host.log.join("").split("\n").filter(line => /^\w*Error/.test(line)).map(line => `${host.name} wrote: ${line}`));
     log.forEach(record.write);
-    const isSound = ({ requestId }) => runs.has(requestId) && runs.get(requestId).replica !== "i-4";
+    const isSound = ({ requestId }) => servicesOf[runs.get(requestId)?.replica] === "orders";
     const lost = seen.filter(answer => answer.isKept && answer.status === undefined && isSound(answer));
     seen.filter(({ isComplete, status }) => !isComplete || status !== 200).forEach(({ requestId, host, isKept, status, isComplete, error }) =>
         record.write(
