fix(gateway,relay): a head with a field out of range costs its own request, and no host

Cause: Node.js parses any three digits as a status and throws in writeHead below 100. The call comes from the event of a body, so that no promise catches the exception and the process ends. Ruled out: memory, a signal, the other end of the connection; the stack names writeHead in all ends. Change: a status outside 200 to 599 is no answer, at the upstream's connection and at that of a peer that relays; headers without a name, which a generated test found, are dropped (a caller's made all upstreams of a service count as unreachable). What throws all the same ends its own request with 502, counted and logged with its stack, and closes the upstream's connection. Why it works: the range is checked where the head is read, before anything uses it, and the boundary is where events enter the code.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -58,6 +58,8 @@
 export { createHalfOpenAgent } from "./http/createHalfOpenAgent";
 export { detectReset } from "./http/detectReset";
 export { findBodyDelimiter } from "./http/findBodyDelimiter";
+export { guardEvent } from "./http/guardEvent";
+export { isFinalStatus } from "./http/isFinalStatus";
 export { parseSocketAddress } from "./http/parseSocketAddress";
 
 // Hashing
--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -28,6 +28,7 @@
         "ibis_silent_streams_total",
         "Streams that went on elsewhere after their engine had fallen silent.",
     );
+    const errors = metrics.counter("ibis_request_errors_total", "Requests that failed because something threw.");
     const rejections = metrics.counter("ibis_brittle_rejections_total", "Rejections by brittle upstreams.");
 
     return {
@@ -87,6 +88,14 @@
         },
         onInvalidHeaders: ({ upstreamId, headers }) =>
             log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
+        onRequestError: ({ requestId, error }) => {
+            errors.add(1, {});
+            log.write("request_error", {
+                requestId,
+                reason: error instanceof Error ? error.message : typeof error,
+                stack: error instanceof Error ? error.stack : undefined,
+            });
+        },
         onRequestEnded: (
             { firstByteMs, durationMs, predictedMs, backlogMs, promptMs, delayFactor, quarantinedFeature, ...request },
         ) => {
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -58,6 +58,7 @@
     const clock = createSystemClock();
     const state = { isInitialized: true, recordDelayMs: 0 };
     const ended: { readonly outcome: string; readonly reason: string; readonly status: number; }[] = [];
+    const errors: unknown[] = [];
     const startedAccountIds: (AccountId | undefined)[] = [];
     const answersBeganAtMs: number[] = [];
     const lostRunUpstreamIds: UpstreamId[] = [];
@@ -147,6 +148,7 @@
             onUpstreamBrittle: () => undefined,
             onBrittleRejection: () => undefined,
             onInvalidHeaders: () => undefined,
+            onRequestError: ({ error }) => void errors.push(error),
             onRequestEnded: request => void ended.push(request),
         },
         stopAcceptMs: 500,
@@ -161,6 +163,7 @@
         state,
         upstreams,
         ended,
+        errors,
         startedAccountIds,
         answersBeganAtMs,
         lostRunUpstreamIds,
--- a/packages/gateway/src/forwarding/attemptOptions.ts
+++ b/packages/gateway/src/forwarding/attemptOptions.ts
@@ -18,6 +18,8 @@
     readonly onHead: (head: ResponseHead) => void;
     /** Called with each part of the response that arrives, and first with its head. */
     readonly onProgress?: (() => void) | undefined;
+    /** Called with whatever the handling of the response threw. */
+    readonly onError: (error: unknown) => void;
     /** Aborts the attempt and closes its connection. */
     readonly signal: AbortSignal;
 }
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -73,6 +73,13 @@
                 },
             });
         }
+        catch (error) {
+            // Whether the request has run is not known here.
+            if (!clientResponse.isEnded()) {
+                clientResponse.refuse({ status: 502, reason: "internal_error" });
+            }
+            options.events.onRequestError({ requestId: options.codec.readRequest(request).requestId, error });
+        }
         finally {
             unfinished.delete(response);
         }
--- a/packages/gateway/src/forwarding/filterHeaders.ts
+++ b/packages/gateway/src/forwarding/filterHeaders.ts
@@ -13,7 +13,10 @@
             .flatMap(([, value]) => value.split(",").map(token => token.trim().toLowerCase())),
     );
 
-/** Removes hop-by-hop headers, those named in `Connection`, and those with the given lower-case names. */
+/**
+ * Removes hop-by-hop headers, those named in `Connection`, and those with the given lower-case names. Also those without a name,
+ * which Node.js parses and refuses to send.
+ */
 export const filterHeaders = (
     rawHeaders: readonly string[],
     excluded: ReadonlySet<string>,
@@ -22,6 +25,6 @@
     const connectionNames = connectionTokens(pairs);
     return pairs.filter(([name]) => {
         const lower = name.toLowerCase();
-        return !hopByHopHeaders.has(lower) && !excluded.has(lower) && !connectionNames.has(lower);
+        return lower !== "" && !hopByHopHeaders.has(lower) && !excluded.has(lower) && !connectionNames.has(lower);
     });
 };
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -69,6 +69,8 @@
         readonly upstreamId: UpstreamId;
         readonly headers: readonly string[];
     }) => void;
+    /** Something threw while a request was served; it costs this request its answer, and nothing else. */
+    readonly onRequestError: (failure: { readonly requestId: RequestId | undefined; readonly error: unknown; }) => void;
     readonly onRequestEnded: (request: {
         readonly requestId: RequestId | undefined;
         readonly route: string | undefined;
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -17,4 +17,6 @@
      */
     readonly onEvents?: ((events: number, isDelayed: boolean, lastEventId: string | undefined) => void) | undefined;
     readonly onFirstByte: () => void;
+    /** Called with whatever the handling of the body threw. */
+    readonly onError: (error: unknown) => void;
 }
--- a/packages/gateway/src/forwarding/relayRequest.ts
+++ b/packages/gateway/src/forwarding/relayRequest.ts
@@ -58,6 +58,7 @@
         onFirstByte: () => {
             progress.firstByteAtMs ??= clock.monotonicMs();
         },
+        onError: error => options.events.onRequestError({ requestId: admitted.head.requestId, error }),
     });
     progress.received = delivery.received;
     if (delivery.defect === undefined) {
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -1,3 +1,4 @@
+import { guardEvent } from "@ibislanding/core";
 import { createEventSplitter } from "./createEventSplitter";
 import type { ReceivedBody } from "./receivedBody";
 import type { RelayOptions } from "./relayOptions";
@@ -11,7 +12,7 @@
 
 /** Relays the body of a response to the client; the caller ends the client's response. */
 export const relayResponse = (
-    { response, isStream, hasEvents, afterEventId, clientResponse, onFirstByte, onEvents }: RelayOptions,
+    { response, isStream, hasEvents, afterEventId, clientResponse, onFirstByte, onEvents, onError }: RelayOptions,
 ): Promise<
     RelayResult
 > => new Promise(resolve => {
@@ -55,6 +56,11 @@
         settle(defect, isBrokenOff);
     };
 
+    const handleError = (error: unknown): void => {
+        onError(error);
+        fail("internal-error", true);
+    };
+
     const receive = (chunk: Buffer): void => {
         if (isSettled) {
             return;
@@ -87,24 +93,24 @@
         }
     };
 
-    body.on("data", receive);
-    body.on("end", () => {
-        // A reset is reported just after the end event that it causes.
-        setImmediate(() => {
-            if (!body.complete || response.hasFailed()) {
-                fail("incomplete-answer");
-                return;
-            }
-            if (received().endsInsideEvent) {
-                fail("ended-inside-event");
-                return;
-            }
-            if (!isSettled) {
-                flushBuffer();
-            }
-            settle(undefined);
-        });
-    });
+    const finish = (): void => {
+        if (!body.complete || response.hasFailed()) {
+            fail("incomplete-answer");
+            return;
+        }
+        if (received().endsInsideEvent) {
+            fail("ended-inside-event");
+            return;
+        }
+        if (!isSettled) {
+            flushBuffer();
+        }
+        settle(undefined);
+    };
+
+    body.on("data", guardEvent(receive, handleError));
+    // A reset is reported just after the end event that it causes.
+    body.on("end", () => void setImmediate(guardEvent(finish, handleError)));
     body.on("close", () => {
         if (!body.readableEnded) {
             fail("connection-lost");
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -88,6 +88,9 @@
     }
 };
 
+const reportError = ({ options, admitted }: ForwardContext, error: unknown): void =>
+    options.events.onRequestError({ requestId: admitted.head.requestId, error });
+
 /** Reports a failure of the upstream unless the attempt was aborted by the gateway. */
 const reportFailure = ({ context, upstream }: Attempt, kind: "unreachable" | "failed"): void => {
     if (!context.ended.aborted) {
@@ -206,6 +209,7 @@
             reportStart(context);
             progress.firstByteAtMs ??= options.clock.monotonicMs();
         },
+        onError: error => reportError(context, error),
     });
     const silentMs = silence?.end();
     clearing?.cancel();
@@ -390,6 +394,7 @@
             observeResponseHead(options, upstream, head);
         },
         onProgress: watch?.recordProgress,
+        onError: error => reportError(context, error),
         signal: watch?.signal ?? ended,
     });
     const outcome = await match(result)
@@ -413,7 +418,15 @@
             countRun();
             // A client may take the stream up elsewhere as soon as it has the first event.
             await recorded;
-            return handleResponse(attempt, response);
+            try {
+                return await handleResponse(attempt, response);
+            }
+            catch (error) {
+                reportError(context, error);
+                response.closeConnection();
+                endVersionRun(attempt, "failed");
+                return { kind: "repeat", reason: "internal-error", suspectedIds: [] };
+            }
         })
         .exhaustive();
     watch?.end();
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -1,4 +1,4 @@
-import { detectReset, findBodyDelimiter } from "@ibislanding/core";
+import { detectReset, findBodyDelimiter, guardEvent, isFinalStatus } from "@ibislanding/core";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "ts-results";
@@ -117,6 +117,11 @@
                 resolve({ kind: "unknown", reason: "answer-of-another-request", isLost: false });
                 return;
             }
+            if (!isFinalStatus(head.status)) {
+                closeConnection();
+                resolve({ kind: "unknown", reason: `status-out-of-range ${head.status}`, isLost: false });
+                return;
+            }
             options.onProgress?.();
             if (head.keepAliveMs !== undefined) {
                 connections.setKeepAlive(incoming.socket, head.keepAliveMs);
@@ -174,7 +179,14 @@
             fail(reasonOf(error), true);
             outgoing.destroy();
         });
-        outgoing.once("response", handleResponse);
+        outgoing.once(
+            "response",
+            guardEvent(handleResponse, error => {
+                closeConnection();
+                resolve({ kind: "unknown", reason: "internal-error", isLost: false });
+                options.onError(error);
+            }),
+        );
         outgoing.end(body);
         if (signal.aborted) {
             onAbort();
--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -161,6 +161,21 @@
     expect(peer.seen).toEqual([]);
 });
 
+test("a status of a peer that no final answer has is not passed on", async () => {
+    const invalid = "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n";
+    await using unconfirmed = await startRawPeer((_, socket) => void socket.write(invalid));
+    await using confirmed = await startRawPeer((received, socket) => {
+        if (received.endsWith(LAST_CHUNK)) {
+            socket.write(invalid);
+        }
+        else if (received.includes(BODY.toString())) {
+            socket.write("HTTP/1.1 102 Processing\r\n\r\n");
+        }
+    });
+    expect(await relay([toPeer(unconfirmed.port)])).toMatchObject({ kind: "not-run" });
+    expect(await relay([toPeer(confirmed.port)])).toMatchObject({ kind: "unknown" });
+});
+
 test("a peer that is cut off itself is passed over, and a request without body is relayed", async () => {
     await using cutOff = await startPeer(false);
     await using peer = await startPeer();
--- a/packages/relay/src/client/sendToPeer.ts
+++ b/packages/relay/src/client/sendToPeer.ts
@@ -1,4 +1,4 @@
-import { detectReset, findBodyDelimiter } from "@ibislanding/core";
+import { detectReset, findBodyDelimiter, isFinalStatus } from "@ibislanding/core";
 import { type Agent, type IncomingMessage, request as sendRequest } from "node:http";
 import { encodeRelayHead } from "../messages/encodeRelayHead";
 import { relayHeaders } from "../messages/relayHeaders";
@@ -20,8 +20,12 @@
 
 const MS_PER_S = 1_000;
 
-/** Headers that hold for the caller's connection only, or describe the framing of its body. */
+/**
+ * Headers that hold for the caller's connection only, or describe the framing of its body, and those without a name, which Node.js
+ * parses and refuses to send.
+ */
 const DROPPED: ReadonlySet<string> = new Set([
+    "",
     "connection",
     "content-length",
     "expect",
@@ -145,6 +149,11 @@
             incoming.on("error", () => {
                 failed = true;
             });
+            if (!isFinalStatus(incoming.statusCode ?? 0)) {
+                closeConnection();
+                fail(`status-out-of-range ${incoming.statusCode}`);
+                return;
+            }
             const refusal = textOf(incoming.headers[relayHeaders.refusal]);
             if (refusal !== undefined || !mayHaveRun) {
                 incoming.resume();
