fix(relay): versions and reasons that a header can't carry reach the host that relays

What callers saw: a request that is relayed to a peer got no answer before its deadline if the software version of the upstream, any text in its entry, has a character that no header may have. Cause: the peer's listener hands the version to setHeader, which throws while the answer is begun. Change: versions and reasons of refusals are percent-encoded between hosts; visible ASCII stays as it is, so that hosts of the build before read the usual ones.

--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -48,6 +48,7 @@
 const startPeer = async (
     reachesUpstreams = true,
     answer: (response: ServerResponse) => void = response => response.end("done"),
+    softwareVersion = "v1",
 ) => {
     const probe = createServer().listen(0, "127.0.0.1");
     await once(probe, "listening");
@@ -69,7 +70,7 @@
             });
             request.on("end", () => {
                 seen.push(request);
-                relay.onAnswer("v1");
+                relay.onAnswer(softwareVersion);
                 response.writeHead(200, ["X-Bytes", String(bytes)]);
                 answer(response);
             });
@@ -161,6 +162,18 @@
     expect(peer.seen).toEqual([]);
 });
 
+// Such a version threw where the head of the answer was written, so that the caller got none.
+test.each(["v1", "1.2.3+build", "v2 \u03b2\n", "50%", "\ud800"])(
+    "the version %j of an upstream reaches the host that relays",
+    async version => {
+        await using peer = await startPeer(true, undefined, version);
+        expect(await relay([toPeer(peer.port)])).toMatchObject({
+            kind: "answered",
+            softwareVersion: Buffer.from(version).toString(),
+        });
+    },
+);
+
 test("a status of a peer that no final answer has is not passed on", async () => {
     const invalid = "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n";
     await using unconfirmed = await startRawPeer((_, socket) => void socket.write(invalid));
--- a/packages/relay/src/client/sendToPeer.ts
+++ b/packages/relay/src/client/sendToPeer.ts
@@ -1,5 +1,6 @@
 import { detectReset, findBodyDelimiter, isFinalStatus } from "@ibislanding/core";
 import { type Agent, type IncomingMessage, request as sendRequest } from "node:http";
+import { decodeHeaderText } from "../messages/decodeHeaderText";
 import { encodeRelayHead } from "../messages/encodeRelayHead";
 import { relayHeaders } from "../messages/relayHeaders";
 import { withoutRelayHeaders } from "../messages/withoutRelayHeaders";
@@ -54,7 +55,10 @@
     "chunked",
 ];
 
-const textOf = (value: string | string[] | undefined): string | undefined => Array.isArray(value) ? value[0] : value;
+const readText = (value: string | string[] | undefined): string | undefined => {
+    const text = Array.isArray(value) ? value[0] : value;
+    return text === undefined ? undefined : decodeHeaderText(text);
+};
 
 /** Peer's statement of its load in the answer, if any. */
 const readLoad = ({ headers }: IncomingMessage): number | undefined => {
@@ -154,7 +158,7 @@
                 fail(`status-out-of-range ${incoming.statusCode}`);
                 return;
             }
-            const refusal = textOf(incoming.headers[relayHeaders.refusal]);
+            const refusal = readText(incoming.headers[relayHeaders.refusal]);
             if (refusal !== undefined || !mayHaveRun) {
                 incoming.resume();
                 outgoing.end();
@@ -169,7 +173,7 @@
             settle({
                 kind: "answered",
                 body: incoming,
-                softwareVersion: textOf(incoming.headers[relayHeaders.version]),
+                softwareVersion: readText(incoming.headers[relayHeaders.version]),
                 hasFailed: () => failed,
                 closeConnection,
             });
--- a/packages/relay/src/listener/startRelayListener.ts
+++ b/packages/relay/src/listener/startRelayListener.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { checkRelayedRequest } from "../decisions/checkRelayedRequest";
 import { decodeRelayHead } from "../messages/decodeRelayHead";
+import { encodeHeaderText } from "../messages/encodeHeaderText";
 import { relayHeaders } from "../messages/relayHeaders";
 import { removeRelayHeaders } from "../messages/removeRelayHeaders";
 import type { RelayListenerOptions } from "./relayListenerOptions";
@@ -61,8 +62,9 @@
                     response.writeProcessing();
                 }
             },
-            onRefusal: reason => void response.setHeader(relayHeaders.refusal, reason),
-            onAnswer: softwareVersion => void response.setHeader(relayHeaders.version, softwareVersion),
+            onRefusal: reason => void response.setHeader(relayHeaders.refusal, encodeHeaderText(reason)),
+            onAnswer: softwareVersion =>
+                void response.setHeader(relayHeaders.version, encodeHeaderText(softwareVersion)),
         });
     });
     await listen(server, options.address);
