test(soak): hosts that end by themselves or exceed their memory fail a run; heads with a field out of range

Cause: the soak judged the exit codes at its end only, so that a host that had ended by itself and was started again by a later fault passed, and no upstream sent a head that the HTTP library would not write. Change: each start of a host is recorded with its peak of resident memory, exit code, signal and last lines; a run fails for an end that was not ordered and for more than 350 MB.

--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -48,6 +48,7 @@
     rejectionCrashes: [],
     usage: [],
     disturbances: [],
+    hostRuns: [],
     calmSinceMs: 1_000,
     ...fields,
 });
--- a/packages/soak/src/checks/checkRecords.ts
+++ b/packages/soak/src/checks/checkRecords.ts
@@ -6,6 +6,7 @@
 import { checkCuts } from "./checkCuts";
 import { checkLeaving } from "./checkLeaving";
 import { checkLimits } from "./checkLimits";
+import { checkProcesses } from "./checkProcesses";
 import { checkRecovery } from "./checkRecovery";
 import { checkUsage } from "./checkUsage";
 import { checkVersions } from "./checkVersions";
@@ -28,4 +29,5 @@
     ...checkVersions(records),
     ...checkUsage(records),
     ...checkRecovery(records),
+    ...checkProcesses(records),
 ];
--- a/packages/soak/src/faults/faultHandlers.ts
+++ b/packages/soak/src/faults/faultHandlers.ts
@@ -194,6 +194,7 @@
     "upstream-extra-answers": setUpstream("extra-answers"),
     "upstream-unframed-answers": setUpstream("unframed-answers"),
     "upstream-endless-bytes": setUpstream("endless-bytes"),
+    "upstream-odd-heads": setUpstream("odd-heads"),
     "upstream-pauses": setUpstream("pauses"),
     "upstream-states-limit": onUpstream(async (upstream, { sleep, step }) => {
         const endLimit = upstream.stateLimit(STATED_LIMIT_PER_S);
--- a/packages/soak/src/faults/faultKind.ts
+++ b/packages/soak/src/faults/faultKind.ts
@@ -33,6 +33,7 @@
     | "upstream-extra-answers"
     | "upstream-unframed-answers"
     | "upstream-endless-bytes"
+    | "upstream-odd-heads"
     | "upstream-pauses"
     | "upstream-states-limit"
     | "upstreams-brittle"
--- a/packages/soak/src/faults/upstreamFault.ts
+++ b/packages/soak/src/faults/upstreamFault.ts
@@ -7,4 +7,5 @@
     | "extra-answers"
     | "unframed-answers"
     | "endless-bytes"
+    | "odd-heads"
     | "pauses";
--- a/packages/soak/src/processes/hostCommand.ts
+++ b/packages/soak/src/processes/hostCommand.ts
@@ -4,4 +4,6 @@
     readonly env: Readonly<Record<string, string>>;
     /** File to which its log is appended. */
     readonly logFile: string;
+    /** Resident memory that its process may use. */
+    readonly maximumMemoryBytes: number;
 }
--- a/packages/soak/src/records/soakRecords.ts
+++ b/packages/soak/src/records/soakRecords.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationChange } from "./configurationChange";
 import type { CrashCause } from "./crashCause";
 import type { Disturbance } from "./disturbance";
+import type { HostRun } from "./hostRun";
 import type { UpstreamRun } from "./upstreamRun";
 import type { UsageReport } from "./usageReport";
 
@@ -29,6 +30,7 @@
     readonly cuts: { readonly hostNames: ReadonlySet<string>; readonly fromMs: number; untilMs: number; }[];
     readonly usage: UsageReport[];
     readonly disturbances: Disturbance[];
+    readonly hostRuns: HostRun[];
     /** Monotonic time at which the last fault ended. */
     calmSinceMs: number;
 }
