fix(gateway,platform,relay): bytes without end no longer exhaust a host's memory

What callers saw: hosts ended out of memory while a faulty upstream sent a body in chunks of a byte, and with them the requests at sound upstreams. Cause: limits counted payload, while parts were kept as they came, at a hundred bytes each; nothing limited what all requests hold. Change: parts are copied into one buffer (answers, request bodies, answers of store, duties and engines), what arrives in one read is relayed at once, framing is limited at peers and the platform too, and the bodies of a host hold a fifth of MemoryMb together. Why it works: what a body holds is at most twice its size, which the limits bound, and the sum is bounded whatever the number of requests.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -55,11 +55,15 @@
 // HTTP
 export type { BodyDelimiter } from "./http/bodyDelimiter";
 export { breakOffResponse } from "./http/breakOffResponse";
+export type { ByteCollector } from "./http/byteCollector";
+export { createByteCollector } from "./http/createByteCollector";
 export { createHalfOpenAgent } from "./http/createHalfOpenAgent";
 export { detectReset } from "./http/detectReset";
 export { findBodyDelimiter } from "./http/findBodyDelimiter";
+export type { FramingLimit } from "./http/framingLimit";
 export { guardEvent } from "./http/guardEvent";
 export { isFinalStatus } from "./http/isFinalStatus";
+export { limitFraming } from "./http/limitFraming";
 export { parseSocketAddress } from "./http/parseSocketAddress";
 
 // Hashing
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -112,6 +112,7 @@
             hostName,
             hostId: `${hostName}.1` as HostId,
             availabilityZone: "zone-a" as AvailabilityZone,
+            memoryBytes: 350_000_000,
             processorCores: 1,
             availabilityZones: ["zone-a" as AvailabilityZone],
             listen: {
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -10,6 +10,8 @@
     readonly availabilityZone: AvailabilityZone;
     /** Processing capacity of the host, in cores of the reference speed. */
     readonly processorCores: number;
+    /** Memory that the process of the host may use. */
+    readonly memoryBytes: number;
     /** Availability zones of the deployment. */
     readonly availabilityZones: readonly AvailabilityZone[];
     /**
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -70,6 +70,9 @@
 /** Fraction of the permitted excess that is granted deliberately; the rest is reserved for delayed reports. */
 const ACCOUNT_SLACK_SHARE = 0.5;
 
+/** Fraction of the memory that bodies may hold; the rest is for the program, and for what connections have not delivered. */
+const BODY_MEMORY_SHARE = 0.2;
+
 /** Fraction of the grace period after which the stop no longer waits for requests in flight. */
 const STOP_GRACE_SHARE = 0.93;
 
@@ -316,10 +319,17 @@
         crashes: relay?.observeLosses(crashes) ?? crashes,
         sharedNowMs: clusterClock.nowMs,
         events: createGatewayEvents(log, metrics, usage.add, () => peers.exchange?.announce()),
+        maximumBodyMemoryBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
         stopAcceptMs: STOP_ACCEPT_MS,
         stopGraceMs: settings.graceMs * STOP_GRACE_SHARE,
     }));
 
+    metrics.gauge(
+        "ibis_body_memory_bytes",
+        "Memory that the bodies of requests and answers hold.",
+        gateway.heldBodyBytes,
+    );
+
     // Opened before the first configuration is known: callers give up sooner when connections are refused than when
     // their requests wait for the configuration.
     const listeners = resources.use(
--- a/packages/gateway/__tests__/endlessBytes.spec.ts
+++ b/packages/gateway/__tests__/endlessBytes.spec.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 import { sendClientRequest } from "./support/sendClientRequest";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
-import { startTestGateway } from "./support/startTestGateway";
+import { createRecord, startTestGateway } from "./support/startTestGateway";
 
 // A broken upstream may send bytes that never become an answer, without end, until its connection is closed. Reading
 // them until the request's deadline costs processor time and memory that other requests need, and reading them to the
@@ -27,6 +27,9 @@
         });
     });
 
+/** `MemoryMb` of the small deployments. */
+const HOST_MEMORY_BYTES = 350_000_000;
+
 const ROUTE_TIMEOUT_MS = 4_000;
 
 /** Time within which the connection must be closed, well before the deadline of the request. */
@@ -115,3 +118,32 @@
     expect(seen.status === 200 && seen.isComplete).toBe(false);
     expect(await closed[0]).toBeGreaterThan(0);
 }, 15_000);
+
+// Guards against a host that runs out of memory because answers arrive in parts of a byte, each of which was kept as it came.
+test("answers in chunks of a byte occupy memory by their size, not by their chunks", async () => {
+    const requests = 12;
+    const bodyBytes = 250_000;
+    const chunks = Buffer.from("1\r\na\r\n".repeat(bodyBytes / 100));
+    await using upstream = await startRawUpstream(request => {
+        request.socket.write(`HTTP/1.1 200 OK\r\n${own(request)}Transfer-Encoding: chunked\r\n\r\n`);
+        Array.from({ length: 100 }, () => request.socket.write(chunks));
+    });
+    await using system = await startTestGateway([upstream.port], { kind: "once", timeoutMs: ROUTE_TIMEOUT_MS });
+    system.upstreams.replace(
+        Array.from({ length: requests }, (_, index) => createRecord(`u-${index}`, upstream.port)),
+    );
+    const { heapUsed, external } = process.memoryUsage();
+    const answers = Promise.all(
+        Array.from({ length: requests }, (_, index) => sendClientRequest(system.port, `r${index}`)),
+    );
+    let peakBytes = 0;
+    const measure = setInterval(() => {
+        const now = process.memoryUsage();
+        peakBytes = Math.max(peakBytes, now.heapUsed + now.external - heapUsed - external);
+    }, 20);
+    await answers;
+    clearInterval(measure);
+    expect(upstream.requests).toHaveLength(requests);
+    expect(system.gateway.heldBodyBytes()).toBe(0);
+    expect(peakBytes).toBeLessThan(HOST_MEMORY_BYTES);
+}, 30_000);
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -151,6 +151,7 @@
             onRequestError: ({ error }) => void errors.push(error),
             onRequestEnded: request => void ended.push(request),
         },
+        maximumBodyMemoryBytes: 50_000_000,
         stopAcceptMs: 500,
         stopGraceMs: 2_000,
     });
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -4,6 +4,7 @@
 import { createStreamActivity } from "../streams/createStreamActivity";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
+import { createMemoryBudget } from "./createMemoryBudget";
 import type { Gateway } from "./gateway";
 import type { GatewayOptions } from "./gatewayOptions";
 import type { RelayedRequest } from "./relayedRequest";
@@ -27,6 +28,7 @@
         isOrdered: () => options.admission?.isEnabled() === true,
         servedUnitsPerS: (service, accountId) => options.admission?.servedUnitsPerS(service, accountId) ?? 0,
     });
+    const memoryBudget = createMemoryBudget(options.maximumBodyMemoryBytes);
     const loopDelay = createLoopDelayMeter(clock);
     const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
@@ -52,6 +54,9 @@
             () => stopStartedAtMs !== undefined,
             relayed?.onRefusal,
         );
+        const memory = memoryBudget.open();
+        // The last bytes are in the buffer of the connection until then.
+        response.once("close", () => memory[Symbol.dispose]());
         const refuses = refusesNewRequests();
         unfinished.add(response);
         try {
@@ -61,6 +66,7 @@
                 capacityQueue,
                 loopDelay,
                 streamActivity,
+                memory,
                 request,
                 response,
                 clientResponse,
@@ -107,6 +113,7 @@
             }
         },
         requestsInFlight: () => unfinished.size,
+        heldBodyBytes: memoryBudget.heldBytes,
         [Symbol.asyncDispose]: async () => {
             stop.abort();
             loopDelay[Symbol.dispose]();
--- a/packages/gateway/src/forwarding/gateway.ts
+++ b/packages/gateway/src/forwarding/gateway.ts
@@ -17,4 +17,6 @@
      */
     readonly endStop: () => Promise<void>;
     readonly requestsInFlight: () => number;
+    /** Memory that the bodies of all requests and answers hold. */
+    readonly heldBodyBytes: () => number;
 }
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -42,6 +42,8 @@
     readonly admission?: LevelState | undefined;
     /** Set if the return of refused requests of saturated services is planned. */
     readonly returns?: Returns | undefined;
+    /** Memory that the bodies of all requests and answers may hold. */
+    readonly maximumBodyMemoryBytes: number;
     readonly events: GatewayEvents;
     /** Time after the start of the shutdown for which new requests are still forwarded. */
     readonly stopAcceptMs: number;
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -1,4 +1,5 @@
 import type { ClientResponse } from "./clientResponse";
+import type { HeldMemory } from "./heldMemory";
 import type { UpstreamResponse } from "./upstreamResponse";
 
 /** A response to relay and the client response that receives it. */
@@ -11,6 +12,7 @@
     /** Id of the event after which a body of events is to go on; undefined at the start of a stream. */
     readonly afterEventId: string | undefined;
     readonly clientResponse: ClientResponse;
+    readonly memory: HeldMemory;
     /**
      * Called for each part of a body of events, with the number of events that it completed, whether the client delayed its
      * reading, and the id of the last event.
--- a/packages/gateway/src/forwarding/relayRequest.ts
+++ b/packages/gateway/src/forwarding/relayRequest.ts
@@ -55,6 +55,7 @@
         hasEvents,
         afterEventId: context.lastEventId,
         clientResponse,
+        memory: options.memory,
         onFirstByte: () => {
             progress.firstByteAtMs ??= clock.monotonicMs();
         },
--- a/packages/gateway/src/forwarding/relayResponse.ts
+++ b/packages/gateway/src/forwarding/relayResponse.ts
@@ -1,4 +1,4 @@
-import { guardEvent } from "@ibislanding/core";
+import { createByteCollector, guardEvent } from "@ibislanding/core";
 import { createEventSplitter } from "./createEventSplitter";
 import type { ReceivedBody } from "./receivedBody";
 import type { RelayOptions } from "./relayOptions";
@@ -12,15 +12,17 @@
 
 /** Relays the body of a response to the client; the caller ends the client's response. */
 export const relayResponse = (
-    { response, isStream, hasEvents, afterEventId, clientResponse, onFirstByte, onEvents, onError }: RelayOptions,
+    { response, isStream, hasEvents, afterEventId, clientResponse, memory, onFirstByte, onEvents, onError }:
+        RelayOptions,
 ): Promise<
     RelayResult
 > => new Promise(resolve => {
     const { body } = response;
     const splitter = hasEvents ? createEventSplitter(afterEventId) : undefined;
     let sizeBytes = 0;
-    let bufferedChunks: Buffer[] = [];
-    let bufferedBytes = 0;
+    const arrived = createByteCollector();
+    const buffered = createByteCollector();
+    let heldBytes = 0;
     let isSettled = false;
     let wasPaused = false;
 
@@ -32,11 +34,7 @@
         }
     };
 
-    const flushBuffer = (): void => {
-        bufferedChunks.forEach(write);
-        bufferedChunks = [];
-        bufferedBytes = 0;
-    };
+    const flushBuffer = (): void => write(buffered.take());
 
     const received = (): ReceivedBody => ({
         delimiter: response.delimiter,
@@ -47,6 +45,10 @@
     const settle = (defect: string | undefined, isBrokenOff = false): void => {
         if (!isSettled) {
             isSettled = true;
+            if (buffered.sizeBytes() > 0) {
+                buffered.take();
+                memory.release(heldBytes);
+            }
             resolve({ defect, isBrokenOff, lastEventId: splitter?.lastEventId(), received: received() });
         }
     };
@@ -61,8 +63,18 @@
         fail("internal-error", true);
     };
 
-    const receive = (chunk: Buffer): void => {
-        if (isSettled) {
+    /** Keeps a part of a plain response; returns false if there is no memory for it. */
+    const buffer = (chunk: Buffer): boolean => {
+        buffered.add(chunk);
+        const grownBytes = buffered.heldBytes() - heldBytes;
+        const isHeld = grownBytes <= 0 || memory.tryHold(grownBytes);
+        heldBytes += isHeld ? Math.max(0, grownBytes) : 0;
+        return isHeld;
+    };
+
+    const relayArrived = (): void => {
+        const chunk = arrived.take();
+        if (isSettled || chunk.length === 0) {
             return;
         }
         response.recordProgress();
@@ -86,13 +98,25 @@
             write(chunk);
             return;
         }
-        bufferedChunks.push(chunk);
-        bufferedBytes += chunk.length;
-        if (clientResponse.isStarted() || bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
+        if (clientResponse.isStarted()) {
+            write(chunk);
+            return;
+        }
+        if (!buffer(chunk) || buffered.sizeBytes() > MAXIMUM_BUFFERED_BYTES) {
             flushBuffer();
         }
     };
 
+    const relayGuarded = guardEvent(relayArrived, handleError);
+
+    /** Parts that arrive in one read are relayed together: an upstream may send chunks of a byte. */
+    const receive = (chunk: Buffer): void => {
+        if (arrived.sizeBytes() === 0) {
+            process.nextTick(relayGuarded);
+        }
+        arrived.add(chunk);
+    };
+
     const finish = (): void => {
         if (!body.complete || response.hasFailed()) {
             fail("incomplete-answer");
@@ -108,10 +132,11 @@
         settle(undefined);
     };
 
-    body.on("data", guardEvent(receive, handleError));
+    body.on("data", receive);
     // A reset is reported just after the end event that it causes.
     body.on("end", () => void setImmediate(guardEvent(finish, handleError)));
     body.on("close", () => {
+        relayGuarded();
         if (!body.readableEnded) {
             fail("connection-lost");
         }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -198,6 +198,7 @@
         hasEvents,
         afterEventId: context.lastEventId,
         clientResponse: options.clientResponse,
+        memory: options.memory,
         onEvents: (events, isDelayed, eventId) => {
             lastEventId = eventId;
             silence?.recordProgress();
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -5,6 +5,7 @@
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
+import type { HeldMemory } from "./heldMemory";
 import type { RelayedRequest } from "./relayedRequest";
 
 /** A client request with the dependencies needed to serve it. */
@@ -13,6 +14,7 @@
     readonly capacityQueue: CapacityQueue;
     readonly loopDelay: LoopDelayMeter;
     readonly streamActivity: StreamActivity;
+    readonly memory: HeldMemory;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -201,6 +201,7 @@
     const body = await readRequestBody(
         request,
         identifiedRequest.configuration.source.limits.maximumBodyBytes,
+        options.memory,
         ended.signal,
         options.relayed?.onBodyBytes,
     );
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -1,4 +1,11 @@
-import { detectReset, findBodyDelimiter, guardEvent, isFinalStatus } from "@ibislanding/core";
+import {
+    detectReset,
+    findBodyDelimiter,
+    type FramingLimit,
+    guardEvent,
+    isFinalStatus,
+    limitFraming,
+} from "@ibislanding/core";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import { Result } from "ts-results";
@@ -6,8 +13,6 @@
 import type { AttemptOptions } from "./attemptOptions";
 import type { AttemptResult } from "./attemptResult";
 import { discardBody } from "./discardBody";
-import type { FramingLimit } from "./framingLimit";
-import { limitFraming } from "./limitFraming";
 
 /** Connection time-out. Connecting takes one round trip between regions; a lost packet would add a second. */
 const CONNECT_TIMEOUT_MS = 500;
--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -1,4 +1,4 @@
-import { findBodyDelimiter } from "@ibislanding/core";
+import { createByteCollector, findBodyDelimiter, type FramingLimit, limitFraming } from "@ibislanding/core";
 import { Agent, request as sendRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import type { JsonRequest } from "./jsonRequest";
@@ -10,16 +10,22 @@
 
 const MAXIMUM_RESPONSE_BYTES = 16_000_000;
 
+interface HttpClientOptions {
+    /** Without it, each request has its own connection, for servers that may write an earlier response again. */
+    readonly keepsConnections?: boolean;
+    /** Maximum size of the body of a response; a larger one is lost. */
+    readonly maximumResponseBytes?: number;
+}
+
 const flattenHeaders = (headers: NodeJS.Dict<string | string[]>): Record<string, string | undefined> =>
     Object.fromEntries(
         Object.entries(headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(", ") : value]),
     );
 
-/**
- * Creates an HTTP client with a connection pool; the connection of a timed-out request is destroyed, not reused. Without
- * `keepsConnections` each request has its own, for servers that may write an earlier response again.
- */
-export const createHttpClient = ({ keepsConnections = true }: { readonly keepsConnections?: boolean; } = {}) => {
+/** Creates an HTTP client with a connection pool; the connection of a timed-out request is destroyed, not reused. */
+export const createHttpClient = (
+    { keepsConnections = true, maximumResponseBytes = MAXIMUM_RESPONSE_BYTES }: HttpClientOptions = {},
+) => {
     const agent = new Agent({ keepAlive: keepsConnections, timeout: IDLE_CONNECTION_TIMEOUT_MS, maxFreeSockets: 16 });
 
     const send = (request: JsonRequest): Promise<Result<JsonResponse, TransportFailure>> =>
@@ -51,7 +57,10 @@
                 Object.entries(headers).forEach(([name, value]) => outgoing.setHeader(name, value));
                 outgoing.end(request.body);
             };
+            let framing: FramingLimit | undefined;
             outgoing.on("socket", socket => {
+                framing = limitFraming(socket, abort);
+                outgoing.once("close", framing.release);
                 if (socket.connecting) {
                     socket.once("connect", sendNow);
                 }
@@ -61,12 +70,12 @@
             });
             outgoing.on("error", () => finish(Err(isConnected ? "lost" : "not-sent")));
             outgoing.on("response", response => {
-                const chunks: Buffer[] = [];
-                let sizeBytes = 0;
+                const received = createByteCollector();
+                framing?.recordProgress();
                 response.on("data", (chunk: Buffer) => {
-                    sizeBytes += chunk.length;
-                    chunks.push(chunk);
-                    if (sizeBytes > MAXIMUM_RESPONSE_BYTES) {
+                    framing?.recordProgress();
+                    received.add(chunk);
+                    if (received.sizeBytes() > maximumResponseBytes) {
                         abort();
                     }
                 });
@@ -76,7 +85,7 @@
                     finish(Ok({
                         status: response.statusCode ?? 0,
                         headers: flattenHeaders(response.headers),
-                        body: Buffer.concat(chunks).toString("utf8"),
+                        body: received.take().toString("utf8"),
                         delimiter: findBodyDelimiter(response, request.method),
                     })));
             });
--- a/packages/relay/src/client/sendToPeer.ts
+++ b/packages/relay/src/client/sendToPeer.ts
@@ -1,4 +1,4 @@
-import { detectReset, findBodyDelimiter, isFinalStatus } from "@ibislanding/core";
+import { detectReset, findBodyDelimiter, isFinalStatus, limitFraming } from "@ibislanding/core";
 import { type Agent, type IncomingMessage, request as sendRequest } from "node:http";
 import { decodeHeaderText } from "../messages/decodeHeaderText";
 import { encodeRelayHead } from "../messages/encodeRelayHead";
@@ -130,7 +130,13 @@
             fail("aborted");
         };
         request.signal.addEventListener("abort", onAbort, { once: true });
-        outgoing.once("socket", socket => socket.setNoDelay(true));
+        outgoing.once("socket", socket => {
+            socket.setNoDelay(true);
+            const framing = limitFraming(socket, () => outgoing.destroy(new Error("framing-too-large")));
+            // The end of the body is not watched: the caller reads it, or gives it up.
+            outgoing.once("response", framing.release);
+            outgoing.once("close", framing.release);
+        });
         outgoing.once("close", () => request.signal.removeEventListener("abort", onAbort));
         outgoing.on("information", ({ statusCode }) => {
             if (statusCode === CONFIRMED_STATUS && !failed) {
--- a/packages/upstreams/src/http/readResponseBody.ts
+++ b/packages/upstreams/src/http/readResponseBody.ts
@@ -1,4 +1,4 @@
-import { detectReset, findBodyDelimiter } from "@ibislanding/core";
+import { createByteCollector, detectReset, findBodyDelimiter } from "@ibislanding/core";
 import type { IncomingMessage } from "node:http";
 import { setImmediate } from "node:timers/promises";
 
@@ -17,8 +17,7 @@
     method: string,
     { maximumBytes, timeoutMs }: BodyLimits,
 ): Promise<Buffer | undefined> => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const received = createByteCollector();
     let wasReset = false;
     if (findBodyDelimiter(response, method) === "connection") {
         detectReset(response.socket, () => {
@@ -28,16 +27,15 @@
     const timer = setTimeout(() => response.destroy(), timeoutMs);
     try {
         for await (const chunk of response) {
-            chunks.push(chunk as Buffer);
-            sizeBytes += (chunk as Buffer).length;
-            if (sizeBytes > maximumBytes) {
+            received.add(chunk as Buffer);
+            if (received.sizeBytes() > maximumBytes) {
                 response.destroy();
                 return undefined;
             }
         }
         // A reset is reported just after the end that it causes.
         await setImmediate();
-        return wasReset || !response.complete ? undefined : Buffer.concat(chunks);
+        return wasReset || !response.complete ? undefined : received.take();
     }
     catch {
         return undefined;
