fix(edge,runtime): a host goes on when nobody reads its log any more

What was seen: users' processes ended by themselves, no logs kept (FAULT). Reproduced with a real process whose reader of standard output goes away, and with a full device: it ends at the next log line with exit code 1. Whether the users saw this is not known. Cause: a failed write is an error event of the stream, which nothing listened to. Ruled out as ends, by trials with real processes: descriptors, random bytes at all ports, foreign seeds, odd answers of the store, output that is not read, closed descriptors, no HOME (docs/incidents/processes-that-end.md). Change: lines that can't be written are dropped and counted (ibis_log_lines_dropped); the other programs tolerate it too.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -21,6 +21,7 @@
 export type { EventLog } from "./logs/eventLog";
 export type { EventLogOptions } from "./logs/eventLogOptions";
 export type { Logger } from "./logs/logger";
+export { tolerateLostReaders } from "./logs/tolerateLostReaders";
 export type { Counter } from "./metrics/counter";
 export { createMetricsRegistry } from "./metrics/createMetricsRegistry";
 export type { Distribution } from "./metrics/distribution";
--- a/packages/runtime/src/logs/createEventLog.ts
+++ b/packages/runtime/src/logs/createEventLog.ts
@@ -27,7 +27,7 @@
 
 /**
  * Creates a log that writes JSON lines to a stream. A token bucket limits the rate of lines, and lines are dropped
- * instead of waiting for a slow reader.
+ * instead of waiting for a slow reader, or if there is no reader any more.
  */
 export const createEventLog = ({ stream, clock, fields }: EventLogOptions): EventLog => {
     const winston = createWinstonLogger({
@@ -42,6 +42,11 @@
     let reportedDropped = 0;
     let reportedAtMs = clock.monotonicMs();
 
+    // Without a listener, a line that can't be written would end the process.
+    stream.on("error", () => {
+        dropped++;
+    });
+
     const refill = (nowMs: number): void => {
         tokens = Math.min(MAXIMUM_LINES_PER_SECOND, tokens + (nowMs - refilledAtMs) * MAXIMUM_LINES_PER_SECOND / 1_000);
         refilledAtMs = nowMs;
--- a/packages/runtime/src/program/startProgram.ts
+++ b/packages/runtime/src/program/startProgram.ts
@@ -1,6 +1,7 @@
 import { createSystemClock, createSystemRandom, type HostId } from "@ibislanding/core";
 import { createHttpListener } from "../http/createHttpListener";
 import { createLogger } from "../logs/createLogger";
+import { tolerateLostReaders } from "../logs/tolerateLostReaders";
 import { createMetricsRegistry } from "../metrics/createMetricsRegistry";
 import type { ProcessSettings } from "../settings/processSettings";
 import { createOperationsHandler } from "./createOperationsHandler";
@@ -20,6 +21,7 @@
     definition: ProgramDefinition<Settings>,
     settings: Settings,
 ): Promise<number> => {
+    tolerateLostReaders();
     const clock = createSystemClock();
     const random = createSystemRandom();
     const hostId = (settings.process.hostId ?? `${definition.name}-${random.nextHex(HOST_ID_LENGTH)}`) as HostId;
