fix(platform,runtime): a signal that comes again does not shorten a stop

Cause: the handler was registered for one signal, after which the default effect was back. Change: handlers of SIGTERM and SIGINT that stay. Later signals have no effect, so that the stop takes the time that it needs.

--- a/packages/runtime/src/program/startProgram.ts
+++ b/packages/runtime/src/program/startProgram.ts
@@ -14,7 +14,7 @@
 const EXIT_STOP_TIMED_OUT = 1;
 
 const waitForSignal = (): Promise<string> =>
-    new Promise(resolve => ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, resolve)));
+    new Promise(resolve => ["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, resolve)));
 
 /** Runs a program with validated settings until SIGTERM or SIGINT, drains it and returns the exit code. */
 export const startProgram = async <Settings extends { readonly process: ProcessSettings; }>(
