fix(gateway,platform,upstreams): a switch to another protocol ends its request with an unknown outcome

Cause: Node.js closes such a connection without a response or an error, so that nothing settled the attempt; the request counted as waiting at its upstream for good. Change: a close without a response settles the attempt; other HTTP clients give such a response up at once.

--- a/packages/gateway/__tests__/invalidHeads.spec.ts
+++ b/packages/gateway/__tests__/invalidHeads.spec.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { connect } from "node:net";
 import { text } from "node:stream/consumers";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type ReceivedResponse, sendClientRequest } from "./support/sendClientRequest";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
 import { createRecord, startTestGateway } from "./support/startTestGateway";
@@ -138,3 +139,15 @@
         expect((await sendClientRequest(system.port, "r2")).status).toBe(200);
     },
 );
+
+// Guards against requests without an answer, whose upstreams then count as busy for good: Node.js reports neither a response nor an error.
+test.each(["repeatable", "once", "stream"] as const)("a switch to another protocol is no answer (%s)", async kind => {
+    await using upstream = await startRawUpstream(({ requestId, socket }) => {
+        const own = `X-Request: ${requestId}\r\nX-Signature: s\r\n`;
+        socket.write(`HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n${own}\r\n`);
+    });
+    await using system = await startTestGateway([upstream.port], { kind, timeoutMs: TIMEOUT_MS });
+    const seen = await Promise.race([sendClientRequest(system.port, "r1"), sleep(TIMEOUT_MS)]);
+    expect(seen).toMatchObject({ status: 502 });
+    expect(system.gateway.requestsInFlight()).toBe(0);
+});
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -85,6 +85,7 @@
         const { connections, signal, body } = options;
         let sent = false;
         let failed = false;
+        let hasResponse = false;
         let framing: FramingLimit | undefined;
         // Throws if the address can't be one of a socket.
         const opened = Result.wrap(() =>
@@ -112,6 +113,7 @@
             resolve(sent ? { kind: "unknown", reason, isLost } : { kind: "unsent", reason });
         };
         const handleResponse = (incoming: IncomingMessage): void => {
+            hasResponse = true;
             framing?.recordProgress();
             const head = options.codec.readResponse(incoming);
             incoming.on("error", () => {
@@ -179,7 +181,13 @@
             fail("aborted", false);
         };
         signal.addEventListener("abort", onAbort, { once: true });
-        outgoing.once("close", () => signal.removeEventListener("abort", onAbort));
+        outgoing.once("close", () => {
+            signal.removeEventListener("abort", onAbort);
+            // Node.js reports neither a response nor an error if the upstream switches to another protocol.
+            if (!hasResponse) {
+                fail("closed-without-response", false);
+            }
+        });
         outgoing.on("error", error => {
             fail(reasonOf(error), true);
             outgoing.destroy();
--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -69,6 +69,7 @@
                 }
             });
             outgoing.on("error", () => finish(Err(isConnected ? "lost" : "not-sent")));
+            outgoing.on("upgrade", abort);
             outgoing.on("response", response => {
                 const received = createByteCollector();
                 framing?.recordProgress();
--- a/packages/upstreams/src/http/sendRequest.ts
+++ b/packages/upstreams/src/http/sendRequest.ts
@@ -47,6 +47,7 @@
             }
         });
         request.on("error", fail);
+        request.on("upgrade", abort);
         request.on("response", response => settle(Ok(response)));
         request.end(outgoing.body);
     });
