--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -1,7 +1,7 @@
 import type { AccountId } from "@ibislanding/core";
 import type { GatewayEvents } from "@ibislanding/gateway";
 import { parseFeatureId } from "@ibislanding/quarantine";
-import type { EventLog, MetricsRegistry } from "@ibislanding/runtime";
+import { describeError, type EventLog, type MetricsRegistry } from "@ibislanding/runtime";
 
 /** Logged length of prompt parts, which clients choose. */
 const MAXIMUM_PARTS_LENGTH = 200;
@@ -90,11 +90,7 @@
             log.write("upstream_headers_invalid", { upstreamId, headers: headers.join("; ") }),
         onRequestError: ({ requestId, error }) => {
             errors.add(1, {});
-            log.write("request_error", {
-                requestId,
-                reason: error instanceof Error ? error.message : typeof error,
-                stack: error instanceof Error ? error.stack : undefined,
-            });
+            log.write("request_error", { requestId, ...describeError(error) });
         },
         onRequestEnded: (
             { firstByteMs, durationMs, predictedMs, backlogMs, promptMs, delayFactor, quarantinedFeature, ...request },
--- a/packages/gateway/src/forwarding/readRequestBody.ts
+++ b/packages/gateway/src/forwarding/readRequestBody.ts
@@ -8,8 +8,8 @@
 const MEMORY_RETRY_MS = 500;
 
 /**
- * Reads a request body up to a maximum size into memory of the request; the error is undefined if the client disconnected or the signal aborted.
- * `onBytes` is called with the number of bytes received so far, first with 0.
+ * Reads a request body up to a maximum size into memory of the request; the error is undefined if the client disconnected or the
+ * signal aborted. `onBytes` is called with the number of bytes received so far, first with 0.
  */
 export const readRequestBody = (
     request: IncomingMessage,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -18,6 +18,7 @@
 // Logs and metrics
 export { createEventLog } from "./logs/createEventLog";
 export { createLogger } from "./logs/createLogger";
+export { describeError } from "./logs/describeError";
 export type { EventLog } from "./logs/eventLog";
 export type { EventLogOptions } from "./logs/eventLogOptions";
 export type { Logger } from "./logs/logger";
--- a/packages/soak/__tests__/checkRecords.spec.ts
+++ b/packages/soak/__tests__/checkRecords.spec.ts
@@ -1,4 +1,4 @@
-import { type CallerAttempt, checkRecords, type SoakRecords, type UpstreamRun } from "../src";
+import { type CallerAttempt, checkRecords, type HostRun, type SoakRecords, type UpstreamRun } from "../src";
 
 const bounds = { inForceMs: 2_500, leavingMs: 2_500, contactMs: 4_000 };
 
@@ -36,6 +36,15 @@
     ...fields,
 });
 
+const hostRun = (fields: Partial<HostRun> = {}): HostRun => ({
+    hostName: "host-1",
+    startedAtMs: 0,
+    peakMemoryBytes: 100_000_000,
+    maximumMemoryBytes: 350_000_000,
+    end: { atMs: 30_000, code: 0, signal: undefined, isOrdered: true, lastLines: [] },
+    ...fields,
+});
+
 const records = (fields: Partial<SoakRecords> = {}): SoakRecords => ({
     attempts: [attempt()],
     runs: [run()],
@@ -48,7 +57,7 @@
     rejectionCrashes: [],
     usage: [],
     disturbances: [],
-    hostRuns: [],
+    hostRuns: [hostRun()],
     calmSinceMs: 1_000,
     ...fields,
 });
@@ -77,6 +86,10 @@
 });
 
 test.each<[string, Partial<SoakRecords>]>([
+    ["process-end", {
+        hostRuns: [hostRun({ end: { atMs: 9, code: 1, signal: undefined, isOrdered: false, lastLines: [] } })],
+    }],
+    ["memory", { hostRuns: [hostRun({ peakMemoryBytes: 351_000_000 })] }],
     ["whole-answer", { attempts: [attempt({ body: "answer of another" })] }],
     ["part-of-answer", {
         attempts: [attempt(), attempt({ requestId: "r2", body: "other", isComplete: false })],
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -26,6 +26,7 @@
 export type { Violation } from "./checks/violation";
 export type { CallerAttempt } from "./records/callerAttempt";
 export type { CrashCause } from "./records/crashCause";
+export type { HostRun } from "./records/hostRun";
 export type { RequestKind } from "./records/requestKind";
 export type { SoakRecords } from "./records/soakRecords";
 export type { StreamPosition } from "./records/streamPosition";
