test(gateway): endless answers begin when all requests are placed

Change: the upstream answers once all requests have arrived; 32 in place of 12, and 8 s in place of 4, so that the bodies are read beside load. The bound is MemoryMb, as before.

--- a/packages/gateway/__tests__/endlessBytes.spec.ts
+++ b/packages/gateway/__tests__/endlessBytes.spec.ts
@@ -27,6 +27,9 @@
         });
     });
 
+/** Time in which large bodies are read beside other work. */
+const READ_WITHIN_MS = 8_000;
+
 /** `MemoryMb` of the small deployments. */
 const HOST_MEMORY_BYTES = 350_000_000;
 
@@ -121,14 +124,20 @@
 
 // Guards against a host that runs out of memory because answers arrive in parts of a byte, each of which was kept as it came.
 test("answers in chunks of a byte occupy memory by their size, not by their chunks", async () => {
-    const requests = 12;
+    const requests = 32;
     const bodyBytes = 250_000;
     const chunks = Buffer.from("1\r\na\r\n".repeat(bodyBytes / 100));
+    const waiting: RawRequest[] = [];
     await using upstream = await startRawUpstream(request => {
-        request.socket.write(`HTTP/1.1 200 OK\r\n${own(request)}Transfer-Encoding: chunked\r\n\r\n`);
-        Array.from({ length: 100 }, () => request.socket.write(chunks));
+        // All have been placed by then, so that none is refused because the others keep the event loop busy.
+        if (waiting.push(request) === requests) {
+            waiting.forEach(each => {
+                each.socket.write(`HTTP/1.1 200 OK\r\n${own(each)}Transfer-Encoding: chunked\r\n\r\n`);
+                Array.from({ length: 100 }, () => each.socket.write(chunks));
+            });
+        }
     });
-    await using system = await startTestGateway([upstream.port], { kind: "once", timeoutMs: ROUTE_TIMEOUT_MS });
+    await using system = await startTestGateway([upstream.port], { kind: "once", timeoutMs: READ_WITHIN_MS });
     system.upstreams.replace(
         Array.from({ length: requests }, (_, index) => createRecord(`u-${index}`, upstream.port)),
     );
