test(platform,runner,soak): crowds of clients that send more than they should, or never finish

Callers of a host got no answer, or lost it, while clients that we don't control sent heads, bodies and chunks without end, or stopped just short of their end and stayed.

The tests start the programs as real processes, and the crowd as four more: one process alone sends no faster than a host reads. They check that the process lives, that its resident memory with the bytes that were received and not read stays under MemoryMb, its descriptors under MaxFds, and that ordinary requests are answered beside the crowd and after it. No check depends on time.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -3,6 +3,8 @@
     testEnvironment: "node",
     roots: ["<rootDir>/packages", "<rootDir>/platform"],
     testMatch: ["**/__tests__/**/*.spec.ts"],
+    // Run by jest.crowds.config.cjs, apart from other load.
+    testPathIgnorePatterns: ["/node_modules/", "\\.crowd\\.spec\\.ts$"],
     moduleNameMapper: { "^@ibislanding/([^/]+)$": "<rootDir>/packages/$1/src" },
     transform: {
         "^.+\\.ts$": ["@swc/jest", {
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -31,3 +31,11 @@
 export type { SoakRecords } from "./records/soakRecords";
 export type { StreamPosition } from "./records/streamPosition";
 export type { UpstreamRun } from "./records/upstreamRun";
+
+// Crowds of clients that don't keep to the limits
+export type { CrowdKind } from "./crowds/crowdKind";
+export type { CrowdPlan } from "./crowds/crowdPlan";
+export type { CrowdTarget } from "./crowds/crowdTarget";
+export { openCrowd } from "./crowds/openCrowd";
+export { startCrowd } from "./crowds/startCrowd";
+export { watchOccupancy } from "./crowds/watchOccupancy";
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,7 @@
     "ibis-capacity": "packages/capacity/src/program.ts",
     "ibis-proofs": "packages/proofs/src/program.ts",
     "ibis-soak": "platform/soak/program.ts",
+    "ibis-crowd": "platform/soak/crowdProgram.ts",
     "ibis-host-cost": "platform/cost/program.ts",
     "ibis-edge": "platform/src/launch.ts",
     "ibis-edge.main": "platform/src/program.ts",
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,6 +12,8 @@
     ["generated code", "check:generated"],
     ["build", "build"],
     ["unit and process tests", "unit"],
+    // Apart from the other tests: they measure the memory of processes under load.
+    ["crowds of clients", "crowds"],
 ];
 
 const runCheck = ([title, script]) => {
