fix(core,gateway,runtime): bodies that stop short of their end no longer exhaust a process's memory

Callers lost their host while others sent large bodies, in whole or in chunks, most of which stopped just short of their end: it was killed above the memory of its machine. Processes of ibis-entry had no bound at all.

Cause: a body that was refused paused its request, so that its connection and its bytes stayed, in the kernel too. A body without progress kept its memory until its deadline. A declared length counted only as it arrived. The bodies of ibis-entry and ibis-admin had a limit each, and none together.

Change: the budget of memory is common (core), also to readBody. A declared length is taken at once, or the request refused with 503 before it is read. A body without progress for a second is given up with 408 when others find no room. The parts of all bodies have a budget, of one body of the largest size in parts of a byte. A refused body is discarded.

Why it works: what a refused request sends is read and freed, and what stalls can't keep others out. 408 and 503 are given before a request is passed on, so that they are true.

--- a/packages/admin/src/http/createAdminHandler.ts
+++ b/packages/admin/src/http/createAdminHandler.ts
@@ -52,6 +52,7 @@
 
     const routeRequest = async (
         request: IncomingMessage,
+        response: ServerResponse,
         requestId: RequestId,
         signal: AbortSignal,
     ): Promise<Result<AdminResponse, Failure>> => {
@@ -65,7 +66,7 @@
         if (matched.err) {
             return matched;
         }
-        const body = await readAdminBody(request, maximumBodyBytes);
+        const body = await readAdminBody(request, response, maximumBodyBytes);
         if (body.err) {
             return body;
         }
@@ -91,7 +92,7 @@
         }
         catch (error) {
             const stack = error instanceof Error ? error.stack : undefined;
-            logger.error("request failed", { requestId: parameters[1], stack });
+            logger.error("request failed", { requestId: parameters[2], stack });
             return Err(createFailure(ErrorCode.Internal));
         }
     };
@@ -102,7 +103,7 @@
         const closed = new AbortController();
         response.on("close", () => closed.abort());
         response.setHeader("x-request-id", requestId);
-        const result = await routeRequestSafely(request, requestId, closed.signal);
+        const result = await routeRequestSafely(request, response, requestId, closed.signal);
         durations.record(services.clock.monotonicMs() - startMs);
         if (result.ok) {
             await sendResponse(response, result.val, services.stopSignal);
--- a/packages/admin/src/http/readAdminBody.ts
+++ b/packages/admin/src/http/readAdminBody.ts
@@ -1,6 +1,6 @@
 import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
 import { readJsonBody } from "@ibislanding/runtime";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import { isWithinDepth } from "./isWithinDepth";
 
@@ -21,6 +21,7 @@
 /** Reads the JSON body of a PUT or POST request; undefined for other methods. */
 export const readAdminBody = async (
     request: IncomingMessage,
+    response: ServerResponse,
     maximumBytes: number,
 ): Promise<Result<unknown, Failure>> => {
     if (!METHODS_WITH_BODY.has(request.method ?? "")) {
@@ -29,5 +30,5 @@
     if (!isJson(request.headers["content-type"])) {
         return Err(createFailure(ErrorCode.UnsupportedMediaType));
     }
-    return (await readJsonBody(request, maximumBytes)).andThen(checkDepth);
+    return (await readJsonBody(request, response, maximumBytes)).andThen(checkDepth);
 };
--- a/packages/gateway/__tests__/memoryBudget.spec.ts
+++ b/packages/core/__tests__/memoryBudget.spec.ts
@@ -1,7 +1,7 @@
-import { createMemoryBudget } from "../src/forwarding/createMemoryBudget";
+import { createMemoryBudget } from "../src/memory/createMemoryBudget";
 
 test("all requests together hold no more than the budget, and what one gives up is free for others", () => {
-    const budget = createMemoryBudget(100);
+    const budget = createMemoryBudget(() => 100);
     const one = budget.open();
     {
         using other = budget.open();
--- a/packages/core/src/http/createByteCollector.ts
+++ b/packages/core/src/http/createByteCollector.ts
@@ -6,9 +6,9 @@
 
 /**
  * Creates an empty collector. Kept as they are, parts of a few bytes would occupy a hundred times their size; from the second one on
- * they are copied into one buffer.
+ * they are copied into one buffer, of the expected size as long as they fit.
  */
-export const createByteCollector = (): ByteCollector => {
+export const createByteCollector = (expectedBytes = 0): ByteCollector => {
     let held: Buffer = EMPTY;
     let sizeBytes = 0;
 
@@ -21,7 +21,9 @@
             }
             const neededBytes = sizeBytes + part.length;
             if (neededBytes > held.length) {
-                const grown = Buffer.allocUnsafeSlow(Math.max(MINIMUM_CAPACITY_BYTES, 2 * neededBytes));
+                const grown = Buffer.allocUnsafeSlow(
+                    neededBytes <= expectedBytes ? expectedBytes : Math.max(MINIMUM_CAPACITY_BYTES, 2 * neededBytes),
+                );
                 held.copy(grown, 0, 0, sizeBytes);
                 held = grown;
             }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,12 @@
 // JSON
 export { parseJson } from "./json/parseJson";
 
+// Memory
+export { createMemoryBudget } from "./memory/createMemoryBudget";
+export type { HeldMemory } from "./memory/heldMemory";
+export type { MemoryBudget } from "./memory/memoryBudget";
+export type { MemoryOffer } from "./memory/memoryOffer";
+
 // HTTP
 export type { BodyDelimiter } from "./http/bodyDelimiter";
 export { breakOffResponse } from "./http/breakOffResponse";
--- a/packages/edge/src/explanation/createExplainHandler.ts
+++ b/packages/edge/src/explanation/createExplainHandler.ts
@@ -29,7 +29,7 @@
         sendProblem(response, createFailure(ErrorCode.UnknownRoute));
         return;
     }
-    const body = await readJsonBody(request, MAXIMUM_BODY_BYTES);
+    const body = await readJsonBody(request, response, MAXIMUM_BODY_BYTES);
     const result = body.andThen(parseQuery).andThen(query => explainRoute(options(), query));
     if (result.err) {
         sendProblem(response, result.val);
--- a/packages/entry/src/chat/handleChat.ts
+++ b/packages/entry/src/chat/handleChat.ts
@@ -169,7 +169,7 @@
     context: CallerContext,
     services: EntryServices,
 ): Promise<Failure | undefined> => {
-    const body = await readBody(incoming, services.settings.requests.maximumBodyBytes);
+    const body = await readBody(incoming, response, services.settings.requests.maximumBodyBytes);
     const request = body.andThen(parseChatRequest);
     const model = request.andThen(parsed => resolveModel(context.configuration, context.account, parsed));
     const position = request.andThen(({ bodySha256 }) =>
--- a/packages/entry/src/services/handleService.ts
+++ b/packages/entry/src/services/handleService.ts
@@ -35,7 +35,7 @@
     services: EntryServices,
 ): Promise<Failure | undefined> => {
     const service = findService(context, route.service);
-    const body = await readBody(incoming, services.settings.requests.maximumBodyBytes);
+    const body = await readBody(incoming, response, services.settings.requests.maximumBodyBytes);
     const fail = (failure: Failure): Failure => {
         sendProblem(response, failure, context.callerRequestId);
         return failure;
--- a/packages/gateway/src/forwarding/createClientResponse.ts
+++ b/packages/gateway/src/forwarding/createClientResponse.ts
@@ -4,6 +4,8 @@
 
 const MS_PER_S = 1_000;
 
+const REQUEST_TIMEOUT = 408;
+
 const LINE_END = Buffer.from("\r\n");
 
 /** Returns the bytes as one chunk of a chunked body. */
@@ -21,11 +23,13 @@
 ): ClientResponse => {
     let head: { readonly status: number; readonly headers: readonly (readonly [string, string])[]; } | undefined;
 
+    let isLast = false;
+
     const sendHead = (): void => {
         if (head === undefined || response.headersSent || response.destroyed) {
             return;
         }
-        const connection = closesConnection() ? [["Connection", "close"] as const] : [];
+        const connection = isLast || closesConnection() ? [["Connection", "close"] as const] : [];
         response.writeHead(head.status, [...head.headers, ...connection].flat());
     };
 
@@ -56,6 +60,8 @@
                 return;
             }
             onRefusal?.(reason);
+            // The rest of the request never comes, so that the connection can't be used again.
+            isLast = status === REQUEST_TIMEOUT;
             const body = `${JSON.stringify({ status, code: reason, detail })}\n`;
             head = {
                 status,
--- a/packages/gateway/src/forwarding/createGateway.ts
+++ b/packages/gateway/src/forwarding/createGateway.ts
@@ -1,10 +1,9 @@
-import { breakOffResponse, createLoopDelayMeter } from "@ibislanding/core";
+import { breakOffResponse, createLoopDelayMeter, createMemoryBudget } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCapacityQueue } from "../brittle/createCapacityQueue";
 import { createStreamActivity } from "../streams/createStreamActivity";
 import { createClientResponse } from "./createClientResponse";
 import { createConnectionPool } from "./createConnectionPool";
-import { createMemoryBudget } from "./createMemoryBudget";
 import type { Gateway } from "./gateway";
 import type { GatewayOptions } from "./gatewayOptions";
 import type { RelayedRequest } from "./relayedRequest";
@@ -28,7 +27,9 @@
         isOrdered: () => options.admission?.isEnabled() === true,
         servedUnitsPerS: (service, accountId) => options.admission?.servedUnitsPerS(service, accountId) ?? 0,
     });
-    const memoryBudget = createMemoryBudget(options.maximumBodyMemoryBytes);
+    const memoryBudget = createMemoryBudget(() => options.maximumBodyMemoryBytes);
+    // Enough for one body of the largest size in parts of a byte.
+    const partBudget = createMemoryBudget(() => options.configuration()?.source.limits.maximumBodyBytes ?? 0);
     const loopDelay = createLoopDelayMeter(clock);
     const streamActivity = createStreamActivity(clock);
     const stop = new AbortController();
@@ -67,6 +68,7 @@
                 loopDelay,
                 streamActivity,
                 memory,
+                parts: partBudget.open(),
                 request,
                 response,
                 clientResponse,
--- a/packages/gateway/src/forwarding/relayOptions.ts
+++ b/packages/gateway/src/forwarding/relayOptions.ts
@@ -1,5 +1,5 @@
+import type { HeldMemory } from "@ibislanding/core";
 import type { ClientResponse } from "./clientResponse";
-import type { HeldMemory } from "./heldMemory";
 import type { UpstreamResponse } from "./upstreamResponse";
 
 /** A response to relay and the client response that receives it. */
--- a/packages/gateway/src/forwarding/serveOptions.ts
+++ b/packages/gateway/src/forwarding/serveOptions.ts
@@ -1,11 +1,10 @@
-import type { LoopDelayMeter } from "@ibislanding/core";
+import type { HeldMemory, LoopDelayMeter } from "@ibislanding/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CapacityQueue } from "../brittle/capacityQueue";
 import type { StreamActivity } from "../streams/streamActivity";
 import type { ClientResponse } from "./clientResponse";
 import type { ConnectionPool } from "./connectionPool";
 import type { GatewayOptions } from "./gatewayOptions";
-import type { HeldMemory } from "./heldMemory";
 import type { RelayedRequest } from "./relayedRequest";
 
 /** A client request with the dependencies needed to serve it. */
@@ -15,6 +14,8 @@
     readonly loopDelay: LoopDelayMeter;
     readonly streamActivity: StreamActivity;
     readonly memory: HeldMemory;
+    /** Room for the parts of the request's body. */
+    readonly parts: HeldMemory;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly clientResponse: ClientResponse;
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -200,8 +200,11 @@
     const ended = watchClient(options, identifiedRequest.dueAtMs - arrivedAtMs);
     const body = await readRequestBody(
         request,
-        identifiedRequest.configuration.source.limits.maximumBodyBytes,
-        options.memory,
+        {
+            maximumBytes: identifiedRequest.configuration.source.limits.maximumBodyBytes,
+            memory: options.memory,
+            parts: options.parts,
+        },
         ended.signal,
         options.relayed?.onBodyBytes,
     );
--- a/packages/runtime/src/http/readJsonBody.ts
+++ b/packages/runtime/src/http/readJsonBody.ts
@@ -1,5 +1,5 @@
 import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import { readBody } from "./readBody";
 
@@ -15,6 +15,7 @@
 /** Reads and parses a JSON request body; fails like `readBody`, and with `bad_request` for invalid JSON. */
 export const readJsonBody = async (
     request: IncomingMessage,
+    response: ServerResponse,
     maximumBytes: number,
 ): Promise<Result<unknown, Failure>> =>
-    (await readBody(request, maximumBytes)).andThen(body => parseJson(body.toString("utf8")));
+    (await readBody(request, response, maximumBytes)).andThen(body => parseJson(body.toString("utf8")));
