fix(runtime,edge,relay,protocol): connections hold a bounded number of bytes, requests and descriptors

Callers got no answer while others sent empty lines without end before a request, or requests without end whose answers they did not read, which also ended the host (JavaScript heap out of memory). Connections were limited by nothing but the descriptors of the process.

Cause: limits applied to heads and bodies. Bytes before a head are neither, a time limit for the head doesn't stop them, and all requests that arrive in one read were handled at once.

Change: guardConnections passes the requests of every HTTP listener (callers, readiness, relay, metrics, operations, admin, ibis-entry) on and closes connections whose bytes belong to no request (128 KiB), with more than 64 requests waiting, or with an answer that is not read for 15 s. At the limit of connections a new one replaces one that does nothing. A refused body may go on as long as the process discards little, so that a single client reads its refusal. The gRPC listener limits connections and calls, and waits 5 s for the preface of HTTP/2. Limits of a host follow from its MaxFds and MemoryMb. Queued responses of a closed connection end with it; Node.js tells only the first one.

Why it works: the bytes are counted before the parser sees them, and what has closed the connection is not handled.

--- a/packages/discovery/src/reports/createReportExchange.ts
+++ b/packages/discovery/src/reports/createReportExchange.ts
@@ -158,6 +158,7 @@
 
     const server = await createPeerServer({
         address: options.address,
+        ...(options.maximumConnections === undefined ? {} : { maximumConnections: options.maximumConnections }),
         services: [{
             definition: ReportServiceService,
             implementation: {
--- a/packages/discovery/src/reports/reportExchangeOptions.ts
+++ b/packages/discovery/src/reports/reportExchangeOptions.ts
@@ -24,6 +24,8 @@
     readonly hostId: HostId;
     /** `ip:port` of the listener; the same port is used on every host. */
     readonly address: string;
+    /** Connections of other hosts that may be open at the same time. */
+    readonly maximumConnections?: number;
     /** Group of this host until it is listed among the hosts. */
     readonly group: string;
     readonly clock: Clock;
--- a/packages/edge/__tests__/support/startTestHost.ts
+++ b/packages/edge/__tests__/support/startTestHost.ts
@@ -113,6 +113,7 @@
             hostId: `${hostName}.1` as HostId,
             availabilityZone: "zone-a" as AvailabilityZone,
             memoryBytes: 350_000_000,
+            maximumDescriptors: 4_100,
             processorCores: 1,
             availabilityZones: ["zone-a" as AvailabilityZone],
             listen: {
--- a/packages/edge/src/createHostRelay.ts
+++ b/packages/edge/src/createHostRelay.ts
@@ -13,6 +13,7 @@
 import type { HostRelay } from "./hostRelay";
 import type { HostRelayOptions } from "./hostRelayOptions";
 import { judgeCrash } from "./judgeCrash";
+import { limitConnections } from "./limitConnections";
 import type { ReachRow } from "./reachRow";
 
 /**
@@ -198,6 +199,8 @@
             resources.use(
                 await startRelayListener({
                     address: relayAddress,
+                    connections: limitConnections(settings, "relay"),
+                    onConnectionClosed: options.onConnectionClosed,
                     isKnownSender: sender => options.registeredHosts().some(({ address }) => address === sender),
                     reachesUpstreams: reachesAnyService,
                     requestsInFlight: gateway.requestsInFlight,
--- a/packages/edge/src/edgeSettings.ts
+++ b/packages/edge/src/edgeSettings.ts
@@ -12,6 +12,8 @@
     readonly processorCores: number;
     /** Memory that the process of the host may use. */
     readonly memoryBytes: number;
+    /** Files and sockets that the process of the host may have open. */
+    readonly maximumDescriptors: number;
     /** Availability zones of the deployment. */
     readonly availabilityZones: readonly AvailabilityZone[];
     /**
--- a/packages/edge/src/hostRelayOptions.ts
+++ b/packages/edge/src/hostRelayOptions.ts
@@ -1,4 +1,5 @@
 import type { UpstreamTable } from "@ibislanding/gateway";
+import type { ConnectionCloseCause } from "@ibislanding/runtime";
 import type { EdgeOptions } from "./edgeOptions";
 import type { HostEntry } from "./hostEntry";
 import type { ReachRow } from "./reachRow";
@@ -14,4 +15,6 @@
     readonly reportedReach: () => readonly ReachRow[];
     /** Tells the other hosts at once that this host has begun or ceased to reach the upstreams of a service. */
     readonly announce: () => void;
+    /** Called when the listener for relayed requests closes a connection. */
+    readonly onConnectionClosed: (cause: ConnectionCloseCause) => void;
 }
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -13,6 +13,7 @@
     type UpstreamRecord,
 } from "@ibislanding/gateway";
 import { createQuarantine } from "@ibislanding/quarantine";
+import type { ConnectionCloseCause } from "@ibislanding/runtime";
 import { createAdmission } from "./admission/createAdmission";
 import { applyHostReport } from "./applyHostReport";
 import { assignPeerGroups } from "./assignPeerGroups";
@@ -37,6 +38,7 @@
 import type { HostComponents } from "./hostComponents";
 import type { HostEntry } from "./hostEntry";
 import type { HostReport } from "./hostReport";
+import { limitConnections } from "./limitConnections";
 import { listLiveHosts } from "./listLiveHosts";
 import { listReachRows } from "./listReachRows";
 import { rankHosts } from "./rankHosts";
@@ -109,6 +111,12 @@
         windowMs: settings.accountLimits.windowMs,
         toleratedUnits: settings.accountLimits.slackUnits * ACCOUNT_SLACK_SHARE,
     });
+    const closedConnections = metrics.counter(
+        "ibis_connections_closed",
+        "Connections that this host closed, by listener and cause.",
+    );
+    const observeClosedConnection = (listener: string, cause: ConnectionCloseCause): void =>
+        closedConnections.add(1, { listener, cause });
     const workMeter = createWorkMeter(clock);
     const stopController = new AbortController();
     let registeredHosts: readonly HostEntry[] = [];
@@ -275,6 +283,7 @@
         liveHostAddresses,
         reportedReach: () => listReachRows([...peers.exchange?.reports().values() ?? []], clock.monotonicMs()),
         announce: () => peers.exchange?.announce(),
+        onConnectionClosed: cause => observeClosedConnection("relay", cause),
     }));
     // A store that was restored from a copy may have older documents than the peers.
     const hasInitialState = (): boolean =>
@@ -338,6 +347,11 @@
             gateway.handle,
             () => !isStopping && hasInitialState() && relay?.canServe() !== false,
             () => documentCache.configuration()?.source.limits.idleTimeoutMs,
+            {
+                callers: limitConnections(settings, "callers"),
+                readiness: limitConnections(settings, "readiness"),
+            },
+            observeClosedConnection,
         ),
     );
 
@@ -360,6 +374,7 @@
     const exchange = await createReportExchange<HostReport>({
         hostId: settings.hostId,
         address: settings.listen.peers,
+        maximumConnections: limitConnections(settings, "peers").maximumConnections,
         group: assignPeerGroups([{
             address: settings.listen.peers,
             availabilityZone: settings.availabilityZone,
--- a/packages/edge/src/startHostListeners.ts
+++ b/packages/edge/src/startHostListeners.ts
@@ -1,5 +1,5 @@
 import { removeRelayHeaders } from "@ibislanding/relay";
-import { listen } from "@ibislanding/runtime";
+import { type ConnectionCloseCause, type ConnectionLimits, guardConnections, listen } from "@ibislanding/runtime";
 import { createServer, type RequestListener } from "node:http";
 import type { EdgeSettings } from "./edgeSettings";
 import type { HostListeners } from "./hostListeners";
@@ -18,6 +18,8 @@
     handle: RequestListener,
     isReady: () => boolean,
     idleTimeoutMs: () => number | undefined,
+    limits: { readonly callers: ConnectionLimits; readonly readiness: ConnectionLimits; },
+    onConnectionClosed: (listener: string, cause: ConnectionCloseCause) => void,
 ): Promise<HostListeners> => {
     const callers = createServer({
         maxHeaderSize: MAXIMUM_HEADER_BYTES,
@@ -26,15 +28,27 @@
         headersTimeout: IDLE_TIMEOUT_MS,
         requestTimeout: 0,
         noDelay: true,
-    }, (request, response) => {
-        callers.keepAliveTimeout = idleTimeoutMs() ?? IDLE_TIMEOUT_MS;
-        removeRelayHeaders(request);
-        handle(request, response);
-    });
-    const readiness = createServer((_request, response) => {
-        response.writeHead(isReady() ? 200 : 503);
-        response.end();
     });
+    guardConnections(
+        callers,
+        (request, response) => {
+            callers.keepAliveTimeout = idleTimeoutMs() ?? IDLE_TIMEOUT_MS;
+            removeRelayHeaders(request);
+            handle(request, response);
+        },
+        limits.callers,
+        cause => onConnectionClosed("callers", cause),
+    );
+    const readiness = createServer();
+    guardConnections(
+        readiness,
+        (_request, response) => {
+            response.writeHead(isReady() ? 200 : 503);
+            response.end();
+        },
+        limits.readiness,
+        cause => onConnectionClosed("readiness", cause),
+    );
     await listen(callers, addresses.callers);
     await listen(readiness, addresses.readiness);
     return {
--- a/packages/protocol/src/server/createPeerServer.ts
+++ b/packages/protocol/src/server/createPeerServer.ts
@@ -1,14 +1,21 @@
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { type AddressInfo, createServer as createListener, type Server as Listener, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results";
 import { MAXIMUM_MESSAGE_BYTES } from "../maximumMessageBytes";
 import type { PeerAddress } from "../peerAddress";
 import type { PeerCredentials } from "../peerCredentials";
+import { awaitPreface } from "./awaitPreface";
 import type { PeerServer } from "./peerServer";
 import type { PeerServerOptions } from "./peerServerOptions";
 
 const SHUTDOWN_TIMEOUT_MS = 2_000;
 
+const DEFAULT_CONNECTIONS = 1_000;
+
+/** Calls that one connection may have open at the same time. */
+const MAXIMUM_STREAMS = 100;
+
 const toServerCredentials = (credentials: PeerCredentials | undefined): ServerCredentials =>
     credentials === undefined
         ? ServerCredentials.createInsecure()
@@ -21,19 +28,59 @@
             true,
         );
 
-const bind = (server: Server, options: PeerServerOptions): Promise<Result<number, Failure>> =>
-    new Promise(resolve => {
-        server.bindAsync(options.address, toServerCredentials(options.credentials), (error, port) => {
-            const failure = (): Failure =>
-                createFailure(ErrorCode.Internal, {
-                    message: `Cannot listen on ${options.address}: ${error?.message ?? "unknown reason"}`,
-                });
-            resolve(error === null ? Ok(port) : Err(failure()));
+/** Accepts connections; beyond the limit, the oldest one without a preface makes room, or the new one is closed. */
+const acceptConnections = (
+    { credentials, maximumConnections = DEFAULT_CONNECTIONS }: PeerServerOptions,
+    inject: (socket: Socket) => void,
+): Listener => {
+    const begun = new Set<Socket>();
+    const waiting = new Set<Socket>();
+    const begin = (socket: Socket): void => {
+        waiting.delete(socket);
+        begun.add(socket);
+        inject(socket);
+    };
+    return createListener({ allowHalfOpen: true }, socket => {
+        socket.on("error", () => socket.destroy());
+        if (begun.size + waiting.size >= maximumConnections) {
+            const [oldest = socket] = waiting;
+            waiting.delete(oldest);
+            oldest.destroy();
+        }
+        if (socket.destroyed) {
+            return;
+        }
+        waiting.add(socket);
+        socket.once("close", () => {
+            waiting.delete(socket);
+            begun.delete(socket);
         });
+        if (credentials === undefined) {
+            awaitPreface(socket, begin);
+        }
+        else {
+            begin(socket);
+        }
+    });
+};
+
+const bind = (listener: Listener, { address }: PeerServerOptions): Promise<Result<number, Failure>> =>
+    new Promise(resolve => {
+        const separator = address.lastIndexOf(":");
+        listener.once(
+            "error",
+            ({ message }) =>
+                resolve(Err(createFailure(ErrorCode.Internal, { message: `Cannot listen on ${address}: ${message}` }))),
+        );
+        listener.listen(
+            { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) },
+            () => resolve(Ok((listener.address() as AddressInfo).port)),
+        );
     });
 
-const shutDown = (server: Server, timeoutMs: number): Promise<void> =>
+const shutDown = (listener: Listener, server: Server, timeoutMs: number): Promise<void> =>
     new Promise(resolve => {
+        listener.close();
         const timer = setTimeout(() => {
             server.forceShutdown();
             resolve();
@@ -49,11 +96,14 @@
     const server = new Server({
         "grpc.max_receive_message_length": MAXIMUM_MESSAGE_BYTES,
         "grpc.enable_channelz": 0,
+        "grpc.max_concurrent_streams": MAXIMUM_STREAMS,
     });
     options.services.forEach(({ definition, implementation }) => server.addService(definition, implementation));
-    const port = await bind(server, options);
+    const injector = server.createConnectionInjector(toServerCredentials(options.credentials));
+    const listener = acceptConnections(options, socket => injector.injectConnection(socket));
+    const port = await bind(listener, options);
     return port.map(boundPort => ({
         address: options.address.replace(/:\d+$/, `:${boundPort}`) as PeerAddress,
-        [Symbol.asyncDispose]: () => shutDown(server, options.shutdownTimeoutMs ?? SHUTDOWN_TIMEOUT_MS),
+        [Symbol.asyncDispose]: () => shutDown(listener, server, options.shutdownTimeoutMs ?? SHUTDOWN_TIMEOUT_MS),
     }));
 };
--- a/packages/protocol/src/server/peerServerOptions.ts
+++ b/packages/protocol/src/server/peerServerOptions.ts
@@ -7,6 +7,8 @@
     readonly address: string;
     /** Mutual TLS credentials; without them the listener accepts unencrypted connections. */
     readonly credentials?: PeerCredentials;
+    /** Open connections. */
+    readonly maximumConnections?: number;
     readonly services: readonly PeerService[];
     /** Time for running calls to complete at shutdown; after it they are cancelled. */
     readonly shutdownTimeoutMs?: number;
--- a/packages/relay/__tests__/relay.spec.ts
+++ b/packages/relay/__tests__/relay.spec.ts
@@ -7,6 +7,7 @@
     createRandom,
     createSystemClock,
 } from "@ibislanding/core";
+import { defaultConnectionLimits } from "@ibislanding/runtime";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, request as sendRequest, type ServerResponse } from "node:http";
 import { createServer as createTcpServer, type Socket } from "node:net";
@@ -58,6 +59,8 @@
     const seen: IncomingMessage[] = [];
     const listener = await startRelayListener({
         address: `127.0.0.1:${port}`,
+        connections: defaultConnectionLimits,
+        onConnectionClosed: () => undefined,
         isKnownSender: address => address === "sender:1",
         reachesUpstreams: () => reachesUpstreams,
         requestsInFlight: () => 3,
--- a/packages/relay/src/listener/relayListenerOptions.ts
+++ b/packages/relay/src/listener/relayListenerOptions.ts
@@ -1,3 +1,4 @@
+import type { ConnectionCloseCause, ConnectionLimits } from "@ibislanding/runtime";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AcceptedRelay } from "./acceptedRelay";
 
@@ -5,6 +6,8 @@
 export interface RelayListenerOptions {
     /** `ip:port` to listen on. */
     readonly address: string;
+    readonly connections: ConnectionLimits;
+    readonly onConnectionClosed: (cause: ConnectionCloseCause) => void;
     readonly isKnownSender: (address: string) => boolean;
     readonly reachesUpstreams: () => boolean;
     readonly requestsInFlight: () => number;
--- a/packages/relay/src/listener/startRelayListener.ts
+++ b/packages/relay/src/listener/startRelayListener.ts
@@ -1,4 +1,4 @@
-import { listen } from "@ibislanding/runtime";
+import { guardConnections, listen } from "@ibislanding/runtime";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { checkRelayedRequest } from "../decisions/checkRelayedRequest";
 import { decodeRelayHead } from "../messages/decodeRelayHead";
@@ -33,40 +33,47 @@
     const server = createServer({
         maxHeaderSize: MAXIMUM_HEADER_BYTES,
         keepAliveTimeout: IDLE_TIMEOUT_MS,
+        headersTimeout: IDLE_TIMEOUT_MS,
         requestTimeout: 0,
         noDelay: true,
-    }, (request, response) => {
-        const text = request.headers[relayHeaders.head];
-        const head = typeof text === "string" ? decodeRelayHead(text) : undefined;
-        const checked = checkRelayedRequest({
-            marks: countMarks(request),
-            head,
-            isKnownSender: options.isKnownSender,
-            reachesUpstreams: options.reachesUpstreams(),
-        });
-        response.setHeader(relayHeaders.load, options.requestsInFlight());
-        if (checked.err) {
-            options.onRefused({ reason: checked.val, sender: head?.sender });
-            refuse(request, response, checked.val);
-            return;
-        }
-        options.onAccepted();
-        const { bodyBytes, ...rest } = checked.val;
-        removeRelayHeaders(request);
-        let isConfirmed = false;
-        options.handle(request, response, {
-            ...rest,
-            onBodyBytes: receivedBytes => {
-                if (!isConfirmed && receivedBytes >= bodyBytes) {
-                    isConfirmed = true;
-                    response.writeProcessing();
-                }
-            },
-            onRefusal: reason => void response.setHeader(relayHeaders.refusal, encodeHeaderText(reason)),
-            onAnswer: softwareVersion =>
-                void response.setHeader(relayHeaders.version, encodeHeaderText(softwareVersion)),
-        });
     });
+    guardConnections(
+        server,
+        (request, response) => {
+            const text = request.headers[relayHeaders.head];
+            const head = typeof text === "string" ? decodeRelayHead(text) : undefined;
+            const checked = checkRelayedRequest({
+                marks: countMarks(request),
+                head,
+                isKnownSender: options.isKnownSender,
+                reachesUpstreams: options.reachesUpstreams(),
+            });
+            response.setHeader(relayHeaders.load, options.requestsInFlight());
+            if (checked.err) {
+                options.onRefused({ reason: checked.val, sender: head?.sender });
+                refuse(request, response, checked.val);
+                return;
+            }
+            options.onAccepted();
+            const { bodyBytes, ...rest } = checked.val;
+            removeRelayHeaders(request);
+            let isConfirmed = false;
+            options.handle(request, response, {
+                ...rest,
+                onBodyBytes: receivedBytes => {
+                    if (!isConfirmed && receivedBytes >= bodyBytes) {
+                        isConfirmed = true;
+                        response.writeProcessing();
+                    }
+                },
+                onRefusal: reason => void response.setHeader(relayHeaders.refusal, encodeHeaderText(reason)),
+                onAnswer: softwareVersion =>
+                    void response.setHeader(relayHeaders.version, encodeHeaderText(softwareVersion)),
+            });
+        },
+        options.connections,
+        options.onConnectionClosed,
+    );
     await listen(server, options.address);
     return {
         [Symbol.asyncDispose]: async () => {
--- /dev/null
+++ b/packages/runtime/src/http/connectionState.ts
@@ -0,0 +1,16 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** What is known of an open connection. */
+export interface ConnectionState {
+    /** The request that arrives, or the last one that arrived. */
+    request: IncomingMessage | undefined;
+    response: ServerResponse | undefined;
+    /** Responses that are not sent to their end. */
+    readonly pending: Set<ServerResponse>;
+    /** Bytes since the last one that was of use. */
+    unusedBytes: number;
+    lastActiveMs: number;
+    /** Bytes written when the connection was last seen to make progress with its answers. */
+    writtenBytes: number;
+    lastWrittenMs: number;
+}
--- a/packages/runtime/src/http/createHttpListener.ts
+++ b/packages/runtime/src/http/createHttpListener.ts
@@ -1,8 +1,10 @@
 import { breakOffResponse, createFailure, ErrorCode } from "@ibislanding/core";
-import { createServer as createPlainServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createPlainServer, type Server } from "node:http";
 import { createServer as createTlsServer, type Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import type { ListenerSettings } from "../settings/listenerSettings";
+import { defaultConnectionLimits } from "./defaultConnectionLimits";
+import { guardConnections } from "./guardConnections";
 import type { HttpHandler } from "./httpHandler";
 import type { HttpListener } from "./httpListener";
 import { readTlsServerOptions } from "./readTlsServerOptions";
@@ -47,13 +49,13 @@
     return `${settings.tls === "off" ? "http" : "https"}://${host}:${port}`;
 };
 
-/** Starts a server with limits on headers and idle connections; its certificate is re-read every 5 s. */
+/** Starts a server with limits on headers and connections; its certificate is re-read every 5 s. */
 export const createHttpListener = async (settings: ListenerSettings, handler: HttpHandler): Promise<HttpListener> => {
     const server = createServer(settings);
     let activeRequests = 0;
     let accepting = true;
 
-    server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+    guardConnections(server, (request, response) => {
         activeRequests++;
         response.on("close", () => {
             activeRequests--;
@@ -69,7 +71,7 @@
                 sendProblem(response, createFailure(ErrorCode.Internal));
             }
         });
-    });
+    }, defaultConnectionLimits);
     server.on("clientError", (_error, socket) => {
         if (socket.writable) {
             socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
--- /dev/null
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -0,0 +1,132 @@
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
+import type { Server as TlsServer } from "node:https";
+import type { Socket } from "node:net";
+import type { ConnectionCloseCause } from "./connectionCloseCause";
+import type { ConnectionLimits } from "./connectionLimits";
+import type { ConnectionState } from "./connectionState";
+import { createDiscardAllowance } from "./createDiscardAllowance";
+import { findReplaceable } from "./findReplaceable";
+
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Time after which a connection is closed whose client reads nothing of the answers that wait for it. */
+const UNREAD_ANSWER_MS = 15_000;
+
+const nowMs = (): number => performance.now();
+
+/** Shared by all listeners of the process. */
+const mayDiscard = createDiscardAllowance(nowMs);
+
+const noop = (): void => undefined;
+
+/** Ends responses that waited for earlier ones of a closed connection: Node.js reports the close only to the first one. */
+const endQueued = ({ pending }: ConnectionState): void =>
+    [...pending].filter(({ socket }) => socket === null).forEach(response => {
+        response.destroy();
+        response.emit("close");
+    });
+
+/**
+ * Passes the requests of a server to a handler, and bounds what its connections make the process hold: how many there are, what they send that is no part of a request, how
+ * many requests wait on one, and for how long answers stay unread. Limits on heads and bodies are those of the server and its handler.
+ */
+export const guardConnections = (
+    server: Server | TlsServer,
+    handle: RequestListener,
+    { maximumConnections, maximumUnusedBytes, maximumPendingRequests }: ConnectionLimits,
+    onClosed: (cause: ConnectionCloseCause) => void = noop,
+): void => {
+    const connections = new Map<Socket, ConnectionState>();
+
+    const close = (socket: Socket, cause: ConnectionCloseCause): void => {
+        connections.delete(socket);
+        // Frees what has arrived and is not read yet, too.
+        socket.destroy();
+        onClosed(cause);
+    };
+
+    const receive = (socket: Socket, state: ConnectionState, bytes: number): void => {
+        const { request, response } = state;
+        const isUsed = request !== undefined && !request.complete && response?.writableEnded === false;
+        if (isUsed) {
+            state.lastActiveMs = nowMs();
+            return;
+        }
+        state.unusedBytes += bytes;
+        if (state.unusedBytes <= maximumUnusedBytes) {
+            return;
+        }
+        const isRefusedBody = request?.complete === false;
+        if (!isRefusedBody || !mayDiscard(bytes)) {
+            close(socket, "unused-bytes");
+        }
+    };
+
+    const accept = (socket: Socket): void => {
+        const state: ConnectionState = {
+            request: undefined,
+            response: undefined,
+            pending: new Set(),
+            unusedBytes: 0,
+            lastActiveMs: nowMs(),
+            writtenBytes: 0,
+            lastWrittenMs: nowMs(),
+        };
+        if (connections.size >= maximumConnections) {
+            const replaceable = findReplaceable(connections);
+            if (replaceable === undefined) {
+                socket.destroy();
+                onClosed("too-many");
+                return;
+            }
+            close(replaceable, "replaced");
+        }
+        connections.set(socket, state);
+        socket.once("close", () => {
+            connections.delete(socket);
+            endQueued(state);
+        });
+        socket.prependListener("data", (bytes: Buffer) => receive(socket, state, bytes.length));
+    };
+
+    const admitRequest = (request: IncomingMessage, response: ServerResponse): void => {
+        const state = connections.get(request.socket);
+        // Requests that arrived in one read with the one that closed the connection.
+        if (state === undefined) {
+            return;
+        }
+        if (state.pending.size >= maximumPendingRequests) {
+            close(request.socket, "pending-requests");
+            return;
+        }
+        state.request = request;
+        state.response = response;
+        state.unusedBytes = 0;
+        state.lastActiveMs = nowMs();
+        state.pending.add(response);
+        response.once("close", () => {
+            state.pending.delete(response);
+            state.lastActiveMs = nowMs();
+        });
+        handle(request, response);
+    };
+
+    const checkAnswers = (): void => {
+        const atMs = nowMs();
+        [...connections].forEach(([socket, state]) => {
+            const writtenBytes = socket.bytesWritten - socket.writableLength;
+            if (socket.writableLength === 0 || writtenBytes !== state.writtenBytes) {
+                state.writtenBytes = writtenBytes;
+                state.lastWrittenMs = atMs;
+            }
+            else if (atMs - state.lastWrittenMs > UNREAD_ANSWER_MS) {
+                close(socket, "unread-answer");
+            }
+        });
+    };
+
+    server.on("setSecureContext" in server ? "secureConnection" : "connection", accept);
+    server.on("request", admitRequest);
+    const timer = setInterval(checkAnswers, CHECK_INTERVAL_MS).unref();
+    server.once("close", () => clearInterval(timer));
+};
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -31,7 +31,11 @@
 export { serveMetrics } from "./metrics/serveMetrics";
 
 // HTTP
+export type { ConnectionCloseCause } from "./http/connectionCloseCause";
+export type { ConnectionLimits } from "./http/connectionLimits";
 export { createHttpListener } from "./http/createHttpListener";
+export { defaultConnectionLimits } from "./http/defaultConnectionLimits";
+export { guardConnections } from "./http/guardConnections";
 export type { HttpHandler } from "./http/httpHandler";
 export type { HttpListener } from "./http/httpListener";
 export { listen } from "./http/listen";
--- a/packages/runtime/src/metrics/serveMetrics.ts
+++ b/packages/runtime/src/metrics/serveMetrics.ts
@@ -1,4 +1,7 @@
 import { createServer } from "node:http";
+import type { ConnectionLimits } from "../http/connectionLimits";
+import { defaultConnectionLimits } from "../http/defaultConnectionLimits";
+import { guardConnections } from "../http/guardConnections";
 import type { HttpHandler } from "../http/httpHandler";
 import { listen } from "../http/listen";
 import type { MetricsRegistry } from "./metricsRegistry";
@@ -11,8 +14,10 @@
     address: string,
     metrics: MetricsRegistry,
     handlers: Readonly<Record<string, HttpHandler>> = {},
+    limits: ConnectionLimits = defaultConnectionLimits,
 ): Promise<AsyncDisposable> => {
-    const server = createServer((request, response) => {
+    const server = createServer();
+    guardConnections(server, (request, response) => {
         const [, segment = ""] = (request.url ?? "/").split(/[/?]/);
         const handle = handlers[segment];
         if (handle === undefined) {
@@ -25,7 +30,7 @@
             // Logged by the program, as any rejection that nothing handles.
             throw error;
         });
-    });
+    }, limits);
     await listen(server, address);
     return {
         [Symbol.asyncDispose]: async () => {
