fix(runtime): bodies in chunks of a few bytes no longer keep a host from its other callers

Callers got no answer while twenty connections sent bodies in chunks of a byte, nor for seconds afterwards.

Cause: each chunk costs a call through the parser, the stream and the reader, some ten milliseconds for one read of 64 KiB, and a connection is read up to 32 times before another has its turn.

Change: a read of an unfinished body that takes 2 ms or more makes its connection wait for its turn, one in each turn of the event loop.

Why it works: between two such reads all other connections are served. A single such body still goes on in each turn.

--- a/packages/runtime/src/http/guardConnections.ts
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -5,6 +5,7 @@
 import type { ConnectionLimits } from "./connectionLimits";
 import type { ConnectionState } from "./connectionState";
 import { createDiscardAllowance } from "./createDiscardAllowance";
+import { createReadTurns } from "./createReadTurns";
 import { findReplaceable } from "./findReplaceable";
 
 const CHECK_INTERVAL_MS = 1_000;
@@ -12,10 +13,14 @@
 /** Time after which a connection is closed whose client reads nothing of the answers that wait for it. */
 const UNREAD_ANSWER_MS = 15_000;
 
+/** Time for one read of a body from which on the connection takes turns with others: many chunks of a few bytes, each a call. */
+const COSTLY_READ_MS = 2;
+
 const nowMs = (): number => performance.now();
 
 /** Shared by all listeners of the process. */
 const mayDiscard = createDiscardAllowance(nowMs);
+const turns = createReadTurns();
 
 const noop = (): void => undefined;
 
@@ -84,9 +89,26 @@
         connections.set(socket, state);
         socket.once("close", () => {
             connections.delete(socket);
+            turns.release(socket);
             endQueued(state);
         });
-        socket.prependListener("data", (bytes: Buffer) => receive(socket, state, bytes.length));
+        let readAtMs = 0;
+        socket.prependListener("data", (bytes: Buffer) => {
+            readAtMs = nowMs();
+            receive(socket, state, bytes.length);
+        });
+        // Called when the parser is through with the bytes.
+        socket.on("data", () => {
+            if (state.request?.complete === false && !socket.destroyed && nowMs() - readAtMs >= COSTLY_READ_MS) {
+                turns.hold(socket);
+            }
+        });
+        // The reader of a body resumes its connection whenever it has room.
+        socket.on("resume", () => {
+            if (turns.isHeld(socket)) {
+                socket.pause();
+            }
+        });
     };
 
     const admitRequest = (request: IncomingMessage, response: ServerResponse): void => {
