--- a/packages/runtime/src/http/guardConnections.ts
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -32,8 +32,9 @@
     });
 
 /**
- * Passes the requests of a server to a handler, and bounds what its connections make the process hold: how many there are, what they send that is no part of a request, how
- * many requests wait on one, and for how long answers stay unread. Limits on heads and bodies are those of the server and its handler.
+ * Passes the requests of a server to a handler, and bounds what its connections make the process hold: how many there are, what they
+ * send that is no part of a request, how many requests wait on one, and for how long answers stay unread. Limits on heads and bodies are
+ * those of the server and its handler.
  */
 export const guardConnections = (
     server: Server | TlsServer,
