perf(runtime): only connections with large or chunked bodies, or with bytes of no request, are read in JavaScript

Cause: guardConnections counted the bytes of every connection before the parser, which makes Node.js read all of them in JavaScript.

Change: a connection is watched from a request on that is chunked or declares more than 64 KiB, or once it has sent more than 64 KiB since its last request began, which is looked for twice a second.

--- a/packages/runtime/src/http/connectionState.ts
+++ b/packages/runtime/src/http/connectionState.ts
@@ -10,6 +10,10 @@
     /** Bytes since the last one that was of use. */
     unusedBytes: number;
     lastActiveMs: number;
+    /** Whether its bytes are counted before the parser sees them. */
+    isWatched: boolean;
+    /** Bytes received when its last request arrived. */
+    bytesBeforeRequest: number;
     /** Bytes written when the connection was last seen to make progress with its answers. */
     writtenBytes: number;
     lastWrittenMs: number;
--- a/packages/runtime/src/http/guardConnections.ts
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -8,7 +8,10 @@
 import { createReadTurns } from "./createReadTurns";
 import { findReplaceable } from "./findReplaceable";
 
-const CHECK_INTERVAL_MS = 1_000;
+const CHECK_INTERVAL_MS = 500;
+
+/** Bytes of one request, or before one, from which on a connection is watched; ordinary requests have fewer. */
+const UNWATCHED_BYTES = 65_536;
 
 /** Time after which a connection is closed whose client reads nothing of the answers that wait for it. */
 const UNREAD_ANSWER_MS = 15_000;
@@ -24,6 +27,10 @@
 
 const noop = (): void => undefined;
 
+/** Whether the body of a request may be large, or consist of many small chunks. */
+const mayBeCostly = ({ headers }: IncomingMessage): boolean =>
+    headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > UNWATCHED_BYTES;
+
 /** Ends responses that waited for earlier ones of a closed connection: Node.js reports the close only to the first one. */
 const endQueued = ({ pending }: ConnectionState): void =>
     [...pending].filter(({ socket }) => socket === null).forEach(response => {
@@ -75,6 +82,8 @@
             pending: new Set(),
             unusedBytes: 0,
             lastActiveMs: nowMs(),
+            isWatched: false,
+            bytesBeforeRequest: 0,
             writtenBytes: 0,
             lastWrittenMs: nowMs(),
         };
@@ -93,7 +102,15 @@
             turns.release(socket);
             endQueued(state);
         });
-        let readAtMs = 0;
+    };
+
+    /** Counts the bytes of a connection before the parser sees them, which makes each read more expensive. */
+    const watch = (socket: Socket, state: ConnectionState): void => {
+        if (state.isWatched) {
+            return;
+        }
+        state.isWatched = true;
+        let readAtMs = nowMs();
         socket.prependListener("data", (bytes: Buffer) => {
             readAtMs = nowMs();
             receive(socket, state, bytes.length);
@@ -125,6 +142,10 @@
         state.request = request;
         state.response = response;
         state.unusedBytes = 0;
+        state.bytesBeforeRequest = request.socket.bytesRead;
+        if (mayBeCostly(request)) {
+            watch(request.socket, state);
+        }
         state.lastActiveMs = nowMs();
         state.pending.add(response);
         response.once("close", () => {
@@ -134,9 +155,14 @@
         handle(request, response);
     };
 
-    const checkAnswers = (): void => {
+    const check = (): void => {
         const atMs = nowMs();
         [...connections].forEach(([socket, state]) => {
+            const receivedBytes = socket.bytesRead - state.bytesBeforeRequest;
+            if (!state.isWatched && receivedBytes > UNWATCHED_BYTES) {
+                watch(socket, state);
+                receive(socket, state, receivedBytes);
+            }
             const writtenBytes = socket.bytesWritten - socket.writableLength;
             if (socket.writableLength === 0 || writtenBytes !== state.writtenBytes) {
                 state.writtenBytes = writtenBytes;
@@ -150,6 +176,6 @@
 
     server.on("setSecureContext" in server ? "secureConnection" : "connection", accept);
     server.on("request", admitRequest);
-    const timer = setInterval(checkAnswers, CHECK_INTERVAL_MS).unref();
+    const timer = setInterval(check, CHECK_INTERVAL_MS).unref();
     server.once("close", () => clearInterval(timer));
 };
