test(gateway): a caller's header without a name may be refused by the parser

Now either answer is taken with the number of upstream runs that fits it, the request after it must be answered with 200, so that no upstream counts as failed, and what the parser of other versions lets through is checked at filterHeaders itself.

--- a/packages/gateway/__tests__/invalidHeads.spec.ts
+++ b/packages/gateway/__tests__/invalidHeads.spec.ts
@@ -4,6 +4,7 @@
 import { connect } from "node:net";
 import { text } from "node:stream/consumers";
 import { setTimeout as sleep } from "node:timers/promises";
+import { filterHeaders } from "../src/forwarding/filterHeaders";
 import { type ReceivedResponse, sendClientRequest } from "./support/sendClientRequest";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
 import { createRecord, startTestGateway } from "./support/startTestGateway";
@@ -114,8 +115,18 @@
     await using system = await startTestGateway([upstream.port], { kind: "once", timeoutMs: TIMEOUT_MS });
     const socket = connect(system.port, "127.0.0.1");
     socket.write("GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request: r1\r\n: 1\r\nConnection: close\r\n\r\n");
-    expect(await text(socket)).toMatch(/^HTTP\/1.1 200 /);
-    expect(upstream.requests).toHaveLength(1);
+    const answered = await text(socket);
+    expect(answered).toMatch(/^HTTP\/1.1 (200|400) /);
+    // Some versions of Node.js refuse such a head in their parser.
+    expect(upstream.requests).toHaveLength(answered.startsWith("HTTP/1.1 200 ") ? 1 : 0);
+    expect((await sendClientRequest(system.port, "r2")).status).toBe(200);
+});
+
+test("a header without a name that the parser lets through is not sent to upstreams", () => {
+    expect(filterHeaders(["X-Request", "r1", "", "1", "X-Extra", "a"], new Set())).toEqual([
+        ["X-Request", "r1"],
+        ["X-Extra", "a"],
+    ]);
 });
 
 // What throws is not known in advance: in the event of a head, and after the body.
