fix(runtime): a single body within a raised limit finds room in the budgets of its process

Callers of ibis-entry with a larger requests.maximumBodyBytes than 70 MB got 503 for every body above 70 MB, or of more than 4,000,000 parts, though the setting allows it.

Cause: the budgets for all bodies of a process were constants, apart from the setting.

Change: a budget is at least as large as one body of the largest size that a listener of the process allows, and the copy made of it.

Evidence: readBody.spec.ts, 80 MB of 90 MB allowed, whole and in chunks: "overloaded" before, read now. Other budgets are as they were.

--- a/packages/runtime/src/http/readBody.ts
+++ b/packages/runtime/src/http/readBody.ts
@@ -2,14 +2,19 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 
-/** Memory that the bodies of all requests of a process may hold. */
-const MAXIMUM_BODY_MEMORY_BYTES = 70_000_000;
+/** Memory that the bodies of all requests of a process may hold; more only if a single body may be larger. */
+const BODY_MEMORY_BYTES = 70_000_000;
 
 /** Parts of all bodies that are being read: each costs processor time, however small it is. */
-const MAXIMUM_PARTS = 4_000_000;
+const BODY_PARTS = 4_000_000;
 
-const memoryBudget = createMemoryBudget(() => MAXIMUM_BODY_MEMORY_BYTES);
-const partBudget = createMemoryBudget(() => MAXIMUM_PARTS);
+/** Memory of a body while it is copied into one buffer, against its size. */
+const COPIES = 2;
+
+let largestBodyBytes = 0;
+
+const memoryBudget = createMemoryBudget(() => Math.max(BODY_MEMORY_BYTES, COPIES * largestBodyBytes));
+const partBudget = createMemoryBudget(() => Math.max(BODY_PARTS, largestBodyBytes));
 
 /**
  * Reads a request body, whose memory counts until the response has ended. Fails with `body_too_large` as soon as it exceeds the limit,
@@ -21,6 +26,7 @@
     maximumBytes: number,
 ): Promise<Result<Buffer, Failure>> =>
     new Promise(resolve => {
+        largestBodyBytes = Math.max(largestBodyBytes, maximumBytes);
         const declaredBytes = Number(request.headers["content-length"] ?? 0);
         const received = createByteCollector(declaredBytes);
         const memory = memoryBudget.open();
