fix(core): an unfinished body of unknown size occupies little more than what has arrived of it

A crowd of 600 clients with bodies in large chunks that stop short brought a host near the memory of its machine.

Cause: a chunked body was copied into buffers of twice its size each time that it had outgrown one. The last one was up to twice the body, the ones before it garbage.

Change: large parts are kept as they arrive, small ones are copied into blocks of 64 KiB.

Evidence: createByteCollector.spec.ts failed before: 1.4 to 1.9 MB held for a body of 1 MB, 1.07 or 1.11 MB wanted.

--- a/packages/core/__tests__/createByteCollector.spec.ts
+++ b/packages/core/__tests__/createByteCollector.spec.ts
@@ -18,3 +18,13 @@
     Array.from({ length: 100_000 }, () => collector.add(Buffer.from("a")));
     expect(collector.heldBytes()).toBeLessThan(250_000);
 });
+
+test.each([1_000, 10_000, 65_536])(
+    "a body of unknown size in parts of %d bytes occupies little more than its size",
+    partBytes => {
+        const collector = createByteCollector();
+        const parts = Math.ceil(1_000_000 / partBytes);
+        Array.from({ length: parts }, () => collector.add(Buffer.alloc(partBytes)));
+        expect(collector.heldBytes()).toBeLessThanOrEqual(parts * partBytes + 65_536);
+    },
+);
--- a/packages/core/src/http/byteCollector.ts
+++ b/packages/core/src/http/byteCollector.ts
@@ -2,7 +2,7 @@
 export interface ByteCollector {
     readonly add: (part: Buffer) => void;
     readonly sizeBytes: () => number;
-    /** Memory that the bytes occupy: up to twice their size, or what the only part is a view of. */
+    /** Memory that the bytes occupy: what parts are views of, and the blocks into which others were copied. */
     readonly heldBytes: () => number;
     /** Returns the bytes and leaves the collector empty. */
     readonly take: () => Buffer;
