fix(runtime): empty lines no longer keep a host from its callers until their connections are inspected

Callers got no answer for about five seconds while 600 connections sent empty lines; they were answered at the second or third try.

Cause: bytes of connections that are not read in JavaScript were looked at twice a second, by a timer. In one turn of the event loop up to 2 MB of each connection go through the parser, so that the timer came seconds late.

Change: a connection is inspected after each of its reads. Node.js reports a read that its parser takes directly only to the idle timeout of the connection, which is where observeReads hooks in; the timer stays for versions without it.

Evidence: guardConnections.spec.ts, empty lines before and after a request: 8,000,000 bytes read of each connection before, at most 262,144 wanted and read now.

--- a/packages/runtime/__tests__/guardConnections.spec.ts
+++ b/packages/runtime/__tests__/guardConnections.spec.ts
@@ -8,10 +8,15 @@
 const HEAD = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ";
 const GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
+/** What is read from a connection at a time. */
+const READ_BYTES = 65_536;
+
 const startServer = async (handle: RequestListener, limits = {}) => {
     const causes: ConnectionCloseCause[] = [];
     const server = createServer();
+    const accepted: Socket[] = [];
     guardConnections(server, handle, { ...defaultConnectionLimits, ...limits }, cause => causes.push(cause));
+    server.on("connection", socket => accepted.push(socket));
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const open = async (text: string): Promise<Socket> => {
@@ -23,6 +28,7 @@
     };
     return {
         causes,
+        accepted,
         open,
         [Symbol.asyncDispose]: async () => {
             server.close();
@@ -52,6 +58,29 @@
     expect(server.causes).toEqual(["unused-bytes"]);
 });
 
+test.each([
+    ["before a request", ""],
+    ["after a request", GET],
+])("of empty lines without end %s, little more is read than a connection may send in vain", async (_title, first) => {
+    await using server = await startServer(answer);
+    const sockets = await Promise.all(Array.from({ length: 20 }, () => server.open(first)));
+    sockets.forEach(socket => socket.write("\r\n".repeat(4_000_000)));
+    await Promise.all(sockets.map(waitForClose));
+    const mostBytes = Math.max(...server.accepted.map(({ bytesRead }) => bytesRead));
+    // Neither the rest of the read with the request counts, nor does the read that goes beyond the limit.
+    expect(mostBytes).toBeLessThanOrEqual(defaultConnectionLimits.maximumUnusedBytes + 2 * READ_BYTES);
+});
+
+test("a request after some empty lines is answered, and so are those after it", async () => {
+    await using server = await startServer(answer);
+    const socket = await server.open("\r\n\r\n");
+    socket.write(GET);
+    await readUntil(socket, /ok/);
+    socket.write(`\r\n${GET}`);
+    await readUntil(socket, /ok/);
+    socket.destroy();
+});
+
 test("a body that is refused before it is read is discarded, and its connection can be used again", async () => {
     await using server = await startServer((_request, response) => void response.writeHead(413).end());
     const socket = await server.open(`${HEAD}4000000\r\n\r\n${"x".repeat(4_000_000)}`);
--- a/packages/runtime/src/http/guardConnections.ts
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -7,6 +7,7 @@
 import { createDiscardAllowance } from "./createDiscardAllowance";
 import { createReadTurns } from "./createReadTurns";
 import { findReplaceable } from "./findReplaceable";
+import { observeReads } from "./observeReads";
 
 const CHECK_INTERVAL_MS = 500;
 
@@ -97,6 +98,7 @@
             close(replaceable, "replaced");
         }
         connections.set(socket, state);
+        observeReads(socket, () => inspectReads(socket, state));
         socket.once("close", () => {
             connections.delete(socket);
             turns.release(socket);
@@ -129,6 +131,15 @@
         });
     };
 
+    /** Begins to watch a connection that has sent more than ordinary requests have. */
+    const inspectReads = (socket: Socket, state: ConnectionState): void => {
+        const receivedBytes = socket.bytesRead - state.bytesBeforeRequest;
+        if (!state.isWatched && !socket.destroyed && receivedBytes > UNWATCHED_BYTES) {
+            watch(socket, state);
+            receive(socket, state, receivedBytes);
+        }
+    };
+
     const admitRequest = (request: IncomingMessage, response: ServerResponse): void => {
         const state = connections.get(request.socket);
         // Requests that arrived in one read with the one that closed the connection.
@@ -158,11 +169,7 @@
     const check = (): void => {
         const atMs = nowMs();
         [...connections].forEach(([socket, state]) => {
-            const receivedBytes = socket.bytesRead - state.bytesBeforeRequest;
-            if (!state.isWatched && receivedBytes > UNWATCHED_BYTES) {
-                watch(socket, state);
-                receive(socket, state, receivedBytes);
-            }
+            inspectReads(socket, state);
             const writtenBytes = socket.bytesWritten - socket.writableLength;
             if (socket.writableLength === 0 || writtenBytes !== state.writtenBytes) {
                 state.writtenBytes = writtenBytes;
--- a/packages/soak/src/crowds/crowdTraffics.ts
+++ b/packages/soak/src/crowds/crowdTraffics.ts
@@ -55,6 +55,7 @@
         readsAnswers: true,
     }),
     "empty-lines": (): CrowdTraffic => endless("", "\r\n"),
+    "empty-lines-after-request": (): CrowdTraffic => endless("GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", "\r\n"),
     "endless-target": (): CrowdTraffic => endless("GET /", "a"),
     "endless-value": ({ requestLine }: CrowdTarget): CrowdTraffic => endless(`${requestLine}\r\nX-Value: `, "a"),
     "endless-header-lines": ({ requestLine }: CrowdTarget): CrowdTraffic =>
