fix(runtime): at most four bodies in chunks of a few bytes are read at the same time

Cause: such a read of 64 KiB takes some ten milliseconds or more. What had been sent before the clients ended is megabytes a connection, and all connections took turns without an end to what each may cost.

Change: where more than four bodies wait for their turns, the one whose reads have taken longest is closed, if they took 250 ms or more.

Why it works: the cost of a crowd is bounded by 250 ms a connection and four bodies. A single body is read to its end at any cost, and so are four at once. A close promises nothing, so that no refusal becomes untrue.

Evidence: guardConnections.spec.ts, "those that have cost most are given up" failed before (no connection was closed in 60 s).

--- a/packages/runtime/__tests__/guardConnections.spec.ts
+++ b/packages/runtime/__tests__/guardConnections.spec.ts
@@ -91,6 +91,33 @@
     socket.destroy();
 });
 
+test("of many bodies in chunks of a byte, those that have cost most are given up", async () => {
+    await using server = await startServer(request => void request.resume());
+    const head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const sockets = await Promise.all(Array.from({ length: 8 }, () => server.open(head)));
+    const chunks = Buffer.from("1\r\nx\r\n".repeat(10_000));
+    sockets.forEach(socket => {
+        const send = (): void => void (socket.destroyed || socket.write(chunks, send));
+        send();
+    });
+    while (server.causes.length < 4) {
+        await new Promise(setImmediate);
+    }
+    sockets.forEach(socket => socket.destroy());
+    expect(new Set(server.causes)).toEqual(new Set(["costly-body"]));
+});
+
+test("a single body in chunks of a byte is read to its end, however much it costs", async () => {
+    await using server = await startServer((request, response) =>
+        void request.resume().on("end", () => response.end("ok"))
+    );
+    const socket = await server.open("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    socket.write(`${"1\r\nx\r\n".repeat(1_000_000)}0\r\n\r\n`);
+    await readUntil(socket, /ok/);
+    expect(server.causes).toEqual([]);
+    socket.destroy();
+});
+
 test("a connection without a request makes room for a new one; one that waits for an answer does not", async () => {
     const waiting: ServerResponse[] = [];
     await using server = await startServer((request, response) => {
--- a/packages/runtime/src/http/connectionState.ts
+++ b/packages/runtime/src/http/connectionState.ts
@@ -14,6 +14,8 @@
     isWatched: boolean;
     /** Bytes received when its last request arrived. */
     bytesBeforeRequest: number;
+    /** Time that costly reads of the body of its last request have taken. */
+    costlyReadMs: number;
     /** Bytes written when the connection was last seen to make progress with its answers. */
     writtenBytes: number;
     lastWrittenMs: number;
--- a/packages/runtime/src/http/createReadTurns.ts
+++ b/packages/runtime/src/http/createReadTurns.ts
@@ -1,16 +1,18 @@
 import type { Socket } from "node:net";
+import { findCostliest } from "./findCostliest";
 import type { ReadTurns } from "./readTurns";
+import type { WaitingRead } from "./waitingRead";
 
 /** Creates the order of all connections of a process whose reads take long. */
 export const createReadTurns = (): ReadTurns => {
-    const held = new Set<Socket>();
+    const held = new Map<Socket, WaitingRead>();
     let isScheduled = false;
 
     const schedule = (): void => {
         isScheduled = true;
         setImmediate(() => {
             isScheduled = false;
-            const [next] = held;
+            const [next] = held.keys();
             if (next === undefined) {
                 return;
             }
@@ -23,9 +25,14 @@
     };
 
     return {
-        hold: socket => {
-            held.add(socket);
+        hold: (socket, waiting) => {
+            held.set(socket, waiting);
             socket.pause();
+            const costliest = findCostliest(held);
+            if (costliest !== undefined) {
+                held.get(costliest)?.close();
+                held.delete(costliest);
+            }
             if (!isScheduled) {
                 schedule();
             }
--- a/packages/runtime/src/http/guardConnections.ts
+++ b/packages/runtime/src/http/guardConnections.ts
@@ -85,6 +85,7 @@
             lastActiveMs: nowMs(),
             isWatched: false,
             bytesBeforeRequest: 0,
+            costlyReadMs: 0,
             writtenBytes: 0,
             lastWrittenMs: nowMs(),
         };
@@ -119,8 +120,10 @@
         });
         // Called when the parser is through with the bytes.
         socket.on("data", () => {
-            if (state.request?.complete === false && !socket.destroyed && nowMs() - readAtMs >= COSTLY_READ_MS) {
-                turns.hold(socket);
+            const readMs = nowMs() - readAtMs;
+            if (state.request?.complete === false && !socket.destroyed && readMs >= COSTLY_READ_MS) {
+                state.costlyReadMs += readMs;
+                turns.hold(socket, { readMs: state.costlyReadMs, close: () => close(socket, "costly-body") });
             }
         });
         // The reader of a body resumes its connection whenever it has room.
@@ -153,6 +156,7 @@
         state.request = request;
         state.response = response;
         state.unusedBytes = 0;
+        state.costlyReadMs = 0;
         state.bytesBeforeRequest = request.socket.bytesRead;
         if (mayBeCostly(request)) {
             watch(request.socket, state);
