fix(protocol): unfinished messages and connections without a call no longer exhaust a host

800 unfinished messages on eight connections to the listener for other hosts brought a host to 811 MB of its 250, which ends it and the requests of its callers. Connections that send the preface of HTTP/2 and no more took the room of sound peers.

Cause: calls were limited in number for a connection, and messages in size, but nothing limited what all of them hold before they are complete. At the limit of connections only those without a preface made room.

Change: what a connection has received since it last had no unfinished message counts as held; above 32 MB for all connections of a listener, those that hold most are closed. At the limit, the oldest connection that has never begun a call makes room.

Why it works: partial messages lie between the bytes received and the last message that was complete, so that the bound holds for them. A sound peer's message is complete at once, and a call that is closed for others is sent again.

Holds for the listeners of all programs, which share createPeerServer.

--- a/packages/protocol/src/server/createPeerServer.ts
+++ b/packages/protocol/src/server/createPeerServer.ts
@@ -6,13 +6,19 @@
 import type { PeerAddress } from "../peerAddress";
 import type { PeerCredentials } from "../peerCredentials";
 import { awaitPreface } from "./awaitPreface";
+import { createReceiveMeter } from "./createReceiveMeter";
 import type { PeerServer } from "./peerServer";
 import type { PeerServerOptions } from "./peerServerOptions";
+import type { ReceiveMeter } from "./receiveMeter";
+import type { ReceivingConnection } from "./receivingConnection";
 
 const SHUTDOWN_TIMEOUT_MS = 2_000;
 
 const DEFAULT_CONNECTIONS = 1_000;
 
+/** Bytes of unfinished messages: some of the largest size, and many of the usual one. */
+const DEFAULT_MESSAGE_MEMORY_BYTES = 32_000_000;
+
 /** Calls that one connection may have open at the same time. */
 const MAXIMUM_STREAMS = 100;
 
@@ -28,24 +34,30 @@
             true,
         );
 
-/** Accepts connections; beyond the limit, the oldest one without a preface makes room, or the new one is closed. */
+/** Accepts connections; beyond the limit, the oldest one without a preface or else without a call makes room, or the new one is closed. */
 const acceptConnections = (
     { credentials, maximumConnections = DEFAULT_CONNECTIONS }: PeerServerOptions,
+    meter: ReceiveMeter,
     inject: (socket: Socket) => void,
 ): Listener => {
-    const begun = new Set<Socket>();
+    const begun = new Map<Socket, ReceivingConnection>();
     const waiting = new Set<Socket>();
     const begin = (socket: Socket): void => {
         waiting.delete(socket);
-        begun.add(socket);
+        begun.set(socket, meter.add(socket));
         inject(socket);
     };
+    const findReplaceable = (): Socket | undefined => {
+        const [oldest] = waiting;
+        return oldest ?? [...begun].find(([, { hasCalled }]) => !hasCalled)?.[0];
+    };
     return createListener({ allowHalfOpen: true }, socket => {
         socket.on("error", () => socket.destroy());
         if (begun.size + waiting.size >= maximumConnections) {
-            const [oldest = socket] = waiting;
-            waiting.delete(oldest);
-            oldest.destroy();
+            const replaced = findReplaceable() ?? socket;
+            waiting.delete(replaced);
+            begun.delete(replaced);
+            replaced.destroy();
         }
         if (socket.destroyed) {
             return;
@@ -93,14 +105,16 @@
 
 /** Starts a gRPC listener for other processes of the system; fails when the address cannot be bound. */
 export const createPeerServer = async (options: PeerServerOptions): Promise<Result<PeerServer, Failure>> => {
+    const meter = createReceiveMeter(options.maximumMessageMemoryBytes ?? DEFAULT_MESSAGE_MEMORY_BYTES);
     const server = new Server({
+        "interceptors": [meter.intercept],
         "grpc.max_receive_message_length": MAXIMUM_MESSAGE_BYTES,
         "grpc.enable_channelz": 0,
         "grpc.max_concurrent_streams": MAXIMUM_STREAMS,
     });
     options.services.forEach(({ definition, implementation }) => server.addService(definition, implementation));
     const injector = server.createConnectionInjector(toServerCredentials(options.credentials));
-    const listener = acceptConnections(options, socket => injector.injectConnection(socket));
+    const listener = acceptConnections(options, meter, socket => injector.injectConnection(socket));
     const port = await bind(listener, options);
     return port.map(boundPort => ({
         address: options.address.replace(/:\d+$/, `:${boundPort}`) as PeerAddress,
--- a/packages/protocol/src/server/peerServerOptions.ts
+++ b/packages/protocol/src/server/peerServerOptions.ts
@@ -9,6 +9,8 @@
     readonly credentials?: PeerCredentials;
     /** Open connections. */
     readonly maximumConnections?: number;
+    /** Memory that messages of all connections may hold before they are complete; beyond it, connections that hold most are closed. */
+    readonly maximumMessageMemoryBytes?: number;
     readonly services: readonly PeerService[];
     /** Time for running calls to complete at shutdown; after it they are cancelled. */
     readonly shutdownTimeoutMs?: number;
--- a/packages/soak/src/crowds/openCrowd.ts
+++ b/packages/soak/src/crowds/openCrowd.ts
@@ -2,6 +2,7 @@
 import type { CrowdPlan } from "./crowdPlan";
 import type { CrowdTraffic } from "./crowdTraffic";
 import { crowdTraffics } from "./crowdTraffics";
+import { openUnfinishedCalls } from "./openUnfinishedCalls";
 
 const LOOPBACK = "127.0.0.1";
 
@@ -15,9 +16,7 @@
     }
 };
 
-/** Opens connections to a port of this machine that all send the same, and that stay open until the crowd is disposed of. */
-export const openCrowd = ({ port, kind, connections, target }: CrowdPlan): Disposable => {
-    const traffic = crowdTraffics[kind](target);
+const openConnections = (port: number, connections: number, traffic: CrowdTraffic): Disposable => {
     const sockets = Array.from({ length: connections }, () => {
         const socket = connect({ host: LOOPBACK, port, allowHalfOpen: true });
         // The listener may close the connection at any time.
@@ -30,3 +29,9 @@
     });
     return { [Symbol.dispose]: () => sockets.forEach(socket => socket.resetAndDestroy()) };
 };
+
+/** Opens connections to a port of this machine that all send the same, and that stay open until the crowd is disposed of. */
+export const openCrowd = ({ port, kind, connections, target }: CrowdPlan): Disposable =>
+    kind === "unfinished-calls"
+        ? openUnfinishedCalls({ port, connections, target })
+        : openConnections(port, connections, crowdTraffics[kind](target));
