--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,4 @@
-// Runs all checks of the project in order, prints KNOWN-RED.txt and each result; exits with 1 when a check fails.
+// Prints KNOWN-RED.txt, runs all checks of the project in order, and prints each result; exits with 1 when a check fails.
 import { spawnSync } from "node:child_process";
 import { existsSync, readFileSync } from "node:fs";
 import { install } from "./install.mjs";
@@ -34,9 +34,10 @@
 if (installStatus !== 0) {
     process.exit(installStatus);
 }
+// Before the checks, so that a log that is cut in the middle still ends with what failed.
+printKnownFailures();
 const results = CHECKS.map(runCheck);
 const failed = results.filter(result => !result.passed);
-printKnownFailures();
 process.stdout.write(`\n${results.map(({ title, passed }) => `${passed ? "ok  " : "FAIL"} ${title}`).join("\n")}\n`);
 if (failed.length > 0) {
     process.stdout.write(`failed: ${failed.map(({ title }) => title).join(", ")}\n`);
