--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -25,7 +25,7 @@
         server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
 
-let nextPort = 12_000 + (process.pid * 37) % 18_000;
+let nextPort = 12_000 + Math.floor(Math.random() * 18_000);
 /** Returns the first of so many consecutive free ports below the ephemeral range. */
 export const freePorts = async count => {
     for (;;) {
