review: case 6, streams passed on by a partitioned host are joined from two services; the earlier cases move up

Tried: one host of four is partitioned from all replicas for 5 s while streams of a split route are in flight.

--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -1,4 +1,4 @@
-// Small stand-ins of the platform, the replicas and the clients for the scripts in review/6 to review/10.
+// Small stand-ins of the platform, the replicas and the clients for the scripts in review/6 to review/9.
 // Everything listens on 127.0.0.1, on free ports, and ends with `world.end()`.
 import { spawn } from "node:child_process";
 import { appendFileSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
@@ -48,6 +48,8 @@
 
 /** The platform's metadata store, as PROTOCOL.md describes it, without faults of its own. */
 export const createStore = async () => {
+    /** How the host that is connected to a listener sees an item: the addresses of its own links to the replicas. */
+    const views = new Map();
     const items = new Map();
     const leases = new Map();
     const waiting = new Set();
@@ -91,8 +93,9 @@
 
     const answer = (response, status, body) =>
         response.writeHead(status, { "Content-Type": "application/json" }).end(JSON.stringify(body));
-    const server = http.createServer(async (request, response) => {
+    const serve = async (request, response) => {
         try {
+            const view = views.get(request.socket.localPort) ?? (item => item);
             const body = await readBody(request);
             const url = new URL(request.url, "http://store");
             const [, path, id] = /^(\/-\/[a-z-]+)(?:\/(\d+))?$/.exec(url.pathname) ?? [];
@@ -100,14 +103,14 @@
             switch (`${request.method} ${path}`) {
                 case "GET /-/kv-key": {
                     const item = items.get(query("Key"));
-                    answer(response, item === undefined ? 404 : 200, { ...item, At: revision });
+                    answer(response, item === undefined ? 404 : 200, { ...item && view(item), At: revision });
                     return;
                 }
                 case "GET /-/kv-range": {
                     const found = [...items.values()]
                         .filter(({ Key }) => Key.startsWith(query("PathPrefix")) && Key > query("After"))
                         .sort((left, right) => left.Key < right.Key ? -1 : 1);
-                    answer(response, 200, { Items: found.slice(0, 500), HasMore: found.length > 500, At: revision });
+                    answer(response, 200, { Items: found.slice(0, 500).map(view), HasMore: found.length > 500, At: revision });
                     return;
                 }
                 case "GET /-/kv-watch": {
@@ -124,7 +127,8 @@
                         response.once("close", end);
                         wake();
                     });
-                    answer(response, 200, { events: changes(prefix, after), At: revision });
+                    const found = changes(prefix, after).map(event => event.Removed ? event : view(event));
+                    answer(response, 200, { events: found, At: revision });
                     return;
                 }
                 case "POST /-/kv-txn": {
@@ -160,17 +164,31 @@
         catch {
             response.destroy();
         }
-    });
-    const port = await listen(server);
+    };
+    const servers = [];
+    const open = async view => {
+        const server = http.createServer(serve);
+        servers.push(server);
+        const opened = await listen(server);
+        if (view !== undefined) {
+            views.set(opened, view);
+        }
+        return opened;
+    };
+    const port = await open();
     return {
         port,
+        /** Opens a listener for one host, which sees items as `view` returns them. */
+        openView: open,
         put: (key, value) => write([{ Key: key, Value: Buffer.from(JSON.stringify(value)).toString("base64") }], []),
         remove: key => write([], [key]),
         get: key => items.get(key),
         end: () => {
             leases.forEach(({ timer }) => clearTimeout(timer));
-            server.close();
-            server.closeAllConnections();
+            servers.forEach(server => {
+                server.close();
+                server.closeAllConnections();
+            });
         },
     };
 };
@@ -328,6 +346,69 @@
     };
 };
 
+/** A link to a port that can be cut: `refused` resets its channels and refuses new ones, `silent` lets no byte through. */
+export const createLink = async target => {
+    const pairs = new Set();
+    let mode = "pass";
+    const forward = ({ client, upstream }) => {
+        client.pipe(upstream);
+        upstream.pipe(client);
+    };
+    const hold = ({ client, upstream }) => {
+        client.unpipe(upstream);
+        upstream.unpipe(client);
+        client.pause();
+        upstream.pause();
+    };
+    const server = net.createServer({ noDelay: true }, client => {
+        const upstream = net.connect({ host: "127.0.0.1", port: target, noDelay: true });
+        const pair = { client, upstream };
+        pairs.add(pair);
+        const close = () => {
+            pairs.delete(pair);
+            client.destroy();
+            upstream.destroy();
+        };
+        [client, upstream].forEach(socket => socket.on("error", close).on("close", close));
+        (mode === "pass" ? forward : hold)(pair);
+    });
+    const port = await listen(server);
+    return {
+        port,
+        setMode: async next => {
+            const previous = mode;
+            mode = next;
+            if (next === "refused") {
+                server.close();
+                pairs.forEach(({ client, upstream }) => {
+                    client.resetAndDestroy();
+                    upstream.resetAndDestroy();
+                });
+            }
+            if (next === "silent") {
+                pairs.forEach(hold);
+            }
+            if (next === "pass" && previous === "refused") {
+                await listen(server, port);
+            }
+            if (next === "pass" && previous === "silent") {
+                // What was held up is lost with its channel.
+                pairs.forEach(({ client, upstream }) => {
+                    client.resetAndDestroy();
+                    upstream.resetAndDestroy();
+                });
+            }
+        },
+        end: () => {
+            server.close();
+            pairs.forEach(({ client, upstream }) => {
+                client.destroy();
+                upstream.destroy();
+            });
+        },
+    };
+};
+
 /** Command of the deploy file, without a shell. */
 const command = () => {
     const text = readFileSync(join(root, "deploy", "system.toml"), "utf8");
@@ -363,7 +444,10 @@
     const store = use(await createStore());
     const duties = use(await createDuties());
 
-    const prepareHosts = async (count, { zones = { "zone-a": "region-a" }, bounds = {}, ports = 16 } = {}) => {
+    const prepareHosts = async (
+        count,
+        { zones = { "zone-a": "region-a" }, bounds = {}, ports = 16, storePortOf = () => store.port } = {},
+    ) => {
         const plans = [];
         for (let index = 0; index < count; index++) {
             plans.push({ front: await freePorts(3), internal: await freePorts(ports) });
@@ -411,7 +495,7 @@
                     ...bounds,
                 },
                 Provider: {
-                    Address: `127.0.0.1:${store.port}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
+                    Address: `127.0.0.1:${storePortOf(index)}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
                     ValueBytes: 1048576, TtlMinMs: 1000,
                 },
                 Cloud: { Address: `127.0.0.1:${duties.port}`, RatePerS: 50, Duties: ["metering"], DutyPerS: 50 },
