--- a/packages/gateway/__tests__/resetUploads.spec.ts
+++ b/packages/gateway/__tests__/resetUploads.spec.ts
@@ -42,6 +42,18 @@
 
 const endSide: Answer = request => void request.socket.end(head(request, "") + PART);
 
+const withHead = (statusLine: string, line: string): Answer => request => {
+    const sound = head(request, "").replace("HTTP/1.1 200 OK\r\n", `${statusLine}\r\n${line}`);
+    request.socket.write(sound + PART);
+    request.socket.end();
+};
+
+const invalidHeads: Readonly<Record<string, Answer>> = {
+    "status 000": withHead("HTTP/1.1 000 OK", ""),
+    "a blank in a field name": withHead("HTTP/1.1 200 OK", "X Extra: 1\r\n"),
+    "a control byte in a field name": withHead("HTTP/1.1 200 OK", "Content-Length\x01: 3\r\n"),
+};
+
 const kinds = ["repeatable", "once", "stream"] as const;
 
 const connections = ["fresh", "kept"] as const;
@@ -97,3 +109,11 @@
         expect(areWhole).toEqual(Array.from({ length: ATTEMPTS }, () => true));
     },
 );
+
+test.each(casesOf(invalidHeads))(
+    "an answer to an upload that is still being written is not relayed if it has %s (%s, %s connection)",
+    async (ending, kind, connection) => {
+        const areWhole = await sendUploads(kind, connection, invalidHeads[ending]);
+        expect(areWhole).toEqual(Array.from({ length: ATTEMPTS }, () => false));
+    },
+);
