fix(upstreams): a status that no final answer has is no answer of a service

What callers saw (`ibis-entry`): the answer of a service with status 600 or 999 was passed on; one with 000 or 099 became 500 as an internal error, after it had counted as a success of the replica.

Cause: the gateway and the relay check the range of a status (`isFinalStatus`), but `sendRequest`, from which the clients of services and engines read, took any three digits. Node.js parses them, and refuses to send those below 100.

Change: `sendRequest` closes the connection of such a response and fails with `upstream_invalid_answer`, like for other answers that can't be used: a repeatable call goes to another replica, an action does not run again, and its caller gets 502.

--- a/packages/entry/__tests__/startTestSystem.ts
+++ b/packages/entry/__tests__/startTestSystem.ts
@@ -108,8 +108,8 @@
     }
 };
 
-/** Starts stand-ins and one entry host in this process. */
-export const startTestSystem = async (engineCount = 2): Promise<TestSystem> => {
+/** Starts stand-ins and one entry host in this process; plain services are at the given URL if there is one. */
+export const startTestSystem = async (engineCount = 2, serviceUrl?: string): Promise<TestSystem> => {
     const stack = createResourceStack();
     const http = stack.use(createHttpClient());
     const keyValue = stack.use(await createKeyValueStandIn(0));
@@ -137,8 +137,8 @@
             phase: "live",
         });
     await Promise.all(engines.map((engine, index) => register(ids[index] ?? "", "engine", "advisor", engine.url)));
-    await register("payments-1", "service", "payments", service.url);
-    await register("catalogue-1", "service", "catalogue", service.url);
+    await register("payments-1", "service", "payments", serviceUrl ?? service.url);
+    await register("catalogue-1", "service", "catalogue", serviceUrl ?? service.url);
     await put(`${keyValue.url}/v1/keys/${encodeURIComponent("config/head")}`, testDocument(), {
         "x-expected-version": "0",
     });
--- a/packages/upstreams/src/http/sendRequest.ts
+++ b/packages/upstreams/src/http/sendRequest.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, isFinalStatus } from "@ibislanding/core";
 import { type Agent, type IncomingMessage, request as openRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 
@@ -15,7 +15,8 @@
 
 /**
  * Sends a request and resolves once the response headers have arrived. Fails with `upstream_unreachable` if no connection
- * was made; if the request may have been received, with `cancelled` after an abort and `upstream_silent` otherwise.
+ * was made; if the request may have been received, with `cancelled` after an abort, `upstream_invalid_answer` if the status
+ * is none of a final response, and `upstream_silent` otherwise.
  */
 export const sendRequest = (outgoing: OutgoingRequest): Promise<Result<IncomingMessage, Failure>> =>
     new Promise(resolve => {
@@ -48,6 +49,14 @@
         });
         request.on("error", fail);
         request.on("upgrade", abort);
-        request.on("response", response => settle(Ok(response)));
+        request.on("response", response => {
+            const status = response.statusCode ?? 0;
+            if (isFinalStatus(status)) {
+                settle(Ok(response));
+                return;
+            }
+            request.destroy();
+            settle(Err(createFailure(ErrorCode.UpstreamInvalidAnswer, { message: `status out of range: ${status}` })));
+        });
         request.end(outgoing.body);
     });
