fix(platform): a status below 200 is no success of the store or the platform

What was seen: the clients of the key-value service and of the list of hosts took a response with status 000, 001 or 099 for a success, so that an empty list was read as one without upstreams. Callers did not see it; found by going through all places that read answers.

Cause: these clients test for statuses below 300, and `createHttpClient` handed on any three digits.

Change: `createHttpClient` gives a response up whose status no final response has, like one that was lost. The clients of the users' platform use it too; they ask for exact statuses, so that nothing changes for them.

Evidence: five statuses in invalidHeads.spec.ts failed before, and pass. The invalid field names there passed before.

--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -1,4 +1,10 @@
-import { createByteCollector, findBodyDelimiter, type FramingLimit, limitFraming } from "@ibislanding/core";
+import {
+    createByteCollector,
+    findBodyDelimiter,
+    type FramingLimit,
+    isFinalStatus,
+    limitFraming,
+} from "@ibislanding/core";
 import { Agent, request as sendRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import type { JsonRequest } from "./jsonRequest";
@@ -71,6 +77,10 @@
             outgoing.on("error", () => finish(Err(isConnected ? "lost" : "not-sent")));
             outgoing.on("upgrade", abort);
             outgoing.on("response", response => {
+                if (!isFinalStatus(response.statusCode ?? 0)) {
+                    abort();
+                    return;
+                }
                 const received = createByteCollector();
                 framing?.recordProgress();
                 response.on("data", (chunk: Buffer) => {
