--- a/packages/core/src/http/detectReset.ts
+++ b/packages/core/src/http/detectReset.ts
@@ -40,7 +40,7 @@
 /**
  * Runs the callback if a connection is reset before or at the end of a body that ends with it; Node.js reports such a body
  * as complete. A reset that arrives together with the last bytes is reported as an ordinary end, and only a write fails
- * then: one of the request if it is still being written, or else a subsequent one. That is harmless, as the peer has closed
+ * then: one of the request if it is still being written, or else a subsequent one, which is harmless, as the peer has closed
  * the connection and no longer reads from it. The callback runs before callbacks of `setImmediate` that the end of the body
  * has scheduled. The socket must be one of `createHalfOpenAgent`.
  */
