fix(gateway): heads of upstreams are validated by the host, not by the parser of its Node.js release

What callers saw: an answer in whose head a field name had a blank or a control byte, with that line passed on or with a body that was not the upstream's.

Cause: the host left the validation of heads to the parser of Node.js, which differs between releases.

Change: `rejectInvalidHeads` reads the bytes of each connection before the parser does. Each line of a head must end with CRLF, each field name must be a token with a colon behind it, each value without control bytes. A head that is not valid destroys the request with `invalid-head` and its response is hidden, so that neither its end nor its length counts; the outcome is unknown, as for any answer that can't be read. Informational heads are validated too. The check ends with the final head, and bodies are not looked at.

Why it works: parsers agree on heads of this form.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,6 +71,7 @@
 export { isFinalStatus } from "./http/isFinalStatus";
 export { limitFraming } from "./http/limitFraming";
 export { parseSocketAddress } from "./http/parseSocketAddress";
+export { rejectInvalidHeads } from "./http/rejectInvalidHeads";
 
 // Hashing
 export { combineHashes } from "./hashing/combineHashes";
--- a/packages/gateway/__tests__/invalidFieldNames.spec.ts
+++ b/packages/gateway/__tests__/invalidFieldNames.spec.ts
@@ -1,6 +1,8 @@
 // Guards against an answer whose head has a field name with a blank or a control byte: a parser that is not strict passes the line on,
 // or overlooks that it states the length of the body.
 import { setTimeout as sleep } from "node:timers/promises";
+import { createInvalidNames } from "../../core/__tests__/support/createInvalidNames";
+import { writeSlowly } from "../../core/__tests__/support/writeSlowly";
 import { sendClientRequest } from "./support/sendClientRequest";
 import { type RawRequest, startRawUpstream } from "./support/startRawUpstream";
 import { createRecord, startTestGateway } from "./support/startTestGateway";
@@ -9,13 +11,6 @@
 
 const CHUNKED = `${BODY.length.toString(16)}\r\n${BODY}\r\n0\r\n\r\n`;
 
-const DELETE = 0x7f;
-const SPACE = 0x20;
-
-const invalidBytes = [...Array.from({ length: SPACE + 1 }, (_, code) => code), DELETE].map(code =>
-    String.fromCharCode(code)
-);
-
 /** A field whose name is to be made invalid, and what follows the head. */
 interface Field {
     readonly name: string;
@@ -24,57 +19,80 @@
     readonly body: string;
 }
 
+const LENGTH = `Content-Length: ${BODY.length}\r\n`;
+
 const fields: readonly Field[] = [
-    { name: "X-Extra", value: "1", others: `Content-Length: ${BODY.length}\r\n`, body: BODY },
+    { name: "X-Extra", value: "1", others: LENGTH, body: BODY },
+    { name: "Connection", value: "keep-alive", others: LENGTH, body: BODY },
     { name: "Content-Length", value: String(BODY.length), others: "", body: BODY },
     { name: "Transfer-Encoding", value: "chunked", others: "", body: CHUNKED },
 ];
 
-const places: Readonly<Record<string, (name: string, byte: string) => string>> = {
-    "at the start": (name, byte) => byte + name,
-    "inside": (name, byte) => name.slice(0, 4) + byte + name.slice(4),
-    "at the end": (name, byte) => name + byte,
-};
+const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+
+/** Places of the odd line in the heads of an answer, whose own fields it must have to be relayed. */
+const positions = {
+    first: (line: string, own: string, others: string) => `${STATUS_LINE}${line}${own}${others}\r\n`,
+    middle: (line: string, own: string, others: string) => `${STATUS_LINE}${own}${line}${others}\r\n`,
+    last: (line: string, own: string, others: string) => `${STATUS_LINE}${own}${others}${line}\r\n`,
+    informational: (line: string, own: string, others: string) =>
+        `HTTP/1.1 103 Early Hints\r\n${line}\r\n${STATUS_LINE}${own}${others}\r\n`,
+} as const;
 
-/** How an odd line is sent. */
+/** Writes an answer, of which a part ends at an index. */
+const writings = {
+    "at once": async ({ socket }: RawRequest, text: string) => void socket.write(text, "latin1"),
+    "in two parts": async ({ socket }: RawRequest, text: string, splitAt: number) => {
+        socket.write(text.slice(0, splitAt), "latin1");
+        await sleep(2);
+        socket.write(text.slice(splitAt), "latin1");
+    },
+    "byte by byte": ({ socket }: RawRequest, text: string) => writeSlowly(socket, text),
+} as const;
+
+/** How an answer with an odd line is sent. */
 interface Manner {
-    /** Whether it is the first or the last line of its head. */
-    readonly isFirst: boolean;
-    /** Whether the line is sent in two parts. */
-    readonly isSplit: boolean;
+    readonly position: keyof typeof positions;
+    readonly writing: keyof typeof writings;
     /** Whether the connection has had another answer before. */
     readonly isKept: boolean;
 }
 
-const PLAIN: Manner = { isFirst: false, isSplit: false, isKept: false };
-
-const booleans = [true, false] as const;
+const PLAIN: Manner = { position: "last", writing: "at once", isKept: false };
 
-const manners: readonly Manner[] = booleans.flatMap(isFirst =>
-    booleans.flatMap(isSplit => booleans.map(isKept => ({ isFirst, isSplit, isKept })))
+const manners: readonly Manner[] = (Object.keys(positions) as Manner["position"][]).flatMap(position =>
+    (Object.keys(writings) as Manner["writing"][]).flatMap(writing =>
+        [true, false].map(isKept => ({ position, writing, isKept }))
+    )
 );
 
-const oddities: readonly (readonly [string, Manner])[] = [
-    ...invalidBytes.map(byte => [byte, PLAIN] as const),
-    ...[" ", "\t", "\0", "\n"].flatMap(byte => manners.map(manner => [byte, manner] as const)),
-];
+const places = ["at the start", "inside", "at the end"] as const;
+
+/** Names with an odd byte at the place, each with how it is sent; some of the bytes in each manner. */
+const createOddities = (name: string, place: typeof places[number]): readonly (readonly [string, Manner])[] => {
+    const select = (names: readonly string[]) =>
+        names.filter((_, index) => index % places.length === places.indexOf(place));
+    return [
+        ...select(createInvalidNames(name)).map(odd => [odd, PLAIN] as const),
+        ...select(createInvalidNames(name, [" ", "\t", "\0", "\n", "\r", "\x7f"])).flatMap(odd =>
+            manners.map(manner => [odd, manner] as const)
+        ),
+    ];
+};
 
-const answer = async (
-    { requestId, socket }: RawRequest,
+const answer = (
+    request: RawRequest,
     line: string,
     { others, body }: Field,
-    { isFirst, isSplit }: Manner,
+    { position, writing }: Manner,
 ): Promise<void> => {
-    const own = `X-Request: ${requestId}\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n${others}`;
-    const text = `HTTP/1.1 200 OK\r\n${isFirst ? line + own : own + line}\r\n${body}`;
-    const splitAt = isSplit ? text.lastIndexOf(":", text.indexOf(line) + line.length) : 0;
-    socket.write(text.slice(0, splitAt), "latin1");
-    await sleep(isSplit ? 2 : 0);
-    socket.write(text.slice(splitAt), "latin1");
+    const own = `X-Request: ${request.requestId}\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n`;
+    const text = `${positions[position](line, own, others)}${body}`;
+    return writings[writing](request, text, text.lastIndexOf(":", text.indexOf(line) + line.length));
 };
 
 const cases = fields.flatMap(field =>
-    Object.keys(places).flatMap(place =>
+    places.flatMap(place =>
         (["repeatable", "once", "stream"] as const).map(kind => [field.name, place, kind, field] as const)
     )
 );
@@ -82,8 +100,8 @@
 test.each(cases)("an answer with an invalid byte in %s, %s, is not relayed (%s)", async (_, place, kind, field) => {
     const soundLine = `${field.name}: ${field.value}\r\n`;
     const odd = new Map<string, { readonly line: string; readonly manner: Manner; }>(
-        oddities.map(([byte, manner], index) => [`odd-${index}`, {
-            line: `${places[place]?.(field.name, byte)}: ${field.value}\r\n`,
+        createOddities(field.name, place).map(([name, manner], index) => [`odd-${index}`, {
+            line: `${name}: ${field.value}\r\n`,
             manner,
         }]),
     );
--- a/packages/gateway/__tests__/resetUploads.spec.ts
+++ b/packages/gateway/__tests__/resetUploads.spec.ts
@@ -52,6 +52,9 @@
     "status 000": withHead("HTTP/1.1 000 OK", ""),
     "a blank in a field name": withHead("HTTP/1.1 200 OK", "X Extra: 1\r\n"),
     "a control byte in a field name": withHead("HTTP/1.1 200 OK", "Content-Length\x01: 3\r\n"),
+    "a line feed before a field name": request => void request.socket.end(head(request, "\nX-Extra: 1\r\n") + PART),
+    "a carriage return before a field name": request =>
+        void request.socket.end(head(request, "\rX-Extra: 1\r\n") + PART),
 };
 
 const kinds = ["repeatable", "once", "stream"] as const;
--- a/packages/gateway/src/forwarding/startAttempt.ts
+++ b/packages/gateway/src/forwarding/startAttempt.ts
@@ -5,6 +5,7 @@
     guardEvent,
     isFinalStatus,
     limitFraming,
+    rejectInvalidHeads,
 } from "@ibislanding/core";
 import { type ClientRequest, type IncomingMessage, request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
@@ -104,6 +105,7 @@
             return;
         }
         const outgoing = opened.val;
+        rejectInvalidHeads(outgoing);
         const closeConnection = (): void => {
             failed = true;
             outgoing.destroy();
