fix(upstreams): heads of services and engines are validated by the client

What callers saw (`ibis-entry`, behind a lenient parser): the answer of a service with a blank or a control byte in a field name was passed on, and the answer to an action was recorded; streams of engines began with such a head.

Change: it uses `rejectInvalidHeads`. The response counts as lost, like one that the parser rejects.

--- a/packages/upstreams/__tests__/invalidHeads.spec.ts
+++ b/packages/upstreams/__tests__/invalidHeads.spec.ts
@@ -1,30 +1,8 @@
 // Guards against an answer that reaches callers although its head is invalid: Node.js parses any three digits as a status.
 import { ErrorCode, type RequestId } from "@ibislanding/core";
-import { createServer } from "node:net";
-import { createHttpServiceClient, type ServiceCall } from "../src";
-
-const DELETE = 0x7f;
-const SPACE = 0x20;
-
-const invalidBytes = [...Array.from({ length: SPACE + 1 }, (_, code) => code), DELETE].map(code =>
-    String.fromCharCode(code)
-);
-
-/** Starts a TCP server that sends the current head, and a body of two bytes, on each connection. */
-const startServer = async () => {
-    const state = { head: "" };
-    const server = createServer(socket => {
-        socket.on("error", () => undefined);
-        socket.once("data", () => socket.end(`${state.head}\r\n{}`, "latin1"));
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const address = server.address();
-    return {
-        state,
-        url: `http://127.0.0.1:${typeof address === "object" && address !== null ? address.port : 0}`,
-        [Symbol.asyncDispose]: async () => void server.close(),
-    };
-};
+import { createInvalidHeads } from "../../core/__tests__/support/createInvalidHeads";
+import { startHeadServer } from "../../core/__tests__/support/startHeadServer";
+import { createHttpEngineClient, createHttpServiceClient, type ServiceCall } from "../src";
 
 const call: ServiceCall = {
     requestId: "r1" as RequestId,
@@ -36,28 +14,52 @@
     freshConnection: true,
 };
 
-const send = (client: ReturnType<typeof createHttpServiceClient>) => client.call(call, new AbortController().signal);
+const neverAborted = (): AbortSignal => new AbortController().signal;
+
+const urlOf = ({ port }: { readonly port: number; }): string => `http://127.0.0.1:${port}`;
+
+const FINISHED = `data: ${JSON.stringify({ type: "finished", reason: "stop" })}\n\n`;
+const LENGTH = "Content-Length: 2\r\n";
 
 test.each(["000", "001", "099", "600", "999"])("an answer with status %s is invalid", async status => {
-    await using server = await startServer();
-    await using client = createHttpServiceClient(server.url);
-    server.state.head = `HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n`;
-    expect((await send(client)).val).toMatchObject({ code: ErrorCode.UpstreamInvalidAnswer });
+    await using server = await startHeadServer();
+    await using client = createHttpServiceClient(urlOf(server));
+    Object.assign(server.state, { text: `HTTP/1.1 ${status} OK\r\n${LENGTH}\r\n{}`, isOdd: true });
+    expect((await client.call(call, neverAborted())).val).toMatchObject({ code: ErrorCode.UpstreamInvalidAnswer });
 });
 
-test("an answer with a blank or a control byte in a field name is not passed on", async () => {
-    await using server = await startServer();
-    await using client = createHttpServiceClient(server.url);
-    const lines = invalidBytes.flatMap(byte => [
-        `${byte}X-Extra: 1`,
-        `X-${byte}Extra: 1`,
-        `X-Extra${byte}: 1`,
-        `Content-Length${byte}: 1`,
-        `Transfer-Encoding${byte}: chunked`,
-    ]);
-    for (const line of lines) {
-        server.state.head = `HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n${line}\r\n`;
-        const { val } = await send(client);
-        expect({ line, val }).toMatchObject({ val: { code: ErrorCode.UpstreamSilent } });
+const cases = [true, false].flatMap(freshConnection => [true, false].map(isSlow => ({ freshConnection, isSlow })));
+
+test.each(cases)(
+    "an answer with a blank or a control byte in a field name is not passed on, %j",
+    async ({ freshConnection, isSlow }) => {
+        await using server = await startHeadServer();
+        await using client = createHttpServiceClient(urlOf(server));
+        for (const { title, head } of createInvalidHeads(LENGTH)) {
+            Object.assign(server.state, { text: `HTTP/1.1 200 OK\r\n${LENGTH}\r\n{}`, isOdd: false, isSlow });
+            expect((await client.call({ ...call, freshConnection }, neverAborted())).ok).toBe(true);
+            Object.assign(server.state, { text: `${head}{}`, isOdd: true });
+            const { val } = await client.call({ ...call, freshConnection }, neverAborted());
+            expect({ title, val }).toMatchObject({ title, val: { code: ErrorCode.UpstreamSilent } });
+        }
+        expect(Math.max(...server.requests())).toBe(freshConnection ? 1 : 2);
+    },
+);
+
+test.each([true, false])("nor is a stream of an engine, nor its load, byte by byte %s", async isSlow => {
+    await using server = await startHeadServer();
+    await using client = createHttpEngineClient(urlOf(server));
+    const requestId = "r1" as RequestId;
+    for (const { title, head } of createInvalidHeads(`Content-Length: ${FINISHED.length}\r\n`)) {
+        Object.assign(server.state, { text: `${head}${FINISHED}`, isOdd: true, isSlow });
+        const stream = await client.attach(requestId, 0, neverAborted());
+        expect({ title, val: stream.val }).toMatchObject({ title, val: { code: ErrorCode.UpstreamSilent } });
+    }
+    for (const { title, head } of createInvalidHeads(LENGTH)) {
+        server.state.text = `${head}{}`;
+        expect({ title, val: (await client.load()).val }).toMatchObject({
+            title,
+            val: { code: ErrorCode.UpstreamSilent },
+        });
     }
 });
--- a/packages/upstreams/src/http/sendRequest.ts
+++ b/packages/upstreams/src/http/sendRequest.ts
@@ -1,4 +1,4 @@
-import { createFailure, ErrorCode, type Failure, isFinalStatus } from "@ibislanding/core";
+import { createFailure, ErrorCode, type Failure, isFinalStatus, rejectInvalidHeads } from "@ibislanding/core";
 import { type Agent, type IncomingMessage, request as openRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 
@@ -23,6 +23,7 @@
         let connected = false;
         const { method, headers, agent, signal } = outgoing;
         const request = openRequest(outgoing.url, { method, headers, agent });
+        rejectInvalidHeads(request);
         const settle = (result: Result<IncomingMessage, Failure>): void => {
             clearTimeout(timer);
             resolve(result);
