fix(platform): heads of the store, duties and moves of runs are validated by the client

What was seen: behind a lenient parser, responses of the store and of the platform with a blank or a control byte in a field name counted, with documents of which a part of the head was taken for the body, or whose length was overlooked. Callers did not see it; found by going through all places that read answers.

Change: it uses `rejectInvalidHeads`; the response counts as lost.

--- a/packages/platform/src/http/createHttpClient.ts
+++ b/packages/platform/src/http/createHttpClient.ts
@@ -4,6 +4,7 @@
     type FramingLimit,
     isFinalStatus,
     limitFraming,
+    rejectInvalidHeads,
 } from "@ibislanding/core";
 import { Agent, request as sendRequest } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
@@ -42,6 +43,7 @@
                 agent,
                 headers: { "content-type": "application/json", ...request.headers },
             });
+            rejectInvalidHeads(outgoing);
             const finish = (result: Result<JsonResponse, TransportFailure>): void => {
                 clearTimeout(timer);
                 request.signal?.removeEventListener("abort", abort);
