fix(ctl): heads of responses are validated by ibisctl

What was seen: behind a lenient parser, `ibisctl` accepted documents and events after a head with a blank or a control byte in a field name.

Cause and change: as for the other clients; `openRequest` uses `rejectInvalidHeads`.

--- a/packages/ctl/src/client/openRequest.ts
+++ b/packages/ctl/src/client/openRequest.ts
@@ -1,3 +1,4 @@
+import { rejectInvalidHeads } from "@ibislanding/core";
 import { type ClientRequest, request as plainRequest } from "node:http";
 import { request as tlsRequest } from "node:https";
 import type { HttpCall } from "./httpCall";
@@ -15,7 +16,9 @@
             ...headers,
         },
     };
-    return url.startsWith("https:")
+    const outgoing = url.startsWith("https:")
         ? tlsRequest(url, { ...options, ...(authorityPem === undefined ? {} : { ca: authorityPem }) })
         : plainRequest(url, options);
+    rejectInvalidHeads(outgoing);
+    return outgoing;
 };
