test(edge): forwarders listen on ports that no other test file is given

What was seen: of ten runs of the tests of invalid heads, on seven releases of Node.js and two at a time, four had one failed test. In three, an upstream of a gateway test got three requests that its gateway had not sent; in one, a host of edge/invalidHeads.spec.ts got four answers with 200 in a row.

Cause: a forwarder listened on an ephemeral port, which `reset` and `refuse` free. The host goes on trying it, and a server of another test that is given the port answers it. Shown by a server that a trial starts on such a port after `reset`: it got 172 requests of the test, and answered 174 of 180 ids with 200.

Change: the ports come from `findFreePort`, whose ranges are below the ephemeral ones and claimed by one test file each. Nothing that a test expects changes.

Evidence: the seven specs of packages/edge that use forwarders and silentLinks.spec.ts pass, 26 tests. The collision itself did not recur in 24 runs of the two specs beside each other before the change.

--- a/packages/edge/__tests__/support/startForwarder.ts
+++ b/packages/edge/__tests__/support/startForwarder.ts
@@ -2,12 +2,14 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { findFreePort } from "./findFreePort";
 
-/** Forwards connections to the ports that it is given; writes the ports on which it listens for them. */
+/** Forwards connections on the first port of each pair to the second one; writes when it listens. */
 const PROGRAM = `
 const net = require("node:net");
-const servers = JSON.parse(process.argv[1]).map(port => net.createServer(inner => {
-    const outer = net.connect(port, "127.0.0.1");
+const pairs = JSON.parse(process.argv[1]);
+const servers = pairs.map(([, target]) => net.createServer(inner => {
+    const outer = net.connect(target, "127.0.0.1");
     inner.on("error", () => outer.destroy());
     outer.on("error", () => inner.destroy());
     inner.pipe(outer);
@@ -15,9 +17,9 @@
 }));
 process.stdin.on("data", () => servers.forEach(server => server.close()));
 process.stdin.on("end", () => process.exit());
-Promise.all(servers.map(server =>
-    new Promise(resolve => server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, resolve))
-)).then(() => process.stdout.write(JSON.stringify(servers.map(server => server.address().port))));
+Promise.all(servers.map((server, index) =>
+    new Promise(resolve => server.listen({ port: pairs[index][0], host: "127.0.0.1", backlog: 1 }, resolve))
+)).then(() => process.stdout.write("listening"));
 `;
 
 /** More connections than the kernel queues for a listener with a backlog of 1 that does not accept. */
@@ -31,11 +33,17 @@
  * ones end too. `resume` ends a `hang`.
  */
 export const startForwarder = async (targets: readonly number[]) => {
-    const child = spawn(process.execPath, ["-e", PROGRAM, JSON.stringify(targets)], {
-        stdio: ["pipe", "pipe", "inherit"],
-    });
-    const [text] = await Promise.race([once(child.stdout, "data"), once(child, "exit")]) as [Buffer];
-    const ports = JSON.parse(text.toString()) as number[];
+    const ports: number[] = [];
+    for (const _ of targets) {
+        // No other test file is given a port that `refuse` or `reset` frees, and none of its servers answers the host.
+        ports.push(await findFreePort());
+    }
+    const child = spawn(
+        process.execPath,
+        ["-e", PROGRAM, JSON.stringify(targets.map((target, index) => [ports[index], target]))],
+        { stdio: ["pipe", "pipe", "inherit"] },
+    );
+    await Promise.race([once(child.stdout, "data"), once(child, "exit")]);
     const fillers: ReturnType<typeof connect>[] = [];
     const dropFillers = (): void => fillers.splice(0).forEach(socket => socket.destroy());
     return {
