--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,6 +12,7 @@
     ["generated code", "check:generated"],
     ["build", "build"],
     ["unit and process tests", "unit"],
+    ["invalid answers behind a lenient parser", "lenient"],
     // Apart from the other tests: they measure the memory of processes under load.
     ["crowds of clients", "crowds"],
 ];
