--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -495,7 +495,11 @@
         await Promise.all(background);
     });
 
-    log.write("started", { hostId: settings.hostId, callers: settings.listen.callers });
+    log.write("started", {
+        hostId: settings.hostId,
+        callers: settings.listen.callers,
+        nodeVersion: process.version,
+    });
 
     const stop = async (): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
--- a/packages/runtime/src/program/startProgram.ts
+++ b/packages/runtime/src/program/startProgram.ts
@@ -45,7 +45,7 @@
     current.program = program;
     const urls = { ...program.urls, operations: operations.url };
     process.stdout.write(`${JSON.stringify({ name: definition.name, hostId, pid: process.pid, urls })}\n`);
-    logger.info("started", urls);
+    logger.info("started", { ...urls, nodeVersion: process.version });
     const signal = await signalReceived;
     logger.info("stopping", { signal, deadlineMs: settings.process.stopDeadlineMs });
     const startMs = clock.monotonicMs();
