--- a/packages/core/src/http/createHeadValidator.ts
+++ b/packages/core/src/http/createHeadValidator.ts
@@ -56,7 +56,7 @@
             return validity;
         }
         const text = chunk.toString("latin1");
-        // No parser takes other bytes for the end of a head, so that one that comes byte by byte is not matched for each of them.
+        // In all parsers, only these bytes, or one after CR, can end a head. Others are not matched one by one.
         const mayEndHead = received.endsWith("\r") || LINE_END.test(text);
         received = skipBlankLines(received + text);
         if (mayEndHead) {
--- a/packages/core/src/http/rejectInvalidHeads.ts
+++ b/packages/core/src/http/rejectInvalidHeads.ts
@@ -19,7 +19,7 @@
             }
             socket.off("data", handleData);
             if (validity === "invalid") {
-                // The parser reads this chunk all the same.
+                // The parser still reads this chunk, and may emit these events.
                 HEAD_EVENTS.forEach(event => outgoing.removeAllListeners(event));
                 outgoing.destroy(new Error("invalid-head"));
             }
--- a/packages/platform/__tests__/invalidHeads.spec.ts
+++ b/packages/platform/__tests__/invalidHeads.spec.ts
@@ -31,15 +31,18 @@
     await expectNoSuccess(`http://127.0.0.1:${server.port}`);
 });
 
-test.each([false, true])("nor is one on a kept connection, byte by byte %s", async isSlow => {
-    await using server = await startHeadServer();
-    await using store = createHttpKeyValueStore(`http://127.0.0.1:${server.port}`);
-    for (const { title, head } of createInvalidHeads(LENGTH)) {
-        Object.assign(server.state, { text: `HTTP/1.1 200 OK\r\n${LENGTH}\r\n[]`, isOdd: false, isSlow });
-        expect(await store.list("p", options)).toMatchObject({ ok: true });
-        Object.assign(server.state, { text: `${head}[]`, isOdd: true });
-        const { val } = await store.list("p", options);
-        expect({ title, val }).toMatchObject({ title, val: { code: ErrorCode.KeyValueUnavailable } });
-    }
-    expect(server.requests().filter(requests => requests === 2).length).toBeGreaterThan(0);
-});
+test.each([false, true])(
+    "a response with an invalid field name on a kept connection is no success, byte by byte %s",
+    async isSlow => {
+        await using server = await startHeadServer();
+        await using store = createHttpKeyValueStore(`http://127.0.0.1:${server.port}`);
+        for (const { title, head } of createInvalidHeads(LENGTH)) {
+            Object.assign(server.state, { text: `HTTP/1.1 200 OK\r\n${LENGTH}\r\n[]`, isOdd: false, isSlow });
+            expect(await store.list("p", options)).toMatchObject({ ok: true });
+            Object.assign(server.state, { text: `${head}[]`, isOdd: true });
+            const { val } = await store.list("p", options);
+            expect({ title, val }).toMatchObject({ title, val: { code: ErrorCode.KeyValueUnavailable } });
+        }
+        expect(server.requests().filter(requests => requests === 2).length).toBeGreaterThan(0);
+    },
+);
--- a/packages/upstreams/__tests__/invalidHeads.spec.ts
+++ b/packages/upstreams/__tests__/invalidHeads.spec.ts
@@ -46,20 +46,23 @@
     },
 );
 
-test.each([true, false])("nor is a stream of an engine, nor its load, byte by byte %s", async isSlow => {
-    await using server = await startHeadServer();
-    await using client = createHttpEngineClient(urlOf(server));
-    const requestId = "r1" as RequestId;
-    for (const { title, head } of createInvalidHeads(`Content-Length: ${FINISHED.length}\r\n`)) {
-        Object.assign(server.state, { text: `${head}${FINISHED}`, isOdd: true, isSlow });
-        const stream = await client.attach(requestId, 0, neverAborted());
-        expect({ title, val: stream.val }).toMatchObject({ title, val: { code: ErrorCode.UpstreamSilent } });
-    }
-    for (const { title, head } of createInvalidHeads(LENGTH)) {
-        server.state.text = `${head}{}`;
-        expect({ title, val: (await client.load()).val }).toMatchObject({
-            title,
-            val: { code: ErrorCode.UpstreamSilent },
-        });
-    }
-});
+test.each([true, false])(
+    "a stream or a load report of an engine with an invalid field name is not accepted, byte by byte %s",
+    async isSlow => {
+        await using server = await startHeadServer();
+        await using client = createHttpEngineClient(urlOf(server));
+        const requestId = "r1" as RequestId;
+        for (const { title, head } of createInvalidHeads(`Content-Length: ${FINISHED.length}\r\n`)) {
+            Object.assign(server.state, { text: `${head}${FINISHED}`, isOdd: true, isSlow });
+            const stream = await client.attach(requestId, 0, neverAborted());
+            expect({ title, val: stream.val }).toMatchObject({ title, val: { code: ErrorCode.UpstreamSilent } });
+        }
+        for (const { title, head } of createInvalidHeads(LENGTH)) {
+            server.state.text = `${head}{}`;
+            expect({ title, val: (await client.load()).val }).toMatchObject({
+                title,
+                val: { code: ErrorCode.UpstreamSilent },
+            });
+        }
+    },
+);
