--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -118,7 +118,7 @@
     const startLease = (id, ttlMs) => leases.set(id, { ttlMs, timer: setTimeout(() => endLease(id), ttlMs) });
     const since = (prefix, after) => events.filter(event => event.Revision > after && event.Key.startsWith(prefix));
 
-    const listener = await serve(async (request, response) => {
+    const openView = view => serve(async (request, response) => {
         const url = new URL(request.url, "http://store");
         const text = (await readBody(request)).toString();
         const query = name => url.searchParams.get(name) ?? "";
@@ -130,13 +130,13 @@
         switch (`${request.method} ${path}`) {
             case "GET /-/kv-key": {
                 const item = items.get(query("Key"));
-                return answer(item === undefined ? 404 : 200, { ...item, At: revision });
+                return answer(item === undefined ? 404 : 200, { ...(item && view(item)), At: revision });
             }
             case "GET /-/kv-range": {
                 const found = [...items.values()]
                     .filter(({ Key }) => Key.startsWith(query("PathPrefix")) && Key > query("After"))
                     .sort((one, other) => one.Key < other.Key ? -1 : 1);
-                return answer(200, { Items: found.slice(0, 500), HasMore: found.length > 500, At: revision });
+                return answer(200, { Items: found.slice(0, 500).map(view), HasMore: found.length > 500, At: revision });
             }
             case "GET /-/kv-watch": {
                 const after = Number(query("After"));
@@ -156,7 +156,7 @@
                 }
                 return after > revision
                     ? answer(410, {})
-                    : answer(200, { events: since(query("PathPrefix"), after), At: revision });
+                    : answer(200, { events: since(query("PathPrefix"), after).map(view), At: revision });
             }
             case "POST /-/kv-txn": {
                 const { ExpectedRevision = [], SetKeys = [], Remove = [] } = JSON.parse(text);
@@ -189,9 +189,27 @@
                 return answer(404, {});
         }
     });
+    const listener = await openView(item => item);
+    const views = [listener];
 
     return {
         port: listener.port,
+        /**
+         * Opens a further address of the store, at which the addresses of replicas are replaced: one host then reaches the replicas
+         * through links of its own. Returns its port.
+         */
+        openView: async replaceAddress => {
+            const opened = await openView(item => {
+                if (!item.Key.startsWith("servers/") || item.Value === undefined) {
+                    return item;
+                }
+                const entry = JSON.parse(Buffer.from(item.Value, "base64").toString());
+                const replaced = { ...entry, Address: replaceAddress(entry.Address) };
+                return { ...item, Value: Buffer.from(JSON.stringify(replaced)).toString("base64") };
+            });
+            views.push(opened);
+            return opened.port;
+        },
         put: (key, value) =>
             write([{ Key: key, Value: Buffer.from(JSON.stringify(value)).toString("base64") }], []),
         remove: key => write([], [key]),
@@ -211,7 +229,7 @@
         },
         close: () => {
             leases.forEach(({ timer }) => clearTimeout(timer));
-            listener.close();
+            views.forEach(({ close }) => close());
         },
     };
 };
@@ -262,10 +280,11 @@
             + ` last-event-id=${request.headers["last-event-id"] ?? "-"}`);
         await onRun({ id, service, version, requestId }, request, response, body);
     });
+    let state = "ready";
     const register = () =>
         store.put(`servers/${id}`, {
             Service: service, Address: `${LOOPBACK}:${listener.port}`, Zone: zone, Version: version, Slots: slots,
-            State: "ready", ColdRemainingMs: 0, Sequence: sequence++, born,
+            State: state, ColdRemainingMs: 0, Sequence: sequence++, born,
         });
     register();
     const heartbeat = setInterval(register, 1200);
@@ -274,6 +293,15 @@
         service,
         version,
         port: listener.port,
+        /** Leaves as planned: reports `draining`, serves on for `DrainMs` and a little longer, and exits. */
+        leave: async () => {
+            state = "draining";
+            register();
+            await sleep(BOUNDS.DrainMs + 700);
+            clearInterval(heartbeat);
+            store.remove(`servers/${id}`);
+            listener.close();
+        },
         close: () => {
             clearInterval(heartbeat);
             listener.close();
@@ -288,7 +316,9 @@
 };
 
 /** Prepares the hosts of a deployment; each is started and ended by the functions of its object. */
-export const createHosts = async ({ names, store, cloud, record, zones = ["zone-a"], duties = ["metering"] }) => {
+export const createHosts = async (
+    { names, store, cloud, record, zones = ["zone-a"], duties = ["metering"], storePorts = {} },
+) => {
     const directory = mkdtempSync(join(tmpdir(), "review-3-"));
     const children = new Set();
     const places = [];
@@ -316,7 +346,7 @@
             ],
             FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 }, Bounds: BOUNDS,
             Provider: {
-                Address: `${LOOPBACK}:${store.port}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
+                Address: `${LOOPBACK}:${storePorts[name] ?? store.port}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
                 ValueBytes: 1048576, TtlMinMs: 1000,
             },
             Cloud: { Address: `${LOOPBACK}:${cloud.port}`, RatePerS: 50, Duties: duties, DutyPerS: 50 },
@@ -392,35 +422,42 @@
 };
 
 /**
- * A link to a port: forwards channels until it is told to reset them, which clients and servers see as a reset of the channel.
+ * A link to a port: forwards channels. `reset` resets those that are open; `cut` also refuses new ones until `heal`.
  */
-export const startLink = port =>
-    new Promise(resolve => {
-        const pairs = new Set();
-        const server = createTcpServer(inner => {
-            const outer = connect(port, LOOPBACK);
-            const pair = [inner, outer];
-            pairs.add(pair);
-            inner.pipe(outer);
-            outer.pipe(inner);
-            pair.forEach((socket, index) => {
-                socket.on("error", () => undefined);
-                socket.on("close", () => {
-                    pairs.delete(pair);
-                    pair[1 - index].destroy();
-                });
+export const startLink = async port => {
+    const pairs = new Set();
+    const server = createTcpServer(inner => {
+        const outer = connect(port, LOOPBACK);
+        const pair = [inner, outer];
+        pairs.add(pair);
+        inner.pipe(outer);
+        outer.pipe(inner);
+        pair.forEach((socket, index) => {
+            socket.on("error", () => undefined);
+            socket.on("close", () => {
+                pairs.delete(pair);
+                pair[1 - index].destroy();
             });
         });
-        server.listen(0, LOOPBACK, () =>
-            resolve({
-                port: server.address().port,
-                reset: () => [...pairs].forEach(pair => pair.forEach(socket => socket.resetAndDestroy())),
-                close: () => {
-                    server.close();
-                    pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
-                },
-            }));
     });
+    const listen = at => new Promise(resolve => server.listen(at, LOOPBACK, resolve));
+    await listen(0);
+    const own = server.address().port;
+    const reset = () => [...pairs].forEach(pair => pair.forEach(socket => socket.resetAndDestroy()));
+    return {
+        port: own,
+        reset,
+        cut: () => {
+            server.close();
+            reset();
+        },
+        heal: () => listen(own),
+        close: () => {
+            server.close();
+            pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
+        },
+    };
+};
 
 export const newAttemptId = () => randomBytes(8).toString("hex");
 
