--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -3,7 +3,7 @@
 import { randomBytes } from "node:crypto";
 import { appendFileSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, createServer, get, request as sendRequest } from "node:http";
-import { connect, createServer as createTcpServer } from "node:net";
+import { createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -23,8 +23,6 @@
     RecoveryS: 12, PassMs: 300, ReuseWindowS: 6.5,
 };
 
-export const nowS = () => performance.now() / 1000;
-
 /** Writes lines with the time since the start to `record.txt` in the folder of the case. */
 export const openRecord = folder => {
     const path = join(folder, "record.txt");
@@ -90,7 +88,6 @@
     const watches = new Set();
     let events = [];
     let revision = 1;
-    let era = 1;
     let nextLease = 1;
 
     const wake = () => [...watches].forEach(watch => watch());
@@ -118,30 +115,29 @@
     const startLease = (id, ttlMs) => leases.set(id, { ttlMs, timer: setTimeout(() => endLease(id), ttlMs) });
     const since = (prefix, after) => events.filter(event => event.Revision > after && event.Key.startsWith(prefix));
 
-    const openView = view => serve(async (request, response) => {
+    const listener = await serve(async (request, response) => {
         const url = new URL(request.url, "http://store");
         const text = (await readBody(request)).toString();
         const query = name => url.searchParams.get(name) ?? "";
         const answer = (status, body) => {
-            response.writeHead(status, { "Content-Type": "application/json", "Store-Era": String(era) });
+            response.writeHead(status, { "Content-Type": "application/json", "Store-Era": "1" });
             response.end(JSON.stringify(body));
         };
         const [, path, id] = /^(\/-\/[a-z-]+)(?:\/(\d+))?$/.exec(url.pathname) ?? [];
         switch (`${request.method} ${path}`) {
             case "GET /-/kv-key": {
                 const item = items.get(query("Key"));
-                return answer(item === undefined ? 404 : 200, { ...(item && view(item)), At: revision });
+                return answer(item === undefined ? 404 : 200, { ...item, At: revision });
             }
             case "GET /-/kv-range": {
                 const found = [...items.values()]
                     .filter(({ Key }) => Key.startsWith(query("PathPrefix")) && Key > query("After"))
                     .sort((one, other) => one.Key < other.Key ? -1 : 1);
-                return answer(200, { Items: found.slice(0, 500).map(view), HasMore: found.length > 500, At: revision });
+                return answer(200, { Items: found.slice(0, 500), HasMore: found.length > 500, At: revision });
             }
             case "GET /-/kv-watch": {
                 const after = Number(query("After"));
-                const eraBefore = era;
-                const isDue = () => since(query("PathPrefix"), after).length > 0 || after > revision || era !== eraBefore;
+                const isDue = () => since(query("PathPrefix"), after).length > 0 || after > revision;
                 if (!isDue()) {
                     await new Promise(resolve => {
                         const finish = () => {
@@ -156,7 +152,7 @@
                 }
                 return after > revision
                     ? answer(410, {})
-                    : answer(200, { events: since(query("PathPrefix"), after).map(view), At: revision });
+                    : answer(200, { events: since(query("PathPrefix"), after), At: revision });
             }
             case "POST /-/kv-txn": {
                 const { ExpectedRevision = [], SetKeys = [], Remove = [] } = JSON.parse(text);
@@ -189,47 +185,15 @@
                 return answer(404, {});
         }
     });
-    const listener = await openView(item => item);
-    const views = [listener];
 
     return {
         port: listener.port,
-        /**
-         * Opens a further address of the store, at which the addresses of replicas are replaced: one host then reaches the replicas
-         * through links of its own. Returns its port.
-         */
-        openView: async replaceAddress => {
-            const opened = await openView(item => {
-                if (!item.Key.startsWith("servers/") || item.Value === undefined) {
-                    return item;
-                }
-                const entry = JSON.parse(Buffer.from(item.Value, "base64").toString());
-                const replaced = { ...entry, Address: replaceAddress(entry.Address) };
-                return { ...item, Value: Buffer.from(JSON.stringify(replaced)).toString("base64") };
-            });
-            views.push(opened);
-            return opened.port;
-        },
         put: (key, value) =>
             write([{ Key: key, Value: Buffer.from(JSON.stringify(value)).toString("base64") }], []),
         remove: key => write([], [key]),
-        /** Copies what the store has; the function that is returned brings it back, as in a drill. */
-        takeCopy: () => {
-            const copied = { items: [...items], events: [...events], revision };
-            return () => {
-                items.clear();
-                copied.items.forEach(([key, item]) => items.set(key, item));
-                leases.forEach(({ timer }) => clearTimeout(timer));
-                leases.clear();
-                ({ revision } = copied);
-                events = [...copied.events];
-                era++;
-                wake();
-            };
-        },
         close: () => {
             leases.forEach(({ timer }) => clearTimeout(timer));
-            views.forEach(({ close }) => close());
+            listener.close();
         },
     };
 };
@@ -317,7 +281,7 @@
 
 /** Prepares the hosts of a deployment; each is started and ended by the functions of its object. */
 export const createHosts = async (
-    { names, store, cloud, record, zones = ["zone-a"], duties = ["metering"], storePorts = {} },
+    { names, store, cloud, record, zones = ["zone-a"], duties = ["metering"] },
 ) => {
     const directory = mkdtempSync(join(tmpdir(), "review-3-"));
     const children = new Set();
@@ -346,7 +310,7 @@
             ],
             FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 }, Bounds: BOUNDS,
             Provider: {
-                Address: `${LOOPBACK}:${storePorts[name] ?? store.port}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
+                Address: `${LOOPBACK}:${store.port}`, form: "kv", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20,
                 ValueBytes: 1048576, TtlMinMs: 1000,
             },
             Cloud: { Address: `${LOOPBACK}:${cloud.port}`, RatePerS: 50, Duties: duties, DutyPerS: 50 },
@@ -421,44 +385,6 @@
     };
 };
 
-/**
- * A link to a port: forwards channels. `reset` resets those that are open; `cut` also refuses new ones until `heal`.
- */
-export const startLink = async port => {
-    const pairs = new Set();
-    const server = createTcpServer(inner => {
-        const outer = connect(port, LOOPBACK);
-        const pair = [inner, outer];
-        pairs.add(pair);
-        inner.pipe(outer);
-        outer.pipe(inner);
-        pair.forEach((socket, index) => {
-            socket.on("error", () => undefined);
-            socket.on("close", () => {
-                pairs.delete(pair);
-                pair[1 - index].destroy();
-            });
-        });
-    });
-    const listen = at => new Promise(resolve => server.listen(at, LOOPBACK, resolve));
-    await listen(0);
-    const own = server.address().port;
-    const reset = () => [...pairs].forEach(pair => pair.forEach(socket => socket.resetAndDestroy()));
-    return {
-        port: own,
-        reset,
-        cut: () => {
-            server.close();
-            reset();
-        },
-        heal: () => listen(own),
-        close: () => {
-            server.close();
-            pairs.forEach(pair => pair.forEach(socket => socket.destroy()));
-        },
-    };
-};
-
 export const newAttemptId = () => randomBytes(8).toString("hex");
 
 /**
