--- a/review/lib-3/streams.mjs
+++ b/review/lib-3/streams.mjs
@@ -8,6 +8,10 @@
     Routes: routes,
     Services: services.map(name => ({
         Name: name, HealthPath: "/health", MaxConnections: 370, Protocol: "h1", Tls: false,
+        InferenceEngine: {
+            Slots: 64, KvCapacityTokens: 232000, KvTokenBytes: 327680, LinkMbps: 1100000, Moves: false, Backups: false,
+            Stride: 3, most: 12, PinMs: 4000, HoldMs: 2000, HandleS: 5, Models: [{ Name: "m" }],
+        },
     })),
     Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 },
     Tenants: [{
--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -116,7 +116,7 @@
     const since = (prefix, after) => events.filter(event => event.Revision > after && event.Key.startsWith(prefix));
 
     const listener = await serve(async (request, response) => {
-        const url = new URL(request.url, "http://store");
+        const url = new URL(request.url, `http://${LOOPBACK}`);
         const text = (await readBody(request)).toString();
         const query = name => url.searchParams.get(name) ?? "";
         const answer = (status, body) => {
@@ -218,16 +218,32 @@
 };
 
 /**
- * A replica of a service. `onRun(run, request, response, body)` answers a request that it takes; it is registered in the store
- * until it is closed.
+ * A replica of a service. `onRun(run, request, response, body)` answers a request that it takes, of which it runs `slots` at once and
+ * queues some more. Its entry in the store is written when more than its sequence changes.
  */
-export const startReplica = async ({ store, service, version, zone = "zone-a", slots = 64, record, onRun }) => {
+export const startReplica = async ({ store, service, version, zone = "zone-a", slots = 64, queue = 134, channels = 370, onRun }) => {
     const id = `i-${randomBytes(5).toString("hex")}`;
     const born = Date.now();
-    let sequence = 0;
+    const waiting = [];
+    let state = "ready";
+    let running = 0;
+    const leaveSlot = () => {
+        running--;
+        waiting.shift()?.();
+    };
+    const takeSlot = async () => {
+        if (running >= slots) {
+            await new Promise(resolve => waiting.push(resolve));
+        }
+        running++;
+    };
     const listener = await serve(async (request, response) => {
+        if (state === "draining") {
+            response.setHeader("Server-Leaving", "1");
+            response.setHeader("Connection", "close");
+        }
         if (request.url === "/health" && request.method === "GET") {
-            response.writeHead(200, { "Replica-Id": id }).end();
+            response.writeHead(state === "ready" ? 200 : 503, { "Replica-Id": id }).end();
             return;
         }
         const body = await readBody(request);
@@ -240,36 +256,41 @@
             response.writeHead(400, { "Not-Executed": "1" }).end();
             return;
         }
-        record(`replica ${id} (${service} ${version}) runs ${requestId}`
-            + ` last-event-id=${request.headers["last-event-id"] ?? "-"}`);
-        await onRun({ id, service, version, requestId }, request, response, body);
+        response.setHeader("Attempt-Id", requestId);
+        if (waiting.length >= queue) {
+            response.writeHead(503, { "Not-Executed": "1" }).end();
+            return;
+        }
+        await takeSlot();
+        try {
+            if (!response.destroyed) {
+                await onRun({ id, service, version, requestId }, request, response, body);
+            }
+        }
+        finally {
+            leaveSlot();
+        }
     });
-    let state = "ready";
+    listener.server.maxConnections = channels;
     const register = () =>
         store.put(`servers/${id}`, {
             Service: service, Address: `${LOOPBACK}:${listener.port}`, Zone: zone, Version: version, Slots: slots,
-            State: state, ColdRemainingMs: 0, Sequence: sequence++, born,
+            State: state, ColdRemainingMs: 0, Stage: "colocated", Models: [{ Name: "m", Version: 1, Adapters: [] }],
+            Sequence: 0, born,
         });
     register();
-    const heartbeat = setInterval(register, 1200);
     return {
         id,
-        service,
-        version,
-        port: listener.port,
+        isLeaving: () => state === "draining",
         /** Leaves as planned: reports `draining`, serves on for `DrainMs` and a little longer, and exits. */
         leave: async () => {
             state = "draining";
             register();
-            await sleep(BOUNDS.DrainMs + 700);
-            clearInterval(heartbeat);
+            await sleep(BOUNDS.DrainMs + 1_500);
             store.remove(`servers/${id}`);
             listener.close();
         },
-        close: () => {
-            clearInterval(heartbeat);
-            listener.close();
-        },
+        close: listener.close,
     };
 };
 
@@ -393,7 +414,7 @@
  */
 export const sendAttempt = ({ port, method = "POST", path, headers, body = "", timeoutMs = 20_000, onText, agent }) =>
     new Promise(resolve => {
-        const result = { status: undefined, headers: {}, body: "", isComplete: false, error: undefined };
+        const result = { status: undefined, headers: {}, body: "", isComplete: false, error: undefined, isKept: false };
         const outgoing = sendRequest({
             host: LOOPBACK, port, method, path, agent: agent ?? new Agent({ keepAlive: false }),
             headers: { ...headers, ...(method === "GET" ? {} : { "Content-Length": Buffer.byteLength(body) }) },
@@ -404,6 +425,7 @@
         });
         outgoing.on("close", () => {
             clearTimeout(timer);
+            result.isKept = outgoing.reusedSocket;
             resolve(result);
         });
         outgoing.on("response", response => {
