fix(gateway): a run that was copied goes on without a retry left in the budget

Long streams meet more departures than short ones.

Cause: a move stops the run first, and the attempt at the target then had to acquire a retry.

The attempt at the target is charged without asking: it is the same run, and retries of other requests wait for it instead. The new test of movedRuns.spec.ts failed before (first event only, nothing sent to the target).

--- a/packages/gateway/__tests__/movedRelays.spec.ts
+++ b/packages/gateway/__tests__/movedRelays.spec.ts
@@ -33,7 +33,7 @@
             clock: createFakeClock(),
             request: { method: "POST", url: "/", rawHeaders: [] },
             clientResponse: { isStarted: () => true },
-            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true },
+            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true, charge: () => undefined },
             quarantine: { find: () => undefined, mayRepeat: () => true },
             upstreams: {
                 candidates: () => [],
--- a/packages/gateway/__tests__/movedRuns.spec.ts
+++ b/packages/gateway/__tests__/movedRuns.spec.ts
@@ -20,11 +20,12 @@
  * the client saw and how many requests each upstream got after the move, the source and the target first.
  */
 const moveRun = async (
-    { isResumable, isCopied, doesTargetLeave, noticeMs }: {
+    { isResumable, isCopied, doesTargetLeave, noticeMs, retrySlack }: {
         readonly isResumable: boolean;
         readonly isCopied: boolean;
         readonly doesTargetLeave: boolean;
         readonly noticeMs?: number;
+        readonly retrySlack?: number;
     },
 ) => {
     const moved = { sourcePort: 0, targetPort: 0, requestsBefore: 0 };
@@ -36,7 +37,7 @@
     await using second = await startRawUpstream(serve);
     await using third = await startRawUpstream(serve);
     const upstreams = [first, second, third];
-    const route = { kind: "stream", isResumable, timeoutMs: 8_000, maximumAttempts: 3 } as const;
+    const route = { kind: "stream", isResumable, timeoutMs: 8_000, maximumAttempts: 3, retrySlack } as const;
     await using system = await startTestGateway(upstreams.map(({ port }) => port), route, {
         moveRun: async (source, _, target) => {
             upstreams.flatMap(({ requests }) => requests).forEach(({ socket }) => socket.end());
@@ -94,3 +95,9 @@
     expect(await moveRun({ isResumable: true, isCopied: false, doesTargetLeave: false }))
         .toEqual({ isComplete: true, body: both, atSource: 1, atTarget: 0, elsewhere: 0 });
 });
+
+// Guards against a run that is stopped and copied, and then given up as earlier failures have used the retry budget.
+test("a run that was copied goes on at its target without a retry left in the budget", async () => {
+    expect(await moveRun({ isResumable: true, isCopied: true, doesTargetLeave: false, retrySlack: 0 }))
+        .toEqual({ isComplete: true, body: both, atSource: 0, atTarget: 1, elsewhere: 0 });
+});
--- a/packages/gateway/__tests__/slotForwarding.spec.ts
+++ b/packages/gateway/__tests__/slotForwarding.spec.ts
@@ -44,7 +44,7 @@
             request: { method: "POST", url: "/", rawHeaders: [] },
             clientResponse: { isStarted: () => false },
             isTooLateToRun: () => false,
-            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true },
+            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true, charge: () => undefined },
             quarantine: { find: () => undefined, mayRepeat: () => true },
             accounts: { refund: () => undefined },
             upstreams: {
--- a/packages/gateway/__tests__/support/startTestGateway.ts
+++ b/packages/gateway/__tests__/support/startTestGateway.ts
@@ -49,7 +49,11 @@
 /** Starts a gateway with one route to upstreams on the given loopback ports. */
 export const startTestGateway = async (
     ports: readonly number[],
-    { maximumBodyBytes = 1_000, ...route }: Partial<Route> & { readonly maximumBodyBytes?: number; },
+    { maximumBodyBytes = 1_000, retrySlack = 20, ...route }: Partial<Route> & {
+        readonly maximumBodyBytes?: number;
+        /** Retries in addition to a fifth of the requests. */
+        readonly retrySlack?: number;
+    },
     engines?: EnginePort,
     versions?: VersionPolicy,
     admission?: LevelState,
@@ -137,7 +141,7 @@
         admission,
         returns,
         sharedNowMs: clock.wallMs,
-        retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: 20, windowMs: 10_000, hostCount: () => 1 }),
+        retryBudget: createRetryBudget(clock, { ratio: 0.2, slack: retrySlack, windowMs: 10_000, hostCount: () => 1 }),
         events: {
             onProcessingStarted: accountId => void startedAccountIds.push(accountId),
             onAttemptEnded: () => undefined,
--- a/packages/gateway/src/forwarding/forwardRequest.ts
+++ b/packages/gateway/src/forwarding/forwardRequest.ts
@@ -69,9 +69,15 @@
         .exhaustive();
     const isDangerous = outcome.kind === "repeat" && outcome.suspectedIds.length > 0
         && (lostRuns >= MAXIMUM_LOST_RUNS || !options.quarantine.mayRepeat(outcome.suspectedIds));
-    const isCharged = outcome.kind === "elsewhere" && outcome.isCharged;
-    return !ended.aborted && isAllowed && !isDangerous
-        && (isCharged || options.retryBudget.tryAcquire(admitted.service));
+    if (ended.aborted || !isAllowed || isDangerous) {
+        return false;
+    }
+    if (outcome.kind === "moved") {
+        // The run has been stopped for the move, so that giving it up now would lose it.
+        options.retryBudget.charge(admitted.service);
+        return true;
+    }
+    return outcome.kind === "elsewhere" && outcome.isCharged || options.retryBudget.tryAcquire(admitted.service);
 };
 
 /** Whether the upstream to which a run was moved has announced its departure since it was chosen. */
--- a/packages/gateway/src/limits/createRetryBudget.ts
+++ b/packages/gateway/src/limits/createRetryBudget.ts
@@ -42,5 +42,6 @@
             counts.retryTimesMs.push(clock.monotonicMs());
             return true;
         },
+        charge: service => void countsOf(service).retryTimesMs.push(clock.monotonicMs()),
     };
 };
--- a/packages/gateway/src/limits/retryBudget.ts
+++ b/packages/gateway/src/limits/retryBudget.ts
@@ -5,4 +5,6 @@
     readonly recordRequest: (service: ServiceName) => void;
     /** Consumes one retry; returns whether the budget permits it. */
     readonly tryAcquire: (service: ServiceName) => boolean;
+    /** Consumes a retry that is made whether the budget permits it or not; later ones wait for it. */
+    readonly charge: (service: ServiceName) => void;
 }
