feat(edge): log lines and metrics tell the sizes of generations

Nothing that a host wrote distinguished a long generation from a short one, so that a loss of the long ones alone showed in no figure. request_ended states the token counts of the client and the events that came; ibis_generations_total counts outcomes by classes of both.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -2,6 +2,7 @@
 import type { GatewayEvents } from "@ibislanding/gateway";
 import { parseFeatureId } from "@ibislanding/quarantine";
 import { describeError, type EventLog, type MetricsRegistry } from "@ibislanding/runtime";
+import { sizeClass } from "./sizeClass";
 
 /** Logged length of prompt parts, which clients choose. */
 const MAXIMUM_PARTS_LENGTH = 200;
@@ -19,6 +20,10 @@
     onStatement: () => void,
 ): GatewayEvents => {
     const requests = metrics.counter("ibis_requests_total", "Callers' requests by service, outcome and status.");
+    const generations = metrics.counter(
+        "ibis_generations_total",
+        "Requests with token counts by service, outcome, status, and classes of prompt tokens and of events received.",
+    );
     const durations = metrics.distribution("ibis_request_duration_ms", "Time to the end of the answer.");
     const firstBytes = metrics.distribution("ibis_first_byte_ms", "Time to the first byte of the answer.");
     const sends = metrics.counter("ibis_upstream_sends_total", "Sends to upstreams by outcome.");
@@ -97,6 +102,15 @@
         ) => {
             const service = request.service ?? "none";
             requests.add(1, { service, outcome: request.outcome, status: String(request.status) });
+            if (request.promptTokens !== undefined) {
+                generations.add(1, {
+                    service,
+                    outcome: request.outcome,
+                    status: String(request.status),
+                    promptTokens: sizeClass(request.promptTokens),
+                    events: sizeClass(request.events),
+                });
+            }
             durations.record(durationMs, { service });
             if (firstByteMs !== undefined) {
                 firstBytes.record(firstByteMs, { service });
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -73,6 +73,11 @@
     readonly onRequestError: (failure: { readonly requestId: RequestId | undefined; readonly error: unknown; }) => void;
     readonly onRequestEnded: (request: {
         readonly requestId: RequestId | undefined;
+        /** As the client states them; undefined for plain requests. */
+        readonly promptTokens: number | undefined;
+        readonly maximumOutputTokens: number | undefined;
+        /** Events of a stream that all attempts have brought. */
+        readonly events: number;
         readonly route: string | undefined;
         readonly service: ServiceName | undefined;
         readonly accountId: AccountId | undefined;
--- a/packages/gateway/src/forwarding/requestProgress.ts
+++ b/packages/gateway/src/forwarding/requestProgress.ts
@@ -12,6 +12,8 @@
     firstByteAtMs: number | undefined;
     /** Body of the last response that was relayed. */
     received: ReceivedBody | undefined;
+    /** Events of a stream that all attempts have brought. */
+    events: number;
     /** Quarantined feature for which the request was refused. */
     quarantinedFeature: FeatureId | undefined;
 }
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -202,6 +202,7 @@
         onEvents: (events, isDelayed, eventId) => {
             lastEventId = eventId;
             silence?.recordProgress();
+            progress.events += events;
             attempt.onEvents(events, isDelayed);
         },
         onFirstByte: () => {
--- a/packages/gateway/src/forwarding/serveRequest.ts
+++ b/packages/gateway/src/forwarding/serveRequest.ts
@@ -108,6 +108,7 @@
         placement: undefined,
         firstByteAtMs: undefined,
         received: undefined,
+        events: 0,
         quarantinedFeature: undefined,
     };
     const head: RequestHead = options.codec.readRequest(request);
@@ -128,10 +129,13 @@
         reason: string,
         status: number,
     ): void => {
-        const { firstByteAtMs, placement, received } = progress;
+        const { events: receivedEvents, firstByteAtMs, placement, received } = progress;
         const chosen = placement?.kind === "send" ? placement : undefined;
         events.onRequestEnded({
             requestId: head.requestId,
+            promptTokens: head.tokens?.prompt,
+            maximumOutputTokens: head.tokens?.output,
+            events: receivedEvents,
             route: identifiedRequest?.route.name,
             service: identifiedRequest?.service,
             accountId: identifiedRequest?.account?.accountId,
