fix(gateway): streams that run out of time go on at engines that prompts avoid

What callers saw: the longest generations of a kind ended at their deadline, all others were served.

Cause: an engine hardly writes tokens while it reads prompts, and no decision looked further than the first event. Prompts were spread over all engines; at four fifths of reading an output of 764 tokens takes 20 s.

A stream that has not ended after half of its time is moved to one of a few engines, the same at all hosts, that prompts avoid while streams are slow. What is long shows by itself then, so that only the streams that need it are copied.

--- a/packages/edge/src/createGatewayEvents.ts
+++ b/packages/edge/src/createGatewayEvents.ts
@@ -27,7 +27,7 @@
     const durations = metrics.distribution("ibis_request_duration_ms", "Time to the end of the answer.");
     const firstBytes = metrics.distribution("ibis_first_byte_ms", "Time to the first byte of the answer.");
     const sends = metrics.counter("ibis_upstream_sends_total", "Sends to upstreams by outcome.");
-    const moves = metrics.counter("ibis_run_moves_total", "Runs moved away from leaving upstreams by outcome.");
+    const moves = metrics.counter("ibis_run_moves_total", "Runs moved to other engines by cause and outcome.");
 
     const silentStreams = metrics.counter(
         "ibis_silent_streams_total",
@@ -62,7 +62,7 @@
             });
         },
         onRunMoved: move => {
-            moves.add(1, { outcome: move.outcome });
+            moves.add(1, { outcome: move.outcome, cause: move.cause });
             log.write("run_moved", move);
         },
         onStreamSilent: ({ silentMs, longestGapMs, ...stream }) => {
--- a/packages/edge/src/startEdgeHost.ts
+++ b/packages/edge/src/startEdgeHost.ts
@@ -8,6 +8,7 @@
     createGateway,
     createRecentAnswers,
     createRetryBudget,
+    createStreamRelief,
     createUpstreamTable,
     probeAddress,
     type UpstreamRecord,
@@ -308,6 +309,7 @@
         isKnownService: service => documentCache.configuration()?.servicesByName.has(service) === true,
     });
 
+    const streamRelief = createStreamRelief(clock);
     const gateway = resources.use(createGateway({
         clock,
         random,
@@ -322,6 +324,7 @@
         quarantine,
         recentAnswers,
         streamOrigins,
+        streamRelief,
         versions: rollouts?.policy,
         admission: admission.level,
         returns: admission.returns,
@@ -523,6 +526,7 @@
             configuration: documentCache.configuration(),
             upstreams,
             quarantine,
+            streamRelief,
             peekRule: service => rollouts?.peekRule(service) ?? { kind: "any" },
             isCutOff: service => relay?.port.isCutOff(service) ?? false,
         })),
--- a/packages/gateway/__tests__/explainRoute.spec.ts
+++ b/packages/gateway/__tests__/explainRoute.spec.ts
@@ -72,6 +72,7 @@
         quarantine: { features: () => state.features },
         peekRule: () => state.rule,
         isCutOff: () => false,
+        streamRelief: { isActive: () => false },
     };
     const explain = (asked: Partial<RouteQuery> = {}) => explainRoute(options, { ...query, ...asked });
     return { clock, upstreams, placements, state, options, explain };
--- a/packages/gateway/__tests__/movedRelays.spec.ts
+++ b/packages/gateway/__tests__/movedRelays.spec.ts
@@ -33,7 +33,12 @@
             clock: createFakeClock(),
             request: { method: "POST", url: "/", rawHeaders: [] },
             clientResponse: { isStarted: () => true },
-            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true, charge: () => undefined },
+            retryBudget: {
+                recordRequest: () => undefined,
+                tryAcquire: () => true,
+                hasRetry: () => true,
+                charge: () => undefined,
+            },
             quarantine: { find: () => undefined, mayRepeat: () => true },
             upstreams: {
                 candidates: () => [],
--- a/packages/gateway/__tests__/slotForwarding.spec.ts
+++ b/packages/gateway/__tests__/slotForwarding.spec.ts
@@ -44,7 +44,12 @@
             request: { method: "POST", url: "/", rawHeaders: [] },
             clientResponse: { isStarted: () => false },
             isTooLateToRun: () => false,
-            retryBudget: { recordRequest: () => undefined, tryAcquire: () => true, charge: () => undefined },
+            retryBudget: {
+                recordRequest: () => undefined,
+                tryAcquire: () => true,
+                hasRetry: () => true,
+                charge: () => undefined,
+            },
             quarantine: { find: () => undefined, mayRepeat: () => true },
             accounts: { refund: () => undefined },
             upstreams: {
--- a/packages/gateway/__tests__/support/replayGenerations.ts
+++ b/packages/gateway/__tests__/support/replayGenerations.ts
@@ -1,5 +1,8 @@
 import { createHasher, createRandom, type ServiceName, type UpstreamId } from "@ibislanding/core";
 import { chooseUpstream, createUpstreamTable, type PlacementRequest, type UpstreamLoad } from "../../src";
+import { chooseReliefEngine } from "../../src/placement/chooseReliefEngine";
+import { isWorthCopying } from "../../src/placement/isWorthCopying";
+import { createStreamRelief } from "../../src/streams/createStreamRelief";
 import { createRecord } from "./startTestGateway";
 
 const SERVICE = "orders" as ServiceName;
@@ -12,6 +15,9 @@
 const TOKENS_PER_MS = 40.8;
 /** Time for a token of each stream of an engine while it reads no prompt. */
 const STEP_MS = 5.4;
+/** Part of its time after which a stream goes on at another engine, and how long that takes. */
+const RELIEF_TIME_SHARE = 0.5;
+const MOVE_MS = 30;
 /** Requests of before are not counted: the hosts learn the speed of the engines from them. */
 const WARM_UP_MS = 3_000;
 const PEER_TIMEOUT_MS = 4_000;
@@ -25,6 +31,7 @@
     readonly maximumOutputTokens: number;
     readonly objectiveMs: number;
     readonly deadlineMs: number;
+    readonly isResumable: boolean;
 }
 
 const KINDS: readonly Kind[] = [
@@ -36,6 +43,7 @@
         maximumOutputTokens: 208,
         objectiveMs: 1_000,
         deadlineMs: 6_000,
+        isResumable: true,
     },
     {
         name: "question",
@@ -45,6 +53,7 @@
         maximumOutputTokens: 88,
         objectiveMs: 1_500,
         deadlineMs: 4_000,
+        isResumable: false,
     },
     {
         name: "narration",
@@ -54,6 +63,7 @@
         maximumOutputTokens: 764,
         objectiveMs: 2_000,
         deadlineMs: 15_000,
+        isResumable: true,
     },
 ];
 
@@ -74,6 +84,7 @@
     readonly arrivedAtMs: number;
     isInTime: boolean;
     isServed: boolean;
+    isRelieved: boolean;
 }
 
 interface Engine {
@@ -146,6 +157,7 @@
             index,
             zone: index % ZONES,
             table,
+            relief: createStreamRelief(clock),
             lastAtMs: Array.from({ length: ZONES }, () => -1),
             delaysMs: Array.from({ length: ZONES }, () => least + random.nextFloat() * (most - least)),
         };
@@ -179,13 +191,46 @@
     /** Time that an engine has spent on reading prompts. */
     const readMsOf = ({ freeAtMs, readMs }: Engine): number => readMs - Math.max(0, freeAtMs - clock.nowMs);
 
-    const runAt = (host: Host, generation: Generation, request: PlacementRequest, upstreamId: UpstreamId): void => {
+    /** Moves a stream that runs out of time; returns whether there was an engine for it. */
+    const relieve = (
+        host: Host,
+        generation: Generation,
+        request: PlacementRequest,
+        upstreamId: UpstreamId,
+        restMs: number,
+    ): boolean => {
+        const { kind: { deadlineMs }, arrivedAtMs } = generation;
+        generation.isRelieved = true;
+        host.relief.recordSlow(SERVICE);
+        receiveReports(host);
+        const remainingMs = arrivedAtMs + deadlineMs - clock.nowMs;
+        const moved = { ...request, promptTokens: 0, remainingMs, avoidsReliefEngines: false };
+        const target = chooseReliefEngine(host.table.candidates(SERVICE, moved), moved, upstreamId);
+        if (target !== undefined) {
+            runAt(host, generation, moved, target.upstreamId, restMs);
+        }
+        return target !== undefined;
+    };
+
+    const runAt = (
+        host: Host,
+        generation: Generation,
+        request: PlacementRequest,
+        upstreamId: UpstreamId,
+        movedRestMs?: number,
+    ): void => {
         const index = records.findIndex(record => record.upstreamId === upstreamId);
         const engine = engines[index];
         if (engine === undefined) {
             throw new Error("no engine was chosen");
         }
-        const { kind: { objectiveMs, deadlineMs }, arrivedAtMs, outputTokens } = generation;
+        const { kind, arrivedAtMs, outputTokens } = generation;
+        const { objectiveMs, deadlineMs } = kind;
+        const isMovable = kind.isResumable && isWorthCopying({
+            tokens: { prompt: kind.promptTokens, output: kind.maximumOutputTokens },
+            promptParts: [],
+        });
+        const reliefAtMs = arrivedAtMs + deadlineMs * RELIEF_TIME_SHARE;
         const tracked = host.table.trackRequest(upstreamId, request);
         const workMs = request.promptTokens / TOKENS_PER_MS;
         engine.freeAtMs = Math.max(clock.nowMs, engine.freeAtMs) + workMs;
@@ -193,10 +238,17 @@
         const write = (restMs: number): void => {
             const startedAtMs = clock.nowMs;
             const readMs = readMsOf(engine);
-            schedule(Math.max(startedAtMs, engine.freeAtMs) + restMs, () => {
+            const endsAtMs = Math.max(startedAtMs, engine.freeAtMs) + restMs;
+            const isRelievable = isMovable && !generation.isRelieved;
+            schedule(isRelievable ? Math.min(endsAtMs, Math.max(startedAtMs, reliefAtMs)) : endsAtMs, () => {
                 const writtenMs = clock.nowMs - startedAtMs - (readMsOf(engine) - readMs);
                 const isLate = clock.nowMs > arrivedAtMs + deadlineMs;
                 if (writtenMs < restMs - 1e-6 && !isLate) {
+                    const isSlow = isRelievable && clock.nowMs >= reliefAtMs;
+                    if (isSlow && relieve(host, generation, request, upstreamId, restMs - writtenMs)) {
+                        tracked.end();
+                        return;
+                    }
                     write(restMs - writtenMs);
                     return;
                 }
@@ -204,6 +256,13 @@
                 generation.isServed = !isLate;
             });
         };
+        if (movedRestMs !== undefined) {
+            schedule(clock.nowMs + MOVE_MS, () => {
+                tracked.recordFirstEvent();
+                write(movedRestMs);
+            });
+            return;
+        }
         schedule(engine.freeAtMs + OVERHEAD_MS + (index % ZONES === host.zone ? 1 : OTHER_ZONE_MS), () => {
             tracked.recordFirstEvent();
             generation.isInTime = clock.nowMs - arrivedAtMs <= objectiveMs;
@@ -227,6 +286,7 @@
             arrivedAtMs: clock.nowMs,
             isInTime: false,
             isServed: false,
+            isRelieved: false,
         };
         if (clock.nowMs >= WARM_UP_MS && clock.nowMs < durationMs) {
             generations.push(generation);
@@ -241,6 +301,7 @@
             excluded: new Set(),
             softwareVersion: undefined,
             versionRule: { kind: "any" },
+            avoidsReliefEngines: host.relief.isActive(SERVICE),
         };
         receiveReports(host);
         const decision = chooseUpstream(host.table.candidates(SERVICE, request), request, random.nextFloat());
--- a/packages/gateway/src/engines/evacuateRun.ts
+++ b/packages/gateway/src/engines/evacuateRun.ts
@@ -1,7 +1,8 @@
-import { ErrorCode, measureElapsedMs } from "@ibislanding/core";
+import { measureElapsedMs } from "@ibislanding/core";
 import { chooseUpstream } from "../placement/chooseUpstream";
 import type { EvacuationOptions } from "./evacuationOptions";
 import type { EvacuationResult } from "./evacuationResult";
+import { moveRun } from "./moveRun";
 
 /**
  * Delay between the notice and the move of runs that are still in progress. Short responses finish within it, and the
@@ -15,16 +16,13 @@
 /** Time after the notice up to which a run that could not be copied goes on at its upstream, which must not get requests for long. */
 const SOURCE_CONTINUATION_MS = 2_000;
 
-/** Failures after which the run is known not to have been stopped. */
-const NOT_STOPPED_CODES: ReadonlySet<ErrorCode> = new Set([ErrorCode.UpstreamRefused, ErrorCode.UpstreamUnreachable]);
-
 /**
  * Moves a run away from an upstream that is about to leave.
  *
  * Handles an availability zone that is reclaimed with two or three seconds of notice while long responses are running.
  */
 export const evacuateRun = async (options: EvacuationOptions): Promise<EvacuationResult> => {
-    const { clock, engines, upstreams, upstream, signal } = options;
+    const { clock, upstreams, upstream, signal } = options;
     const elapsedMs = measureElapsedMs(clock);
     const noticeMs = upstreams.noticeMs(upstream.upstreamId);
     await clock.sleep(Math.max(EVACUATION_DELAY_MS, (noticeMs ?? 0) * EVACUATION_SHARE), signal);
@@ -37,14 +35,5 @@
     if (decision.kind === "refuse") {
         return { kind: "not-moved" };
     }
-    const moved = await engines.moveRun(upstream.address, options.requestId, decision.upstream.address);
-    options.onMove(decision.upstream, moved.ok ? moved.val.isCopied ? "copied" : "stopped" : moved.val.code);
-    if (moved.err) {
-        return { kind: NOT_STOPPED_CODES.has(moved.val.code) ? "not-moved" : "unknown" };
-    }
-    const { handle, isCopied } = moved.val;
-    if (!isCopied && elapsedMs() > SOURCE_CONTINUATION_MS) {
-        return { kind: "stopped" };
-    }
-    return { kind: "moved", continuation: { upstream: isCopied ? decision.upstream : upstream, handle } };
+    return moveRun(options, decision.upstream, () => elapsedMs() <= SOURCE_CONTINUATION_MS);
 };
--- a/packages/gateway/src/explanation/explainDestination.ts
+++ b/packages/gateway/src/explanation/explainDestination.ts
@@ -62,12 +62,12 @@
 
 /** Explains where a new request that goes to the given service would be sent. */
 export const explainDestination = (
-    { upstreams, peekRule, isCutOff }: ExplainRouteOptions,
+    { upstreams, streamRelief, peekRule, isCutOff }: ExplainRouteOptions,
     { service, weight }: Route["destinations"][number],
-    placement: Omit<PlacementRequest, "versionRule">,
+    placement: Omit<PlacementRequest, "versionRule" | "avoidsReliefEngines">,
 ): DestinationExplanation => {
     const versionRule = peekRule(service);
-    const request = { ...placement, versionRule };
+    const request = { ...placement, avoidsReliefEngines: streamRelief.isActive(service), versionRule };
     const explained = { service, weight, isCutOff: isCutOff(service), versionRule: describeRule(versionRule) };
     // Evaluating an upstream with slots of its hosts may lengthen the time for which all hosts use fewer of them.
     if (upstreams.brittle.isRestricted(service)) {
--- a/packages/gateway/src/forwarding/createForwardContext.ts
+++ b/packages/gateway/src/forwarding/createForwardContext.ts
@@ -38,6 +38,7 @@
         isSendRecorded: false,
         isAdmittedByLevel: undefined,
         isServedRecorded: false,
+        isRelieved: false,
         lastEventId: options.relayed?.lastEventId,
     };
 };
--- a/packages/gateway/src/forwarding/forwardContext.ts
+++ b/packages/gateway/src/forwarding/forwardContext.ts
@@ -39,6 +39,8 @@
     isServedRecorded: boolean;
     /** Whether a send of the request was counted for the retry budget. */
     isSendRecorded: boolean;
+    /** Whether the run was to go on at another engine because it ran out of time; this is tried once. */
+    isRelieved: boolean;
     /** Id of the last event that was sent to the client. */
     lastEventId: string | undefined;
 }
--- a/packages/gateway/src/forwarding/gatewayEvents.ts
+++ b/packages/gateway/src/forwarding/gatewayEvents.ts
@@ -23,11 +23,12 @@
         /** The request itself, over all attempts and on all hosts; set if the run was lost. */
         readonly requestFeature: FeatureId | undefined;
     }) => void;
-    /** A run was moved away from a leaving upstream, or the move failed. */
+    /** A run was moved away from a leaving upstream, or to an engine at which it ends in time, or the move failed. */
     readonly onRunMoved: (move: {
         readonly requestId: RequestId;
         readonly upstreamId: UpstreamId;
         readonly target: UpstreamId;
+        readonly cause: "departure" | "time";
         readonly outcome: string;
     }) => void;
     /** A stream was given up because its engine had fallen silent; it goes on at another one. */
--- a/packages/gateway/src/forwarding/gatewayOptions.ts
+++ b/packages/gateway/src/forwarding/gatewayOptions.ts
@@ -7,6 +7,7 @@
 import type { AccountMeter } from "../limits/accountMeter";
 import type { RetryBudget } from "../limits/retryBudget";
 import type { StreamOrigins } from "../streams/streamOrigins";
+import type { StreamRelief } from "../streams/streamRelief";
 import type { CrashDetector } from "../upstreams/crashDetector";
 import type { UpstreamTable } from "../upstreams/upstreamTable";
 import type { VersionPolicy } from "../versions/versionPolicy";
@@ -30,6 +31,7 @@
     readonly crashes: CrashDetector;
     readonly recentAnswers: RecentAnswers;
     readonly streamOrigins: StreamOrigins;
+    readonly streamRelief: StreamRelief;
     /** Set if versions are rolled out. */
     readonly versions: VersionPolicy | undefined;
     /** The clock that the hosts share. */
--- a/packages/gateway/src/forwarding/sendToUpstream.ts
+++ b/packages/gateway/src/forwarding/sendToUpstream.ts
@@ -19,7 +19,7 @@
 import { startAttempt } from "./startAttempt";
 import { toPlacementRequest } from "./toPlacementRequest";
 import type { UpstreamResponse } from "./upstreamResponse";
-import { watchEvacuation } from "./watchEvacuation";
+import { watchMoves } from "./watchMoves";
 import { watchSilence } from "./watchSilence";
 
 /** State of one attempt at an upstream. */
@@ -173,7 +173,7 @@
     );
     const hasEvents = isStream && isEventStream(response.body);
     const canMove = hasEvents && engine?.supportsMoves === true;
-    const evacuation = canMove ? watchEvacuation(context, upstream) : undefined;
+    const moves = canMove ? watchMoves(context, upstream, () => response.body.isPaused()) : undefined;
     const isSuccess = response.head.status < FIRST_UNSUCCESSFUL_STATUS;
     const clearing = isSuccess
         ? options.clock.setTimer(CLEARING_MS, () => {
@@ -226,10 +226,10 @@
     };
     if (delivery.defect === undefined && delivery.received.delimiter !== "connection") {
         const outcome = complete();
-        await evacuation?.end();
+        await moves?.end();
         return outcome;
     }
-    const move = await evacuation?.end() ?? NOT_MOVED;
+    const move = await moves?.end() ?? NOT_MOVED;
     // An engine that stops a run for a move closes its connection, which also ends a body without length and chunks.
     if (delivery.defect === undefined && move.kind === "not-moved") {
         return complete();
--- a/packages/gateway/src/forwarding/toPlacementRequest.ts
+++ b/packages/gateway/src/forwarding/toPlacementRequest.ts
@@ -17,6 +17,7 @@
     promptParts: isMoved ? [] : admitted.head.promptParts,
     objectiveMs: admitted.route.objectiveMs,
     requiresSpareCapacity: admitted.admission.kind === "spare",
+    avoidsReliefEngines: !isMoved && options.streamRelief.isActive(admitted.service),
     requiresKnownVersion: admitted.route.isResumable,
     remainingMs: admitted.dueAtMs - options.clock.monotonicMs(),
     excluded: additionallyExcluded === undefined ? excluded : new Set([...excluded, additionallyExcluded.upstreamId]),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,11 +34,13 @@
 export type { BrittleRow } from "./brittle/brittleRow";
 
 // Streams
+export { createStreamRelief } from "./streams/createStreamRelief";
 export type { RegisteredVersion } from "./streams/registeredVersion";
 export type { StreamKnowledge } from "./streams/streamKnowledge";
 export { STREAM_LIFETIME_MS } from "./streams/streamLifetimeMs";
 export type { StreamOrigin } from "./streams/streamOrigin";
 export type { StreamOrigins } from "./streams/streamOrigins";
+export type { StreamRelief } from "./streams/streamRelief";
 export type { VersionRow } from "./streams/versionRow";
 
 // Versions
--- a/packages/gateway/src/limits/createRetryBudget.ts
+++ b/packages/gateway/src/limits/createRetryBudget.ts
@@ -30,18 +30,25 @@
         return counts;
     };
 
+    const hasRetry = (service: ServiceName): boolean => {
+        const { requestTimesMs, retryTimesMs } = countsOf(service);
+        const allowed = (requestTimesMs.length * options.ratio + options.slack / options.hostCount())
+            * UTILIZATION_LIMIT;
+        return retryTimesMs.length + 1 <= allowed;
+    };
+
+    const charge = (service: ServiceName): void => void countsOf(service).retryTimesMs.push(clock.monotonicMs());
+
     return {
         recordRequest: service => void countsOf(service).requestTimesMs.push(clock.monotonicMs()),
         tryAcquire: service => {
-            const counts = countsOf(service);
-            const allowed = (counts.requestTimesMs.length * options.ratio + options.slack / options.hostCount())
-                * UTILIZATION_LIMIT;
-            if (counts.retryTimesMs.length + 1 > allowed) {
-                return false;
+            const isPermitted = hasRetry(service);
+            if (isPermitted) {
+                charge(service);
             }
-            counts.retryTimesMs.push(clock.monotonicMs());
-            return true;
+            return isPermitted;
         },
-        charge: service => void countsOf(service).retryTimesMs.push(clock.monotonicMs()),
+        hasRetry,
+        charge,
     };
 };
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -5,6 +5,7 @@
 import type { PlacementRequest } from "./placementRequest";
 import { predictMs } from "./predictMs";
 import { selectContinuing } from "./selectContinuing";
+import { selectReliefEngines } from "./selectReliefEngines";
 
 /** `Retry-After` while a service has no eligible upstream: a replacement or a re-registration takes about this long. */
 const NO_UPSTREAM_RETRY_MS = 400;
@@ -45,6 +46,12 @@
  */
 const MAXIMUM_REQUESTS_PER_SLOT = 2;
 
+/**
+ * Cost of a prompt at an engine that it avoids, as a multiple of its work. It is read there only if it would wait for longer
+ * at all others.
+ */
+const RELIEF_COST_FACTOR = 4;
+
 const isEligible = (
     { record }: PlacementCandidate,
     { excluded, softwareVersion, versionRule }: PlacementRequest,
@@ -85,10 +92,13 @@
 const selectCandidate = (
     candidates: readonly PlacementCandidate[],
     objectiveMs: number,
+    avoided: ReadonlySet<PlacementCandidate>,
     fraction: number | undefined,
 ): PlacementCandidate | undefined => {
     const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR);
-    return (fraction === undefined ? minimumBy(safe, costMs) : drawCandidate(safe, costMs, fraction))
+    const totalMs = (candidate: PlacementCandidate): number =>
+        costMs(candidate) + (avoided.has(candidate) ? candidate.promptMs * RELIEF_COST_FACTOR : 0);
+    return (fraction === undefined ? minimumBy(safe, totalMs) : drawCandidate(safe, totalMs, fraction))
         ?? minimumBy(candidates, candidate => predictMs(candidate) + registryPenaltyMs(candidate));
 };
 
@@ -143,6 +153,7 @@
     const chosen = selectCandidate(
         request.softwareVersion === undefined || timely.length === 0 ? withCapacity : selectContinuing(timely),
         request.objectiveMs,
+        new Set(request.avoidsReliefEngines === true ? selectReliefEngines(candidates) : []),
         fraction,
     );
     if (chosen === undefined || predictMs(chosen) > latestFirstEventMs) {
--- a/packages/gateway/src/placement/placementRequest.ts
+++ b/packages/gateway/src/placement/placementRequest.ts
@@ -11,6 +11,8 @@
     readonly remainingMs: number;
     /** Whether the request may run only on spare capacity, because its account is above its rate. */
     readonly requiresSpareCapacity: boolean;
+    /** Whether its prompt avoids the engines at which streams go on that run out of time. */
+    readonly avoidsReliefEngines?: boolean | undefined;
     /** Upstreams that refused the request or failed to complete it in earlier attempts. */
     readonly excluded: ReadonlySet<UpstreamId>;
     /** Whether events of the answer may have to be continued, so that the version that writes them must be known. */
