--- a/packages/ctl/__tests__/explain.spec.ts
+++ b/packages/ctl/__tests__/explain.spec.ts
@@ -40,6 +40,12 @@
     expect(causeOf(end)).toMatch(expected);
 });
 
+test("explains how far a stream had come at its deadline", () => {
+    const fields = { outcome: "failed", reason: "deadline_passed", status: 504, events: 143 };
+    const end: LogLine = { event: "request_ended", host: "front-a", atMs: 0, fields };
+    expect(causeOf(end)).toBe("The deadline passed after 143 events of the stream.");
+});
+
 test("explains an interrupted response, and shows that the registration of the upstream expired afterwards", async () => {
     const { cause, lines } = await explain("168b7df9541d4291");
     expect(cause).toBe("The upstream interrupted the response, and the route does not allow another attempt.");
--- a/packages/ctl/src/explain/causeOf.ts
+++ b/packages/ctl/src/explain/causeOf.ts
@@ -67,6 +67,10 @@
         const fingerprint = stringOrEmpty(end.fields["fingerprint"]);
         return `Upstreams have crashed under earlier attempts of the request ${fingerprint}, which is quarantined.`;
     }
+    const events = numberOf(end.fields["events"]) ?? 0;
+    if (reason === "deadline_passed" && events > 0) {
+        return `The deadline passed after ${events} events of the stream.`;
+    }
     return INTERRUPTED_RESPONSE_PATTERN.test(reason)
         ? "The upstream interrupted the response, and the route does not allow another attempt."
         : CAUSES[reason] ?? `Ended with the reason ${reason}.`;
