fix(gateway): fewer streams move, to fewer engines, so that long prompts pay less

Streams move after three fifths of their time instead of half, a twentieth of the engines takes them over instead of 7 %, and a prompt there costs two times its work in addition instead of four.

--- a/packages/gateway/__tests__/support/replayGenerations.ts
+++ b/packages/gateway/__tests__/support/replayGenerations.ts
@@ -16,7 +16,7 @@
 /** Time for a token of each stream of an engine while it reads no prompt. */
 const STEP_MS = 5.4;
 /** Part of its time after which a stream goes on at another engine, and how long that takes. */
-const RELIEF_TIME_SHARE = 0.5;
+const RELIEF_TIME_SHARE = 0.6;
 const MOVE_MS = 30;
 /** Requests of before are not counted: the hosts learn the speed of the engines from them. */
 const WARM_UP_MS = 3_000;
--- a/packages/gateway/src/forwarding/watchMoves.ts
+++ b/packages/gateway/src/forwarding/watchMoves.ts
@@ -10,7 +10,7 @@
 import { toPlacementRequest } from "./toPlacementRequest";
 
 /** Part of the time of a request after which a stream that has not ended runs out of time. */
-const RELIEF_TIME_SHARE = 0.5;
+const RELIEF_TIME_SHARE = 0.6;
 
 /** Time that a stream has at an engine before it is moved to another one because it runs out of time. */
 const MINIMUM_RUN_MS = 1_000;
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -50,7 +50,7 @@
  * Cost of a prompt at an engine that it avoids, as a multiple of its work. It is read there only if it would wait for longer
  * at all others.
  */
-const RELIEF_COST_FACTOR = 4;
+const RELIEF_COST_FACTOR = 2;
 
 const isEligible = (
     { record }: PlacementCandidate,
--- a/packages/gateway/src/placement/selectReliefEngines.ts
+++ b/packages/gateway/src/placement/selectReliefEngines.ts
@@ -1,7 +1,7 @@
 import type { PlacementCandidate } from "./placementCandidate";
 
 /** Part of a service's engines at which streams go on that run out of time. */
-const RELIEF_SHARE = 0.07;
+const RELIEF_SHARE = 0.05;
 
 /**
  * Selects the engines that prompts avoid while streams run out of time; none in a small fleet.
