fix(gateway): relief engines stay light when all engines are late

A prompt counts four times its work more at a relief engine instead of two, also when engines are compared with the objective. When all others were above the objective, prompts went to the relief engines first, as these alone were within it.

No prompt is refused for it: an engine that serves it in time is used last.

--- a/packages/gateway/__tests__/placement.spec.ts
+++ b/packages/gateway/__tests__/placement.spec.ts
@@ -415,3 +415,19 @@
     await clock.advance(500);
     expect(connectedForMs()).toBe(500);
 });
+
+// Guards against engines that stand idle for streams that run out of time while prompts are refused.
+test("a prompt avoids the engines at which slow streams go on, unless it would wait for longer at all others", () => {
+    const ids = Array.from({ length: 20 }, (_, index) => `engine-${index + 10}`);
+    const { table, place } = createTable(ids.map(id => engine(id)));
+    const avoiding = (subject: string): PlacementRequest => prompt(subject, { avoidsReliefEngines: true });
+    const [relief = "", ...others] = ids;
+    const chosen = Array.from({ length: 100 }, (_, index) => upstreamOf(place(avoiding(`s${index}`))));
+    expect(chosen).not.toContain(relief);
+    others.forEach(id =>
+        Array.from({ length: 8 }).forEach((_, index) =>
+            table.trackRequest(id as UpstreamId, prompt(`busy-${id}-${index}`))
+        )
+    );
+    expect(upstreamOf(place(avoiding("s1")))).toBe(relief);
+});
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -50,7 +50,7 @@
  * Cost of a prompt at an engine that it avoids, as a multiple of its work. It is read there only if it would wait for longer
  * at all others.
  */
-const RELIEF_COST_FACTOR = 2;
+const RELIEF_COST_FACTOR = 4;
 
 const isEligible = (
     { record }: PlacementCandidate,
@@ -87,19 +87,28 @@
     );
 
 /**
- * Returns the candidate of lowest cost among those safely within the objective, or the fastest one if there are none.
+ * Returns the candidate of lowest cost among those safely within the objective, or the fastest one if there are none. An
+ * engine that the prompt avoids counts as slower than it is, but not as too late.
  */
 const selectCandidate = (
     candidates: readonly PlacementCandidate[],
-    objectiveMs: number,
     avoided: ReadonlySet<PlacementCandidate>,
+    objectiveMs: number,
+    latestFirstEventMs: number,
     fraction: number | undefined,
 ): PlacementCandidate | undefined => {
-    const safe = candidates.filter(candidate => predictMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR);
-    const totalMs = (candidate: PlacementCandidate): number =>
-        costMs(candidate) + (avoided.has(candidate) ? candidate.promptMs * RELIEF_COST_FACTOR : 0);
+    const avoidanceMs = (candidate: PlacementCandidate): number =>
+        avoided.has(candidate) ? candidate.promptMs * RELIEF_COST_FACTOR : 0;
+    const totalMs = (candidate: PlacementCandidate): number => costMs(candidate) + avoidanceMs(candidate);
+    const safe = candidates.filter(candidate =>
+        predictMs(candidate) + avoidanceMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR
+    );
+    const timely = candidates.filter(candidate => predictMs(candidate) <= latestFirstEventMs);
     return (fraction === undefined ? minimumBy(safe, totalMs) : drawCandidate(safe, totalMs, fraction))
-        ?? minimumBy(candidates, candidate => predictMs(candidate) + registryPenaltyMs(candidate));
+        ?? minimumBy(
+            timely.length > 0 ? timely : candidates,
+            candidate => predictMs(candidate) + registryPenaltyMs(candidate) + avoidanceMs(candidate),
+        );
 };
 
 /**
@@ -152,8 +161,9 @@
     const timely = withCapacity.filter(candidate => predictMs(candidate) <= latestFirstEventMs);
     const chosen = selectCandidate(
         request.softwareVersion === undefined || timely.length === 0 ? withCapacity : selectContinuing(timely),
-        request.objectiveMs,
         new Set(request.avoidsReliefEngines === true ? selectReliefEngines(candidates) : []),
+        request.objectiveMs,
+        latestFirstEventMs,
         fraction,
     );
     if (chosen === undefined || predictMs(chosen) > latestFirstEventMs) {
