fix(gateway): relief engines have room for streams that run out of time

Ordinary requests held most slots of the relief engines, and small fleets had one.

The number of relief engines is rounded up, they take streams over up to their last slot, which an engine that is full refuses without stopping the run, and a request counts 150 ms more there for its slot.

--- a/packages/gateway/src/placement/chooseReliefEngine.ts
+++ b/packages/gateway/src/placement/chooseReliefEngine.ts
@@ -5,9 +5,6 @@
 import type { PlacementRequest } from "./placementRequest";
 import { selectReliefEngines } from "./selectReliefEngines";
 
-/** Part of its slots up to which an engine takes streams over; loads are up to two seconds old. */
-const MAXIMUM_SLOT_SHARE = 0.8;
-
 /**
  * Selects the engine at which a stream goes on that runs out of time; undefined if it is at such an engine already, or if none
  * has room. Its tokens are copied, so the request has no prompt.
@@ -22,7 +19,7 @@
         return undefined;
     }
     const decision = chooseUpstream(
-        engines.filter(({ running, record }) => running < record.slots * MAXIMUM_SLOT_SHARE),
+        engines.filter(({ running, record }) => running < record.slots),
         request,
     );
     return decision.kind === "send" ? decision.upstream : undefined;
--- a/packages/gateway/src/placement/chooseUpstream.ts
+++ b/packages/gateway/src/placement/chooseUpstream.ts
@@ -52,6 +52,9 @@
  */
 const RELIEF_COST_FACTOR = 4;
 
+/** Cost of the slot that a request takes there. */
+const RELIEF_SLOT_COST_MS = 150;
+
 const isEligible = (
     { record }: PlacementCandidate,
     { excluded, softwareVersion, versionRule }: PlacementRequest,
@@ -98,7 +101,7 @@
     fraction: number | undefined,
 ): PlacementCandidate | undefined => {
     const avoidanceMs = (candidate: PlacementCandidate): number =>
-        avoided.has(candidate) ? candidate.promptMs * RELIEF_COST_FACTOR : 0;
+        avoided.has(candidate) ? candidate.promptMs * RELIEF_COST_FACTOR + RELIEF_SLOT_COST_MS : 0;
     const totalMs = (candidate: PlacementCandidate): number => costMs(candidate) + avoidanceMs(candidate);
     const safe = candidates.filter(candidate =>
         predictMs(candidate) + avoidanceMs(candidate) <= objectiveMs * SAFE_OBJECTIVE_FACTOR
--- a/packages/gateway/src/placement/selectReliefEngines.ts
+++ b/packages/gateway/src/placement/selectReliefEngines.ts
@@ -3,6 +3,9 @@
 /** Part of a service's engines at which streams go on that run out of time. */
 const RELIEF_SHARE = 0.05;
 
+/** Engines from which on one of them is no more than that part. */
+const MINIMUM_ENGINES = 20;
+
 /**
  * Selects the engines that prompts avoid while streams run out of time; none in a small fleet.
  *
@@ -13,5 +16,5 @@
     const serving = candidates.filter(({ isEngine, isMissing, record }) => isEngine && !isMissing && !record.isLeaving);
     return serving
         .sort((left, right) => left.record.upstreamId < right.record.upstreamId ? -1 : 1)
-        .slice(0, Math.floor(serving.length * RELIEF_SHARE));
+        .slice(0, serving.length < MINIMUM_ENGINES ? 0 : Math.ceil(serving.length * RELIEF_SHARE));
 };
